--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# The only doors that CI uses.
+GO ?= go
+BIN := bin
+LINT := $(BIN)/golangci-lint
+VERSION ?= $(shell git describe --tags --always 2>/dev/null || echo dev)
+LDFLAGS := -X github.com/runworks/runworks/daemon.Version=$(VERSION)
+
+.PHONY: build fmt lint test race long bench dev
+
+build:
+	$(GO) build -ldflags '$(LDFLAGS)' -o $(BIN)/ ./cmd/...
+
+$(LINT): tools/go.mod tools/go.sum
+	cd tools && $(GO) build -o ../$(LINT) github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+
+fmt: $(LINT)
+	$(LINT) fmt
+
+lint: $(LINT)
+	$(LINT) fmt --diff
+	$(LINT) run
+
+test:
+	$(GO) test ./...
+
+race:
+	$(GO) test -race ./...
+
+# More seeds of the random failure schedules: make long SEEDS=5000
+SEEDS ?= 2000
+long:
+	$(GO) test -race ./tests/... -run Schedules -seeds $(SEEDS) -timeout 60m
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+dev:
+	$(GO) run ./cmd/runworks dev
--- /dev/null
+++ b/cmd/runworks/main.go
@@ -0,0 +1,54 @@
+// Command runworks schedules requests for unlike engines.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/runworks/runworks/daemon"
+)
+
+func main() {
+	app := kingpin.New("runworks", "A request scheduler for unlike engines.")
+	app.HelpFlag.Short('h')
+	app.Version(daemon.Version)
+	commands := []func(*kingpin.Application){addEntry, addAgent, addApply, addCheck, addStatus, addDev, addVersion}
+	for _, add := range commands {
+		add(app)
+	}
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "runworks:", err)
+		os.Exit(1)
+	}
+}
+
+// signals gives a context that the second signal ends, and a channel that the
+// first one closes.
+func signals() (ctx context.Context, stop <-chan struct{}, done func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	got := make(chan os.Signal, 2)
+	signal.Notify(got, syscall.SIGTERM, syscall.SIGINT)
+	first := make(chan struct{})
+	go func() {
+		select {
+		case <-got:
+		case <-ctx.Done():
+			return
+		}
+		close(first)
+		select {
+		case <-got:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, first, func() {
+		signal.Stop(got)
+		cancel()
+	}
+}
--- /dev/null
+++ b/cmd/runworks/status.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/joomcode/errorx"
+
+	"github.com/runworks/runworks/services/entry"
+)
+
+const statusTimeout = 5 * time.Second
+
+// addStatus adds the command that shows what an entry sees.
+func addStatus(app *kingpin.Application) {
+	cmd := app.Command("status", "Show what is in force and the load, as an entry sees it.\n\nExample: runworks status --operators http://10.0.0.1:9080")
+	address := cmd.Flag("operators", "The operators' base URL of an entry.").Envar("RUNWORKS_OPERATORS").Required().String()
+	output := cmd.Flag("output", "text or json.").Short('o').Default("text").Enum("text", "json")
+	cmd.Action(func(*kingpin.ParseContext) error {
+		status, err := fetchStatus(*address)
+		if err != nil {
+			return err
+		}
+		if *output == "json" {
+			return json.NewEncoder(os.Stdout).Encode(status)
+		}
+		return printStatus(os.Stdout, status)
+	})
+}
+
+func fetchStatus(address string) (*entry.Status, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address+"/status", nil)
+	if err != nil {
+		return nil, errorx.Decorate(err, "build the question")
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errorx.Decorate(err, "ask the entry")
+	}
+	defer func() { _ = res.Body.Close() }()
+	var status entry.Status
+	if err := json.NewDecoder(res.Body).Decode(&status); err != nil {
+		return nil, errorx.Decorate(err, "read the entry's status")
+	}
+	return &status, nil
+}
+
+func printStatus(out io.Writer, s *entry.Status) error {
+	_, _ = fmt.Fprintf(out, "entry %s: configuration %d, %d requests, stopping %t\n\n", s.Name, s.Version, s.Requests, s.Stopping)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "HOST\tBACKEND SERVER\tCONNECTED\tLEAVING\tCONFIGURATION\tSLOTS\tRUNNING\tWAITING")
+	for _, a := range s.Agents {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%t\t%t\t%d\t%d\t%d\t%d\n", a.Host, a.Server, a.Connected, a.Leaving, a.Version, a.Slots, a.Running, a.Waiting)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,72 @@
+// Command standin runs one stand-in as a process of its own, for tests.
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/runworks/runworks/standin"
+)
+
+func main() {
+	app := kingpin.New("standin", "A stand-in for a backend server or for the platform.")
+	listen := app.Flag("listen", "Where to listen, host:port; port 0 lets the kernel pick.").Default("127.0.0.1:0").String()
+	addEngine(app, listen)
+	addPlain(app, listen)
+	addLog(app, listen)
+	addHosts(app, listen)
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+// serve prints the address and serves until the process ends.
+func serve(listen string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return err
+	}
+	fmt.Println("listening on", listener.Addr())
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	return server.Serve(listener)
+}
+
+func addEngine(app *kingpin.Application, listen *string) {
+	cmd := app.Command("engine", "A model engine.")
+	e := &standin.Engine{}
+	cmd.Flag("name", "Its name in load reports.").Default("engine").StringVar(&e.Name)
+	cmd.Flag("slots", "Requests at once.").Default("8").IntVar(&e.Slots)
+	cmd.Flag("prefill", "Prompt tokens a second.").Default("8000").Float64Var(&e.PrefillPerSecond)
+	cmd.Flag("decode", "Answer tokens a second.").Default("100").Float64Var(&e.DecodePerSecond)
+	cmd.Flag("cached-prompts", "Prompts kept in the prefix cache.").Default("0").IntVar(&e.CachedPrompts)
+	cmd.Flag("report-lag", "How old load reports are.").Default("1s").DurationVar(&e.ReportLag)
+	cmd.Action(func(*kingpin.ParseContext) error { return serve(*listen, e.Handler()) })
+}
+
+func addPlain(app *kingpin.Application, listen *string) {
+	cmd := app.Command("plain", "A plain service.")
+	p := &standin.Plain{}
+	cmd.Flag("delay", "How long a call takes.").Default("0s").DurationVar(&p.Delay)
+	cmd.Action(func(*kingpin.ParseContext) error { return serve(*listen, p.Handler()) })
+}
+
+func addLog(app *kingpin.Application, listen *string) {
+	cmd := app.Command("log", "The log service.")
+	l := &standin.Log{}
+	cmd.Flag("rate", "Appends a second.").Default("100").Float64Var(&l.AppendsPerSecond)
+	cmd.Flag("retain", "Records kept; 0 keeps all.").Default("0").IntVar(&l.Retain)
+	cmd.Action(func(*kingpin.ParseContext) error { return serve(*listen, l.Handler()) })
+}
+
+func addHosts(app *kingpin.Application, listen *string) {
+	cmd := app.Command("hosts", "The host list.")
+	h := &standin.Hosts{}
+	cmd.Flag("lag", "How old the list is that readers get.").Default("0s").DurationVar(&h.Lag)
+	cmd.Action(func(*kingpin.ParseContext) error { return serve(*listen, h.Handler()) })
+}
--- /dev/null
+++ b/daemon/agent.go
@@ -0,0 +1,109 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/backend"
+	"github.com/runworks/runworks/modules/setting"
+	"github.com/runworks/runworks/routers/operators"
+	"github.com/runworks/runworks/routers/runs"
+	"github.com/runworks/runworks/services/agent"
+	"github.com/runworks/runworks/services/config"
+)
+
+// Agent runs an agent by its settings.
+type Agent struct {
+	Settings *setting.Agent
+	Parts    Parts
+	// Connect builds the way to the backend server; nil is HTTP.
+	Connect func(address string) runworks.Backend
+
+	// Agent and Config are set by Run before it serves.
+	Agent  *agent.Agent
+	Config *config.Follower
+}
+
+// Run runs until stop is closed and the planned stop is over; the end of ctx
+// cuts everything.
+func (d *Agent) Run(ctx context.Context, stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	flush, err := d.Parts.fill(ctx, &d.Settings.Common)
+	if err != nil {
+		return err
+	}
+	defer flush()
+	entriesServer, operatorsServer, err := d.build()
+	if err != nil {
+		return err
+	}
+	forEntries, err := d.Parts.listen("entries", d.Settings.Listen)
+	if err != nil {
+		return err
+	}
+	forOperators, err := d.Parts.listen("operators", d.Settings.Operators)
+	if err != nil {
+		_ = forEntries.Close()
+		return err
+	}
+	d.Agent.Start(ctx)
+	var work conc.WaitGroup
+	work.Go(func() { d.Config.Run(ctx) })
+	work.Go(serve(operatorsServer, forOperators))
+	work.Go(serve(entriesServer, forEntries))
+	select {
+	case <-ctx.Done():
+	case <-stop:
+		d.drain(ctx)
+	}
+	d.Agent.Close()
+	_ = entriesServer.Close()
+	_ = operatorsServer.Close()
+	cancel()
+	work.Wait()
+	return nil
+}
+
+// build puts the parts together.
+func (d *Agent) build() (entriesServer, operatorsServer *http.Server, err error) {
+	s, p := d.Settings, &d.Parts
+	set, err := newMetrics()
+	if err != nil {
+		return nil, nil, err
+	}
+	if d.Connect == nil {
+		d.Connect = func(address string) runworks.Backend { return backend.New(address, p.Dial) }
+	}
+	d.Config = follower(p, &s.Common)
+	d.Agent = &agent.Agent{
+		Name: s.Name, Server: s.Server, Program: Version, Config: d.Config, Connect: d.Connect,
+		Logger: p.Logger, Metrics: set, Tracer: p.Tracer,
+		MaxWaiting: s.MaxWaiting, MaxAnswerBytes: s.MaxAnswerBytes, KeySkew: s.KeySkew,
+	}
+	d.Config.OnChange = d.Agent.Configure
+	routes := &runs.Routes{Agent: d.Agent, Keys: s.FleetKeys}
+	forOperators := &operators.Routes{Ready: d.ready, Metrics: set, Status: func() any { return d.Agent.Status() }}
+	return &http.Server{Handler: routes.Handler()}, &http.Server{Handler: forOperators.Handler()}, nil
+}
+
+func (d *Agent) ready() error {
+	if d.Config.Version() == 0 {
+		return runworks.ErrNotReady
+	}
+	if d.Agent.Beat().Leaving {
+		return runworks.ErrStopping
+	}
+	return nil
+}
+
+func (d *Agent) drain(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, d.Settings.StopLimit)
+	defer cancel()
+	if err := d.Agent.Drain(ctx); err != nil {
+		d.Parts.Logger.Warn("planned stop cut short", "error", err)
+	}
+}
--- /dev/null
+++ b/daemon/entry.go
@@ -0,0 +1,122 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/platform"
+	"github.com/runworks/runworks/modules/setting"
+	"github.com/runworks/runworks/routers/callers"
+	"github.com/runworks/runworks/routers/operators"
+	"github.com/runworks/runworks/services/admission"
+	"github.com/runworks/runworks/services/config"
+	"github.com/runworks/runworks/services/entry"
+)
+
+// Entry runs an entry by its settings.
+type Entry struct {
+	Settings *setting.Entry
+	Parts    Parts
+
+	// Entry and Config are set by Run before it serves.
+	Entry  *entry.Entry
+	Config *config.Follower
+
+	red atomic.Bool
+}
+
+// Run runs until stop is closed and the planned stop is over; the end of ctx
+// cuts everything.
+func (d *Entry) Run(ctx context.Context, stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	flush, err := d.Parts.fill(ctx, &d.Settings.Common)
+	if err != nil {
+		return err
+	}
+	defer flush()
+	callersServer, operatorsServer, err := d.build()
+	if err != nil {
+		return err
+	}
+	forCallers, err := d.Parts.listen("callers", d.Settings.Listen)
+	if err != nil {
+		return err
+	}
+	forOperators, err := d.Parts.listen("operators", d.Settings.Operators)
+	if err != nil {
+		_ = forCallers.Close()
+		return err
+	}
+	var work conc.WaitGroup
+	work.Go(func() { d.Config.Run(ctx) })
+	work.Go(func() { d.Entry.Run(ctx) })
+	work.Go(serve(operatorsServer, forOperators))
+	work.Go(serve(callersServer, forCallers))
+	select {
+	case <-ctx.Done():
+	case <-stop:
+		d.drain(ctx, callersServer)
+	}
+	_ = callersServer.Close()
+	_ = operatorsServer.Close()
+	cancel()
+	work.Wait()
+	return nil
+}
+
+// build puts the parts together.
+func (d *Entry) build() (callersServer, operatorsServer *http.Server, err error) {
+	s, p := d.Settings, &d.Parts
+	if p.Hosts == nil {
+		p.Hosts = &platform.Hosts{Address: s.HostList}
+	}
+	set, err := newMetrics()
+	if err != nil {
+		return nil, nil, err
+	}
+	d.Config = follower(p, &s.Common)
+	d.Entry = &entry.Entry{
+		Name: s.Name, Hall: s.Hall, Program: Version, Config: d.Config, Hosts: p.Hosts, HostsPoll: s.HostsPoll,
+		Dial: p.Dial, Keys: s.FleetKeys, Logger: p.Logger, Metrics: set, Tracer: p.Tracer,
+	}
+	d.Entry.Start()
+	admit := &admission.Admission{Config: d.Config, Name: s.Name, Entries: d.Entry.Entries}
+	routes := &callers.Routes{Entry: d.Entry, Admission: admit, Tracer: p.Tracer, MaxBodyBytes: s.MaxBodyBytes}
+	forOperators := &operators.Routes{Ready: d.ready, Metrics: set, Status: func() any { return d.Entry.Status() }}
+	return callers.Server(routes.Handler()), callers.Server(forOperators.Handler()), nil
+}
+
+func (d *Entry) ready() error {
+	if d.red.Load() {
+		return runworks.ErrStopping
+	}
+	return d.Entry.Ready()
+}
+
+// drain turns readiness red, goes on until the balancer has noticed, and then
+// finishes what is there.
+func (d *Entry) drain(ctx context.Context, server *http.Server) {
+	d.red.Store(true)
+	d.Parts.Logger.Info("planned stop: not ready from now on", "balancer_delay", d.Settings.BalancerDelay)
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(d.Settings.BalancerDelay):
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.Settings.StopLimit)
+	defer cancel()
+	d.Entry.Stop()
+	if err := server.Shutdown(ctx); err != nil {
+		d.Parts.Logger.Warn("planned stop cut short", "error", err)
+		return
+	}
+	if err := d.Entry.Drain(ctx); err != nil {
+		d.Parts.Logger.Warn("planned stop cut short", "error", err)
+	}
+}
--- /dev/null
+++ b/daemon/parts.go
@@ -0,0 +1,106 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/metrics"
+	"github.com/runworks/runworks/modules/platform"
+	"github.com/runworks/runworks/modules/rpc"
+	"github.com/runworks/runworks/modules/setting"
+	"github.com/runworks/runworks/modules/tracing"
+	"github.com/runworks/runworks/services/config"
+)
+
+// Version is the program's version; the build sets it.
+var Version = "dev"
+
+// Parts are what varies around a process; nil fields get the usual ones.
+type Parts struct {
+	// Log is the log service; nil is the one that the settings name.
+	Log runworks.LogService
+	// Hosts is the host list; nil is the one that the settings name.
+	Hosts runworks.HostList
+	// Dial opens connections, and Listen opens listeners.
+	Dial   rpc.DialFunc
+	Listen func(address string) (net.Listener, error)
+	Logger hclog.Logger
+	// Tracer records spans; nil is by settings.
+	Tracer trace.Tracer
+}
+
+// fill puts the usual parts in the place of nil ones; the function it gives
+// sends the last spans.
+func (p *Parts) fill(ctx context.Context, c *setting.Common) (func(), error) {
+	if p.Log == nil {
+		p.Log = &platform.Log{Address: c.LogService}
+	}
+	if p.Dial == nil {
+		p.Dial = (&net.Dialer{}).DialContext
+	}
+	if p.Listen == nil {
+		p.Listen = func(address string) (net.Listener, error) {
+			return (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+		}
+	}
+	if p.Logger == nil {
+		p.Logger = hclog.NewNullLogger()
+	}
+	if p.Tracer != nil {
+		return func() {}, nil
+	}
+	if c.Traces.Endpoint == "" {
+		p.Tracer = tracing.None()
+		return func() {}, nil
+	}
+	provider, err := tracing.NewProvider(ctx, c.Traces.Endpoint, c.Name, c.Traces.Sampled)
+	if err != nil {
+		return nil, err
+	}
+	p.Tracer = provider.Tracer()
+	return func() { flush(provider) }, nil
+}
+
+const flushTimeout = 3 * time.Second
+
+func flush(provider *tracing.Provider) {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	_ = provider.Shutdown(ctx)
+}
+
+// follower builds the follower of the configuration log.
+func follower(p *Parts, c *setting.Common) *config.Follower {
+	return &config.Follower{Log: p.Log, Poll: c.ConfigPoll, Restate: c.RestateEvery, Logger: p.Logger}
+}
+
+// listen opens a listener and says where on the log.
+func (p *Parts) listen(what, address string) (net.Listener, error) {
+	listener, err := p.Listen(address)
+	if err != nil {
+		return nil, errorx.Decorate(err, "listen for %s on %s", what, address)
+	}
+	p.Logger.Info("listening", "for", what, "address", listener.Addr().String())
+	return listener, nil
+}
+
+// serve runs a server until it is closed.
+func serve(server *http.Server, listener net.Listener) func() {
+	return func() { _ = server.Serve(listener) }
+}
+
+// newMetrics builds the instruments of a process.
+func newMetrics() (*metrics.Set, error) {
+	set, err := metrics.New()
+	if err != nil {
+		return nil, errorx.Decorate(err, "build the metrics")
+	}
+	return set, nil
+}
--- /dev/null
+++ b/dev/dev.go
@@ -0,0 +1,179 @@
+// Package dev runs all parts with stand-ins in one process, for a laptop.
+package dev
+
+import (
+	"context"
+	_ "embed"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+	"github.com/sourcegraph/conc"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/daemon"
+	"github.com/runworks/runworks/modules/setting"
+	"github.com/runworks/runworks/services/config"
+	"github.com/runworks/runworks/standin"
+)
+
+// Key is the key of the sample customer.
+const Key = "dev-key-technicians"
+
+// anyPort lets the kernel pick a port.
+const anyPort = "127.0.0.1:0"
+
+const fleetKey = "dev-fleet-key-of-one-process"
+
+// Sample is the sample configuration; its addresses are filled in at start.
+//
+//go:embed sample.yaml
+var Sample string
+
+// Dev is all parts in one process. Set the exported fields before Run.
+type Dev struct {
+	// Listen is host:port towards callers.
+	Listen string
+	// Out gets the lines for the person at the keyboard.
+	Out    io.Writer
+	Logger hclog.Logger
+
+	log     standin.Log
+	hosts   standin.Hosts
+	work    conc.WaitGroup
+	servers []*http.Server
+}
+
+// Run runs until stop is closed and the planned stop is over.
+func (d *Dev) Run(ctx context.Context, stop <-chan struct{}) error {
+	defer d.close()
+	cfg, err := d.standins(ctx)
+	if err != nil {
+		return err
+	}
+	if _, err := config.Apply(ctx, &d.log, 0, cfg); err != nil {
+		return errorx.Decorate(err, "apply the sample configuration")
+	}
+	agentsStop := make(chan struct{})
+	for _, service := range cfg.Services {
+		for _, server := range service.BackendServers {
+			if err := d.agent(ctx, agentsStop, &server); err != nil {
+				return err
+			}
+		}
+	}
+	err = d.entry(ctx, stop)
+	close(agentsStop)
+	return err
+}
+
+// standins starts the backend servers and gives the configuration with their
+// addresses.
+func (d *Dev) standins(ctx context.Context) (*runworks.Config, error) {
+	handlers := map[string]http.Handler{
+		"{{old}}":   (&standin.Engine{Name: "engine-old", Slots: 4, PrefillPerSecond: 2000, DecodePerSecond: 40}).Handler(),
+		"{{new}}":   (&standin.Engine{Name: "engine-new", Slots: 8, PrefillPerSecond: 8000, DecodePerSecond: 120}).Handler(),
+		"{{plain}}": (&standin.Plain{}).Handler(),
+	}
+	text := Sample
+	for mark, handler := range handlers {
+		listener, err := listen(ctx, anyPort)
+		if err != nil {
+			return nil, errorx.Decorate(err, "listen for a stand-in")
+		}
+		server := &http.Server{Handler: handler}
+		d.servers = append(d.servers, server)
+		d.work.Go(func() { _ = server.Serve(listener) })
+		text = strings.ReplaceAll(text, mark, "http://"+listener.Addr().String())
+	}
+	return config.Parse("sample.yaml", []byte(text))
+}
+
+// agent starts an agent beside a backend server, and puts it on the host list.
+func (d *Dev) agent(ctx context.Context, stop <-chan struct{}, server *runworks.BackendServer) error {
+	listener, err := listen(ctx, anyPort)
+	if err != nil {
+		return errorx.Decorate(err, "listen for an agent")
+	}
+	name := "host-" + server.Name
+	process := &daemon.Agent{
+		Settings: &setting.Agent{Common: d.common(name, server.Hall), Server: server.Name},
+		Parts: daemon.Parts{
+			Log: &d.log, Logger: d.Logger.Named(name),
+			Listen: listenFirst(ctx, listener),
+		},
+	}
+	d.hosts.Put(runworks.Host{Name: name, Role: runworks.RoleAgent, Hall: server.Hall, Address: listener.Addr().String()})
+	d.work.Go(func() {
+		if err := process.Run(ctx, stop); err != nil {
+			d.Logger.Error("agent ended", "server", server.Name, "error", err)
+		}
+	})
+	return nil
+}
+
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+}
+
+// listenFirst gives an open listener first, and then ports that the kernel picks.
+func listenFirst(ctx context.Context, first net.Listener) func(string) (net.Listener, error) {
+	used := false
+	return func(address string) (net.Listener, error) {
+		if !used {
+			used = true
+			return first, nil
+		}
+		return listen(ctx, address)
+	}
+}
+
+func (d *Dev) entry(ctx context.Context, stop <-chan struct{}) error {
+	d.hosts.Put(runworks.Host{Name: "entry", Role: runworks.RoleEntry, Hall: "walvis-a"})
+	listener, err := listen(ctx, d.Listen)
+	if err != nil {
+		return errorx.Decorate(err, "listen for callers")
+	}
+	process := &daemon.Entry{
+		Settings: &setting.Entry{Common: d.common("entry", "walvis-a")},
+		Parts: daemon.Parts{
+			Log: &d.log, Hosts: &d.hosts, Logger: d.Logger.Named("entry"),
+			Listen: listenFirst(ctx, listener),
+		},
+	}
+	d.greet(listener.Addr().String())
+	return process.Run(ctx, stop)
+}
+
+func (d *Dev) common(name, hall string) setting.Common {
+	return setting.Common{
+		Name: name, Hall: hall, Operators: anyPort, FleetKeys: []string{fleetKey},
+		ConfigPoll: setting.DefaultConfigPoll, RestateEvery: setting.DefaultRestateEvery, StopLimit: setting.DefaultStopLimit,
+	}
+}
+
+// greet tells the person at the keyboard how to make a call.
+func (d *Dev) greet(address string) {
+	_, _ = fmt.Fprintf(d.Out, `runworks dev is ready on http://%[1]s with the key %[2]s
+
+Try a question to an engine, streamed:
+  curl -N http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[2]s' \
+    -d '{"model":"yard-7b","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"why is the compressor warm"}]}'
+
+Try the plain service:
+  curl http://%[1]s/services/yard-app/gate/check-in -H 'Authorization: Bearer %[2]s' -d 'truck 12'
+
+`, address, Key)
+}
+
+// close ends the stand-ins and waits for all parts.
+func (d *Dev) close() {
+	for _, server := range d.servers {
+		_ = server.Close()
+	}
+	d.work.Wait()
+}
--- /dev/null
+++ b/errors.go
@@ -0,0 +1,56 @@
+package runworks
+
+import "github.com/joomcode/errorx"
+
+// namespace groups the errors of this package.
+var namespace = errorx.NewNamespace("runworks")
+
+// plain builds a sentinel: its type carries no stack trace, as sentinels are
+// made once at start.
+func plain(name, message string) error {
+	return errorx.NewType(namespace, name).ApplyModifiers(errorx.TypeModifierOmitStackTrace).New("%s", message)
+}
+
+// Sentinel errors; test for them with errors.Is.
+var (
+	// ErrNoKey says that a call carried no key.
+	ErrNoKey = plain("no_key", "the call carries no key")
+	// ErrUnknownKey says that no customer owns the key.
+	ErrUnknownKey = plain("unknown_key", "no customer has this key")
+	// ErrUnknownModel says that no service offers the model.
+	ErrUnknownModel = plain("unknown_model", "no service offers this model")
+	// ErrUnknownService says that no service has the name.
+	ErrUnknownService = plain("unknown_service", "no service has this name")
+	// ErrNoRule says that no rule lets the customer use the service this way.
+	ErrNoRule = plain("no_rule", "no rule allows this customer, kind and service")
+	// ErrLimit says that a limit of the customer is reached.
+	ErrLimit = plain("customer_limit", "a limit of the customer is reached")
+	// ErrShortage says that every eligible backend server refused the request.
+	ErrShortage = plain("shortage", "no backend server has room for the request")
+	// ErrTimeLimit says that the time limit passed, or can't be met any more.
+	ErrTimeLimit = plain("time_limit", "the request can't be finished inside its time limit")
+	// ErrStopping says that the process is stopping and takes no new work.
+	ErrStopping = plain("stopping", "the process is stopping")
+	// ErrNotReady says that no configuration is in force yet.
+	ErrNotReady = plain("not_ready", "no configuration is in force yet")
+	// ErrBadRequest says that the call itself is malformed.
+	ErrBadRequest = plain("bad_request", "the call is malformed")
+	// ErrTooLarge says that a body is larger than the bound.
+	ErrTooLarge = plain("too_large", "the body is too large")
+	// ErrNotDispatched says that a call provably never left for the backend server.
+	ErrNotDispatched = plain("not_dispatched", "the call did not leave for the backend server")
+	// ErrBackend says that the backend server failed after the call had left.
+	ErrBackend = plain("backend", "the backend server failed")
+	// ErrUnknownFate says that nobody can tell whether the request ran.
+	ErrUnknownFate = plain("unknown_fate", "it can't be told whether the request ran")
+	// ErrGone says that what was asked for is decided or no longer kept.
+	ErrGone = plain("gone", "no longer here")
+	// ErrKeyReused says that a key came back with another request.
+	ErrKeyReused = plain("key_reused", "the idempotency key was used for another request")
+	// ErrAnswerGone says that the keyed request ran and its answer is no longer kept.
+	ErrAnswerGone = plain("answer_gone", "already run, answer no longer kept")
+	// ErrTruncated says that the log no longer holds the offset asked for.
+	ErrTruncated = plain("truncated", "the log no longer holds this offset")
+	// ErrBasedOnOlder says that a configuration was based on an older version.
+	ErrBasedOnOlder = plain("based_on_older", "the file is based on an older version than the one in force")
+)
--- /dev/null
+++ b/modules/backend/doc.go
@@ -0,0 +1,3 @@
+// Package backend reaches backend servers over HTTP, and sends each call at
+// most once.
+package backend
--- /dev/null
+++ b/modules/metrics/metrics.go
@@ -0,0 +1,130 @@
+package metrics
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/joomcode/errorx"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// Set holds the instruments of one process. Label sets are bounded: tiers,
+// causes and outcomes, never ids, customers or addresses.
+type Set struct {
+	handler http.Handler
+
+	// Requests counts requests by tier and outcome.
+	Requests metric.Int64Counter
+	// Goodput counts requests done inside their time limit, by tier.
+	Goodput metric.Int64Counter
+	// Refused counts requests given up on, by tier and cause.
+	Refused metric.Int64Counter
+	// WaitSeconds is the time from admission to the grant, in seconds, by tier.
+	WaitSeconds metric.Float64Histogram
+	// FirstByteSeconds is the time from admission to the answer's head, in seconds.
+	FirstByteSeconds metric.Float64Histogram
+	// Claims counts claims by result: granted, gone, lost.
+	Claims metric.Int64Counter
+	// TicketsRefused counts tickets an agent did not hold, by reason.
+	TicketsRefused metric.Int64Counter
+	// Resumes counts answer streams picked up again at an offset.
+	Resumes metric.Int64Counter
+	// Retries counts requests placed again, by cause.
+	Retries metric.Int64Counter
+	// Dispatches counts calls sent to the backend server, by tier.
+	Dispatches metric.Int64Counter
+	// WastedTokens counts prompt tokens given to an engine and thrown away.
+	WastedTokens metric.Int64Counter
+	// Dropped counts answers that nobody waited for.
+	Dropped metric.Int64Counter
+	// Keys counts claims of idempotency keys by verdict.
+	Keys metric.Int64Counter
+}
+
+// New builds the instruments; they need no exporter to be counted.
+func New() (*Set, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo())
+	if err != nil {
+		return nil, errorx.Decorate(err, "build the metrics exporter")
+	}
+	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
+	b := builder{meter: provider.Meter("runworks")}
+	s := &Set{
+		handler:          promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		Requests:         b.counter("runworks.requests", "requests by tier and outcome"),
+		Goodput:          b.counter("runworks.goodput", "requests done inside their time limit, by tier"),
+		Refused:          b.counter("runworks.refused", "requests given up on, by tier and cause"),
+		WaitSeconds:      b.seconds("runworks.wait", "time from admission to the grant, by tier"),
+		FirstByteSeconds: b.seconds("runworks.first_byte", "time from admission to the answer's head, by tier"),
+		Claims:           b.counter("runworks.claims", "claims by result"),
+		TicketsRefused:   b.counter("runworks.tickets_refused", "tickets an agent did not hold, by reason"),
+		Resumes:          b.counter("runworks.resumes", "answer streams picked up again at an offset"),
+		Retries:          b.counter("runworks.retries", "requests placed again, by cause"),
+		Dispatches:       b.counter("runworks.dispatches", "calls sent to the backend server, by tier rank"),
+		WastedTokens:     b.counter("runworks.wasted_prompt_tokens", "prompt tokens given to an engine and thrown away"),
+		Dropped:          b.counter("runworks.answers_dropped", "answers that nobody waited for"),
+		Keys:             b.counter("runworks.keys", "claims of idempotency keys, by verdict"),
+	}
+	return s, b.err
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (s *Set) Handler() http.Handler { return s.handler }
+
+// Tier is the label for a tier's name.
+func Tier(name string) attribute.KeyValue { return attribute.String("tier", name) }
+
+// Rank is the label for a tier's rank.
+func Rank(rank int) attribute.KeyValue { return attribute.Int("rank", rank) }
+
+// Cause is the label for why something happened.
+func Cause(name string) attribute.KeyValue { return attribute.String("cause", name) }
+
+// Result is the label for how something ended.
+func Result(name string) attribute.KeyValue { return attribute.String("result", name) }
+
+// Count adds one to a counter.
+func Count(c metric.Int64Counter, labels ...attribute.KeyValue) {
+	Add(c, 1, labels...)
+}
+
+// Add adds n to a counter.
+func Add(c metric.Int64Counter, n int, labels ...attribute.KeyValue) {
+	c.Add(context.Background(), int64(n), metric.WithAttributes(labels...))
+}
+
+// Observe records seconds in a histogram.
+func Observe(h metric.Float64Histogram, seconds float64, labels ...attribute.KeyValue) {
+	h.Record(context.Background(), seconds, metric.WithAttributes(labels...))
+}
+
+// builder keeps the first error, so that the instruments stand in one list.
+type builder struct {
+	meter metric.Meter
+	err   error
+}
+
+func (b *builder) counter(name, text string) metric.Int64Counter {
+	c, err := b.meter.Int64Counter(name, metric.WithDescription(text))
+	b.note(err)
+	return c
+}
+
+func (b *builder) seconds(name, text string) metric.Float64Histogram {
+	bounds := metric.WithExplicitBucketBoundaries(0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.53, 1, 2.5, 5, 15, 60, 300)
+	h, err := b.meter.Float64Histogram(name, metric.WithDescription(text), metric.WithUnit("s"), bounds)
+	b.note(err)
+	return h
+}
+
+func (b *builder) note(err error) {
+	if b.err == nil && err != nil {
+		b.err = err
+	}
+}
--- /dev/null
+++ b/modules/stream/buffer.go
@@ -0,0 +1,140 @@
+package stream
+
+import (
+	"context"
+	"sync"
+
+	"github.com/joomcode/errorx"
+)
+
+// ErrDropped says that the bytes at an offset are no longer kept.
+var ErrDropped = errorx.IllegalState.New("the bytes at this offset are no longer kept")
+
+// Buffer is written by one and read by any number; set Limit before use.
+type Buffer struct {
+	// Limit bounds the bytes kept; a writer waits for the furthest reader
+	// before it drops the oldest.
+	Limit int
+
+	mu       sync.Mutex
+	data     []byte
+	base     int64
+	furthest int64
+	closed   bool
+	err      error
+	changed  chan struct{}
+}
+
+// Write appends, and waits while Limit bytes are unread; ctx ends the wait.
+func (b *Buffer) Write(ctx context.Context, p []byte) error {
+	for {
+		wait, err := b.tryWrite(p)
+		if err != nil || wait == nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-wait:
+		}
+	}
+}
+
+// tryWrite appends if there is room; else it gives a channel to wait on.
+func (b *Buffer) tryWrite(p []byte) (<-chan struct{}, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return nil, errorx.IllegalState.New("write after close")
+	}
+	end := b.base + int64(len(b.data))
+	unread := end - b.furthest
+	if unread > 0 && unread+int64(len(p)) > int64(b.Limit) {
+		return b.waitLocked(), nil
+	}
+	b.data = append(b.data, p...)
+	b.dropLocked()
+	b.signalLocked()
+	return nil, nil
+}
+
+// dropLocked lets go of read bytes beyond the limit.
+func (b *Buffer) dropLocked() {
+	over := len(b.data) - b.Limit
+	if over <= 0 {
+		return
+	}
+	read := int(b.furthest - b.base)
+	n := min(over, read)
+	b.data = append([]byte(nil), b.data[n:]...)
+	b.base += int64(n)
+}
+
+// Close ends the stream; err is nil if it is whole.
+func (b *Buffer) Close(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return
+	}
+	b.closed = true
+	b.err = err
+	b.signalLocked()
+}
+
+// Next waits for bytes at the offset from; end is set once all are read, and
+// err then tells how the stream ended.
+func (b *Buffer) Next(ctx context.Context, from int64) (p []byte, end bool, err error) {
+	for {
+		p, end, wait, err := b.tryNext(from)
+		if wait == nil {
+			return p, end, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, false, context.Cause(ctx)
+		case <-wait:
+		}
+	}
+}
+
+func (b *Buffer) tryNext(from int64) (p []byte, end bool, wait <-chan struct{}, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if from < b.base {
+		return nil, false, nil, ErrDropped
+	}
+	last := b.base + int64(len(b.data))
+	if from > b.furthest {
+		b.furthest = min(from, last)
+		b.signalLocked()
+	}
+	if from < last {
+		return append([]byte(nil), b.data[from-b.base:]...), false, nil, nil
+	}
+	if b.closed {
+		return nil, true, nil, b.err
+	}
+	return nil, false, b.waitLocked(), nil
+}
+
+// Size gives the bytes kept now.
+func (b *Buffer) Size() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.data)
+}
+
+func (b *Buffer) waitLocked() <-chan struct{} {
+	if b.changed == nil {
+		b.changed = make(chan struct{})
+	}
+	return b.changed
+}
+
+func (b *Buffer) signalLocked() {
+	if b.changed != nil {
+		close(b.changed)
+		b.changed = nil
+	}
+}
--- /dev/null
+++ b/routers/callers/answer.go
@@ -0,0 +1,208 @@
+package callers
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"mime"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/services/entry"
+)
+
+const (
+	// wholeBytes is how much of an answer is read before its head is written, so
+	// that a short one that breaks still gets an error of its own.
+	wholeBytes = 1 << 20
+	copyBytes  = 32 << 10
+)
+
+// writeAnswer passes an answer on to the caller. One that breaks after its head
+// was written ends the connection, so that it never looks finished.
+func writeAnswer(w http.ResponseWriter, id runworks.RequestID, answer *entry.Answer) {
+	if isEventStream(answer) {
+		writeHead(w, answer)
+		_ = http.NewResponseController(w).Flush()
+		finish(w, id, copyEvents(w, answer), true)
+		return
+	}
+	first, err := io.ReadAll(io.LimitReader(answer, wholeBytes))
+	if err != nil {
+		writeFailure(w, id, err)
+		return
+	}
+	writeHead(w, answer)
+	if _, err := w.Write(first); err != nil {
+		return
+	}
+	_, err = io.Copy(w, answer)
+	finish(w, id, err, false)
+}
+
+func isEventStream(answer *entry.Answer) bool {
+	kind, _, _ := mime.ParseMediaType(http.Header(answer.Head.Header).Get("Content-Type"))
+	return kind == "text/event-stream"
+}
+
+func writeHead(w http.ResponseWriter, answer *entry.Answer) {
+	for name, values := range endToEnd(answer.Head.Header) {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(answer.Head.Status)
+}
+
+// copyEvents passes a stream on as it comes.
+func copyEvents(w http.ResponseWriter, answer io.Reader) error {
+	flush := http.NewResponseController(w)
+	p := make([]byte, copyBytes)
+	for {
+		n, err := answer.Read(p)
+		if n > 0 {
+			if _, werr := w.Write(p[:n]); werr != nil {
+				return werr
+			}
+			_ = flush.Flush()
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// finish ends the connection of an answer that broke; an event stream says so
+// in an event of its own first.
+func finish(w http.ResponseWriter, id runworks.RequestID, err error, events bool) {
+	if err == nil {
+		return
+	}
+	if events {
+		if data, merr := json.Marshal(errorBody(id, err)); merr == nil {
+			_, _ = w.Write([]byte("event: error\ndata: " + string(data) + "\n\n"))
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// errorReply is the JSON of an error, in the shape of the completions interface.
+type errorReply struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message   string             `json:"message"`
+	Type      string             `json:"type"`
+	Code      string             `json:"code"`
+	Outcome   runworks.Outcome   `json:"outcome"`
+	RequestID runworks.RequestID `json:"request_id,omitempty"`
+}
+
+// answerFor gives the status and the code for a cause.
+type answerFor struct {
+	err    error
+	status int
+	code   string
+}
+
+var answers = []answerFor{
+	{runworks.ErrNoKey, http.StatusUnauthorized, "no_key"},
+	{runworks.ErrUnknownKey, http.StatusUnauthorized, "unknown_key"},
+	{runworks.ErrUnknownModel, http.StatusNotFound, "unknown_model"},
+	{runworks.ErrUnknownService, http.StatusNotFound, "unknown_service"},
+	{runworks.ErrNoRule, http.StatusForbidden, "not_allowed"},
+	{runworks.ErrLimit, http.StatusTooManyRequests, "customer_limit"},
+	{runworks.ErrTooLarge, http.StatusRequestEntityTooLarge, "too_large"},
+	{runworks.ErrBadRequest, http.StatusBadRequest, "bad_request"},
+	{runworks.ErrKeyReused, http.StatusUnprocessableEntity, "key_reused"},
+	{runworks.ErrAnswerGone, http.StatusConflict, "answer_gone"},
+	{runworks.ErrTimeLimit, http.StatusGatewayTimeout, "time_limit"},
+	{runworks.ErrShortage, http.StatusServiceUnavailable, "shortage"},
+	{runworks.ErrStopping, http.StatusServiceUnavailable, "stopping"},
+	{runworks.ErrNotReady, http.StatusServiceUnavailable, "not_ready"},
+	{runworks.ErrNotDispatched, http.StatusServiceUnavailable, "out_of_reach"},
+	{runworks.ErrUnknownFate, http.StatusBadGateway, "unknown"},
+	{runworks.ErrBackend, http.StatusBadGateway, "backend_failed"},
+}
+
+// statusOf finds the status and the code of an error.
+func statusOf(err error) (int, string) {
+	for _, one := range answers {
+		if errors.Is(err, one.err) {
+			return one.status, one.code
+		}
+	}
+	return http.StatusBadGateway, "failed"
+}
+
+func errorBody(id runworks.RequestID, err error) *errorReply {
+	status, code := statusOf(err)
+	outcome := runworks.OutcomeUnknown
+	var failure *runworks.Failure
+	if errors.As(err, &failure) {
+		outcome = failure.Outcome
+	}
+	kind := "invalid_request_error"
+	if status >= http.StatusInternalServerError {
+		kind = "server_error"
+	}
+	return &errorReply{Error: errorDetail{Message: err.Error(), Type: kind, Code: code, Outcome: outcome, RequestID: id}}
+}
+
+// writeFailure gives a request its final answer.
+func writeFailure(w http.ResponseWriter, id runworks.RequestID, err error) {
+	status, _ := statusOf(err)
+	body := errorBody(id, err)
+	w.Header().Set(runworks.HeaderOutcome, string(body.Error.Outcome))
+	// The well-known client libraries come back by themselves after many errors;
+	// this tells them to only where the request did not run and may yet.
+	w.Header().Set("X-Should-Retry", strconv.FormatBool(worthRetrying(err)))
+	var failure *runworks.Failure
+	if errors.As(err, &failure) {
+		if failure.RetryAfter > 0 {
+			w.Header().Set("Retry-After", seconds(failure.RetryAfter))
+		}
+		if failure.IdleAttempt {
+			w.Header().Set(runworks.HeaderAttempt, string(runworks.OutcomeNotRun))
+		}
+	}
+	writeJSON(w, status, body)
+}
+
+// seconds rounds up to whole seconds, as Retry-After takes no others.
+func seconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func notFound(w http.ResponseWriter, r *http.Request) {
+	writeRouteError(w, http.StatusNotFound, "unknown_path", "no such path: "+r.URL.Path)
+}
+
+func methodNotAllowed(w http.ResponseWriter, r *http.Request) {
+	writeRouteError(w, http.StatusMethodNotAllowed, "wrong_method", r.Method+" is not for "+r.URL.Path)
+}
+
+func writeRouteError(w http.ResponseWriter, status int, code, message string) {
+	w.Header().Set(runworks.HeaderOutcome, string(runworks.OutcomeNotRun))
+	writeJSON(w, status, &errorReply{Error: errorDetail{
+		Message: message, Type: "invalid_request_error", Code: code, Outcome: runworks.OutcomeNotRun,
+	}})
+}
+
+// worthRetrying says whether a caller does well to send the request again.
+func worthRetrying(err error) bool {
+	var failure *runworks.Failure
+	return errors.As(err, &failure) && failure.Outcome == runworks.OutcomeNotRun && failure.RetryAfter > 0
+}
--- /dev/null
+++ b/routers/callers/engine.go
@@ -0,0 +1,137 @@
+package callers
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/services/admission"
+)
+
+const (
+	// bytesPerToken estimates a prompt's length from its bytes.
+	bytesPerToken = 4
+	// defaultMaxTokens estimates an answer whose caller names no bound.
+	defaultMaxTokens = 256
+)
+
+// completion is what runworks reads of a completions call; the rest passes.
+type completion struct {
+	Model               string `json:"model"`
+	MaxTokens           int    `json:"max_tokens"`
+	MaxCompletionTokens int    `json:"max_completion_tokens"`
+}
+
+// completions takes a call of the completions interface.
+func (rt *Routes) completions(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	ctx, span := rt.span(r)
+	defer span.End()
+	body, err := rt.readBody(w, r)
+	if err != nil {
+		writeFailure(w, "", err)
+		return
+	}
+	var c completion
+	if err := json.Unmarshal(body, &c); err != nil {
+		writeFailure(w, "", badRequest("the body is not JSON of the completions interface: %v", err))
+		return
+	}
+	ask, err := newAsk(r)
+	if err != nil {
+		writeFailure(w, "", err)
+		return
+	}
+	ask.Model = c.Model
+	ask.PromptTokens = len(body) / bytesPerToken
+	ask.MaxTokens = answerTokens(&c)
+	ask.Call = runworks.Call{Method: http.MethodPost, Path: r.URL.Path, Header: engineHeader(r), Body: body}
+	rt.serve(ctx, w, ask)
+}
+
+func answerTokens(c *completion) int {
+	if n := max(c.MaxTokens, c.MaxCompletionTokens); n > 0 {
+		return n
+	}
+	return defaultMaxTokens
+}
+
+// engineHeader gives the header an engine gets: what the interface defines only.
+func engineHeader(r *http.Request) http.Header {
+	out := http.Header{}
+	for _, name := range []string{"Content-Type", "Accept"} {
+		if value := r.Header.Get(name); value != "" {
+			out.Set(name, value)
+		}
+	}
+	return out
+}
+
+// newAsk reads what every call may say in its header.
+func newAsk(r *http.Request) (*admission.Ask, error) {
+	ask := &admission.Ask{
+		Key:            bearer(r),
+		Kind:           r.Header.Get(runworks.HeaderKind),
+		Tier:           r.Header.Get(runworks.HeaderTier),
+		IdempotencyKey: r.Header.Get(runworks.HeaderIdempotencyKey),
+	}
+	text := r.Header.Get(runworks.HeaderTimeout)
+	if text == "" {
+		return ask, nil
+	}
+	timeout, err := time.ParseDuration(text)
+	if err != nil || timeout <= 0 {
+		return nil, badRequest("%s: %q is not a time such as 30s", runworks.HeaderTimeout, text)
+	}
+	ask.Timeout = timeout
+	return ask, nil
+}
+
+func bearer(r *http.Request) string {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+func badRequest(format string, args ...any) error {
+	return runworks.NotRun(errorx.Decorate(runworks.ErrBadRequest, format, args...), 0)
+}
+
+// modelList is the answer to GET /v1/models.
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models lists the models that the caller may use.
+func (rt *Routes) models(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	now, customer, err := rt.Admission.Customer(bearer(r))
+	if err != nil {
+		writeFailure(w, "", err)
+		return
+	}
+	list := modelList{Object: "list", Data: []model{}}
+	for i := range now.Config.Services {
+		s := &now.Config.Services[i]
+		if !now.MayUse(customer.Name, s.Name) {
+			continue
+		}
+		for _, name := range s.Models {
+			list.Data = append(list.Data, model{ID: name, Object: "model", OwnedBy: s.Name})
+		}
+	}
+	writeJSON(w, http.StatusOK, list)
+}
--- /dev/null
+++ b/routers/callers/routes.go
@@ -0,0 +1,83 @@
+package callers
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/services/admission"
+	"github.com/runworks/runworks/services/entry"
+)
+
+// Bounds towards callers.
+const (
+	DefaultMaxBodyBytes = 8 << 20
+	MaxHeaderBytes      = 64 << 10
+	ReadHeaderTimeout   = 10 * time.Second
+	readBodyTimeout     = 30 * time.Second
+	idleTimeout         = 2 * time.Minute
+)
+
+// Routes are the callers' routes.
+type Routes struct {
+	Entry     *entry.Entry
+	Admission *admission.Admission
+	Tracer    trace.Tracer
+	// MaxBodyBytes bounds a call's body.
+	MaxBodyBytes int64
+}
+
+// Handler builds the handler.
+func (rt *Routes) Handler() http.Handler {
+	if rt.MaxBodyBytes <= 0 {
+		rt.MaxBodyBytes = DefaultMaxBodyBytes
+	}
+	router := httprouter.New()
+	router.RedirectTrailingSlash = false
+	router.RedirectFixedPath = false
+	router.HandleOPTIONS = false
+	router.POST("/v1/chat/completions", rt.completions)
+	router.POST("/v1/completions", rt.completions)
+	router.GET("/v1/models", rt.models)
+	methods := []string{
+		http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+		http.MethodPatch, http.MethodDelete, http.MethodOptions,
+	}
+	for _, method := range methods {
+		router.Handle(method, "/services/:service/*path", rt.plain)
+	}
+	router.NotFound = http.HandlerFunc(notFound)
+	router.MethodNotAllowed = http.HandlerFunc(methodNotAllowed)
+	return router
+}
+
+// Server builds the server for the handler with the bounds towards callers.
+func Server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, MaxHeaderBytes: MaxHeaderBytes,
+		ReadHeaderTimeout: ReadHeaderTimeout, IdleTimeout: idleTimeout,
+	}
+}
+
+// serve admits a call and passes its answer on.
+func (rt *Routes) serve(ctx context.Context, w http.ResponseWriter, ask *admission.Ask) {
+	admitted, err := rt.Admission.Admit(ask)
+	if err != nil {
+		writeFailure(w, "", err)
+		return
+	}
+	defer admitted.Release()
+	req := admitted.Request
+	w.Header().Set(runworks.HeaderRequestID, string(req.ID))
+	answer, err := rt.Entry.Serve(ctx, req)
+	if err != nil {
+		writeFailure(w, req.ID, err)
+		return
+	}
+	defer answer.Close()
+	writeAnswer(w, req.ID, answer)
+}
--- /dev/null
+++ b/services/agent/sweep.go
@@ -0,0 +1,60 @@
+package agent
+
+import (
+	"sort"
+	"time"
+
+	"github.com/runworks/runworks/services/control"
+)
+
+const sweepEvery = 5 * time.Second
+
+// sweep forgets, now and then, what ended long ago.
+func (a *Agent) sweep() {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-a.life.Done():
+			return
+		case <-ticker.C:
+		}
+		a.mu.Lock()
+		a.sweepLocked(time.Now())
+		a.mu.Unlock()
+	}
+}
+
+// sweepLocked drops records past RunKeep, answers that nobody will fetch, and
+// the oldest kept answers beyond their bound.
+func (a *Agent) sweepLocked(now time.Time) {
+	var kept []*run
+	for id, r := range a.runs {
+		if r.ended.IsZero() || r.readers > 0 {
+			continue
+		}
+		age := now.Sub(r.ended)
+		switch {
+		case age > control.RunKeep && (!r.keep || age > a.KeyKeep):
+			delete(a.runs, id)
+		case r.answer == nil:
+		case !r.keep && age > a.OrphanLimit:
+			r.answer = nil
+		case r.keep:
+			kept = append(kept, r)
+		}
+	}
+	a.boundKept(kept)
+}
+
+// boundKept drops the oldest of the kept answers until they fit the bound.
+func (a *Agent) boundKept(kept []*run) {
+	sort.Slice(kept, func(i, j int) bool { return kept[i].ended.After(kept[j].ended) })
+	total := 0
+	for _, r := range kept {
+		total += r.answer.Size()
+		if total > a.MaxKeptBytes {
+			r.answer = nil
+		}
+	}
+}
--- /dev/null
+++ b/services/entry/entry.go
@@ -0,0 +1,203 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/sourcegraph/conc"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/metrics"
+	"github.com/runworks/runworks/modules/rpc"
+	"github.com/runworks/runworks/services/config"
+)
+
+// Defaults of an entry's times.
+const (
+	DefaultFollowAfter = 5 * time.Millisecond
+	DefaultHostsPoll   = time.Second
+)
+
+// Entry owns requests. Set the exported fields before Run.
+type Entry struct {
+	// Name is the host's name.
+	Name string
+	// Hall is where the host stands.
+	Hall string
+	// Program is the program's version.
+	Program string
+	// Config gives the configuration in force.
+	Config *config.Follower
+	// Hosts is the platform's host list.
+	Hosts runworks.HostList
+	// HostsPoll is the time between reads of the host list.
+	HostsPoll time.Duration
+	// Dial opens connections to agents.
+	Dial rpc.DialFunc
+	// Keys are the fleet keys.
+	Keys    rpc.FleetKeys
+	Logger  hclog.Logger
+	Metrics *metrics.Set
+	Tracer  trace.Tracer
+	// FollowAfter is how long one agent alone holds the ticket of a request.
+	FollowAfter time.Duration
+
+	incarnation runworks.Incarnation
+	work        conc.WaitGroup
+	client      *http.Client
+	retries     budget
+
+	mu       sync.Mutex
+	members  map[string]*member
+	links    map[*link]struct{}
+	pending  map[runworks.RequestID]*pending
+	entries  []string
+	active   int
+	stopping bool
+	changed  chan struct{}
+}
+
+// Start makes the entry ready; call it once, before Run.
+func (e *Entry) Start() {
+	if e.FollowAfter <= 0 {
+		e.FollowAfter = DefaultFollowAfter
+	}
+	if e.HostsPoll <= 0 {
+		e.HostsPoll = DefaultHostsPoll
+	}
+	e.incarnation = runworks.NewIncarnation()
+	e.members = make(map[string]*member)
+	e.links = make(map[*link]struct{})
+	e.pending = make(map[runworks.RequestID]*pending)
+	e.client = &http.Client{Transport: &http.Transport{
+		DialContext:         e.Dial,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     30 * time.Second,
+	}}
+}
+
+// Run keeps connections to all agents of the host list until ctx ends.
+func (e *Entry) Run(ctx context.Context) {
+	ticker := time.NewTicker(e.HostsPoll)
+	defer ticker.Stop()
+	for {
+		e.readHosts(ctx)
+		select {
+		case <-ctx.Done():
+			e.work.Wait()
+			e.client.CloseIdleConnections()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Incarnation names this life of the entry.
+func (e *Entry) Incarnation() runworks.Incarnation { return e.incarnation }
+
+// Stop takes no new requests from now on.
+func (e *Entry) Stop() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.stopping {
+		e.stopping = true
+		e.Logger.Info("stopping: no new requests")
+	}
+}
+
+// Drain stops, and waits until every request has its answer.
+func (e *Entry) Drain(ctx context.Context) error {
+	e.Stop()
+	for {
+		e.mu.Lock()
+		active, wait := e.active, e.waitLocked()
+		e.mu.Unlock()
+		if active == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-wait:
+		}
+	}
+}
+
+// Ready says whether the entry can take requests.
+func (e *Entry) Ready() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.stopping:
+		return runworks.ErrStopping
+	case e.Config.Version() == 0:
+		return runworks.ErrNotReady
+	}
+	return nil
+}
+
+// Entries names the live entries of the host list, this one included.
+func (e *Entry) Entries() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.entries
+}
+
+// begin counts a request in, unless the entry is stopping.
+func (e *Entry) begin() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stopping {
+		return runworks.ErrStopping
+	}
+	e.active++
+	return nil
+}
+
+func (e *Entry) finish() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.active--
+	e.signalLocked()
+}
+
+func (e *Entry) signalLocked() {
+	if e.changed != nil {
+		close(e.changed)
+		e.changed = nil
+	}
+}
+
+func (e *Entry) waitLocked() <-chan struct{} {
+	if e.changed == nil {
+		e.changed = make(chan struct{})
+	}
+	return e.changed
+}
+
+// AgentStatus is what an entry knows of one agent.
+type AgentStatus struct {
+	Host      string `json:"host"`
+	Server    string `json:"server"`
+	Connected bool   `json:"connected"`
+	Leaving   bool   `json:"leaving"`
+	Version   int64  `json:"version"`
+	Slots     int    `json:"slots"`
+	Running   int    `json:"running"`
+	Waiting   int    `json:"waiting"`
+}
+
+// Status is what an operator sees of an entry.
+type Status struct {
+	Name        string               `json:"name"`
+	Incarnation runworks.Incarnation `json:"incarnation"`
+	Version     int64                `json:"version"`
+	Stopping    bool                 `json:"stopping"`
+	Requests    int                  `json:"requests"`
+	Agents      []AgentStatus        `json:"agents"`
+}
--- /dev/null
+++ b/services/entry/keyed.go
@@ -0,0 +1,175 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/services/control"
+)
+
+const (
+	keyPollFirst = 20 * time.Millisecond
+	keyPollLast  = 500 * time.Millisecond
+	// retryKey is when to ask again, with the same key, for an answer.
+	retryKey = 2 * time.Second
+)
+
+// keyed is a request under an idempotency key.
+type keyed struct {
+	entry  *Entry
+	req    *runworks.Request
+	digest string
+	home   *link
+}
+
+// serveKeyed runs a request at most once under its key: it asks the key's home
+// first, and joins what runs or ran already.
+func (e *Entry) serveKeyed(ctx context.Context, req *runworks.Request) (*Answer, error) {
+	k := &keyed{entry: e, req: req, digest: digest(&req.Call)}
+	wait := keyPollFirst
+	for {
+		reply, err := k.claim(ctx)
+		if err != nil {
+			return nil, err
+		}
+		switch reply.Verdict {
+		case control.KeyFresh:
+			return k.serveFresh(ctx)
+		case control.KeyBound:
+			answer, err := k.join(ctx, &reply.Run)
+			if !errors.Is(err, runworks.ErrNotDispatched) {
+				return answer, err
+			}
+			k.free(reply.Run.ID)
+		case control.KeyWaiting:
+		default:
+			return nil, refusedKey(reply.Verdict)
+		}
+		if !sleep(ctx, wait, req.Deadline) {
+			return nil, &runworks.Failure{Err: runworks.ErrTimeLimit, Outcome: runworks.OutcomeUnknown, RetryAfter: retryKey}
+		}
+		wait = min(2*wait, keyPollLast)
+	}
+}
+
+// digest tells two requests apart, so that a key is not used for both.
+func digest(call *runworks.Call) string {
+	h := sha256.New()
+	h.Write([]byte(call.Method + " " + call.Path + "\n"))
+	h.Write(call.Body)
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
+
+// refusedKey gives the failure for a verdict that ends the request. What the
+// home can't tell is unknown: the key may have run before.
+func refusedKey(verdict control.KeyVerdict) error {
+	switch verdict {
+	case control.KeyOther:
+		return runworks.NotRun(runworks.ErrKeyReused, 0)
+	case control.KeyEarly:
+		return runworks.NotRun(errorx.Decorate(runworks.ErrBadRequest, "the idempotency key was minted in the future"), 0)
+	case control.KeyTooOld:
+		return &runworks.Failure{
+			Err:     errorx.Decorate(runworks.ErrUnknownFate, "the key is older than what its home remembers"),
+			Outcome: runworks.OutcomeUnknown, IdleAttempt: true,
+		}
+	}
+	return idleAttempt("the key's home takes no key just now: " + string(verdict))
+}
+
+// idleAttempt is the failure of a call that itself did nothing, under a key that
+// an earlier call may have run.
+func idleAttempt(why string) error {
+	return &runworks.Failure{
+		Err:     errorx.Decorate(runworks.ErrUnknownFate, "%s", why),
+		Outcome: runworks.OutcomeUnknown, RetryAfter: retryWhenAway, IdleAttempt: true,
+	}
+}
+
+// claim asks the key's home, which the configuration in force names.
+func (k *keyed) claim(ctx context.Context) (*control.KeyReply, error) {
+	now := k.entry.Config.InForce()
+	if now == nil {
+		return nil, idleAttempt("no configuration is in force yet")
+	}
+	server := now.Home(k.req.Service, k.req.Customer, k.req.Key)
+	k.home = k.entry.linkTo(server)
+	if k.home == nil {
+		return nil, idleAttempt("the key's home, " + server + ", is out of reach")
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	c := control.KeyClaim{
+		Service: k.req.Service, Customer: k.req.Customer, Key: k.req.Key,
+		Digest: k.digest, ID: k.req.ID, Version: now.Version,
+	}
+	var reply control.KeyReply
+	if err := k.home.conn.Call(ctx, control.MethodKeyClaim, c, &reply); err != nil {
+		k.end("")
+		return nil, idleAttempt("the key's home did not answer")
+	}
+	return &reply, nil
+}
+
+// serveFresh runs the request, and frees the key if it provably did not run.
+func (k *keyed) serveFresh(ctx context.Context) (*Answer, error) {
+	answer, err := k.entry.serveFresh(ctx, k.req, k.bind)
+	if err != nil && asFailure(err).Outcome == runworks.OutcomeNotRun {
+		k.end("")
+	}
+	return answer, err
+}
+
+// bind tells the home where the request is about to run; without its word the
+// request does not run.
+func (k *keyed) bind(ctx context.Context, p *pending) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	b := control.KeyBind{Customer: k.req.Customer, Key: k.req.Key}
+	b.Run = control.RunPlace{ID: p.id, Server: p.granted.server, Incarnation: p.granted.incarnation}
+	var reply control.KeyBindReply
+	err := k.home.conn.Call(ctx, control.MethodKeyBind, b, &reply)
+	return err == nil && reply.Bound
+}
+
+// free lets the key be claimed again after its run was found not to have run.
+func (k *keyed) free(run runworks.RequestID) { k.end(run) }
+
+func (k *keyed) end(run runworks.RequestID) {
+	end := control.KeyEnd{Customer: k.req.Customer, Key: k.req.Key, ID: k.req.ID, Run: run}
+	_ = k.home.conn.Notify(context.Background(), control.MethodKeyEnd, end)
+}
+
+// join fetches the answer of the request that runs or ran under the key.
+func (k *keyed) join(ctx context.Context, run *control.RunPlace) (*Answer, error) {
+	l := k.entry.linkTo(run.Server)
+	if l == nil {
+		return nil, idleAttempt("the agent that runs the key's request, " + run.Server + ", is out of reach")
+	}
+	at := &runAt{entry: k.entry, id: run.ID, member: l.member, incarnation: run.Incarnation, deadline: k.req.Deadline, joined: true}
+	a := newAnswer(ctx, at, nil)
+	a.keep = true
+	if err := a.resume(); err != nil {
+		a.drop()
+		return nil, a.final(err)
+	}
+	return a, nil
+}
+
+// linkTo gives the connection to the agent beside a backend server.
+func (e *Entry) linkTo(server string) *link {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for l := range e.links {
+		if l.server == server {
+			return l
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/services/ticket/fair.go
@@ -0,0 +1,161 @@
+package ticket
+
+import "container/heap"
+
+// tier shares one rank between its customers by start-time fair queueing.
+type tier struct {
+	rank      int
+	size      int
+	customers map[string]*customer
+	active    activeHeap
+	// virtual is the start time of the ticket served last, in tokens by weight.
+	virtual float64
+}
+
+// customer holds the waiting tickets of one customer in one tier.
+type customer struct {
+	tier    *tier
+	name    string
+	weight  float64
+	start   float64
+	index   int
+	waiting waitingHeap
+}
+
+func (t *tier) add(w *Waiting) {
+	c := t.customers[w.Customer]
+	if c == nil {
+		c = &customer{tier: t, name: w.Customer, index: -1}
+		t.customers[w.Customer] = c
+	}
+	c.weight = w.Weight
+	if c.weight <= 0 {
+		c.weight = 1
+	}
+	w.customer = c
+	heap.Push(&c.waiting, w)
+	t.size++
+	if c.index < 0 {
+		c.start = max(c.start, t.virtual)
+		heap.Push(&t.active, c)
+	}
+}
+
+// pop takes the most urgent ticket of the customer who is owed most.
+func (t *tier) pop() *Waiting {
+	c := t.active[0]
+	w, _ := heap.Pop(&c.waiting).(*Waiting)
+	t.size--
+	t.virtual = c.start
+	c.start += w.Cost() / c.weight
+	t.settle(c)
+	return w
+}
+
+func (t *tier) remove(w *Waiting) {
+	c := w.customer
+	heap.Remove(&c.waiting, w.index)
+	t.size--
+	t.settle(c)
+}
+
+// settle puts a customer in its place after its tickets changed. A customer
+// who has none left and is owed no debt is forgotten.
+func (t *tier) settle(c *customer) {
+	if len(c.waiting) > 0 {
+		heap.Fix(&t.active, c.index)
+		return
+	}
+	heap.Remove(&t.active, c.index)
+	c.index = -1
+	t.forget()
+}
+
+// forget drops idle customers whose start time the tier has passed.
+func (t *tier) forget() {
+	const sweep = 64
+	if len(t.customers) < 2*len(t.active)+sweep {
+		return
+	}
+	for name, c := range t.customers {
+		if c.index < 0 && c.start <= t.virtual {
+			delete(t.customers, name)
+		}
+	}
+}
+
+func (t *tier) newest() *Waiting {
+	var newest *Waiting
+	for _, c := range t.active {
+		for _, w := range c.waiting {
+			if newest == nil || w.seq > newest.seq {
+				newest = w
+			}
+		}
+	}
+	return newest
+}
+
+// activeHeap orders customers by their start time.
+type activeHeap []*customer
+
+func (h activeHeap) Len() int { return len(h) }
+
+func (h activeHeap) Less(i, j int) bool {
+	if h[i].start != h[j].start {
+		return h[i].start < h[j].start
+	}
+	return h[i].name < h[j].name
+}
+
+func (h activeHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *activeHeap) Push(x any) {
+	c, _ := x.(*customer)
+	c.index = len(*h)
+	*h = append(*h, c)
+}
+
+// Pop implements heap.Interface.
+func (h *activeHeap) Pop() any {
+	old := *h
+	c := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return c
+}
+
+// waitingHeap orders tickets by time left.
+type waitingHeap []*Waiting
+
+func (h waitingHeap) Len() int { return len(h) }
+
+func (h waitingHeap) Less(i, j int) bool {
+	if !h[i].Deadline.Equal(h[j].Deadline) {
+		return h[i].Deadline.Before(h[j].Deadline)
+	}
+	return h[i].seq < h[j].seq
+}
+
+func (h waitingHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *waitingHeap) Push(x any) {
+	w, _ := x.(*Waiting)
+	w.index = len(*h)
+	*h = append(*h, w)
+}
+
+// Pop implements heap.Interface.
+func (h *waitingHeap) Pop() any {
+	old := *h
+	w := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return w
+}
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,350 @@
+package standin
+
+import (
+	"container/heap"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/runworks/runworks"
+)
+
+// Engine is a stand-in for a model engine. Its answer to a prompt is the
+// prompt's words, repeated in order up to max_tokens. Set the exported fields
+// before use.
+type Engine struct {
+	// Name shows in the load report.
+	Name string
+	// Slots is how many requests run at once; others wait by rank.
+	Slots int
+	// PrefillPerSecond and DecodePerSecond are its rates in tokens a second, for
+	// each request.
+	PrefillPerSecond float64
+	DecodePerSecond  float64
+	// CachedPrompts bounds the prompts whose prefill is skipped when they come
+	// again.
+	CachedPrompts int
+	// ReportLag is how old the load report is.
+	ReportLag time.Duration
+
+	mu      sync.Mutex
+	slow    float64
+	running int
+	waiting waiters
+	seq     int
+	cache   []string
+	reports []report
+	stats   EngineStats
+}
+
+// EngineStats is what the engine counted.
+type EngineStats struct {
+	// Dispatches counts calls by request id.
+	Dispatches map[string]int `json:"dispatches"`
+	// PromptTokens counts prefilled tokens, Thrown those whose answer was not
+	// finished, and Cached those that the prefix cache spared.
+	PromptTokens int `json:"prompt_tokens"`
+	Thrown       int `json:"thrown"`
+	Cached       int `json:"cached"`
+}
+
+// Load is the engine's load report.
+type Load struct {
+	Name    string `json:"name"`
+	Running int    `json:"running"`
+	Waiting int    `json:"waiting"`
+}
+
+type report struct {
+	at   time.Time
+	load Load
+}
+
+// completionCall is what the engine reads of a call.
+type completionCall struct {
+	Model     string    `json:"model"`
+	Prompt    string    `json:"prompt"`
+	Messages  []message `json:"messages"`
+	MaxTokens int       `json:"max_tokens"`
+	Stream    bool      `json:"stream"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+const (
+	defaultAnswerTokens = 16
+	// decodeStep is the shortest time between two parts of a streamed answer.
+	decodeStep = 5 * time.Millisecond
+)
+
+// Words gives the answer to a prompt: its words, repeated in order.
+func Words(prompt string, maxTokens int) []string {
+	words := strings.Fields(prompt)
+	if len(words) == 0 {
+		words = []string{"..."}
+	}
+	if maxTokens <= 0 {
+		maxTokens = defaultAnswerTokens
+	}
+	out := make([]string, maxTokens)
+	for i := range out {
+		out[i] = words[i%len(words)]
+	}
+	return out
+}
+
+// Handler serves the completions interface, GET /load, GET /stats and
+// POST /control?slow=F, which makes the engine F times as slow.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { e.complete(w, r, true) })
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { e.complete(w, r, false) })
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Report()) })
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Stats()) })
+	mux.HandleFunc("POST /control", func(w http.ResponseWriter, r *http.Request) {
+		factor, err := strconv.ParseFloat(r.URL.Query().Get("slow"), 64)
+		if err != nil || factor <= 0 {
+			http.Error(w, "slow must be a number above zero", http.StatusBadRequest)
+			return
+		}
+		e.SetSlow(factor)
+	})
+	return mux
+}
+
+// SetSlow makes the engine factor times as slow.
+func (e *Engine) SetSlow(factor float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.slow = factor
+}
+
+// Stats gives what was counted.
+func (e *Engine) Stats() EngineStats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := e.stats
+	out.Dispatches = make(map[string]int, len(e.stats.Dispatches))
+	for id, n := range e.stats.Dispatches {
+		out.Dispatches[id] = n
+	}
+	return out
+}
+
+// Report gives the load as it was ReportLag ago.
+func (e *Engine) Report() Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	old := time.Now().Add(-e.ReportLag)
+	out := Load{Name: e.Name}
+	for _, r := range e.reports {
+		if r.at.After(old) {
+			break
+		}
+		out = r.load
+	}
+	return out
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request, chat bool) {
+	var call completionCall
+	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	prompt := call.Prompt
+	for _, m := range call.Messages {
+		prompt += m.Content + " "
+	}
+	e.count(r.Header.Get(runworks.HeaderRequestID))
+	rank, _ := strconv.Atoi(r.Header.Get(runworks.HeaderRank))
+	if err := e.acquire(r.Context(), rank); err != nil {
+		return
+	}
+	defer e.release()
+	tokens := len(strings.Fields(prompt))
+	if !e.prefill(r.Context(), prompt, tokens) {
+		return
+	}
+	answer := &engineAnswer{engine: e, w: w, chat: chat, call: &call, words: Words(prompt, call.MaxTokens), prompt: tokens}
+	if !answer.write(r.Context()) {
+		e.throwAway(tokens)
+	}
+}
+
+func (e *Engine) count(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stats.Dispatches == nil {
+		e.stats.Dispatches = make(map[string]int)
+	}
+	e.stats.Dispatches[id]++
+}
+
+func (e *Engine) throwAway(tokens int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stats.Thrown += tokens
+}
+
+// prefill takes the time the prompt needs; false says that the call was cancelled.
+func (e *Engine) prefill(ctx context.Context, prompt string, tokens int) bool {
+	e.mu.Lock()
+	cached := e.cachedLocked(prompt)
+	if cached {
+		e.stats.Cached += tokens
+	} else {
+		e.stats.PromptTokens += tokens
+	}
+	e.mu.Unlock()
+	if cached {
+		return true
+	}
+	if !e.pause(ctx, float64(tokens), e.PrefillPerSecond) {
+		e.throwAway(tokens)
+		return false
+	}
+	return true
+}
+
+// cachedLocked says whether the prompt is cached, and caches it.
+func (e *Engine) cachedLocked(prompt string) bool {
+	for _, one := range e.cache {
+		if one == prompt {
+			return true
+		}
+	}
+	if e.CachedPrompts > 0 {
+		e.cache = append(e.cache, prompt)
+		if len(e.cache) > e.CachedPrompts {
+			e.cache = e.cache[1:]
+		}
+	}
+	return false
+}
+
+// pause takes the time for tokens at a rate; false says that ctx ended first.
+func (e *Engine) pause(ctx context.Context, tokens, perSecond float64) bool {
+	e.mu.Lock()
+	factor := e.slow
+	e.mu.Unlock()
+	if factor == 0 {
+		factor = 1
+	}
+	if perSecond <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(time.Duration(tokens / perSecond * factor * float64(time.Second)))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// acquire waits for a slot, by rank and then by arrival.
+func (e *Engine) acquire(ctx context.Context, rank int) error {
+	e.mu.Lock()
+	if e.running < e.Slots {
+		e.running++
+		e.reportLocked()
+		e.mu.Unlock()
+		return nil
+	}
+	e.seq++
+	me := &waiter{rank: rank, seq: e.seq, ready: make(chan struct{})}
+	heap.Push(&e.waiting, me)
+	e.reportLocked()
+	e.mu.Unlock()
+	select {
+	case <-me.ready:
+		return nil
+	case <-ctx.Done():
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if me.given {
+			e.releaseLocked()
+		}
+		me.gone = true
+		return ctx.Err()
+	}
+}
+
+func (e *Engine) release() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.releaseLocked()
+}
+
+func (e *Engine) releaseLocked() {
+	defer e.reportLocked()
+	for e.waiting.Len() > 0 {
+		next, _ := heap.Pop(&e.waiting).(*waiter)
+		if next.gone {
+			continue
+		}
+		next.given = true
+		close(next.ready)
+		return
+	}
+	e.running--
+}
+
+const maxReports = 1000
+
+func (e *Engine) reportLocked() {
+	load := Load{Name: e.Name, Running: e.running, Waiting: e.waiting.Len()}
+	e.reports = append(e.reports, report{at: time.Now(), load: load})
+	if len(e.reports) > maxReports {
+		e.reports = e.reports[1:]
+	}
+}
+
+type waiter struct {
+	rank  int
+	seq   int
+	ready chan struct{}
+	given bool
+	gone  bool
+}
+
+type waiters []*waiter
+
+func (h waiters) Len() int { return len(h) }
+
+func (h waiters) Less(i, j int) bool {
+	if h[i].rank != h[j].rank {
+		return h[i].rank < h[j].rank
+	}
+	return h[i].seq < h[j].seq
+}
+
+func (h waiters) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *waiters) Push(x any) {
+	w, _ := x.(*waiter)
+	*h = append(*h, w)
+}
+
+// Pop implements heap.Interface.
+func (h *waiters) Pop() any {
+	old := *h
+	w := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return w
+}
+
+func writeJSON(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/standin/hosts.go
@@ -0,0 +1,105 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/runworks/runworks"
+)
+
+// Hosts is a stand-in for the platform's lagging host list. Set the exported
+// fields before use.
+type Hosts struct {
+	// Lag is how old the list is that readers get.
+	Lag time.Duration
+
+	mu       sync.Mutex
+	versions []hostsVersion
+}
+
+type hostsVersion struct {
+	at    time.Time
+	hosts []runworks.Host
+}
+
+// Set replaces the list from now on.
+func (h *Hosts) Set(hosts []runworks.Host) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.versions = append(h.versions, hostsVersion{at: time.Now(), hosts: slices.Clone(hosts)})
+}
+
+// Put adds a host, or replaces the one of its name.
+func (h *Hosts) Put(host runworks.Host) {
+	h.change(func(hosts []runworks.Host) []runworks.Host {
+		hosts = slices.DeleteFunc(hosts, func(one runworks.Host) bool { return one.Name == host.Name })
+		return append(hosts, host)
+	})
+}
+
+// Remove takes a host off the list.
+func (h *Hosts) Remove(name string) {
+	h.change(func(hosts []runworks.Host) []runworks.Host {
+		return slices.DeleteFunc(hosts, func(one runworks.Host) bool { return one.Name == name })
+	})
+}
+
+func (h *Hosts) change(edit func([]runworks.Host) []runworks.Host) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var now []runworks.Host
+	if n := len(h.versions); n > 0 {
+		now = slices.Clone(h.versions[n-1].hosts)
+	}
+	h.versions = append(h.versions, hostsVersion{at: time.Now(), hosts: edit(now)})
+}
+
+// Hosts implements runworks.HostList: the list as it was Lag ago, or the first.
+func (h *Hosts) Hosts(_ context.Context) ([]runworks.Host, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := time.Now().Add(-h.Lag)
+	var out []runworks.Host
+	for i, v := range h.versions {
+		if i > 0 && v.at.After(old) {
+			break
+		}
+		out = v.hosts
+	}
+	return slices.Clone(out), nil
+}
+
+// Handler serves GET /hosts, PUT /hosts with one host, DELETE /hosts/{name} and
+// POST /control?lag_ms=N.
+func (h *Hosts) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /hosts", func(w http.ResponseWriter, r *http.Request) {
+		hosts, _ := h.Hosts(r.Context())
+		writeJSON(w, hosts)
+	})
+	mux.HandleFunc("PUT /hosts", func(w http.ResponseWriter, r *http.Request) {
+		var host runworks.Host
+		if err := json.NewDecoder(r.Body).Decode(&host); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		h.Put(host)
+	})
+	mux.HandleFunc("DELETE /hosts/{name}", func(_ http.ResponseWriter, r *http.Request) { h.Remove(r.PathValue("name")) })
+	mux.HandleFunc("POST /control", func(w http.ResponseWriter, r *http.Request) {
+		ms, err := strconv.Atoi(r.URL.Query().Get("lag_ms"))
+		if err != nil || ms < 0 {
+			http.Error(w, "lag_ms must be a number of milliseconds", http.StatusBadRequest)
+			return
+		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.Lag = time.Duration(ms) * time.Millisecond
+	})
+	return mux
+}
