--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -28,7 +29,7 @@
 
 // serve prints the address and serves until the process ends.
 func serve(listen string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", listen)
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", listen)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/tests/call_test.go
@@ -0,0 +1,188 @@
+package tests
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/standin"
+)
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// prompt gives a prompt of its own to each call.
+func prompt(i int) string { return fmt.Sprintf("call-%d asks why the compressor %d is warm", i, i*7) }
+
+// completionCall is one call of the completions interface, made by plain HTTP so
+// that no client library retries it.
+type completionCall struct {
+	Entry     string
+	Key       string
+	Model     string
+	Prompt    string
+	MaxTokens int
+	Stream    bool
+	Header    map[string]string
+}
+
+// result is what the caller saw.
+type result struct {
+	ID         runworks.RequestID
+	Status     int
+	Outcome    runworks.Outcome
+	Attempt    string
+	RetryAfter time.Duration
+	Text       string
+	// Whole is set if the answer ended as the interface says it ends.
+	Whole bool
+	// Code is the error's code.
+	Code string
+	// Err is a broken connection.
+	Err error
+}
+
+// do makes the call and reads its answer to the end.
+func (c *completionCall) do(ctx context.Context, client *http.Client) *result {
+	body, err := json.Marshal(map[string]any{
+		"model": c.Model, "prompt": c.Prompt, "max_tokens": c.MaxTokens, "stream": c.Stream,
+	})
+	if err != nil {
+		return &result{Err: err}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Entry+"/v1/completions", io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return &result{Err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	for name, value := range c.Header {
+		req.Header.Set(name, value)
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return &result{Err: err}
+	}
+	defer func() { _ = res.Body.Close() }()
+	r := &result{
+		ID: runworks.RequestID(res.Header.Get(runworks.HeaderRequestID)), Status: res.StatusCode,
+		Outcome: runworks.Outcome(res.Header.Get(runworks.HeaderOutcome)), Attempt: res.Header.Get(runworks.HeaderAttempt),
+	}
+	if s, err := strconv.Atoi(res.Header.Get("Retry-After")); err == nil {
+		r.RetryAfter = time.Duration(s) * time.Second
+	}
+	if res.StatusCode == http.StatusOK && c.Stream {
+		r.readEvents(res.Body)
+	} else {
+		r.readWhole(res.Body)
+	}
+	return r
+}
+
+// frame is what is read of an answer, whole or in parts.
+type frame struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Error *struct {
+		Code string `json:"code"`
+	} `json:"error"`
+}
+
+func (r *result) readWhole(body io.Reader) {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		r.Err = err
+		return
+	}
+	var f frame
+	if r.Err = json.Unmarshal(data, &f); r.Err != nil {
+		return
+	}
+	if f.Error != nil {
+		r.Code = f.Error.Code
+	}
+	if r.Status == http.StatusOK && len(f.Choices) == 1 {
+		r.Text, r.Whole = f.Choices[0].Text, true
+	}
+}
+
+func (r *result) readEvents(body io.Reader) {
+	scanner := bufio.NewScanner(body)
+	done := false
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		var f frame
+		if r.Err = json.Unmarshal([]byte(data), &f); r.Err != nil {
+			return
+		}
+		if f.Error != nil {
+			r.Code = f.Error.Code
+			continue
+		}
+		r.Text += f.Choices[0].Text
+	}
+	r.Err = scanner.Err()
+	r.Whole = done && r.Err == nil
+}
+
+// want is the answer that the call's own prompt gives.
+func (c *completionCall) want() string {
+	return strings.Join(standin.Words(c.Prompt, c.MaxTokens), " ")
+}
+
+// check makes the call and compares its answer with its own prompt.
+func (c *completionCall) check(ctx context.Context, client *http.Client) error {
+	r := c.do(ctx, client)
+	if r.Err != nil {
+		return r.Err
+	}
+	if !r.Whole {
+		return fmt.Errorf("status %d, outcome %q, code %q", r.Status, r.Outcome, r.Code)
+	}
+	if r.Text != c.want() {
+		return fmt.Errorf("the answer to %q is %q", c.Prompt, r.Text)
+	}
+	return nil
+}
+
+// plainCall calls the plain service and checks that its own body came back.
+func plainCall(ctx context.Context, client *http.Client, entry, body string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/services/app/log?n=1", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer site-key")
+	res, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	var echo standin.Echo
+	if err := json.NewDecoder(res.Body).Decode(&echo); err != nil {
+		return err
+	}
+	if echo != (standin.Echo{Method: http.MethodPost, Path: "/log?n=1", Body: body}) {
+		return errors.New("the plain service's answer is another call's")
+	}
+	return nil
+}
