--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,8 @@
 
 dev:
 	$(GO) run ./cmd/runworks dev
+
+# Writes the answers of the scripted tests anew; read the difference.
+.PHONY: rewrite
+rewrite:
+	$(GO) test ./tests/ -run 'WrongInput' -args -rewrite
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -119,14 +119,7 @@
 	if err != nil {
 		return errorx.Decorate(err, "read the settings")
 	}
-	root, err := yamlfile.Decode(file, data, out)
-	if err != nil {
-		return err
-	}
-	if list := check(); len(list) > 0 {
-		return yamlfile.Locate(file, root, list)
-	}
-	return nil
+	return yamlfile.Decode(file, data, out, check)
 }
 
 // mistakes gathers what is wrong with the settings.
--- /dev/null
+++ b/modules/setting/setting_test.go
@@ -0,0 +1,32 @@
+package setting
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestSettingScripts loads the files of testdata/settings: every mistake is
+// named with file, line and field.
+func TestSettingScripts(t *testing.T) {
+	dir := t.TempDir()
+	datadriven.RunTest(t, "testdata/settings", func(t *testing.T, d *datadriven.TestData) string {
+		file := filepath.Join(dir, d.Cmd+".yaml")
+		if err := os.WriteFile(file, []byte(d.Input), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var err error
+		if d.Cmd == "entry" {
+			_, err = LoadEntry(file)
+		} else {
+			_, err = LoadAgent(file)
+		}
+		if err != nil {
+			return strings.ReplaceAll(err.Error(), dir+"/", "") + "\n"
+		}
+		return "good\n"
+	})
+}
--- a/modules/yamlfile/yamlfile.go
+++ b/modules/yamlfile/yamlfile.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"reflect"
 	"strings"
 
 	"github.com/goccy/go-yaml"
@@ -44,32 +45,44 @@
 // Is makes Mistakes an ErrInvalid.
 func (m *Mistakes) Is(target error) bool { return target == ErrInvalid }
 
-// Locate fills in the lines of mistakes that were found after decoding.
-func Locate(file string, root *ast.File, list []Mistake) *Mistakes {
-	for i := range list {
-		list[i].Line = lineOf(root, list[i].Field)
-	}
-	return &Mistakes{File: file, List: list}
-}
-
-// Decode reads YAML strictly into out; unknown and doubled fields are mistakes.
-func Decode(file string, data []byte, out any) (*ast.File, error) {
-	root, err := parser.ParseBytes(data, 0)
+// Decode reads YAML strictly into out, and then checks it with check, which may
+// be nil. The error is Mistakes: unknown fields, doubled fields and what check
+// found, all at once; a value of the wrong type ends the reading.
+func Decode(file string, data []byte, out any, check func() []Mistake) error {
+	root, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
-		return nil, syntaxMistake(file, err)
+		return &Mistakes{File: file, List: []Mistake{syntaxMistake(err)}}
 	}
 	if len(root.Docs) > 1 {
-		return nil, &Mistakes{File: file, List: []Mistake{{Line: 1, Field: "$", Problem: "more than one document in the file"}}}
+		return &Mistakes{File: file, List: []Mistake{{Line: 1, Field: "$", Problem: "more than one document in the file"}}}
+	}
+	var list []Mistake
+	if len(root.Docs) == 1 && root.Docs[0].Body != nil {
+		list = fieldMistakes(root.Docs[0].Body, reflect.TypeOf(out), "$")
 	}
-	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
-	if err := decoder.Decode(out); err != nil && !errors.Is(err, io.EOF) {
-		return nil, syntaxMistake(file, err)
+	err = yaml.NewDecoder(bytes.NewReader(data), yaml.AllowDuplicateMapKey()).Decode(out)
+	switch {
+	case err != nil && !errors.Is(err, io.EOF):
+		list = append(list, syntaxMistake(err))
+	case check != nil:
+		list = append(list, located(root, check())...)
+	}
+	if len(list) > 0 {
+		return &Mistakes{File: file, List: list}
+	}
+	return nil
+}
+
+// located fills in the lines of mistakes that were found after decoding.
+func located(root *ast.File, list []Mistake) []Mistake {
+	for i := range list {
+		list[i].Line = lineOf(root, list[i].Field)
 	}
-	return root, nil
+	return list
 }
 
 // syntaxMistake turns an error of the YAML library into a mistake with its line.
-func syntaxMistake(file string, err error) error {
+func syntaxMistake(err error) Mistake {
 	one := Mistake{Field: "$", Problem: err.Error()}
 	var yamlErr yaml.Error
 	if errors.As(err, &yamlErr) {
@@ -78,7 +91,7 @@
 			one.Line = token.Position.Line
 		}
 	}
-	return &Mistakes{File: file, List: []Mistake{one}}
+	return one
 }
 
 // lineOf finds the line of a field by its path, or of the nearest part of the
--- a/services/config/apply.go
+++ b/services/config/apply.go
@@ -9,6 +9,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/yamlfile"
 )
 
 const applyPoll = 100 * time.Millisecond
@@ -17,10 +18,14 @@
 // when the apply begins.
 const BaseInForce int64 = -1
 
-// Apply puts a checked document on the log, based on a version, and waits until
-// the log tells whether it was accepted. After an error it is ErrUnknownFate
-// only if the log could not be read until ctx ended.
+// Apply checks a document, puts it on the log, based on a version, and waits
+// until the log tells whether it was accepted. The error is yamlfile.ErrInvalid
+// for mistakes, ErrBasedOnOlder if another document won, and ErrUnknownFate if
+// the log told nothing until ctx ended.
 func Apply(ctx context.Context, log runworks.LogService, base int64, cfg *runworks.Config) (Result, error) {
+	if list := Check(cfg); len(list) > 0 {
+		return Result{}, &yamlfile.Mistakes{File: "document", List: list}
+	}
 	var fold Fold
 	if err := foldToHead(ctx, log, &fold); err != nil {
 		return Result{}, errorx.Decorate(err, "nothing was applied")
--- a/services/config/parse.go
+++ b/services/config/parse.go
@@ -9,12 +9,8 @@
 // yamlfile.Mistakes and names every mistake with its line.
 func Parse(file string, data []byte) (*runworks.Config, error) {
 	var cfg runworks.Config
-	root, err := yamlfile.Decode(file, data, &cfg)
-	if err != nil {
+	if err := yamlfile.Decode(file, data, &cfg, func() []yamlfile.Mistake { return Check(&cfg) }); err != nil {
 		return nil, err
 	}
-	if list := Check(&cfg); len(list) > 0 {
-		return nil, yamlfile.Locate(file, root, list)
-	}
 	return &cfg, nil
 }
--- /dev/null
+++ b/tests/memnet_test.go
@@ -0,0 +1,294 @@
+package tests
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+var (
+	errRefused = errors.New("memnet: connection refused")
+	errReset   = errors.New("memnet: connection reset")
+)
+
+// memnet is a network in memory, for runs in virtual time. An address is
+// host:port; what is cut between two hosts waits until the cut is mended, as
+// TCP does.
+type memnet struct {
+	latency time.Duration
+
+	mu        sync.Mutex
+	listeners map[string]*memListener
+	wires     map[*wire]struct{}
+	cuts      map[[2]string]chan struct{}
+}
+
+func newMemnet(latency time.Duration) *memnet {
+	return &memnet{
+		latency: latency, listeners: map[string]*memListener{}, wires: map[*wire]struct{}{}, cuts: map[[2]string]chan struct{}{},
+	}
+}
+
+func hostOf(address string) string {
+	host, _, _ := net.SplitHostPort(address)
+	return host
+}
+
+func pair(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+// listen opens a listener at an address.
+func (n *memnet) listen(address string) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners[address] != nil {
+		return nil, errors.New("memnet: address in use: " + address)
+	}
+	l := &memListener{net: n, address: memAddr(address), queue: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address] = l
+	return l, nil
+}
+
+// dialer gives the way out of a host.
+func (n *memnet) dialer(from string) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) { return n.dial(ctx, from, address) }
+}
+
+func (n *memnet) dial(ctx context.Context, from, address string) (net.Conn, error) {
+	if err := n.pass(ctx, from, hostOf(address)); err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, errRefused
+	}
+	near, far := n.wire(from, hostOf(address))
+	select {
+	case l.queue <- far:
+		return near, nil
+	case <-l.closed:
+	case <-ctx.Done():
+	}
+	_ = near.Close()
+	_ = far.Close()
+	return nil, errRefused
+}
+
+// pass waits while two hosts are cut off from each other.
+func (n *memnet) pass(ctx context.Context, a, b string) error {
+	for {
+		n.mu.Lock()
+		mended := n.cuts[pair(a, b)]
+		n.mu.Unlock()
+		if mended == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-mended:
+		}
+	}
+}
+
+// cut holds up all that travels between two hosts until mend.
+func (n *memnet) cut(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cuts[pair(a, b)] == nil {
+		n.cuts[pair(a, b)] = make(chan struct{})
+	}
+}
+
+func (n *memnet) mend(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if mended := n.cuts[pair(a, b)]; mended != nil {
+		close(mended)
+		delete(n.cuts, pair(a, b))
+	}
+}
+
+// reset breaks all connections between two hosts; b may be empty for all hosts.
+func (n *memnet) reset(a, b string) {
+	n.mu.Lock()
+	var broken []*wire
+	for w := range n.wires {
+		if w.ends == pair(a, b) || b == "" && (w.ends[0] == a || w.ends[1] == a) {
+			broken = append(broken, w)
+		}
+	}
+	n.mu.Unlock()
+	for _, w := range broken {
+		w.close()
+	}
+}
+
+// down closes the listeners of a host and breaks its connections.
+func (n *memnet) down(host string) {
+	n.mu.Lock()
+	var listeners []*memListener
+	for address, l := range n.listeners {
+		if hostOf(address) == host {
+			listeners = append(listeners, l)
+		}
+	}
+	n.mu.Unlock()
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+	n.reset(host, "")
+}
+
+// wire is a connection: two pipes with a queue for each direction between them.
+type wire struct {
+	net   *memnet
+	ends  [2]string
+	inner [2]net.Conn
+	ctx   context.Context
+	stop  context.CancelCauseFunc
+}
+
+// wire makes a connection and gives its two ends.
+func (n *memnet) wire(from, to string) (near, far net.Conn) {
+	near, nearInner := net.Pipe()
+	far, farInner := net.Pipe()
+	ctx, stop := context.WithCancelCause(context.Background())
+	w := &wire{net: n, ends: pair(from, to), inner: [2]net.Conn{nearInner, farInner}, ctx: ctx, stop: stop}
+	n.mu.Lock()
+	n.wires[w] = struct{}{}
+	n.mu.Unlock()
+	w.carry(nearInner, farInner)
+	w.carry(farInner, nearInner)
+	return &memConn{Conn: near, local: memAddr(from + ":0"), remote: memAddr(to + ":0")},
+		&memConn{Conn: far, local: memAddr(to + ":0"), remote: memAddr(from + ":0")}
+}
+
+func (w *wire) close() {
+	w.stop(errReset)
+	_ = w.inner[0].Close()
+	_ = w.inner[1].Close()
+	w.net.mu.Lock()
+	delete(w.net.wires, w)
+	w.net.mu.Unlock()
+}
+
+type parcel struct {
+	data []byte
+	due  time.Time
+	err  error
+}
+
+// carry takes bytes from one end to the other, after the latency and any cut.
+// The end of one end reaches the other as bytes do.
+func (w *wire) carry(from, to net.Conn) {
+	queue := make(chan parcel, 4096)
+	go func() {
+		for {
+			p := make([]byte, 32<<10)
+			k, err := from.Read(p)
+			select {
+			case queue <- parcel{data: p[:k], due: time.Now().Add(w.net.latency), err: err}:
+			case <-w.ctx.Done():
+				return
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	go func() {
+		defer w.close()
+		for {
+			select {
+			case <-w.ctx.Done():
+				return
+			case p := <-queue:
+				if !w.deliver(to, p) {
+					return
+				}
+			}
+		}
+	}()
+}
+
+// deliver hands a parcel over when it is due; false ends the connection.
+func (w *wire) deliver(to net.Conn, p parcel) bool {
+	timer := time.NewTimer(time.Until(p.due))
+	defer timer.Stop()
+	select {
+	case <-w.ctx.Done():
+		return false
+	case <-timer.C:
+	}
+	if err := w.net.pass(w.ctx, w.ends[0], w.ends[1]); err != nil {
+		return false
+	}
+	if len(p.data) > 0 {
+		if _, err := to.Write(p.data); err != nil {
+			return false
+		}
+	}
+	return p.err == nil
+}
+
+// memConn is one end of a wire, with its addresses.
+type memConn struct {
+	net.Conn
+	local, remote memAddr
+}
+
+// LocalAddr implements net.Conn.
+func (c *memConn) LocalAddr() net.Addr { return c.local }
+
+// RemoteAddr implements net.Conn.
+func (c *memConn) RemoteAddr() net.Addr { return c.remote }
+
+type memAddr string
+
+// Network implements net.Addr.
+func (memAddr) Network() string { return "mem" }
+
+// String implements net.Addr.
+func (a memAddr) String() string { return string(a) }
+
+// memListener is a listener of a memnet.
+type memListener struct {
+	net     *memnet
+	address memAddr
+	queue   chan net.Conn
+	once    sync.Once
+	closed  chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *memListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *memListener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.net.mu.Lock()
+		delete(l.net.listeners, string(l.address))
+		l.net.mu.Unlock()
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *memListener) Addr() net.Addr { return l.address }
--- /dev/null
+++ b/tests/overhead_test.go
@@ -0,0 +1,113 @@
+package tests
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// clockTicks is the unit of processor times in /proc, a second's part.
+const clockTicks = 100
+
+// BenchmarkOverhead compares a call through an entry and an agent with the same
+// call to the same stand-in directly, as separate processes: the ratio, and the
+// processor time of entry and agent for each call.
+func BenchmarkOverhead(b *testing.B) {
+	for _, parallel := range []int{1, 32} {
+		b.Run(fmt.Sprintf("parallel=%d", parallel), func(b *testing.B) { benchOverhead(b, parallel) })
+	}
+}
+
+func benchOverhead(b *testing.B, parallel int) {
+	s := newSite(b, []serverSpec{
+		{name: "fast", slots: 64, args: []string{"--prefill", "0", "--decode", "0"}},
+		{name: "app-1", plain: true, slots: 64},
+	}, []string{"entry-1"})
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: parallel}}
+	direct := s.backend["fast"].address("standin")
+	through := s.entries["entry-1"].address("callers")
+	b.ResetTimer()
+	directTime := timeCalls(b, client, direct, parallel)
+	cpu := s.cpu()
+	throughTime := timeCalls(b, client, through, parallel)
+	b.StopTimer()
+	b.ReportMetric(float64(directTime.Microseconds())/float64(b.N), "direct-us/call")
+	b.ReportMetric(float64(throughTime.Microseconds())/float64(b.N), "through-us/call")
+	b.ReportMetric(float64(throughTime)/float64(directTime), "x-direct")
+	b.ReportMetric(float64((s.cpu()-cpu).Microseconds())/float64(b.N), "cpu-us/call")
+	client.CloseIdleConnections()
+}
+
+// timeCalls makes b.N calls, parallel at once, and gives the time for all.
+func timeCalls(b *testing.B, client *http.Client, address string, parallel int) time.Duration {
+	began := time.Now()
+	errs := make(chan error, parallel)
+	for i := range parallel {
+		n := b.N / parallel
+		if i < b.N%parallel {
+			n++
+		}
+		go func() {
+			var err error
+			for range n {
+				if e := overheadCall(client, address); e != nil {
+					err = e
+				}
+			}
+			errs <- err
+		}()
+	}
+	for range parallel {
+		if err := <-errs; err != nil {
+			b.Fatal(err)
+		}
+	}
+	return time.Since(began)
+}
+
+func overheadCall(client *http.Client, address string) error {
+	body := strings.NewReader(`{"model":"site-model","prompt":"why is the compressor warm","max_tokens":16}`)
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/completions", body)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer site-key")
+	res, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", res.StatusCode)
+	}
+	return nil
+}
+
+// cpu gives the processor time that the entries and agents have used.
+func (s *site) cpu() time.Duration {
+	var sum time.Duration
+	for _, group := range []map[string]*process{s.agents, s.entries} {
+		for _, p := range group {
+			sum += cpuOf(s.t, p.cmd.Process.Pid)
+		}
+	}
+	return sum
+}
+
+// cpuOf reads the user and system time of a process from /proc.
+func cpuOf(t testing.TB, pid int) time.Duration {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fields := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:]))
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * time.Second / clockTicks
+}
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -43,7 +43,7 @@
 
 // process is one program under test.
 type process struct {
-	t    *testing.T
+	t    testing.TB
 	name string
 	cmd  *exec.Cmd
 	done chan struct{}
@@ -55,7 +55,7 @@
 }
 
 // start runs a program and gathers the addresses it says it listens on.
-func start(t *testing.T, name, program string, args ...string) *process {
+func start(t testing.TB, name, program string, args ...string) *process {
 	t.Helper()
 	dir, err := programs()
 	if err != nil {
@@ -162,7 +162,7 @@
 
 // site is a whole system of separate processes.
 type site struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	log     *process
 	hosts   *process
@@ -181,7 +181,7 @@
 
 // newSite starts the platform, the backend servers with their agents, and the
 // entries, and waits until all entries see all agents.
-func newSite(t *testing.T, servers []serverSpec, entries []string) *site {
+func newSite(t testing.TB, servers []serverSpec, entries []string) *site {
 	t.Helper()
 	s := &site{t: t, dir: t.TempDir(), backend: map[string]*process{}, agents: map[string]*process{}, entries: map[string]*process{}}
 	s.log = start(t, "log", "standin", "log")
--- /dev/null
+++ b/tests/world_test.go
@@ -0,0 +1,406 @@
+package tests
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/daemon"
+	"github.com/runworks/runworks/modules/setting"
+	"github.com/runworks/runworks/services/config"
+	"github.com/runworks/runworks/standin"
+)
+
+// settle is longer than any time that a closed connection is waited for.
+const settle = 30 * time.Second
+
+const (
+	worldKey   = "world-key"
+	worldModel = "world-model"
+	worldFleet = "world-fleet-key-0123"
+)
+
+// world is a whole system in one bubble of virtual time: the real entries and
+// agents, over a network in memory, with stand-ins.
+type world struct {
+	t     *testing.T
+	net   *memnet
+	log   *standin.Log
+	hosts *standin.Hosts
+	// tracer records the spans of all parts; nil records none.
+	tracer trace.Tracer
+	cfg    *runworks.Config
+
+	mu      sync.Mutex
+	engines map[string]*standin.Engine
+	plains  map[string]*standin.Plain
+	agents  map[string]*running[*daemon.Agent]
+	entries map[string]*running[*daemon.Entry]
+	work    sync.WaitGroup
+	servers []*http.Server
+	clients []*http.Transport
+}
+
+// running is a part that runs, with the means to stop and to kill it.
+type running[T any] struct {
+	part T
+	kill context.CancelFunc
+	stop chan struct{}
+	done chan struct{}
+}
+
+// engineSpec is one stand-in engine of a world.
+type engineSpec struct {
+	name  string
+	slots int
+	// prefill and decode are tokens a second.
+	prefill, decode float64
+}
+
+// worldSpec says what a world is made of.
+type worldSpec struct {
+	engines []engineSpec
+	plains  []string
+	entries []string
+	latency time.Duration
+	tracer  trace.Tracer
+	// edit changes the configuration before it is applied.
+	edit func(*runworks.Config)
+}
+
+var smallWorld = worldSpec{
+	engines: []engineSpec{{"e1", 2, 4000, 40}, {"e2", 4, 8000, 80}, {"e3", 4, 16000, 160}},
+	plains:  []string{"p1", "p2"},
+	entries: []string{"entry-1", "entry-2"},
+	latency: 500 * time.Microsecond,
+}
+
+// newWorld starts a world and waits until it is connected. Call close.
+func newWorld(t *testing.T, spec worldSpec) *world {
+	t.Helper()
+	w := &world{
+		t: t, net: newMemnet(spec.latency), log: &standin.Log{}, hosts: &standin.Hosts{}, tracer: spec.tracer,
+		engines: map[string]*standin.Engine{}, plains: map[string]*standin.Plain{},
+		agents: map[string]*running[*daemon.Agent]{}, entries: map[string]*running[*daemon.Entry]{},
+	}
+	w.cfg = worldConfig(spec)
+	if spec.edit != nil {
+		spec.edit(w.cfg)
+	}
+	if _, err := config.Apply(t.Context(), w.log, 0, w.cfg); err != nil {
+		t.Fatal(err)
+	}
+	for _, one := range spec.engines {
+		e := &standin.Engine{Name: one.name, Slots: one.slots, PrefillPerSecond: one.prefill, DecodePerSecond: one.decode}
+		w.engines[one.name] = e
+		w.serve("host-"+one.name, "80", e.Handler())
+		w.startAgent(one.name)
+	}
+	for _, name := range spec.plains {
+		w.plains[name] = &standin.Plain{Delay: 20 * time.Millisecond}
+		w.serve("host-"+name, "80", w.plains[name].Handler())
+		w.startAgent(name)
+	}
+	for _, name := range spec.entries {
+		w.startEntry(name)
+	}
+	w.waitConnected()
+	return w
+}
+
+func worldConfig(spec worldSpec) *runworks.Config {
+	llm := runworks.Service{Name: "llm", Kind: runworks.KindEngine, Models: []string{worldModel}}
+	for _, one := range spec.engines {
+		llm.BackendServers = append(llm.BackendServers, runworks.BackendServer{
+			Name: one.name, Hall: "a", Address: "http://host-" + one.name + ":80", Slots: one.slots, Speed: one.decode,
+		})
+	}
+	cfg := &runworks.Config{
+		Services: []runworks.Service{llm},
+		Tiers: []runworks.Tier{
+			{Name: "urgent", Rank: 0, Timeout: time.Minute},
+			{Name: "normal", Rank: 1, Timeout: 2 * time.Minute},
+			{Name: "batch", Rank: 2, Timeout: 5 * time.Minute},
+		},
+		Customers: []runworks.Customer{{Name: "tester", KeySHA256: []string{hashOf(worldKey)}}},
+		Rules: []runworks.Rule{
+			{Services: []string{"llm"}, Tier: "urgent"},
+			{Kind: "once", Services: []string{"llm"}, Tier: "urgent", NotRepeatable: true},
+		},
+	}
+	if len(spec.plains) == 0 {
+		return cfg
+	}
+	app := runworks.Service{Name: "app", Kind: runworks.KindPlain}
+	for _, name := range spec.plains {
+		app.BackendServers = append(app.BackendServers, runworks.BackendServer{
+			Name: name, Hall: "a", Address: "http://host-" + name + ":80", Slots: 16,
+		})
+	}
+	cfg.Services = append(cfg.Services, app)
+	cfg.Rules = append(cfg.Rules,
+		runworks.Rule{Services: []string{"app"}, Tier: "urgent"},
+		runworks.Rule{Kind: "alarm", Services: []string{"app"}, Tier: "urgent", NotRepeatable: true},
+	)
+	return cfg
+}
+
+// serve runs a handler at a port of a host until the world closes.
+func (w *world) serve(host, port string, handler http.Handler) {
+	listener, err := w.net.listen(host + ":" + port)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler}
+	w.servers = append(w.servers, server)
+	w.work.Go(func() { _ = server.Serve(listener) })
+}
+
+func (w *world) common(name string) setting.Common {
+	return setting.Common{
+		Name: name, Hall: "a", Listen: name + ":70", Operators: name + ":71", FleetKeys: []string{worldFleet},
+		ConfigPoll: time.Second, RestateEvery: 10 * time.Minute, StopLimit: 15 * time.Minute,
+	}
+}
+
+func (w *world) parts(host string) daemon.Parts {
+	return daemon.Parts{
+		Log: &farLog{net: w.net, host: host, log: w.log}, Hosts: w.hosts, Dial: w.net.dialer(host),
+		Listen: func(address string) (net.Listener, error) { return w.net.listen(address) }, Tracer: w.tracer,
+	}
+}
+
+func (w *world) startAgent(server string) {
+	host := "host-" + server
+	d := &daemon.Agent{
+		Settings: &setting.Agent{Common: w.common(host), Server: server, KeySkew: time.Second},
+		Parts:    w.parts(host),
+	}
+	w.hosts.Put(runworks.Host{Name: host, Role: runworks.RoleAgent, Hall: "a", Address: host + ":70"})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.agents[server] = launch(w, d, d.Run)
+}
+
+func (w *world) startEntry(name string) {
+	d := &daemon.Entry{
+		Settings: &setting.Entry{Common: w.common(name), HostsPoll: time.Second, BalancerDelay: time.Second},
+		Parts:    w.parts(name),
+	}
+	w.hosts.Put(runworks.Host{Name: name, Role: runworks.RoleEntry, Hall: "a"})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.entries[name] = launch(w, d, d.Run)
+}
+
+// launch runs a part in the bubble.
+func launch[T any](w *world, part T, run func(context.Context, <-chan struct{}) error) *running[T] {
+	ctx, kill := context.WithCancel(context.Background())
+	r := &running[T]{part: part, kill: kill, stop: make(chan struct{}), done: make(chan struct{})}
+	w.work.Go(func() {
+		defer close(r.done)
+		if err := run(ctx, r.stop); err != nil {
+			w.t.Error(err)
+		}
+	})
+	return r
+}
+
+// killHost ends a part at once, as if its host died: nothing more leaves it.
+func killHost[T any](w *world, r *running[T], host string) {
+	w.net.down(host)
+	r.kill()
+	<-r.done
+}
+
+func (w *world) killAgent(server string) {
+	w.mu.Lock()
+	r := w.agents[server]
+	w.mu.Unlock()
+	w.net.reset("host-"+server, "")
+	killPorts(w.net, "host-"+server)
+	r.kill()
+	<-r.done
+}
+
+// killPorts closes a host's ports but the backend server's.
+func killPorts(n *memnet, host string) {
+	for _, port := range []string{":70", ":71"} {
+		n.mu.Lock()
+		l := n.listeners[host+port]
+		n.mu.Unlock()
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+func (w *world) killEntry(name string) {
+	w.mu.Lock()
+	r := w.entries[name]
+	delete(w.entries, name)
+	w.mu.Unlock()
+	w.hosts.Remove(name)
+	killHost(w, r, name)
+}
+
+func (w *world) entry(name string) *daemon.Entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.entries[name].part
+}
+
+func (w *world) agent(server string) *daemon.Agent {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.agents[server].part
+}
+
+// waitConnected waits until all entries see all agents, configured.
+func (w *world) waitConnected() {
+	w.t.Helper()
+	w.until("all agents are connected", time.Minute, func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, e := range w.entries {
+			if e.part.Entry == nil || !connectedTo(e.part, len(w.agents)) {
+				return false
+			}
+		}
+		for _, a := range w.agents {
+			if a.part.Agent == nil || a.part.Agent.Beat().Slots == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// connectedTo says whether an entry has a configuration and sees n agents.
+func connectedTo(d *daemon.Entry, n int) bool {
+	status := d.Entry.Status()
+	for _, a := range status.Agents {
+		if a.Connected {
+			n--
+		}
+	}
+	return n == 0 && status.Version > 0
+}
+
+// until lets virtual time go on until a condition holds.
+func (w *world) until(what string, limit time.Duration, holds func() bool) {
+	w.t.Helper()
+	end := time.Now().Add(limit)
+	for {
+		synctest.Wait()
+		if holds() {
+			return
+		}
+		if time.Now().After(end) {
+			w.t.Fatalf("waited in vain: %s", what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// client gives an HTTP client at a caller's host.
+func (w *world) client() *http.Client {
+	transport := &http.Transport{DialContext: w.net.dialer("caller"), DisableKeepAlives: true}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.clients = append(w.clients, transport)
+	return &http.Client{Transport: transport}
+}
+
+// call builds a call to an entry.
+func (w *world) call(entry string, i, maxTokens int) *completionCall {
+	return &completionCall{Entry: entry + ":70", Key: worldKey, Model: worldModel, Prompt: prompt(i), MaxTokens: maxTokens}
+}
+
+// dispatches sums the engines' counts by request, attempts taken together.
+func (w *world) dispatches() map[runworks.RequestID]int {
+	sum := map[runworks.RequestID]int{}
+	for _, e := range w.engines {
+		for id, n := range e.Stats().Dispatches {
+			sum[runworks.RequestID(id).Base()] += n
+		}
+	}
+	return sum
+}
+
+// plainCalls sums the plain servers' counts by request.
+func (w *world) plainCalls() map[runworks.RequestID]int {
+	sum := map[runworks.RequestID]int{}
+	for _, p := range w.plains {
+		for id, n := range p.Calls() {
+			sum[runworks.RequestID(id).Base()] += n
+		}
+	}
+	return sum
+}
+
+// close ends all parts and waits for them.
+func (w *world) close() {
+	for _, e := range w.entries {
+		e.kill()
+	}
+	for _, a := range w.agents {
+		a.kill()
+	}
+	for _, s := range w.servers {
+		_ = s.Close()
+	}
+	for _, c := range w.clients {
+		c.CloseIdleConnections()
+	}
+	w.work.Wait()
+	w.net.mu.Lock()
+	var wires []*wire
+	for one := range w.net.wires {
+		wires = append(wires, one)
+	}
+	w.net.mu.Unlock()
+	for _, one := range wires {
+		one.close()
+	}
+	// What net/http still waits for, by its own bounded times, ends in virtual time.
+	time.Sleep(settle)
+}
+
+// farLog is the log service as a host reaches it: a cut between the host and
+// the platform is an outage for this host alone.
+type farLog struct {
+	net  *memnet
+	host string
+	log  *standin.Log
+}
+
+const logTimeout = 5 * time.Second
+
+// Append implements runworks.LogService.
+func (l *farLog) Append(ctx context.Context, data []byte) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	if err := l.net.pass(ctx, l.host, "platform"); err != nil {
+		return 0, fmt.Errorf("append: %w", err)
+	}
+	return l.log.Append(ctx, data)
+}
+
+// Read implements runworks.LogService.
+func (l *farLog) Read(ctx context.Context, from int64) (*runworks.LogPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	if err := l.net.pass(ctx, l.host, "platform"); err != nil {
+		return nil, fmt.Errorf("read: %w", err)
+	}
+	return l.log.Read(ctx, from)
+}
