At most once and the truth about not-run, swept and scheduled under failure

Every moment of a call's life, a quarter of the latency apart, is hit by each of seven failures (reset, cuts of 1, 5 and 20 s, agent killed, agent restarted, entry killed): 1400 calls.

Found by them, and mended: - A wait group of entry and agent was asked for more while it was waited for (panic at a killed entry). Cause: goroutines begun by messages that arrive while the process ends. Now a group that refuses; test in modules/group. - A caller could be told not-run for a key under which another call, still on its way, then ran: the home freed the key at a not-run end. Ruled out: asking the home for other waiting calls, as one may be frozen before its first claim. Now a not-run end spends the key for good, and without the home's word the answer is unknown.

--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -22,6 +22,8 @@
 	// Connect builds the way to the backend server; nil is HTTP.
 	Connect func(address string) runworks.Backend
 
+	// Started, unless nil, is closed by Run once Agent and Config are set.
+	Started chan struct{}
 	// Agent and Config are set by Run before it serves.
 	Agent  *agent.Agent
 	Config *config.Follower
@@ -51,6 +53,9 @@
 		return err
 	}
 	d.Agent.Start(ctx)
+	if d.Started != nil {
+		close(d.Started)
+	}
 	var work conc.WaitGroup
 	work.Go(func() { d.Config.Run(ctx) })
 	work.Go(serve(operatorsServer, forOperators))
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -23,6 +23,8 @@
 	Settings *setting.Entry
 	Parts    Parts
 
+	// Started, unless nil, is closed by Run once Entry and Config are set.
+	Started chan struct{}
 	// Entry and Config are set by Run before it serves.
 	Entry  *entry.Entry
 	Config *config.Follower
@@ -53,6 +55,9 @@
 		_ = forCallers.Close()
 		return err
 	}
+	if d.Started != nil {
+		close(d.Started)
+	}
 	var work conc.WaitGroup
 	work.Go(func() { d.Config.Run(ctx) })
 	work.Go(func() { d.Entry.Run(ctx) })
--- a/errors.go
+++ b/errors.go
@@ -47,6 +47,8 @@
 	ErrGone = plain("gone", "no longer here")
 	// ErrKeyReused says that a key came back with another request.
 	ErrKeyReused = plain("key_reused", "the idempotency key was used for another request")
+	// ErrKeySpent says that the key's request was not run and never will be.
+	ErrKeySpent = plain("key_spent", "the key's request was not run and never will be; come back with a fresh key")
 	// ErrAnswerGone says that the keyed request ran and its answer is no longer kept.
 	ErrAnswerGone = plain("answer_gone", "already run, answer no longer kept")
 	// ErrTruncated says that the log no longer holds the offset asked for.
--- /dev/null
+++ b/modules/backend/http_test.go
@@ -0,0 +1,178 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
+)
+
+// breaking is a server that answers the first request on each connection and
+// breaks the connection after it has read the second.
+type breaking struct {
+	listener net.Listener
+	mu       sync.Mutex
+	marked   int
+	work     sync.WaitGroup
+}
+
+func newBreaking(t *testing.T) *breaking {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &breaking{listener: listener}
+	b.work.Go(b.accept)
+	t.Cleanup(func() {
+		_ = listener.Close()
+		b.work.Wait()
+	})
+	return b
+}
+
+func (b *breaking) accept() {
+	for {
+		conn, err := b.listener.Accept()
+		if err != nil {
+			return
+		}
+		b.work.Go(func() { b.serve(conn) })
+	}
+}
+
+func (b *breaking) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for i := range 2 {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		var body bytes.Buffer
+		_, _ = body.ReadFrom(req.Body)
+		if req.URL.Path == "/marked" {
+			b.mu.Lock()
+			b.marked++
+			b.mu.Unlock()
+		}
+		if i == 0 {
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+		}
+	}
+}
+
+func (b *breaking) url() string { return "http://" + b.listener.Addr().String() }
+
+func (b *breaking) arrived() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.marked
+}
+
+// TestTransportTrap shows that net/http by itself sends some calls twice when a
+// kept-alive connection breaks, and that this package sends each once.
+func TestTransportTrap(t *testing.T) {
+	tests := []struct {
+		name   string
+		method string
+		body   string
+		key    bool
+		// plain is how often the call arrives through an unguarded transport.
+		plain int
+	}{
+		{name: "post", method: http.MethodPost, body: "x", plain: 1},
+		{name: "post with key", method: http.MethodPost, body: "x", key: true, plain: 2},
+		{name: "get", method: http.MethodGet, plain: 2},
+		{name: "delete", method: http.MethodDelete, plain: 1},
+		{name: "delete with key", method: http.MethodDelete, key: true, plain: 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			header := http.Header{}
+			if test.key {
+				header.Set(runworks.HeaderIdempotencyKey, "k")
+			}
+			call := &runworks.Call{Method: test.method, Path: "/marked", Header: header, Body: []byte(test.body)}
+
+			unguarded := newBreaking(t)
+			sendUnguarded(t, unguarded, call)
+			is.Equal(unguarded.arrived(), test.plain) // the trap
+
+			guarded := newBreaking(t)
+			h := New(guarded.url(), nil)
+			defer h.Close()
+			warmUp(t, h)
+			_ = do(t, h, call)
+			is.Equal(guarded.arrived(), 1) // sent once
+		})
+	}
+}
+
+// warmUp leaves a kept-alive connection behind.
+func warmUp(t *testing.T, h *HTTP) {
+	t.Helper()
+	if err := do(t, h, &runworks.Call{Method: http.MethodPost, Path: "/first", Body: []byte("x")}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func do(t *testing.T, h *HTTP, call *runworks.Call) error {
+	t.Helper()
+	reply, err := h.Do(t.Context(), "id", call)
+	if err != nil {
+		return err
+	}
+	var body bytes.Buffer
+	_, err = body.ReadFrom(reply.Body)
+	_ = reply.Body.Close()
+	return err
+}
+
+func sendUnguarded(t *testing.T, b *breaking, call *runworks.Call) {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for _, path := range []string{"/first", call.Path} {
+		req, err := http.NewRequestWithContext(t.Context(), call.Method, b.url()+path, bytes.NewReader(call.Body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header = call.Header.Clone()
+		res, err := client.Do(req)
+		if err == nil {
+			var body bytes.Buffer
+			_, _ = body.ReadFrom(res.Body)
+			_ = res.Body.Close()
+		}
+	}
+}
+
+// TestRefusedIsNotDispatched tells a refused connection from a broken one.
+func TestRefusedIsNotDispatched(t *testing.T) {
+	is := is.New(t)
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := listener.Addr().String()
+	_ = listener.Close()
+	h := New("http://"+address, nil)
+	defer h.Close()
+	_, err = h.Do(context.Background(), "id", &runworks.Call{Method: http.MethodPost, Path: "/"})
+	is.True(errors.Is(err, runworks.ErrNotDispatched))
+
+	broken := newBreaking(t)
+	h = New(broken.url(), nil)
+	defer h.Close()
+	warmUp(t, h)
+	err = do(t, h, &runworks.Call{Method: http.MethodPost, Path: "/marked", Body: []byte("x")})
+	is.True(errors.Is(err, runworks.ErrBackend))
+}
--- a/routers/callers/answer.go
+++ b/routers/callers/answer.go
@@ -121,6 +121,7 @@
 	{runworks.ErrTooLarge, http.StatusRequestEntityTooLarge, "too_large"},
 	{runworks.ErrBadRequest, http.StatusBadRequest, "bad_request"},
 	{runworks.ErrKeyReused, http.StatusUnprocessableEntity, "key_reused"},
+	{runworks.ErrKeySpent, http.StatusConflict, "key_spent"},
 	{runworks.ErrAnswerGone, http.StatusConflict, "answer_gone"},
 	{runworks.ErrTimeLimit, http.StatusGatewayTimeout, "time_limit"},
 	{runworks.ErrShortage, http.StatusServiceUnavailable, "shortage"},
--- a/services/agent/agent.go
+++ b/services/agent/agent.go
@@ -6,9 +6,10 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/sourcegraph/conc"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/runworks/runworks/modules/group"
+
 	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/modules/metrics"
 	"github.com/runworks/runworks/services/config"
@@ -59,7 +60,7 @@
 	MaxKeys int
 
 	incarnation runworks.Incarnation
-	work        conc.WaitGroup
+	work        group.Group
 	life        context.Context
 	end         context.CancelFunc
 
--- a/services/agent/drain.go
+++ b/services/agent/drain.go
@@ -80,5 +80,5 @@
 		}
 	}
 	a.mu.Unlock()
-	a.work.Wait()
+	a.work.Close()
 }
--- a/services/agent/keys.go
+++ b/services/agent/keys.go
@@ -32,8 +32,7 @@
 	}
 	l.agent.mu.Lock()
 	defer l.agent.mu.Unlock()
-	l.agent.keys.End(&e)
-	return nil, nil
+	return control.KeyEndReply{Ended: l.agent.keys.End(&e)}, nil
 }
 
 // keyClaim decides about a key, if this agent is its home by a configuration
--- a/services/control/messages.go
+++ b/services/control/messages.go
@@ -29,7 +29,7 @@
 	MethodKeyClaim = "key.claim"
 	// MethodKeyBind is the entry's call at a key's home: KeyBind for KeyBindReply.
 	MethodKeyBind = "key.bind"
-	// MethodKeyEnd is the entry's notification at a key's home: KeyEnd.
+	// MethodKeyEnd is the entry's call at a key's home: KeyEnd for KeyEndReply.
 	MethodKeyEnd = "key.end"
 )
 
@@ -165,6 +165,8 @@
 	KeyWaiting KeyVerdict = "waiting"
 	// KeyBound runs or ran, at the place given.
 	KeyBound KeyVerdict = "bound"
+	// KeySpent belongs to a request that did not run and never will.
+	KeySpent KeyVerdict = "spent"
 	// KeyOther is used for another request.
 	KeyOther KeyVerdict = "other"
 	// KeyTooOld was minted before the home can tell; its request may have run.
@@ -203,8 +205,9 @@
 	Bound bool `json:"bound"`
 }
 
-// KeyEnd frees a key whose request provably did not run: the sender's own, by
-// ID, or the one that Run names.
+// KeyEnd ends a key whose request provably did not run. With ID, the sender's
+// own request, the key is spent: no request ever runs under it. With Run, a run
+// that another call bound and that did not start, the key is free again.
 type KeyEnd struct {
 	Customer string             `json:"customer"`
 	Key      string             `json:"key"`
@@ -212,6 +215,11 @@
 	Run      runworks.RequestID `json:"run,omitempty"`
 }
 
+// KeyEndReply says whether the end took effect.
+type KeyEndReply struct {
+	Ended bool `json:"ended"`
+}
+
 // Headers of a run between entry and agent.
 const (
 	// HeaderCall is the Call as JSON, less its body, which is the body.
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -7,9 +7,10 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/sourcegraph/conc"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/runworks/runworks/modules/group"
+
 	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/modules/metrics"
 	"github.com/runworks/runworks/modules/rpc"
@@ -47,7 +48,7 @@
 	FollowAfter time.Duration
 
 	incarnation runworks.Incarnation
-	work        conc.WaitGroup
+	work        group.Group
 	client      *http.Client
 	retries     budget
 
@@ -89,7 +90,7 @@
 		e.readHosts(ctx)
 		select {
 		case <-ctx.Done():
-			e.work.Wait()
+			e.work.Close()
 			e.client.CloseIdleConnections()
 			return
 		case <-ticker.C:
--- a/services/entry/keyed.go
+++ b/services/entry/keyed.go
@@ -46,7 +46,7 @@
 			if !errors.Is(err, runworks.ErrNotDispatched) {
 				return answer, err
 			}
-			k.free(reply.Run.ID)
+			k.end(ctx, reply.Run.ID)
 		case control.KeyWaiting:
 		default:
 			return nil, refusedKey(reply.Verdict)
@@ -72,8 +72,13 @@
 	switch verdict {
 	case control.KeyOther:
 		return runworks.NotRun(runworks.ErrKeyReused, 0)
+	case control.KeySpent:
+		return runworks.NotRun(runworks.ErrKeySpent, 0)
 	case control.KeyEarly:
-		return runworks.NotRun(errorx.Decorate(runworks.ErrBadRequest, "the idempotency key was minted in the future"), 0)
+		return &runworks.Failure{
+			Err:     errorx.Decorate(runworks.ErrBadRequest, "the idempotency key was minted in the future"),
+			Outcome: runworks.OutcomeUnknown, IdleAttempt: true,
+		}
 	case control.KeyTooOld:
 		return &runworks.Failure{
 			Err:     errorx.Decorate(runworks.ErrUnknownFate, "the key is older than what its home remembers"),
@@ -111,19 +116,24 @@
 	}
 	var reply control.KeyReply
 	if err := k.home.conn.Call(ctx, control.MethodKeyClaim, c, &reply); err != nil {
-		k.end("")
 		return nil, idleAttempt("the key's home did not answer")
 	}
 	return &reply, nil
 }
 
-// serveFresh runs the request, and frees the key if it provably did not run.
+// serveFresh runs the request. It says not-run only once the home has spent the
+// key; without the home's word another call may yet run under it.
 func (k *keyed) serveFresh(ctx context.Context) (*Answer, error) {
 	answer, err := k.entry.serveFresh(ctx, k.req, k.bind)
-	if err != nil && asFailure(err).Outcome == runworks.OutcomeNotRun {
-		k.end("")
+	if err == nil {
+		return answer, nil
 	}
-	return answer, err
+	failure := asFailure(err)
+	if failure.Outcome == runworks.OutcomeNotRun && !k.end(ctx, "") {
+		failure.Outcome = runworks.OutcomeUnknown
+		failure.IdleAttempt = true
+	}
+	return nil, failure
 }
 
 // bind tells the home where the request is about to run; without its word the
@@ -138,12 +148,15 @@
 	return err == nil && reply.Bound
 }
 
-// free lets the key be claimed again after its run was found not to have run.
-func (k *keyed) free(run runworks.RequestID) { k.end(run) }
-
-func (k *keyed) end(run runworks.RequestID) {
+// end ends the key for this request, or for a run that did not start, and says
+// whether the home took it. It is asked also when the caller has gone.
+func (k *keyed) end(ctx context.Context, run runworks.RequestID) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
 	end := control.KeyEnd{Customer: k.req.Customer, Key: k.req.Key, ID: k.req.ID, Run: run}
-	_ = k.home.conn.Notify(context.Background(), control.MethodKeyEnd, end)
+	var reply control.KeyEndReply
+	err := k.home.conn.Call(ctx, control.MethodKeyEnd, end, &reply)
+	return err == nil && reply.Ended
 }
 
 // join fetches the answer of the request that runs or ran under the key.
--- a/services/home/home.go
+++ b/services/home/home.go
@@ -44,6 +44,8 @@
 	source runworks.Incarnation
 	bound  bool
 	run    control.RunPlace
+	// spent is set once a caller was told not-run: nothing may run any more.
+	spent bool
 }
 
 // Minted reads the time at which a key was made; ok is set for a UUIDv7 only.
@@ -100,6 +102,8 @@
 	switch {
 	case r.digest != c.Digest:
 		return control.KeyReply{Verdict: control.KeyOther}
+	case r.spent:
+		return control.KeyReply{Verdict: control.KeySpent}
 	case r.bound:
 		return control.KeyReply{Verdict: control.KeyBound, Run: r.run}
 	case r.owner == "":
@@ -116,7 +120,7 @@
 // did not run at the former place.
 func (h *Home) Bind(b *control.KeyBind) bool {
 	r := h.records[name{customer: b.Customer, key: b.Key}]
-	if r == nil || r.owner != b.Run.ID.Base() {
+	if r == nil || r.spent || r.owner != b.Run.ID.Base() {
 		return false
 	}
 	r.bound = true
@@ -124,24 +128,33 @@
 	return true
 }
 
-// End frees a key whose request provably did not run, so that the next comer
-// may run it. The record stays, so the key is known as used here.
-func (h *Home) End(e *control.KeyEnd) {
+// End ends a key whose request provably did not run, and says whether it took
+// effect. An owner's end spends the key for good: only then may a caller be told
+// not-run, as an older call under the key may still be on its way. An end that
+// names a run frees the key for the next comer.
+func (h *Home) End(e *control.KeyEnd) bool {
 	r := h.records[name{customer: e.Customer, key: e.Key}]
-	if r == nil || !r.endedBy(e) {
-		return
+	switch {
+	case r == nil || r.spent:
+		return false
+	case e.Run != "":
+		return r.freeRun(e.Run)
+	case r.owner != e.ID:
+		return false
 	}
-	r.owner, r.source = "", ""
-	r.bound = false
-	r.run = control.RunPlace{}
+	r.spent = true
+	return true
 }
 
-// endedBy says whether an end speaks of what the record holds now.
-func (r *record) endedBy(e *control.KeyEnd) bool {
-	if e.Run != "" {
-		return r.bound && r.run.ID == e.Run
+// freeRun takes back the binding to a run, and with it the owner's right.
+func (r *record) freeRun(run runworks.RequestID) bool {
+	if !r.bound || r.run.ID != run {
+		return false
 	}
-	return r.owner == e.ID
+	r.owner, r.source = "", ""
+	r.bound = false
+	r.run = control.RunPlace{}
+	return true
 }
 
 // Lost frees the keys that an entry claimed and had not bound when its
--- a/tests/call_test.go
+++ b/tests/call_test.go
@@ -37,6 +37,8 @@
 	MaxTokens int
 	Stream    bool
 	Header    map[string]string
+	// Service makes it a call of a plain service, with the prompt as its body.
+	Service string
 }
 
 // result is what the caller saw.
@@ -55,15 +57,21 @@
 	Err error
 }
 
-// do makes the call and reads its answer to the end.
-func (c *completionCall) do(ctx context.Context, client *http.Client) *result {
-	body, err := json.Marshal(map[string]any{
+// request gives the path and the body of the call.
+func (c *completionCall) request() (path string, body []byte) {
+	if c.Service != "" {
+		return "/services/" + c.Service + "/alarm", []byte(c.Prompt)
+	}
+	body, _ = json.Marshal(map[string]any{
 		"model": c.Model, "prompt": c.Prompt, "max_tokens": c.MaxTokens, "stream": c.Stream,
 	})
-	if err != nil {
-		return &result{Err: err}
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Entry+"/v1/completions", io.NopCloser(bytes.NewReader(body)))
+	return "/v1/completions", body
+}
+
+// do makes the call and reads its answer to the end.
+func (c *completionCall) do(ctx context.Context, client *http.Client) *result {
+	path, body := c.request()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Entry+path, io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
 		return &result{Err: err}
 	}
@@ -99,6 +107,8 @@
 	Error *struct {
 		Code string `json:"code"`
 	} `json:"error"`
+	// Body is what a plain service says back.
+	Body *string `json:"body"`
 }
 
 func (r *result) readWhole(body io.Reader) {
@@ -114,6 +124,9 @@
 	if f.Error != nil {
 		r.Code = f.Error.Code
 	}
+	if r.Status == http.StatusOK && f.Body != nil {
+		r.Text, r.Whole = *f.Body, true
+	}
 	if r.Status == http.StatusOK && len(f.Choices) == 1 {
 		r.Text, r.Whole = f.Choices[0].Text, true
 	}
@@ -147,6 +160,9 @@
 
 // want is the answer that the call's own prompt gives.
 func (c *completionCall) want() string {
+	if c.Service != "" {
+		return c.Prompt
+	}
 	return strings.Join(standin.Words(c.Prompt, c.MaxTokens), " ")
 }
 
--- /dev/null
+++ b/tests/sweep_test.go
@@ -0,0 +1,96 @@
+package tests
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// failure brings about one failure at a moment, and mends what it can.
+type failure struct {
+	name  string
+	bring func(w *world, server string)
+}
+
+var failures = []failure{
+	{"reset", func(w *world, server string) { w.net.reset("entry-1", "host-"+server) }},
+	{"cut 1s", func(w *world, server string) { w.cutFor("entry-1", "host-"+server, time.Second) }},
+	{"cut 5s", func(w *world, server string) { w.cutFor("entry-1", "host-"+server, 5*time.Second) }},
+	{"cut 20s", func(w *world, server string) { w.cutFor("entry-1", "host-"+server, 20*time.Second) }},
+	{"kill agent", func(w *world, server string) { w.killAgent(server) }},
+	{"restart agent", func(w *world, server string) {
+		w.killAgent(server)
+		w.startAgent(server)
+	}},
+	{"kill entry", func(w *world, _ string) { w.killEntry("entry-1") }},
+}
+
+// cutFor cuts two hosts off from each other for a time.
+func (w *world) cutFor(a, b string, d time.Duration) {
+	w.net.cut(a, b)
+	w.work.Go(func() {
+		time.Sleep(d)
+		w.net.mend(a, b)
+	})
+}
+
+// sweepWorld has two engines, so that a request may go elsewhere.
+var sweepWorld = worldSpec{
+	engines: []engineSpec{{"e1", 2, 10_000, 2000}, {"e2", 2, 10_000, 2000}},
+	entries: []string{"entry-1", "entry-2"},
+	latency: 500 * time.Microsecond,
+}
+
+// TestSweep makes two calls and brings about each failure at every moment of
+// their life, from before the first message until after the last, a quarter of
+// the latency apart: so every message is cut before, during and after it.
+func TestSweep(t *testing.T) {
+	const (
+		step  = 250 * time.Microsecond
+		steps = 100
+	)
+	for _, f := range failures {
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			counts := map[string]int{}
+			for i := range steps {
+				h := sweepOnce(t, f, time.Duration(i)*step)
+				for what, n := range h.counts() {
+					counts[what] += n
+				}
+			}
+			t.Logf("%s: %v", f.name, counts)
+		})
+	}
+}
+
+func sweepOnce(t *testing.T, f failure, at time.Duration) *history {
+	t.Helper()
+	h := &history{}
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, sweepWorld)
+		defer w.close()
+		done := make(chan struct{})
+		for i := range 2 {
+			c := w.call("entry-1", i, 24)
+			c.Stream = i == 0
+			client := w.client()
+			go func() {
+				h.add(c, c.do(t.Context(), client))
+				done <- struct{}{}
+			}()
+		}
+		time.Sleep(at)
+		f.bring(w, "e1")
+		<-done
+		<-done
+		// What was told stays true: late messages may still arrive.
+		time.Sleep(time.Minute)
+		h.check(t, w)
+		if t.Failed() {
+			t.Log(fmt.Sprintf("%s at %s", f.name, at))
+		}
+	})
+	return h
+}
--- a/tests/world_test.go
+++ b/tests/world_test.go
@@ -183,6 +183,7 @@
 	d := &daemon.Agent{
 		Settings: &setting.Agent{Common: w.common(host), Server: server, KeySkew: time.Second},
 		Parts:    w.parts(host),
+		Started:  make(chan struct{}),
 	}
 	w.hosts.Put(runworks.Host{Name: host, Role: runworks.RoleAgent, Hall: "a", Address: host + ":70"})
 	w.mu.Lock()
@@ -194,6 +195,7 @@
 	d := &daemon.Entry{
 		Settings: &setting.Entry{Common: w.common(name), HostsPoll: time.Second, BalancerDelay: time.Second},
 		Parts:    w.parts(name),
+		Started:  make(chan struct{}),
 	}
 	w.hosts.Put(runworks.Host{Name: name, Role: runworks.RoleEntry, Hall: "a"})
 	w.mu.Lock()
@@ -201,6 +203,16 @@
 	w.entries[name] = launch(w, d, d.Run)
 }
 
+// started says whether a part has been put together.
+func started(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // launch runs a part in the bubble.
 func launch[T any](w *world, part T, run func(context.Context, <-chan struct{}) error) *running[T] {
 	ctx, kill := context.WithCancel(context.Background())
@@ -271,12 +283,12 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		for _, e := range w.entries {
-			if e.part.Entry == nil || !connectedTo(e.part, len(w.agents)) {
+			if !started(e.part.Started) || !connectedTo(e.part, len(w.agents)) {
 				return false
 			}
 		}
 		for _, a := range w.agents {
-			if a.part.Agent == nil || a.part.Agent.Beat().Slots == 0 {
+			if !started(a.part.Started) || a.part.Agent.Beat().Slots == 0 {
 				return false
 			}
 		}
@@ -325,7 +337,8 @@
 	return &completionCall{Entry: entry + ":70", Key: worldKey, Model: worldModel, Prompt: prompt(i), MaxTokens: maxTokens}
 }
 
-// dispatches sums the engines' counts by request, attempts taken together.
+// dispatches sums what engines and plain servers got by request, attempts taken
+// together.
 func (w *world) dispatches() map[runworks.RequestID]int {
 	sum := map[runworks.RequestID]int{}
 	for _, e := range w.engines {
@@ -333,12 +346,6 @@
 			sum[runworks.RequestID(id).Base()] += n
 		}
 	}
-	return sum
-}
-
-// plainCalls sums the plain servers' counts by request.
-func (w *world) plainCalls() map[runworks.RequestID]int {
-	sum := map[runworks.RequestID]int{}
 	for _, p := range w.plains {
 		for id, n := range p.Calls() {
 			sum[runworks.RequestID(id).Base()] += n
