Policies measured on the real entry and agents, beside four baselines

make measure: fake engines of two speeds in virtual time, two sites, ten loads and faults. Behind runworks.Picker: random, least reported load, two choices on reports, least reported load plus own sends; and late binding, with and without a reserved slot.

--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,8 @@
 .PHONY: mutants
 mutants:
 	$(GO) test ./tests/ -run TestMutants -v -timeout 60m -args -mutants
+
+# Prints the table of docs/design/routing.md: the same figures each time.
+.PHONY: measure
+measure:
+	$(GO) test ./tests/ -run TestMeasure -v -timeout 60m -args -measure
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -22,6 +22,8 @@
 	// Connect builds the way to the backend server; nil is HTTP.
 	Connect func(address string) runworks.Backend
 
+	// Tune, unless nil, may change what the settings do not name, before the start.
+	Tune func(*agent.Agent)
 	// Started, unless nil, is closed by Run once Agent and Config are set.
 	Started chan struct{}
 	// Agent and Config are set by Run before it serves.
@@ -89,6 +91,9 @@
 		Logger: p.Logger, Metrics: set, Tracer: p.Tracer,
 		MaxWaiting: s.MaxWaiting, MaxAnswerBytes: s.MaxAnswerBytes, KeySkew: s.KeySkew,
 	}
+	if d.Tune != nil {
+		d.Tune(d.Agent)
+	}
 	d.Config.OnChange = d.Agent.Configure
 	routes := &runs.Routes{Agent: d.Agent, Keys: s.FleetKeys}
 	forOperators := &operators.Routes{Ready: d.ready, Metrics: set, Status: func() any { return d.Agent.Status() }}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -24,6 +24,8 @@
 	Settings *setting.Entry
 	Parts    Parts
 
+	// Tune, unless nil, may change what the settings do not name, before the start.
+	Tune func(*entry.Entry)
 	// Started, unless nil, is closed by Run once Entry and Config are set.
 	Started chan struct{}
 	// Entry and Config are set by Run before it serves.
@@ -92,6 +94,9 @@
 		Name: s.Name, Hall: s.Hall, Program: Version, Config: d.Config, Hosts: p.Hosts, HostsPoll: s.HostsPoll,
 		Dial: p.Dial, Keys: s.FleetKeys, Logger: p.Logger, Metrics: set, Tracer: p.Tracer,
 	}
+	if d.Tune != nil {
+		d.Tune(d.Entry)
+	}
 	d.Entry.Start()
 	d.shares = &admission.Shares{Name: s.Name, Settle: s.ListSettle}
 	d.Entry.OnEntries = func(names []string) { d.shares.Observe(time.Now(), names) }
--- a/services/agent/agent.go
+++ b/services/agent/agent.go
@@ -44,6 +44,9 @@
 	Logger  hclog.Logger
 	Metrics *metrics.Set
 	Tracer  trace.Tracer
+	// BeatEvery is the time between two reports to each entry; 0 is
+	// control.BeatEvery.
+	BeatEvery time.Duration
 	// MaxWaiting bounds the waiting tickets.
 	MaxWaiting int
 	// MaxAnswerBytes bounds what is kept of one answer.
@@ -102,6 +105,9 @@
 }
 
 func (a *Agent) defaults() {
+	if a.BeatEvery <= 0 {
+		a.BeatEvery = control.BeatEvery
+	}
 	if a.MaxWaiting <= 0 {
 		a.MaxWaiting = DefaultMaxWaiting
 	}
--- a/services/agent/agent_test.go
+++ b/services/agent/agent_test.go
@@ -237,7 +237,7 @@
 		a.backend = hanging
 		defer a.Close()
 		o := a.order("1.1")
-		o.Keep = true
+		o.Keep, o.Left = true, time.Hour
 		is.NoErr(a.StartRun(t.Context(), o))
 		drained := make(chan struct{})
 		go func() {
--- a/services/agent/links.go
+++ b/services/agent/links.go
@@ -44,7 +44,7 @@
 
 // keepAlive sends beats, and returns once the connection is gone or silent.
 func (l *link) keepAlive(ctx context.Context) {
-	ticker := time.NewTicker(control.BeatEvery)
+	ticker := time.NewTicker(l.agent.BeatEvery)
 	defer ticker.Stop()
 	for {
 		select {
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/runworks/runworks/modules/metrics"
 	"github.com/runworks/runworks/modules/rpc"
 	"github.com/runworks/runworks/services/config"
+	"github.com/runworks/runworks/services/pick"
 )
 
 // Defaults of an entry's times.
@@ -50,6 +51,8 @@
 	// OnShed is told, for audits, of each request that is shed, before its answer
 	// is given; it may be nil.
 	OnShed func(req *runworks.Request)
+	// Picker chooses who gets the first ticket; nil is pick.LeastWork.
+	Picker runworks.Picker
 	// FollowAfter is how long one agent alone holds the ticket of a request.
 	FollowAfter time.Duration
 
@@ -72,6 +75,9 @@
 	if e.FollowAfter <= 0 {
 		e.FollowAfter = DefaultFollowAfter
 	}
+	if e.Picker == nil {
+		e.Picker = pick.LeastWork{}
+	}
 	if e.HostsPoll <= 0 {
 		e.HostsPoll = DefaultHostsPoll
 	}
--- a/services/entry/link.go
+++ b/services/entry/link.go
@@ -34,6 +34,8 @@
 	outbox control.Tickets
 	// standing is the number of tickets that this entry has at the agent.
 	standing int
+	// sentSince is the number of tickets sent since the agent's last report.
+	sentSince int
 	// granted is the number of requests granted and not ended, by this entry.
 	granted int
 }
@@ -186,6 +188,7 @@
 	}
 	left := b.Leaving && !l.beat.Leaving
 	l.beat = b
+	l.sentSince = 0
 	if left {
 		l.entry.recheckLocked()
 	}
--- a/services/entry/place.go
+++ b/services/entry/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"time"
 
 	"github.com/runworks/runworks"
@@ -75,7 +76,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.pending[p.id] = p
-	best := e.bestLocked(req.Service)
+	best := e.bestLocked(req)
 	if best == nil {
 		return p
 	}
@@ -153,6 +154,9 @@
 // offerAllLocked offers the request wherever neither a ticket nor a fresh
 // refusal stands.
 func (p *pending) offerAllLocked() {
+	if !p.entry.Picker.Spread() {
+		return
+	}
 	for _, l := range p.entry.eligibleLocked(p.req.Service) {
 		if _, ok := p.standing[l]; !ok && !p.freshLocked(l) {
 			p.offerLocked(l)
@@ -166,6 +170,7 @@
 	p.standing[l] = now
 	delete(p.refused, l)
 	l.standing++
+	l.sentSince++
 	l.outbox.Place = append(l.outbox.Place, p.req.Ticket(now))
 	l.outbox.Place[len(l.outbox.Place)-1].ID = p.id
 	l.signal()
@@ -265,27 +270,30 @@
 	return out
 }
 
-// bestLocked guesses which agent will claim first: the one with the least work
-// for its slots and speed, by its last report and by what this entry sent since.
-func (e *Entry) bestLocked(service string) *link {
-	var best *link
-	var least float64
-	for _, l := range e.eligibleLocked(service) {
-		load := e.loadLocked(l)
-		if best == nil || load < least || load == least && l.server < best.server {
-			best, least = l, load
-		}
+// bestLocked asks the picker which agent gets the first ticket; nil if there is
+// none to ask for.
+func (e *Entry) bestLocked(req *runworks.Request) *link {
+	eligible := e.eligibleLocked(req.Service)
+	if len(eligible) == 0 {
+		return nil
+	}
+	sort.Slice(eligible, func(i, j int) bool { return eligible[i].server < eligible[j].server })
+	candidates := make([]runworks.Candidate, len(eligible))
+	now := e.Config.InForce()
+	for i, l := range eligible {
+		candidates[i] = l.candidateLocked(now.Place(l.server).Server.Speed)
 	}
-	return best
+	return eligible[e.Picker.Pick(req, candidates)]
 }
 
-func (e *Entry) loadLocked(l *link) float64 {
-	speed := 1.0
-	if place := e.Config.InForce().Place(l.server); place != nil && place.Server.Speed > 0 {
-		speed = place.Server.Speed
+func (l *link) candidateLocked(speed float64) runworks.Candidate {
+	if speed <= 0 {
+		speed = 1
+	}
+	return runworks.Candidate{
+		Server: l.server, Speed: speed, Slots: l.beat.Slots, Running: l.beat.Running, Waiting: l.beat.Waiting,
+		Own: l.granted + l.standing, SentSince: l.sentSince,
 	}
-	work := max(l.beat.Running+l.beat.Waiting, l.granted+l.standing)
-	return (float64(work) + 1) / (speed * float64(max(l.beat.Slots, 1)))
 }
 
 // idleLocked says whether the agent seems to have a free slot.
--- a/tests/tier_test.go
+++ b/tests/tier_test.go
@@ -67,12 +67,12 @@
 
 func auditOverload(t *testing.T, seed uint64) {
 	t.Helper()
-	w := newWorld(t, tinyQueues)
+	a := &audit{shed: map[int]int{}}
+	spec := tinyQueues
+	spec.onShed = a.onShed
+	w := newWorld(t, spec)
+	a.w = w
 	defer w.close()
-	a := &audit{w: w, shed: map[int]int{}}
-	for _, name := range tinyQueues.entries {
-		w.entry(name).Entry.OnShed = a.onShed
-	}
 	h := &history{}
 	overload(t, w, h, seed)
 	h.check(t, w)
--- a/tests/world_test.go
+++ b/tests/world_test.go
@@ -15,7 +15,9 @@
 	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/daemon"
 	"github.com/runworks/runworks/modules/setting"
+	"github.com/runworks/runworks/services/agent"
 	"github.com/runworks/runworks/services/config"
+	"github.com/runworks/runworks/services/entry"
 	"github.com/runworks/runworks/standin"
 )
 
@@ -31,8 +33,10 @@
 // world is a whole system in one bubble of virtual time: the real entries and
 // agents, over a network in memory, with stand-ins.
 type world struct {
-	t     *testing.T
-	spec  worldSpec
+	t    *testing.T
+	spec worldSpec
+	// fakes are the engines of a measurement.
+	fakes map[string]*fakeEngine
 	net   *memnet
 	log   *standin.Log
 	hosts *standin.Hosts
@@ -75,6 +79,14 @@
 	tracer  trace.Tracer
 	// maxWaiting bounds the tickets at each agent; 0 is the default.
 	maxWaiting int
+	// connect is the way to the engines; nil is HTTP to the stand-ins.
+	connect func(server string) runworks.Backend
+	// beatEvery is the time between load reports; 0 is the default.
+	beatEvery time.Duration
+	// picker chooses who gets the first ticket; nil is the default.
+	picker runworks.Picker
+	// onShed is told of each request that is shed.
+	onShed func(*runworks.Request)
 	// edit changes the configuration before it is applied.
 	edit func(*runworks.Config)
 }
@@ -188,6 +200,10 @@
 		Parts:    w.parts(host),
 		Started:  make(chan struct{}),
 	}
+	if w.spec.connect != nil {
+		d.Connect = func(string) runworks.Backend { return w.spec.connect(server) }
+	}
+	d.Tune = func(a *agent.Agent) { a.BeatEvery = w.spec.beatEvery }
 	w.hosts.Put(runworks.Host{Name: host, Role: runworks.RoleAgent, Hall: "a", Address: host + ":70"})
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -200,6 +216,7 @@
 		Parts:    w.parts(name),
 		Started:  make(chan struct{}),
 	}
+	d.Tune = func(e *entry.Entry) { e.Picker, e.OnShed = w.spec.picker, w.spec.onShed }
 	w.hosts.Put(runworks.Host{Name: name, Role: runworks.RoleEntry, Hall: "a"})
 	w.mu.Lock()
 	defer w.mu.Unlock()
