What can't finish in time is answered at once

Agents learn, by tier, the time that a token of estimated cost takes on their backend server, and refuse a ticket with less than half of the expected time left. An entry whose agents all refuse so gives the final answer at once, with when to come back; such a refusal bars no lower tier, as no room would help.

--- a/services/agent/agent.go
+++ b/services/agent/agent.go
@@ -79,6 +79,7 @@
 	downTo  time.Time
 	changed chan struct{}
 	keys    home.Home
+	rates   estimate
 	past    []pastConfig
 }
 
--- a/services/agent/agent_test.go
+++ b/services/agent/agent_test.go
@@ -159,7 +159,7 @@
 				synctest.Wait()
 				is.Equal(a.Revoke(control.Revoke{ID: "1.1"}), test.state)
 				a.mu.Lock()
-				reason := a.closedLocked(time.Now(), &runworks.Ticket{Left: time.Second})
+				reason := a.closedLocked(time.Now())
 				a.mu.Unlock()
 				is.Equal(reason == control.RefusedDown, test.down)
 			})
--- a/services/agent/claim.go
+++ b/services/agent/claim.go
@@ -19,6 +19,10 @@
 		if w == nil {
 			return
 		}
+		if !a.rates.fits(w.Tier, w.Cost(), time.Until(w.Deadline)) {
+			a.refuseLocked(w, control.RefusedTooLate)
+			continue
+		}
 		a.claimLocked(w)
 	}
 }
--- a/services/agent/dispatch.go
+++ b/services/agent/dispatch.go
@@ -118,7 +118,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err != nil && ctx.Err() != nil {
-		err = errorx.Decorate(errAbandoned, "%v", err)
+		err = errorx.Decorate(ctx.Err(), "the run was cut: %v", err)
 	}
 	if err != nil {
 		metrics.Add(a.Metrics.WastedTokens, r.ticket.PromptTokens, metrics.Rank(r.ticket.Tier))
@@ -126,6 +126,9 @@
 	r.state = control.StateEnded
 	r.err = err
 	r.ended = time.Now()
+	if err == nil || errors.Is(err, context.DeadlineExceeded) {
+		a.rates.learn(r.ticket.Tier, r.ticket.Cost(), r.ended.Sub(r.began))
+	}
 	if r.orphan != nil {
 		r.orphan.Stop()
 	}
--- a/services/agent/links.go
+++ b/services/agent/links.go
@@ -193,7 +193,11 @@
 // offerLocked takes one ticket, or gives the reason for refusing it.
 func (a *Agent) offerLocked(l *link, t *runworks.Ticket) control.RefusalReason {
 	now := time.Now()
-	if reason := a.closedLocked(now, t); reason != "" {
+	if t.Left <= 0 || !a.rates.fits(t.Tier, t.Cost(), t.Left) {
+		// No room would help, so lower tiers are not barred.
+		return control.RefusedTooLate
+	}
+	if reason := a.closedLocked(now); reason != "" {
 		a.queue.Refuse(now, t.Tier)
 		return reason
 	}
@@ -211,9 +215,8 @@
 	return ""
 }
 
-// closedLocked gives the reason for which no ticket at all, or not this one,
-// is taken now.
-func (a *Agent) closedLocked(now time.Time, t *runworks.Ticket) control.RefusalReason {
+// closedLocked gives the reason for which no ticket at all is taken now.
+func (a *Agent) closedLocked(now time.Time) control.RefusalReason {
 	switch {
 	case a.leaving:
 		return control.RefusedLeaving
@@ -221,8 +224,6 @@
 		return control.RefusedUnserved
 	case now.Before(a.downTo):
 		return control.RefusedDown
-	case t.Left <= 0:
-		return control.RefusedTooLate
 	}
 	return ""
 }
--- a/services/agent/run.go
+++ b/services/agent/run.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/modules/stream"
 	"github.com/runworks/runworks/services/control"
@@ -20,6 +18,8 @@
 	asked  time.Time
 	// started is closed when the request leaves the claimed state for running.
 	started chan struct{}
+	// began is when the request started.
+	began time.Time
 
 	// What follows is guarded by the agent's lock.
 	state   control.RunState
@@ -92,6 +92,7 @@
 func (a *Agent) startLocked(ctx context.Context, r *run, o *Order) {
 	r.state = control.StateRunning
 	r.keep = o.Keep
+	r.began = time.Now()
 	r.answer = &stream.Buffer{Limit: a.MaxAnswerBytes}
 	runCtx, cancel := context.WithTimeout(a.withTrace(ctx), o.Left)
 	r.cancel = cancel
@@ -234,6 +235,3 @@
 		r.cancel()
 	}
 }
-
-// errAbandoned is the end of a run that was cancelled or ran out of time.
-var errAbandoned = errorx.IllegalState.New("the run was cancelled or ran out of time")
--- a/services/entry/place.go
+++ b/services/entry/place.go
@@ -127,9 +127,20 @@
 	if len(p.standing) > 0 {
 		return nil
 	}
+	return p.shedLocked()
+}
+
+// shedLocked gives the final answer to a request that every agent refused.
+func (p *pending) shedLocked() *runworks.Failure {
+	reason := control.RefusedTooLate
 	for _, one := range p.refused {
-		metrics.Count(p.entry.Metrics.Refused, metrics.Tier(p.req.Tier), metrics.Cause(string(one.reason)))
-		break
+		if one.reason != control.RefusedTooLate {
+			reason = one.reason
+		}
+	}
+	metrics.Count(p.entry.Metrics.Refused, metrics.Tier(p.req.Tier), metrics.Cause(string(reason)))
+	if reason == control.RefusedTooLate {
+		return runworks.NotRun(runworks.ErrTimeLimit, retryWhenLate)
 	}
 	if p.entry.OnShed != nil {
 		p.entry.OnShed(p.req)
--- a/tests/retry_test.go
+++ b/tests/retry_test.go
@@ -80,3 +80,29 @@
 		is.Equal(len(w.plains["p2"].Calls()), 50)
 	})
 }
+
+// TestHopelessRequestIsAnsweredAtOnce asks for far more than fits into its time
+// limit, once the agents know their rates: the final answer comes at once.
+func TestHopelessRequestIsAnsweredAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, sweepWorld)
+		defer w.close()
+		for i := range 20 {
+			is.NoErr(w.call("entry-1", i, 100).check(t.Context(), w.client()))
+		}
+		for i := range 4 { // so that both engines have learned
+			c := w.call("entry-1", 100+i, 1000)
+			go func() { _ = c.check(t.Context(), w.client()) }()
+		}
+		time.Sleep(2 * time.Second)
+		began := time.Now()
+		c := w.call("entry-1", 200, 100_000) // fifty seconds of work
+		c.Header = map[string]string{runworks.HeaderTimeout: "20s"}
+		r := c.do(t.Context(), w.client())
+		is.Equal(r.Outcome, runworks.OutcomeNotRun)
+		is.Equal(r.Code, "time_limit")
+		is.True(r.RetryAfter > 0)
+		is.True(time.Since(began) < 100*time.Millisecond)
+	})
+}
