Key records outlive a planned stop of their home

A home that stops hands its records, through an entry, to its heir, the agent that rendezvous hashing names without it. Where a key's home can't tell, the entry asks the heir, which says what ran or is spent and never lets a request run. Weighed: copies on several agents while the home lives (a replicated store, which the users rule out); handing over to the next life of the same agent (it may come late or never). A key that was claimed and not bound is handed over as spent: its bind can't come any more.

--- a/services/agent/drain.go
+++ b/services/agent/drain.go
@@ -19,16 +19,22 @@
 	a.Logger.Info("leaving: no new work", "server", a.Server)
 	a.giveBackLocked(control.RefusedLeaving)
 	beat := a.beatLocked()
-	links := make([]*link, 0, len(a.links))
-	for _, l := range a.links {
-		links = append(links, l)
-	}
+	links := a.linksLocked()
 	a.mu.Unlock()
 	for _, l := range links {
 		_ = l.conn.Notify(a.life, control.MethodBeat, beat)
 	}
 }
 
+// linksLocked gives the connections to entries.
+func (a *Agent) linksLocked() []*link {
+	links := make([]*link, 0, len(a.links))
+	for _, l := range a.links {
+		links = append(links, l)
+	}
+	return links
+}
+
 // Drain leaves, and waits until what runs has ended and its answer was read.
 func (a *Agent) Drain(ctx context.Context) error {
 	a.Leave()
@@ -37,6 +43,7 @@
 		idle, wait := a.idleLocked(), a.waitLocked()
 		a.mu.Unlock()
 		if idle {
+			a.handOver(ctx)
 			return nil
 		}
 		select {
--- /dev/null
+++ b/services/agent/handover.go
@@ -0,0 +1,61 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/runworks/runworks/modules/metrics"
+	"github.com/runworks/runworks/services/control"
+)
+
+const handOverTimeout = 2 * time.Second
+
+// handOver gives the key records to the agent that is heir to this one, through
+// the first entry that gets them there. From then on no key is bound here.
+func (a *Agent) handOver(ctx context.Context) {
+	now := a.Config.InForce()
+	if now == nil || now.Place(a.Server) == nil {
+		return
+	}
+	a.mu.Lock()
+	hand := control.KeyHand{Service: now.Place(a.Server).Service.Name, Server: a.Server, Records: a.keys.Close()}
+	links := a.linksLocked()
+	a.mu.Unlock()
+	if len(hand.Records) == 0 {
+		return
+	}
+	for _, l := range links {
+		if l.handOver(ctx, &hand) {
+			a.Logger.Info("keys handed over", "records", len(hand.Records), "by", l.name)
+			return
+		}
+	}
+	a.Logger.Warn("keys not handed over: their calls will be told unknown", "records", len(hand.Records))
+}
+
+func (l *link) handOver(ctx context.Context, hand *control.KeyHand) bool {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	var reply control.KeyHandReply
+	err := l.conn.Call(ctx, control.MethodKeyHand, hand, &reply)
+	return err == nil && reply.Taken
+}
+
+// take keeps the records of another home.
+func (a *Agent) take(hand *control.KeyHand) control.KeyHandReply {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leaving {
+		return control.KeyHandReply{}
+	}
+	a.keys.Take(time.Now(), hand.Records)
+	metrics.Add(a.Metrics.Keys, len(hand.Records), metrics.Result("taken-over"))
+	return control.KeyHandReply{Taken: true}
+}
+
+// look tells what another home knew of a key.
+func (a *Agent) look(c *control.KeyClaim) control.KeyReply {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.keys.Look(time.Now(), c)
+}
--- a/services/agent/keys.go
+++ b/services/agent/keys.go
@@ -25,6 +25,18 @@
 		l.agent.mu.Lock()
 		defer l.agent.mu.Unlock()
 		return control.KeyBindReply{Bound: l.agent.keys.Bind(&b)}, nil
+	case control.MethodKeyHand:
+		var hand control.KeyHand
+		if err := control.Decode(params, &hand); err != nil {
+			return nil, err
+		}
+		return l.agent.take(&hand), nil
+	case control.MethodKeyLook:
+		var c control.KeyClaim
+		if err := control.Decode(params, &c); err != nil {
+			return nil, err
+		}
+		return l.agent.look(&c), nil
 	}
 	var e control.KeyEnd
 	if err := control.Decode(params, &e); err != nil {
--- a/services/agent/links.go
+++ b/services/agent/links.go
@@ -104,7 +104,7 @@
 		return l.revoke(params)
 	case control.MethodConfig:
 		return l.agent.document(), nil
-	case control.MethodKeyClaim, control.MethodKeyBind, control.MethodKeyEnd:
+	case control.MethodKeyClaim, control.MethodKeyBind, control.MethodKeyEnd, control.MethodKeyHand, control.MethodKeyLook:
 		return l.key(method, params)
 	}
 	return nil, errorx.UnsupportedOperation.New("method %q is not known", method)
--- a/services/config/index.go
+++ b/services/config/index.go
@@ -132,6 +132,26 @@
 	return n
 }
 
+// Heir names the backend server whose agent keeps the key records of another's
+// home after a planned stop; empty if there is no other.
+func (f *InForce) Heir(service, server string) string {
+	s := f.services[service]
+	if s == nil {
+		return ""
+	}
+	var others []string
+	for i := range s.BackendServers {
+		if name := s.BackendServers[i].Name; name != server {
+			others = append(others, name)
+		}
+	}
+	if len(others) == 0 {
+		return ""
+	}
+	sort.Strings(others)
+	return rendezvous.New(others, xxhash.Sum64String).Lookup(server)
+}
+
 // MayUse says whether any rule opens a service to a customer.
 func (f *InForce) MayUse(customer, service string) bool {
 	for i := range f.Config.Rules {
--- a/services/control/messages.go
+++ b/services/control/messages.go
@@ -29,6 +29,12 @@
 	MethodKeyClaim = "key.claim"
 	// MethodKeyBind is the entry's call at a key's home: KeyBind for KeyBindReply.
 	MethodKeyBind = "key.bind"
+	// MethodKeyHand is the call of an agent that stops, at an entry, and the
+	// entry's at the agent's heir: KeyHand for KeyHandReply.
+	MethodKeyHand = "key.hand"
+	// MethodKeyLook is the entry's call at the heir of a key's home: KeyClaim for
+	// KeyReply, which never lets the request run.
+	MethodKeyLook = "key.look"
 	// MethodKeyEnd is the entry's call at a key's home: KeyEnd for KeyEndReply.
 	MethodKeyEnd = "key.end"
 )
@@ -220,6 +226,27 @@
 	Ended bool `json:"ended"`
 }
 
+// KeyRecord is what a home knows of one key, for its heir.
+type KeyRecord struct {
+	Customer string   `json:"customer"`
+	Key      string   `json:"key"`
+	Digest   string   `json:"digest"`
+	Run      RunPlace `json:"run"`
+	Spent    bool     `json:"spent,omitempty"`
+}
+
+// KeyHand hands the records of a home over at its planned stop.
+type KeyHand struct {
+	Service string      `json:"service"`
+	Server  string      `json:"server"`
+	Records []KeyRecord `json:"records"`
+}
+
+// KeyHandReply says whether the heir has taken the records.
+type KeyHandReply struct {
+	Taken bool `json:"taken"`
+}
+
 // Headers of a run between entry and agent.
 const (
 	// HeaderCall is the Call as JSON, less its body, which is the body.
--- a/services/entry/keyed.go
+++ b/services/entry/keyed.go
@@ -97,30 +97,47 @@
 	}
 }
 
-// claim asks the key's home, which the configuration in force names.
+// claim asks the key's home, which the configuration in force names, and the
+// home's heir for what the home can't tell.
 func (k *keyed) claim(ctx context.Context) (*control.KeyReply, error) {
 	now := k.entry.Config.InForce()
 	if now == nil {
 		return nil, idleAttempt("no configuration is in force yet")
 	}
 	server := now.Home(k.req.Service, k.req.Customer, k.req.Key)
+	reply, err := k.claimAt(ctx, server, now.Version)
+	if err == nil && reply.Verdict != control.KeyTooOld && reply.Verdict != control.KeyNotHome {
+		return reply, nil
+	}
+	if known, ok := k.askHeir(ctx, server); ok {
+		return known, nil
+	}
+	return reply, err
+}
+
+// claimAt asks one agent as the key's home.
+func (k *keyed) claimAt(ctx context.Context, server string, version int64) (*control.KeyReply, error) {
 	k.home = k.entry.linkTo(server)
 	if k.home == nil {
 		return nil, idleAttempt("the key's home, " + server + ", is out of reach")
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	c := control.KeyClaim{
-		Service: k.req.Service, Customer: k.req.Customer, Key: k.req.Key,
-		Digest: k.digest, ID: k.req.ID, Version: now.Version,
-	}
 	var reply control.KeyReply
-	if err := k.home.conn.Call(ctx, control.MethodKeyClaim, c, &reply); err != nil {
+	if err := k.home.conn.Call(ctx, control.MethodKeyClaim, k.message(version), &reply); err != nil {
 		return nil, idleAttempt("the key's home did not answer")
 	}
 	return &reply, nil
 }
 
+// message is the claim of the key for this request.
+func (k *keyed) message(version int64) control.KeyClaim {
+	return control.KeyClaim{
+		Service: k.req.Service, Customer: k.req.Customer, Key: k.req.Key,
+		Digest: k.digest, ID: k.req.ID, Version: version,
+	}
+}
+
 // serveFresh runs the request. It says not-run only once the home has spent the
 // key; without the home's word another call may yet run under it.
 func (k *keyed) serveFresh(ctx context.Context) (*Answer, error) {
@@ -153,6 +170,9 @@
 func (k *keyed) end(ctx context.Context, run runworks.RequestID) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
+	if k.home == nil {
+		return false
+	}
 	end := control.KeyEnd{Customer: k.req.Customer, Key: k.req.Key, ID: k.req.ID, Run: run}
 	var reply control.KeyEndReply
 	err := k.home.conn.Call(ctx, control.MethodKeyEnd, end, &reply)
--- a/services/entry/link.go
+++ b/services/entry/link.go
@@ -162,9 +162,16 @@
 }
 
 // handle answers one message of the agent.
-func (l *link) handle(_ context.Context, method string, params json.RawMessage) (any, error) {
+func (l *link) handle(ctx context.Context, method string, params json.RawMessage) (any, error) {
 	<-l.ready
 	e := l.entry
+	if method == control.MethodKeyHand {
+		var hand control.KeyHand
+		if err := control.Decode(params, &hand); err != nil {
+			return nil, err
+		}
+		return e.relayKeys(ctx, &hand), nil
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	l.heard = time.Now()
--- a/services/home/home.go
+++ b/services/home/home.go
@@ -25,6 +25,11 @@
 	records map[name]*record
 	// order lists the records by the time they may be forgotten at the earliest.
 	order []expiry
+	// closed is set once the records were handed over.
+	closed bool
+	// taken holds records that other homes handed over, in takenOrder.
+	taken      map[name]*record
+	takenOrder []expiry
 }
 
 type name struct {
@@ -120,7 +125,7 @@
 // did not run at the former place.
 func (h *Home) Bind(b *control.KeyBind) bool {
 	r := h.records[name{customer: b.Customer, key: b.Key}]
-	if r == nil || r.spent || r.owner != b.Run.ID.Base() {
+	if h.closed || r == nil || r.spent || r.owner != b.Run.ID.Base() {
 		return false
 	}
 	r.bound = true
@@ -135,7 +140,7 @@
 func (h *Home) End(e *control.KeyEnd) bool {
 	r := h.records[name{customer: e.Customer, key: e.Key}]
 	switch {
-	case r == nil || r.spent:
+	case h.closed || r == nil || r.spent:
 		return false
 	case e.Run != "":
 		return r.freeRun(e.Run)
--- a/tests/stop_test.go
+++ b/tests/stop_test.go
@@ -243,3 +243,38 @@
 		is.True(slowest < 2*time.Second)
 	})
 }
+
+// TestKeysOutliveTheirHome stops the home of a key as planned after the key's
+// request ran elsewhere: a caller who comes back gets the kept answer, and one
+// who was told not-run is told so again; also once the home is back.
+func TestKeysOutliveTheirHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, sweepWorld)
+		defer w.close()
+		time.Sleep(3 * time.Second)
+		key := w.keyAtHome("e2") // the idle system runs it at e1
+		c := w.call("entry-1", 1, 24)
+		c.Header = map[string]string{runworks.HeaderIdempotencyKey: key}
+		is.NoErr(c.check(t.Context(), w.client()))
+		is.Equal(len(w.engines["e1"].Stats().Dispatches), 1)
+
+		w.stopAgent("e2")
+		for _, entry := range []string{"entry-1", "entry-2"} {
+			again := *c
+			again.Entry = entry + ":70"
+			is.NoErr(again.check(t.Context(), w.client())) // the home is away
+		}
+		w.startAgent("e2")
+		time.Sleep(10 * time.Second)
+		is.NoErr(c.check(t.Context(), w.client())) // the home began anew
+		other := *c
+		other.Prompt = "another question"
+		is.Equal(other.do(t.Context(), w.client()).Code, "key_reused")
+		n := 0
+		for _, count := range w.dispatches() {
+			n += count
+		}
+		is.Equal(n, 1)
+	})
+}
