--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -42,6 +42,8 @@
 	WastedTokens metric.Int64Counter
 	// Dropped counts answers that nobody waited for.
 	Dropped metric.Int64Counter
+	// ControlBytes counts bytes on control connections, by direction.
+	ControlBytes metric.Int64Counter
 	// Keys counts claims of idempotency keys by verdict.
 	Keys metric.Int64Counter
 }
@@ -69,6 +71,7 @@
 		Dispatches:       b.counter("runworks.dispatches", "calls sent to the backend server, by tier rank"),
 		WastedTokens:     b.counter("runworks.wasted_prompt_tokens", "prompt tokens given to an engine and thrown away"),
 		Dropped:          b.counter("runworks.answers_dropped", "answers that nobody waited for"),
+		ControlBytes:     b.counter("runworks.control_bytes", "bytes on control connections, by direction"),
 		Keys:             b.counter("runworks.keys", "claims of idempotency keys, by verdict"),
 	}
 	return s, b.err
@@ -89,6 +92,16 @@
 // Result is the label for how something ended.
 func Result(name string) attribute.KeyValue { return attribute.String("result", name) }
 
+// CountControl adds the bytes of a control connection.
+func (s *Set) CountControl(read, written int) {
+	if read > 0 {
+		Add(s.ControlBytes, read, attribute.String("direction", "read"))
+	}
+	if written > 0 {
+		Add(s.ControlBytes, written, attribute.String("direction", "written"))
+	}
+}
+
 // Count adds one to a counter.
 func Count(c metric.Int64Counter, labels ...attribute.KeyValue) {
 	Add(c, 1, labels...)
--- a/modules/rpc/rpc.go
+++ b/modules/rpc/rpc.go
@@ -56,11 +56,32 @@
 // Stream is an upgraded connection.
 type Stream struct {
 	net.Conn
+	// Count is told the bytes that were read and written; it may be nil. Set it
+	// before Serve.
+	Count func(read, written int)
+
 	reader *bufio.Reader
 }
 
 // Read reads what the HTTP layer had buffered first.
-func (s *Stream) Read(p []byte) (int, error) { return s.reader.Read(p) }
+func (s *Stream) Read(p []byte) (int, error) {
+	n, err := s.reader.Read(p)
+	s.count(n, 0)
+	return n, err
+}
+
+// Write writes to the connection.
+func (s *Stream) Write(p []byte) (int, error) {
+	n, err := s.Conn.Write(p)
+	s.count(0, n)
+	return n, err
+}
+
+func (s *Stream) count(read, written int) {
+	if s.Count != nil {
+		s.Count(read, written)
+	}
+}
 
 // Dial opens a control connection to the process at the address host:port.
 func Dial(ctx context.Context, dial DialFunc, address string, keys FleetKeys) (*Stream, error) {
--- a/services/agent/links.go
+++ b/services/agent/links.go
@@ -34,6 +34,7 @@
 // ServeControl serves one control connection of an entry until it ends.
 func (a *Agent) ServeControl(ctx context.Context, stream *rpc.Stream) {
 	l := &link{agent: a, heard: time.Now(), ready: make(chan struct{})}
+	stream.Count = a.Metrics.CountControl
 	conn := rpc.Serve(ctx, stream, l.handle)
 	l.conn = conn
 	close(l.ready)
--- /dev/null
+++ b/tests/capacity_test.go
@@ -0,0 +1,121 @@
+package tests
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// BenchmarkIdle measures what an entry and an agent cost while no call is made,
+// with several numbers of agents: processor time, memory and control traffic.
+// The slopes of docs/CAPACITY.md come from it.
+func BenchmarkIdle(b *testing.B) {
+	const idleTime = 30 * time.Second
+	for _, agents := range []int{4, 16, 48} {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
+			s := capacitySite(b, agents)
+			before := s.costs()
+			time.Sleep(idleTime)
+			after := s.costs()
+			perSecond := func(x float64) float64 { return x / idleTime.Seconds() }
+			b.ReportMetric(100*perSecond((after.entryCPU-before.entryCPU).Seconds()), "entry-%core")
+			b.ReportMetric(100*perSecond((after.agentCPU-before.agentCPU).Seconds())/float64(agents), "agent-%core")
+			b.ReportMetric(perSecond(after.entryBytes-before.entryBytes), "entry-B/s")
+			b.ReportMetric(float64(after.entryMemory)/(1<<20), "entry-MiB")
+			b.ReportMetric(float64(after.agentMemory)/float64(agents)/(1<<20), "agent-MiB")
+		})
+	}
+}
+
+// BenchmarkWaiting measures what requests that wait, and streams that run, cost
+// an entry, and the control traffic for each request.
+func BenchmarkWaiting(b *testing.B) {
+	for _, waiting := range []int{300, 900} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			s := capacitySite(b, 4)
+			before := s.costs()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			var calls sync.WaitGroup
+			client := &http.Client{Transport: &http.Transport{}}
+			for i := range waiting {
+				c := &completionCall{Entry: s.entries["entry-1"].address("callers"), Key: "site-key", Model: "site-model", Prompt: prompt(i), MaxTokens: 10_000}
+				calls.Go(func() { c.do(ctx, client) })
+			}
+			s.until("all wait", func() bool { return s.requests("entry-1") == waiting })
+			time.Sleep(2 * time.Second) // offers go round
+			after := s.costs()
+			b.ReportMetric(float64(after.entryMemory-before.entryMemory)/float64(waiting), "entry-B/waiting")
+			b.ReportMetric(float64(after.agentMemory-before.agentMemory)/float64(waiting), "agents-B/waiting")
+			b.ReportMetric((after.entryBytes-before.entryBytes)/float64(waiting), "control-B/request")
+			cancel()
+			calls.Wait()
+		})
+	}
+}
+
+// capacitySite starts one entry and some agents, beside one slow stand-in each.
+func capacitySite(b *testing.B, agents int) *site {
+	b.Helper()
+	servers := []serverSpec{{name: "app-1", plain: true, slots: 16}}
+	for i := range agents - 1 {
+		servers = append(servers, serverSpec{name: fmt.Sprintf("e%d", i), slots: 4, args: []string{"--decode", "1"}})
+	}
+	return newSite(b, servers, []string{"entry-1"})
+}
+
+// costs are what the entry and all agents have used.
+type costs struct {
+	entryCPU, agentCPU       time.Duration
+	entryMemory, agentMemory int
+	entryBytes               float64
+}
+
+func (s *site) costs() costs {
+	s.t.Helper()
+	var c costs
+	entry := s.entries["entry-1"]
+	c.entryCPU = cpuOf(s.t, entry.cmd.Process.Pid)
+	c.entryMemory = memoryOf(s.t, entry.cmd.Process.Pid)
+	c.entryBytes = metricOf(s.t, "http://"+entry.address("operators")+"/metrics", "runworks_control_bytes_total")
+	for _, a := range s.agents {
+		c.agentCPU += cpuOf(s.t, a.cmd.Process.Pid)
+		c.agentMemory += memoryOf(s.t, a.cmd.Process.Pid)
+	}
+	return c
+}
+
+// memoryOf reads the resident memory of a process from /proc, in bytes.
+func memoryOf(t testing.TB, pid int) int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	pages, _ := strconv.Atoi(strings.Fields(string(data))[1])
+	return pages * os.Getpagesize()
+}
+
+// metricOf sums a counter over its labels.
+func metricOf(t testing.TB, url, name string) float64 {
+	res, err := http.Get(url) //nolint:gosec // a process of this test
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	sum := 0.0
+	scanner := bufio.NewScanner(res.Body)
+	for scanner.Scan() {
+		if strings.HasPrefix(scanner.Text(), name+"{") {
+			value, _ := strconv.ParseFloat(scanner.Text()[strings.LastIndexByte(scanner.Text(), ' ')+1:], 64)
+			sum += value
+		}
+	}
+	return sum
+}
