--- a/services/config/fold_test.go
+++ b/services/config/fold_test.go
@@ -287,7 +287,6 @@
 		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
 			cfg := largeConfig(servers, servers*2500/3500)
 			data := encode(b, Record{Kind: RecordApply, ID: "x", Config: cfg})
-			b.ReportMetric(float64(len(data)), "record-bytes")
 			b.ReportAllocs()
 			for b.Loop() {
 				var f Fold
@@ -297,6 +296,7 @@
 					b.Fatal("not accepted")
 				}
 			}
+			b.ReportMetric(float64(len(data)), "record-bytes")
 		})
 	}
 }
--- a/tests/overhead_test.go
+++ b/tests/overhead_test.go
@@ -33,13 +33,16 @@
 	through := s.entries["entry-1"].address("callers")
 	b.ResetTimer()
 	directTime := timeCalls(b, client, direct, parallel)
-	cpu := s.cpu()
+	before := s.costs()
 	throughTime := timeCalls(b, client, through, parallel)
 	b.StopTimer()
 	b.ReportMetric(float64(directTime.Microseconds())/float64(b.N), "direct-us/call")
 	b.ReportMetric(float64(throughTime.Microseconds())/float64(b.N), "through-us/call")
 	b.ReportMetric(float64(throughTime)/float64(directTime), "x-direct")
-	b.ReportMetric(float64((s.cpu()-cpu).Microseconds())/float64(b.N), "cpu-us/call")
+	after := s.costs()
+	b.ReportMetric(float64((after.entryCPU-before.entryCPU).Microseconds())/float64(b.N), "entry-us/call")
+	b.ReportMetric(float64((after.agentCPU-before.agentCPU).Microseconds())/float64(b.N), "agent-us/call")
+	b.ReportMetric((after.entryBytes-before.entryBytes)/float64(b.N), "control-B/call")
 	client.CloseIdleConnections()
 }
 
@@ -89,15 +92,41 @@
 	return nil
 }
 
-// cpu gives the processor time that the entries and agents have used.
-func (s *site) cpu() time.Duration {
-	var sum time.Duration
-	for _, group := range []map[string]*process{s.agents, s.entries} {
-		for _, p := range group {
-			sum += cpuOf(s.t, p.cmd.Process.Pid)
+// BenchmarkStream measures what a streamed token costs entry and agent, each in
+// an event of its own, as an engine sends it.
+func BenchmarkStream(b *testing.B) {
+	const (
+		calls  = 256
+		tokens = 500
+		lanes  = 32
+	)
+	s := newSite(b, []serverSpec{
+		{name: "fast", slots: lanes, args: []string{"--prefill", "0", "--decode", "200"}},
+		{name: "app-1", plain: true, slots: 1},
+	}, []string{"entry-1"})
+	before := s.costs()
+	errs := make(chan error, lanes)
+	for lane := range lanes {
+		go func() {
+			var err error
+			for i := lane; i < calls; i += lanes {
+				c := &completionCall{Entry: s.entries["entry-1"].address("callers"), Key: "site-key", Model: "site-model", Prompt: prompt(i), MaxTokens: tokens, Stream: true}
+				if e := c.check(b.Context(), http.DefaultClient); e != nil {
+					err = e
+				}
+			}
+			errs <- err
+		}()
+	}
+	for range lanes {
+		if err := <-errs; err != nil {
+			b.Fatal(err)
 		}
 	}
-	return sum
+	after := s.costs()
+	b.ReportMetric(float64((after.entryCPU-before.entryCPU).Microseconds())/(calls*tokens), "entry-us/token")
+	b.ReportMetric(float64((after.agentCPU-before.agentCPU).Microseconds())/(calls*tokens), "agent-us/token")
+	b.ReportMetric(float64(after.entryMemory-before.entryMemory)/lanes, "entry-B/stream")
 }
 
 // cpuOf reads the user and system time of a process from /proc.
