A broken engine stream is resumed; what stood twice stands once

An answer that breaks between an agent and its engine is asked for from its byte offset, up to five times; the call is never sent again. A cancelled run is told to the engine by its id, as an engine that keeps answers would otherwise go on for a while: found by TestCallerGoesAway, which failed once the stand-in resumed. Plain services get neither. TestEngineStreamResumes breaks the connection three times in one stream: one dispatch, whole answer, no prompt token thrown away.

--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/sourcegraph/conc"
 
@@ -15,12 +16,14 @@
 	"github.com/runworks/runworks/services/config"
 )
 
+const readHeaderTimeout = 10 * time.Second
+
 // Agent runs an agent by its settings.
 type Agent struct {
 	Settings *setting.Agent
 	Parts    Parts
 	// Connect builds the way to the backend server; nil is HTTP.
-	Connect func(address string) runworks.Backend
+	Connect func(kind runworks.ServiceKind, address string) runworks.Backend
 
 	// Tune, unless nil, may change what the settings do not name, before the start.
 	Tune func(*agent.Agent)
@@ -41,17 +44,11 @@
 		return err
 	}
 	defer flush()
-	entriesServer, operatorsServer, err := d.build()
+	both, err := d.build()
 	if err != nil {
 		return err
 	}
-	forEntries, err := d.Parts.listen("entries", d.Settings.Listen)
-	if err != nil {
-		return err
-	}
-	forOperators, err := d.Parts.listen("operators", d.Settings.Operators)
-	if err != nil {
-		_ = forEntries.Close()
+	if err := both.open(&d.Parts, &d.Settings.Common, "entries"); err != nil {
 		return err
 	}
 	d.Agent.Start(ctx)
@@ -60,30 +57,30 @@
 	}
 	var work conc.WaitGroup
 	work.Go(func() { d.Config.Run(ctx) })
-	work.Go(serve(operatorsServer, forOperators))
-	work.Go(serve(entriesServer, forEntries))
+	both.serve(&work)
 	select {
 	case <-ctx.Done():
 	case <-stop:
-		d.drain(ctx, entriesServer)
+		d.drain(ctx, both.peers)
 	}
 	d.Agent.Close()
-	_ = entriesServer.Close()
-	_ = operatorsServer.Close()
+	both.close()
 	cancel()
 	work.Wait()
 	return nil
 }
 
 // build puts the parts together.
-func (d *Agent) build() (entriesServer, operatorsServer *http.Server, err error) {
+func (d *Agent) build() (*servers, error) {
 	s, p := d.Settings, &d.Parts
 	set, err := newMetrics()
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	if d.Connect == nil {
-		d.Connect = func(address string) runworks.Backend { return backend.New(address, p.Dial) }
+		d.Connect = func(kind runworks.ServiceKind, address string) runworks.Backend {
+			return backend.New(kind, address, p.Dial)
+		}
 	}
 	d.Config = follower(p, &s.Common)
 	d.Agent = &agent.Agent{
@@ -97,7 +94,10 @@
 	d.Config.OnChange = d.Agent.Configure
 	routes := &runs.Routes{Agent: d.Agent, Keys: s.FleetKeys}
 	forOperators := &operators.Routes{Ready: d.ready, Metrics: set, Status: func() any { return d.Agent.Status() }}
-	return &http.Server{Handler: routes.Handler()}, &http.Server{Handler: forOperators.Handler()}, nil
+	return &servers{
+		peers:     &http.Server{Handler: routes.Handler(), ReadHeaderTimeout: readHeaderTimeout},
+		operators: &http.Server{Handler: forOperators.Handler(), ReadHeaderTimeout: readHeaderTimeout},
+	}, nil
 }
 
 func (d *Agent) ready() error {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -46,17 +46,11 @@
 		return err
 	}
 	defer flush()
-	callersServer, operatorsServer, err := d.build()
+	both, err := d.build()
 	if err != nil {
 		return err
 	}
-	forCallers, err := d.Parts.listen("callers", d.Settings.Listen)
-	if err != nil {
-		return err
-	}
-	forOperators, err := d.Parts.listen("operators", d.Settings.Operators)
-	if err != nil {
-		_ = forCallers.Close()
+	if err := both.open(&d.Parts, &d.Settings.Common, "callers"); err != nil {
 		return err
 	}
 	if d.Started != nil {
@@ -65,29 +59,27 @@
 	var work conc.WaitGroup
 	work.Go(func() { d.Config.Run(ctx) })
 	work.Go(func() { d.Entry.Run(ctx) })
-	work.Go(serve(operatorsServer, forOperators))
-	work.Go(serve(callersServer, forCallers))
+	both.serve(&work)
 	select {
 	case <-ctx.Done():
 	case <-stop:
-		d.drain(ctx, callersServer)
+		d.drain(ctx, both.peers)
 	}
-	_ = callersServer.Close()
-	_ = operatorsServer.Close()
+	both.close()
 	cancel()
 	work.Wait()
 	return nil
 }
 
 // build puts the parts together.
-func (d *Entry) build() (callersServer, operatorsServer *http.Server, err error) {
+func (d *Entry) build() (*servers, error) {
 	s, p := d.Settings, &d.Parts
 	if p.Hosts == nil {
 		p.Hosts = &platform.Hosts{Address: s.HostList}
 	}
 	set, err := newMetrics()
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	d.Config = follower(p, &s.Common)
 	d.Entry = &entry.Entry{
@@ -103,7 +95,7 @@
 	admit := &admission.Admission{Config: d.Config, Shares: d.shares}
 	routes := &callers.Routes{Entry: d.Entry, Admission: admit, Tracer: p.Tracer, MaxBodyBytes: s.MaxBodyBytes}
 	forOperators := &operators.Routes{Ready: d.ready, Metrics: set, Status: func() any { return d.Entry.Status() }}
-	return callers.Server(routes.Handler()), callers.Server(forOperators.Handler()), nil
+	return &servers{peers: callers.Server(routes.Handler()), operators: callers.Server(forOperators.Handler())}, nil
 }
 
 func (d *Entry) ready() error {
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/joomcode/errorx"
+	"github.com/sourcegraph/conc"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/runworks/runworks"
@@ -91,9 +92,35 @@
 	return listener, nil
 }
 
-// serve runs a server until it is closed.
-func serve(server *http.Server, listener net.Listener) func() {
-	return func() { _ = server.Serve(listener) }
+// servers are the two servers of a process: towards its peers, who are callers or
+// entries, and towards operators.
+type servers struct {
+	peers, operators                 *http.Server
+	peersListener, operatorsListener net.Listener
+}
+
+// open listens for both.
+func (s *servers) open(p *Parts, c *setting.Common, peers string) error {
+	var err error
+	if s.peersListener, err = p.listen(peers, c.Listen); err != nil {
+		return err
+	}
+	if s.operatorsListener, err = p.listen("operators", c.Operators); err != nil {
+		_ = s.peersListener.Close()
+		return err
+	}
+	return nil
+}
+
+// serve runs both until they are closed.
+func (s *servers) serve(work *conc.WaitGroup) {
+	work.Go(func() { _ = s.peers.Serve(s.peersListener) })
+	work.Go(func() { _ = s.operators.Serve(s.operatorsListener) })
+}
+
+func (s *servers) close() {
+	_ = s.peers.Close()
+	_ = s.operators.Close()
 }
 
 // newMetrics builds the instruments of a process.
--- a/modules/backend/http.go
+++ b/modules/backend/http.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -15,10 +16,15 @@
 	"github.com/runworks/runworks/modules/rpc"
 )
 
-const idleTimeout = 30 * time.Second
+const (
+	idleTimeout   = 30 * time.Second
+	cancelTimeout = 2 * time.Second
+)
 
 // HTTP sends calls to the backend server at Address.
 type HTTP struct {
+	// Kind says what stands there: only an engine resumes and cancels by id.
+	Kind runworks.ServiceKind
 	// Address is the base URL of the backend server.
 	Address string
 	// Dial opens connections; nil is the usual dialer.
@@ -29,8 +35,8 @@
 }
 
 // New builds a backend for the base URL.
-func New(address string, dial rpc.DialFunc) *HTTP {
-	h := &HTTP{Address: address, Dial: dial}
+func New(kind runworks.ServiceKind, address string, dial rpc.DialFunc) *HTTP {
+	h := &HTTP{Kind: kind, Address: address, Dial: dial}
 	h.reuse = h.transport(false)
 	h.fresh = h.transport(true)
 	return h
@@ -69,6 +75,44 @@
 	return nil, errorx.Decorate(runworks.ErrBackend, "call %s: %v", h.Address, err)
 }
 
+// Resume implements runworks.Backend: GET /requests/{id}?from=N.
+func (h *HTTP) Resume(ctx context.Context, id runworks.RequestID, from int64) (*runworks.Reply, error) {
+	if h.Kind != runworks.KindEngine {
+		return nil, runworks.ErrGone
+	}
+	url := fmt.Sprintf("%s/requests/%s?from=%d", h.Address, id, from)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, errorx.Decorate(runworks.ErrGone, "build the resume: %v", err)
+	}
+	res, err := h.fresh.RoundTrip(req)
+	if err != nil {
+		return nil, errorx.Decorate(runworks.ErrGone, "resume at %s: %v", h.Address, err)
+	}
+	if res.StatusCode != http.StatusOK {
+		_ = res.Body.Close()
+		return nil, errorx.Decorate(runworks.ErrGone, "resume at %s: %s", h.Address, res.Status)
+	}
+	return &runworks.Reply{Status: res.StatusCode, Header: res.Header, Body: res.Body}, nil
+}
+
+// Cancel implements runworks.Backend: DELETE /requests/{id}. An engine that does
+// not know the path gives the call up when its connection ends.
+func (h *HTTP) Cancel(ctx context.Context, id runworks.RequestID) {
+	if h.Kind != runworks.KindEngine {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, h.Address+"/requests/"+string(id), nil)
+	if err != nil {
+		return
+	}
+	if res, err := h.reuse.RoundTrip(req); err == nil {
+		_ = res.Body.Close()
+	}
+}
+
 // request builds the HTTP request. Its body hides its type, so that net/http
 // sets no GetBody and can't send the body a second time.
 func (h *HTTP) request(ctx context.Context, id runworks.RequestID, call *runworks.Call) (*http.Request, error) {
--- a/modules/backend/http_test.go
+++ b/modules/backend/http_test.go
@@ -109,7 +109,7 @@
 			is.Equal(unguarded.arrived(), test.plain) // the trap
 
 			guarded := newBreaking(t)
-			h := New(guarded.url(), nil)
+			h := New(runworks.KindEngine, guarded.url(), nil)
 			defer h.Close()
 			warmUp(t, h)
 			_ = do(t, h, call)
@@ -164,13 +164,13 @@
 	is.NoErr(err)
 	address := listener.Addr().String()
 	_ = listener.Close()
-	h := New("http://"+address, nil)
+	h := New(runworks.KindEngine, "http://"+address, nil)
 	defer h.Close()
 	_, err = h.Do(context.Background(), "id", &runworks.Call{Method: http.MethodPost, Path: "/"})
 	is.True(errors.Is(err, runworks.ErrNotDispatched))
 
 	broken := newBreaking(t)
-	h = New(broken.url(), nil)
+	h = New(runworks.KindEngine, broken.url(), nil)
 	defer h.Close()
 	warmUp(t, h)
 	err = do(t, h, &runworks.Call{Method: http.MethodPost, Path: "/marked", Body: []byte("x")})
--- a/modules/stream/buffer.go
+++ b/modules/stream/buffer.go
@@ -5,6 +5,8 @@
 	"sync"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/runworks/runworks/modules/notify"
 )
 
 // ErrDropped says that the bytes at an offset are no longer kept.
@@ -22,7 +24,7 @@
 	furthest int64
 	closed   bool
 	err      error
-	changed  chan struct{}
+	changed  notify.Change
 }
 
 // Write appends, and waits while Limit bytes are unread; ctx ends the wait.
@@ -50,11 +52,11 @@
 	end := b.base + int64(len(b.data))
 	unread := end - b.furthest
 	if unread > 0 && unread+int64(len(p)) > int64(b.Limit) {
-		return b.waitLocked(), nil
+		return b.changed.Wait(), nil
 	}
 	b.data = append(b.data, p...)
 	b.dropLocked()
-	b.signalLocked()
+	b.changed.Signal()
 	return nil, nil
 }
 
@@ -79,7 +81,7 @@
 	}
 	b.closed = true
 	b.err = err
-	b.signalLocked()
+	b.changed.Signal()
 }
 
 // Next waits for bytes at the offset from; end is set once all are read, and
@@ -107,7 +109,7 @@
 	last := b.base + int64(len(b.data))
 	if from > b.furthest {
 		b.furthest = min(from, last)
-		b.signalLocked()
+		b.changed.Signal()
 	}
 	if from < last {
 		return append([]byte(nil), b.data[from-b.base:]...), false, nil, nil
@@ -115,7 +117,7 @@
 	if b.closed {
 		return nil, true, nil, b.err
 	}
-	return nil, false, b.waitLocked(), nil
+	return nil, false, b.changed.Wait(), nil
 }
 
 // Size gives the bytes kept now.
@@ -124,17 +126,3 @@
 	defer b.mu.Unlock()
 	return len(b.data)
 }
-
-func (b *Buffer) waitLocked() <-chan struct{} {
-	if b.changed == nil {
-		b.changed = make(chan struct{})
-	}
-	return b.changed
-}
-
-func (b *Buffer) signalLocked() {
-	if b.changed != nil {
-		close(b.changed)
-		b.changed = nil
-	}
-}
--- a/services/agent/agent.go
+++ b/services/agent/agent.go
@@ -12,6 +12,7 @@
 
 	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/modules/metrics"
+	"github.com/runworks/runworks/modules/notify"
 	"github.com/runworks/runworks/services/config"
 	"github.com/runworks/runworks/services/control"
 	"github.com/runworks/runworks/services/home"
@@ -40,7 +41,7 @@
 	// Config gives the configuration in force.
 	Config *config.Follower
 	// Connect builds the way to the backend server at a base URL.
-	Connect func(address string) runworks.Backend
+	Connect func(kind runworks.ServiceKind, address string) runworks.Backend
 	Logger  hclog.Logger
 	Metrics *metrics.Set
 	Tracer  trace.Tracer
@@ -77,7 +78,7 @@
 	address string
 	leaving bool
 	downTo  time.Time
-	changed chan struct{}
+	changed notify.Change
 	keys    home.Home
 	rates   estimate
 	past    []pastConfig
@@ -154,7 +155,7 @@
 	}
 	if a.address != place.Server.Address {
 		a.address = place.Server.Address
-		a.backend = a.Connect(a.address)
+		a.backend = a.Connect(place.Service.Kind, a.address)
 	}
 	a.slots = place.Server.Slots
 	a.scheduleLocked()
@@ -238,18 +239,3 @@
 	}
 	return n
 }
-
-// signalLocked wakes who waits for the agent to become idle.
-func (a *Agent) signalLocked() {
-	if a.changed != nil {
-		close(a.changed)
-		a.changed = nil
-	}
-}
-
-func (a *Agent) waitLocked() <-chan struct{} {
-	if a.changed == nil {
-		a.changed = make(chan struct{})
-	}
-	return a.changed
-}
--- a/services/agent/agent_test.go
+++ b/services/agent/agent_test.go
@@ -21,8 +21,20 @@
 	"github.com/runworks/runworks/services/ticket"
 )
 
+// noResume keeps no answers.
+type noResume struct{}
+
+// Resume implements runworks.Backend.
+func (noResume) Resume(context.Context, runworks.RequestID, int64) (*runworks.Reply, error) {
+	return nil, runworks.ErrGone
+}
+
+// Cancel implements runworks.Backend.
+func (noResume) Cancel(context.Context, runworks.RequestID) {}
+
 // fakeBackend counts calls and answers with a body, or fails.
 type fakeBackend struct {
+	noResume
 	calls int
 	err   error
 	body  string
@@ -46,7 +58,7 @@
 	}
 	a = &Agent{
 		Name: "host-e1", Server: "e1", Config: &config.Follower{Logger: hclog.NewNullLogger()},
-		Connect: func(string) runworks.Backend { return backend },
+		Connect: func(runworks.ServiceKind, string) runworks.Backend { return backend },
 		Logger:  hclog.NewNullLogger(), Metrics: set, Tracer: tracing.None(),
 	}
 	a.Start(t.Context())
@@ -219,7 +231,7 @@
 }
 
 // hangingBackend answers only once its call is cancelled.
-type hangingBackend struct{}
+type hangingBackend struct{ noResume }
 
 // Do implements runworks.Backend.
 func (*hangingBackend) Do(ctx context.Context, _ runworks.RequestID, _ *runworks.Call) (*runworks.Reply, error) {
@@ -264,6 +276,7 @@
 
 // heldBackend answers once it is released.
 type heldBackend struct {
+	noResume
 	release chan struct{}
 }
 
--- a/services/agent/claim.go
+++ b/services/agent/claim.go
@@ -118,6 +118,6 @@
 	}
 	r.freed = true
 	a.busy[r.ticket.Tier]--
-	a.signalLocked()
+	a.changed.Signal()
 	a.scheduleLocked()
 }
--- a/services/agent/dispatch.go
+++ b/services/agent/dispatch.go
@@ -23,6 +23,8 @@
 	// a connection.
 	downFor   = time.Second
 	readBytes = 32 << 10
+	// maxResumes bounds how often one answer is picked up again.
+	maxResumes = 5
 )
 
 // withTrace gives a context that lives as long as the agent and carries the
@@ -37,6 +39,9 @@
 	ctx, span := a.Tracer.Start(ctx, tracing.SpanAgent, trace.WithAttributes(attribute.String("server", a.Server)))
 	err := a.dispatch(ctx, r, backend, call)
 	tracing.End(span, err)
+	if ctx.Err() != nil {
+		backend.Cancel(a.life, r.id)
+	}
 	if errors.Is(err, runworks.ErrNotDispatched) {
 		a.notDispatched(r, err)
 		return
@@ -64,25 +69,48 @@
 	if err != nil {
 		return err
 	}
-	defer func() { _ = reply.Body.Close() }()
 	a.setHead(r, &control.ReplyHead{Status: reply.Status, Header: reply.Header})
-	return a.copyAnswer(ctx, r, reply.Body)
+	return a.copyWhole(ctx, r, backend, reply.Body)
+}
+
+// copyWhole copies the answer, and resumes a few times where it breaks: the
+// engine's work goes on instead of being thrown away.
+func (a *Agent) copyWhole(ctx context.Context, r *run, backend runworks.Backend, body io.ReadCloser) error {
+	from := int64(0)
+	for range maxResumes {
+		n, err := a.copyAnswer(ctx, r, body)
+		_ = body.Close()
+		from += n
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		reply, resumeErr := backend.Resume(ctx, r.id, from)
+		if resumeErr != nil {
+			return err
+		}
+		metrics.Count(a.Metrics.Resumes)
+		body = reply.Body
+	}
+	_ = body.Close()
+	return errorx.Decorate(runworks.ErrBackend, "the answer broke %d times", maxResumes)
 }
 
-func (a *Agent) copyAnswer(ctx context.Context, r *run, body io.Reader) error {
+// copyAnswer copies an answer up to its end or break, and tells how much came.
+func (a *Agent) copyAnswer(ctx context.Context, r *run, body io.Reader) (copied int64, err error) {
 	p := make([]byte, readBytes)
 	for {
 		n, err := body.Read(p)
+		copied += int64(n)
 		if n > 0 {
 			if werr := r.answer.Write(ctx, p[:n]); werr != nil {
-				return errorx.Decorate(runworks.ErrBackend, "keep the answer: %v", werr)
+				return copied, errorx.Decorate(runworks.ErrBackend, "keep the answer: %v", werr)
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return copied, nil
 		}
 		if err != nil {
-			return errorx.Decorate(runworks.ErrBackend, "read the answer: %v", err)
+			return copied, errorx.Decorate(runworks.ErrBackend, "read the answer: %v", err)
 		}
 	}
 }
--- a/services/agent/drain.go
+++ b/services/agent/drain.go
@@ -40,7 +40,7 @@
 	a.Leave()
 	for {
 		a.mu.Lock()
-		idle, wait := a.idleLocked(), a.waitLocked()
+		idle, wait := a.idleLocked(), a.changed.Wait()
 		a.mu.Unlock()
 		if idle {
 			a.handOver(ctx)
--- a/services/agent/links.go
+++ b/services/agent/links.go
@@ -154,7 +154,7 @@
 	delete(a.links, l.source)
 	a.queue.RemoveSource(l.source)
 	a.keys.Lost(l.source)
-	a.signalLocked()
+	a.changed.Signal()
 }
 
 func (a *Agent) document() control.Document {
--- a/services/agent/run.go
+++ b/services/agent/run.go
@@ -210,7 +210,7 @@
 	defer rd.agent.mu.Unlock()
 	rd.run.readers--
 	rd.agent.abandonLaterLocked(rd.run)
-	rd.agent.signalLocked()
+	rd.agent.changed.Signal()
 }
 
 // abandonLaterLocked ends a run whose reader does not come back in time.
--- a/services/config/follower.go
+++ b/services/config/follower.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/notify"
 )
 
 const (
@@ -40,7 +41,7 @@
 	fold     Fold
 	started  bool
 	inForce  *InForce
-	changed  chan struct{}
+	changed  notify.Change
 	restated time.Time
 	restateD time.Duration
 	readAt   time.Time
@@ -73,7 +74,7 @@
 func (f *Follower) Wait(ctx context.Context) (*InForce, error) {
 	for {
 		f.mu.Lock()
-		now, wait := f.inForce, f.waitLocked()
+		now, wait := f.inForce, f.changed.Wait()
 		f.mu.Unlock()
 		if now != nil {
 			return now, nil
@@ -189,10 +190,7 @@
 		return
 	}
 	f.inForce = now
-	if f.changed != nil {
-		close(f.changed)
-		f.changed = nil
-	}
+	f.changed.Signal()
 	f.mu.Unlock()
 	f.Logger.Info("configuration in force", "version", version)
 	if f.OnChange != nil {
@@ -240,13 +238,6 @@
 	f.Logger.Info("log service reached")
 }
 
-func (f *Follower) waitLocked() <-chan struct{} {
-	if f.changed == nil {
-		f.changed = make(chan struct{})
-	}
-	return f.changed
-}
-
 // jittered gives a time between d and d by 1 + restateJitter.
 func jittered(d time.Duration) time.Duration {
 	return d + time.Duration(rand.Float64()*restateJitter*float64(d))
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -13,6 +13,7 @@
 
 	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/modules/metrics"
+	"github.com/runworks/runworks/modules/notify"
 	"github.com/runworks/runworks/modules/rpc"
 	"github.com/runworks/runworks/services/config"
 	"github.com/runworks/runworks/services/pick"
@@ -67,7 +68,7 @@
 	pending  map[runworks.RequestID]*pending
 	active   int
 	stopping bool
-	changed  chan struct{}
+	changed  notify.Change
 }
 
 // Start makes the entry ready; call it once, before Run.
@@ -127,7 +128,7 @@
 	e.Stop()
 	for {
 		e.mu.Lock()
-		active, wait := e.active, e.waitLocked()
+		active, wait := e.active, e.changed.Wait()
 		e.mu.Unlock()
 		if active == 0 {
 			return nil
@@ -168,21 +169,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.active--
-	e.signalLocked()
-}
-
-func (e *Entry) signalLocked() {
-	if e.changed != nil {
-		close(e.changed)
-		e.changed = nil
-	}
-}
-
-func (e *Entry) waitLocked() <-chan struct{} {
-	if e.changed == nil {
-		e.changed = make(chan struct{})
-	}
-	return e.changed
+	e.changed.Signal()
 }
 
 // AgentStatus is what an entry knows of one agent.
--- a/standin/answer.go
+++ b/standin/answer.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
+	"io"
 	"strings"
 	"time"
 )
@@ -11,7 +11,7 @@
 // engineAnswer writes one completion, streamed or not.
 type engineAnswer struct {
 	engine *Engine
-	w      http.ResponseWriter
+	out    io.Writer
 	chat   bool
 	call   *completionCall
 	words  []string
@@ -60,13 +60,11 @@
 	}
 	whole := a.frame("", one)
 	whole.Usage = &usage{PromptTokens: a.prompt, CompletionTokens: len(a.words), TotalTokens: a.prompt + len(a.words)}
-	writeJSON(a.w, whole)
-	return true
+	return json.NewEncoder(a.out).Encode(whole) == nil
 }
 
 // stream gives the words in parts, as they are decoded, and then [DONE].
 func (a *engineAnswer) stream(ctx context.Context) bool {
-	a.w.Header().Set("Content-Type", "text/event-stream")
 	part := 1
 	if rate := a.engine.DecodePerSecond; rate > 0 {
 		part = max(1, int(rate*decodeStep.Seconds()))
@@ -88,7 +86,7 @@
 	if !a.event(a.part("", &stop)) {
 		return false
 	}
-	_, err := a.w.Write([]byte("data: [DONE]\n\n"))
+	_, err := a.out.Write([]byte("data: [DONE]\n\n"))
 	return err == nil
 }
 
@@ -115,8 +113,6 @@
 	if err != nil {
 		return false
 	}
-	if _, err := a.w.Write([]byte("data: " + string(data) + "\n\n")); err != nil {
-		return false
-	}
-	return http.NewResponseController(a.w).Flush() == nil
+	_, err = a.out.Write([]byte("data: " + string(data) + "\n\n"))
+	return err == nil
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -39,6 +39,7 @@
 	cache   []string
 	reports []report
 	stats   EngineStats
+	jobs    map[string]*job
 }
 
 // EngineStats is what the engine counted.
@@ -100,12 +101,14 @@
 	return out
 }
 
-// Handler serves the completions interface, GET /load, GET /stats and
+// Handler serves the completions interface, GET and DELETE /requests/{id}, GET /load, GET /stats and
 // POST /control?slow=F, which makes the engine F times as slow.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { e.complete(w, r, true) })
 	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { e.complete(w, r, false) })
+	mux.HandleFunc("GET /requests/{id}", e.resume)
+	mux.HandleFunc("DELETE /requests/{id}", e.cancel)
 	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Report()) })
 	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Stats()) })
 	mux.HandleFunc("POST /control", func(w http.ResponseWriter, r *http.Request) {
@@ -165,18 +168,30 @@
 	}
 	e.count(r.Header.Get(runworks.HeaderRequestID))
 	rank, _ := strconv.Atoi(r.Header.Get(runworks.HeaderRank))
-	if err := e.acquire(r.Context(), rank); err != nil {
-		return
+	if call.Stream {
+		w.Header().Set("Content-Type", "text/event-stream")
+	} else {
+		w.Header().Set("Content-Type", "application/json")
+	}
+	e.begin(r.Header.Get(runworks.HeaderRequestID), rank, prompt, &call, chat).serve(w, r, 0)
+}
+
+// work does the whole work of a call; it is cancelled by ctx.
+func (e *Engine) work(ctx context.Context, j *job, rank int, prompt string, call *completionCall, chat bool) error {
+	if err := e.acquire(ctx, rank); err != nil {
+		return err
 	}
 	defer e.release()
 	tokens := len(strings.Fields(prompt))
-	if !e.prefill(r.Context(), prompt, tokens) {
-		return
+	if !e.prefill(ctx, prompt, tokens) {
+		return ctx.Err()
 	}
-	answer := &engineAnswer{engine: e, w: w, chat: chat, call: &call, words: Words(prompt, call.MaxTokens), prompt: tokens}
-	if !answer.write(r.Context()) {
+	answer := &engineAnswer{engine: e, out: j, chat: chat, call: call, words: Words(prompt, call.MaxTokens), prompt: tokens}
+	if !answer.write(ctx) {
 		e.throwAway(tokens)
+		return ctx.Err()
 	}
+	return nil
 }
 
 func (e *Engine) count(id string) {
--- a/tests/measure_test.go
+++ b/tests/measure_test.go
@@ -184,6 +184,14 @@
 	return &runworks.Reply{Status: http.StatusOK, Header: http.Header{}, Body: body}, nil
 }
 
+// Resume implements runworks.Backend.
+func (*fakeEngine) Resume(context.Context, runworks.RequestID, int64) (*runworks.Reply, error) {
+	return nil, runworks.ErrGone
+}
+
+// Cancel implements runworks.Backend: the work ends with its context.
+func (*fakeEngine) Cancel(context.Context, runworks.RequestID) {}
+
 func (f *fakeEngine) throw(prompt int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/tests/retry_test.go
+++ b/tests/retry_test.go
@@ -106,3 +106,39 @@
 		is.True(time.Since(began) < 100*time.Millisecond)
 	})
 }
+
+// TestEngineStreamResumes breaks the connection between an agent and its engine
+// in the middle of an answer: the agent picks it up, and no prompt is wasted.
+func TestEngineStreamResumes(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, sweepWorld)
+			defer w.close()
+			c := w.call("entry-1", 1, 1000)
+			c.Stream = stream
+			done := make(chan error)
+			client := w.client()
+			go func() { done <- c.check(t.Context(), client) }()
+			for range 3 {
+				time.Sleep(100 * time.Millisecond)
+				w.net.reset("host-e1", "host-e1")
+			}
+			err := <-done
+			if stream {
+				is.NoErr(err)
+			} else {
+				is.True(err != nil) // nothing had come yet, so there is nothing to pick up
+			}
+			thrown, dispatched := 0, 0
+			for _, e := range w.engines {
+				thrown += e.Stats().Thrown
+			}
+			for _, n := range w.dispatches() {
+				dispatched += n
+			}
+			is.Equal(dispatched, 1)
+			is.True(!stream || thrown == 0)
+		})
+	}
+}
--- a/tests/sweep_test.go
+++ b/tests/sweep_test.go
@@ -52,13 +52,18 @@
 		step  = 250 * time.Microsecond
 		steps = 100
 	)
+	sweep(t, step, steps, sweepOnce)
+}
+
+// sweep brings about each failure at each of some moments, a step apart.
+func sweep(t *testing.T, step time.Duration, steps int, once func(*testing.T, failure, time.Duration) *history) {
+	t.Helper()
 	for _, f := range failures {
 		t.Run(f.name, func(t *testing.T) {
 			t.Parallel()
 			counts := map[string]int{}
 			for i := range steps {
-				h := sweepOnce(t, f, time.Duration(i)*step)
-				for what, n := range h.counts() {
+				for what, n := range once(t, f, time.Duration(i)*step).counts() {
 					counts[what] += n
 				}
 			}
@@ -105,19 +110,7 @@
 		step  = 500 * time.Microsecond
 		steps = 40
 	)
-	for _, f := range failures {
-		t.Run(f.name, func(t *testing.T) {
-			t.Parallel()
-			counts := map[string]int{}
-			for i := range steps {
-				h := sweepKeyedOnce(t, f, time.Duration(i)*step)
-				for what, n := range h.counts() {
-					counts[what] += n
-				}
-			}
-			t.Logf("%s: %v", f.name, counts)
-		})
-	}
+	sweep(t, step, steps, sweepKeyedOnce)
 }
 
 func sweepKeyedOnce(t *testing.T, f failure, at time.Duration) *history {
--- a/tests/world_test.go
+++ b/tests/world_test.go
@@ -201,7 +201,7 @@
 		Started:  make(chan struct{}),
 	}
 	if w.spec.connect != nil {
-		d.Connect = func(string) runworks.Backend { return w.spec.connect(server) }
+		d.Connect = func(runworks.ServiceKind, string) runworks.Backend { return w.spec.connect(server) }
 	}
 	d.Tune = func(a *agent.Agent) { a.BeatEvery = w.spec.beatEvery }
 	w.hosts.Put(runworks.Host{Name: host, Role: runworks.RoleAgent, Hall: "a", Address: host + ":70"})
