Home of a key moved by configuration; placing measured up to 3,500 agents

TestHomeMoves: a key whose home left the configuration is told unknown and does not run again. The tests of leaving had become empty: with the fastest engine filled first, its slots were all taken by long streams, so no new work came to it anyway; make mutants showed it.

--- a/services/entry/place_test.go
+++ b/services/entry/place_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -127,3 +128,37 @@
 	}
 	is.Equal(n, int(retryMost))
 }
+
+// BenchmarkPlace measures the placement of a request, with its grant, among some
+// numbers of agents, all of which seem busy and get a ticket.
+func BenchmarkPlace(b *testing.B) {
+	for _, agents := range []int{16, 350, 3500} {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
+			e := &Entry{Config: &config.Follower{Logger: hclog.NewNullLogger()}, Logger: hclog.NewNullLogger()}
+			e.Start()
+			service := runworks.Service{Name: "llm", Kind: runworks.KindEngine, Models: []string{"m"}}
+			for i := range agents {
+				name := fmt.Sprintf("e%d", i)
+				service.BackendServers = append(service.BackendServers, runworks.BackendServer{Name: name, Hall: "a", Address: "http://e1", Slots: 1})
+				testLink(e, name).beat.Running = 1
+			}
+			e.Config.Offer(1, &runworks.Config{
+				Services: []runworks.Service{service}, Tiers: []runworks.Tier{{Name: "urgent", Timeout: time.Minute}},
+				Rules: []runworks.Rule{{Services: []string{"llm"}, Tier: "urgent"}},
+			})
+			b.ReportAllocs()
+			for b.Loop() {
+				p := e.open(&runworks.Request{ID: "1", Service: "llm", Deadline: time.Now().Add(time.Minute)}, 1)
+				e.mu.Lock()
+				for l := range e.links {
+					p.grantLocked(l)
+					break
+				}
+				for l := range e.links {
+					l.outbox = control.Tickets{}
+				}
+				e.mu.Unlock()
+			}
+		})
+	}
+}
--- a/tests/mutants_test.go
+++ b/tests/mutants_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"flag"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,20 +15,22 @@
 
 var mutants = flag.Bool("mutants", false, "take each mechanism of testdata/mutants out and see its proof fail")
 
-// TestMutants takes mechanisms out, one at a time, and runs the test that proves
-// each: it must fail. The data file gives the file, the package and the test;
+// TestMutants takes mechanisms out, one at a time, and with -mutants runs the test
+// that proves each: it must fail. The data file gives the file, the package and the test;
 // the input is the text that goes, a line of three dashes, and what takes its
-// place, and more such pairs after a line of three equal signs.
+// place, and more such pairs after a line of three equal signs; a pair may begin
+// with a line that names another file after an at sign.
 func TestMutants(t *testing.T) {
-	if !*mutants {
-		t.Skip("run it with: make mutants")
-	}
 	datadriven.RunTest(t, "testdata/mutants", func(t *testing.T, d *datadriven.TestData) string {
 		var file, pkg, test string
 		d.ScanArgs(t, "file", &file)
 		d.ScanArgs(t, "pkg", &pkg)
 		d.ScanArgs(t, "test", &test)
-		out, caught := runMutant(t, file, pkg, test, d.Input)
+		texts := mutatedTexts(t, file, d.Input)
+		if !*mutants {
+			return d.Expected // that each change still applies is all that is tested
+		}
+		out, caught := runMutant(t, texts, pkg, test)
 		if !caught {
 			t.Logf("%s: not caught", d.Cmd)
 			return "not caught\n"
@@ -37,48 +40,81 @@
 	})
 }
 
-// runMutant runs a test with a file changed, without touching the tree.
-func runMutant(t *testing.T, file, pkg, test, change string) (out string, caught bool) {
+// mutatedTexts makes all changes of one mutant and gives the changed files' texts
+// by path.
+func mutatedTexts(t *testing.T, file, change string) map[string]string {
+	t.Helper()
+	texts := map[string]string{}
+	for _, one := range strings.Split(change, "\n===\n") {
+		if named, rest, ok := strings.Cut(one, "\n"); ok && strings.HasPrefix(named, "@ ") {
+			file, one = strings.TrimPrefix(named, "@ "), rest
+		}
+		mutate(t, texts, filepath.Join(rootOf(t), file), one)
+	}
+	return texts
+}
+
+// rootOf gives the tree's root.
+func rootOf(t *testing.T) string {
 	t.Helper()
 	root, err := filepath.Abs("..")
 	if err != nil {
 		t.Fatal(err)
 	}
-	path := filepath.Join(root, file)
-	data, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
+	return root
+}
+
+// runMutant runs a test with files changed, without touching the tree.
+func runMutant(t *testing.T, texts map[string]string, pkg, test string) (out string, caught bool) {
+	t.Helper()
+	cmd := exec.Command("go", "test", "-vet=off", "-overlay", writeOverlay(t, texts), "-run", test, "./"+pkg)
+	cmd.Dir = rootOf(t)
+	output, err := cmd.CombinedOutput()
+	if strings.Contains(string(output), "[build failed]") {
+		t.Errorf("the mutant does not build: %s", output)
+		return "", false
 	}
-	text := string(data)
-	for _, one := range strings.Split(change, "\n===\n") {
-		old, changed, ok := strings.Cut(one+"\n", "\n---\n")
-		if !ok || strings.Count(text, old) != 1 {
-			t.Errorf("%s: the text to change must stand in it once: %q", file, old)
-			return "", false
+	return string(output), err != nil
+}
+
+// mutate makes one change in the text of a file, reading the file first if it is
+// not among the texts.
+func mutate(t *testing.T, texts map[string]string, path, change string) {
+	t.Helper()
+	if _, ok := texts[path]; !ok {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
 		}
-		text = strings.Replace(text, old, strings.TrimSuffix(changed, "\n"), 1)
+		texts[path] = string(data)
+	}
+	old, changed, ok := strings.Cut(change+"\n", "\n---\n")
+	if !ok || strings.Count(texts[path], old) != 1 {
+		t.Fatalf("%s: the text to change must stand in it once: %q", path, old)
 	}
+	texts[path] = strings.Replace(texts[path], old, strings.TrimSuffix(changed, "\n"), 1)
+}
+
+// writeOverlay writes the changed files and the overlay that names them.
+func writeOverlay(t *testing.T, texts map[string]string) string {
+	t.Helper()
 	dir := t.TempDir()
-	mutated := filepath.Join(dir, "mutated.go")
-	if err := os.WriteFile(mutated, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
+	replace := map[string]string{}
+	for path, text := range texts {
+		replace[path] = filepath.Join(dir, fmt.Sprintf("%d.go", len(replace)))
+		if err := os.WriteFile(replace[path], []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
 	}
-	overlay, err := json.Marshal(map[string]map[string]string{"Replace": {path: mutated}})
+	overlay, err := json.Marshal(map[string]map[string]string{"Replace": replace})
 	if err != nil {
 		t.Fatal(err)
 	}
-	overlayFile := filepath.Join(dir, "overlay.json")
-	if err := os.WriteFile(overlayFile, overlay, 0o600); err != nil {
+	file := filepath.Join(dir, "overlay.json")
+	if err := os.WriteFile(file, overlay, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command("go", "test", "-vet=off", "-overlay", overlayFile, "-run", test, "./"+pkg)
-	cmd.Dir = root
-	output, err := cmd.CombinedOutput()
-	if strings.Contains(string(output), "[build failed]") {
-		t.Errorf("%s: the mutant does not build: %s", file, output)
-		return "", false
-	}
-	return string(output), err != nil
+	return file
 }
 
 // firstFailure gives the first line by which a test says what it found.
--- a/tests/stop_test.go
+++ b/tests/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -28,7 +29,7 @@
 
 func newSteadyCalls(w *world, entries ...string) *steadyCalls {
 	s := &steadyCalls{w: w, stop: make(chan struct{})}
-	for i := range 4 {
+	for i := range 2 { // the fastest engine keeps slots for short calls
 		c := w.call(entries[i%len(entries)], 10_000+i, 10_000)
 		c.Stream = true
 		c.Header = map[string]string{runworks.HeaderTimeout: "10m"}
@@ -77,6 +78,7 @@
 // flight: no request is cut, and no new work comes to it.
 func TestPlannedStopOfAgent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
 		w := newWorld(t, longWorld())
 		defer w.close()
 		calls := newSteadyCalls(w, "entry-1", "entry-2")
@@ -87,6 +89,7 @@
 			w.stopAgent("e3")
 			stopped <- time.Since(began)
 		}()
+		is.True(len(w.engines["e3"].Stats().Dispatches) > 20) // it had work until now
 		time.Sleep(leaveWithin)
 		before := len(w.engines["e3"].Stats().Dispatches)
 		took := <-stopped
@@ -129,12 +132,14 @@
 // server gets no new work after three seconds.
 func TestLeavingByTheList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
 		w := newWorld(t, longWorld())
 		defer w.close()
 		time.Sleep(3 * time.Second)
 		w.hosts.SetLag(1500 * time.Millisecond)
 		calls := newSteadyCalls(w, "entry-1", "entry-2")
 		time.Sleep(3 * time.Second)
+		is.True(len(w.engines["e3"].Stats().Dispatches) > 20) // it had work until now
 		w.hosts.Put(runworks.Host{Name: "host-e3", Role: runworks.RoleAgent, Hall: "a", Address: "host-e3:70", Leaving: true})
 		time.Sleep(leaveWithin)
 		before := len(w.engines["e3"].Stats().Dispatches)
@@ -278,3 +283,33 @@
 		is.Equal(n, 1)
 	})
 }
+
+// TestHomeMoves takes a backend server out of the configuration, so that the
+// keys it was home to get another: one that ran is told unknown and does not run
+// again, and a fresh key runs.
+func TestHomeMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, smallWorld)
+		defer w.close()
+		time.Sleep(3 * time.Second)
+		c := w.call("entry-1", 1, 10)
+		c.Header = map[string]string{runworks.HeaderIdempotencyKey: w.keyAtHome("e2")}
+		is.NoErr(c.check(t.Context(), w.client()))
+
+		cfg := *w.cfg
+		cfg.Services = slices.Clone(cfg.Services)
+		cfg.Services[0].BackendServers = []runworks.BackendServer{w.cfg.Services[0].BackendServers[0], w.cfg.Services[0].BackendServers[2]}
+		_, err := config.Apply(t.Context(), w.log, config.BaseInForce, &cfg)
+		is.NoErr(err)
+		time.Sleep(5 * time.Second)
+		r := c.do(t.Context(), w.client())
+		is.Equal(r.Outcome, runworks.OutcomeUnknown)
+		is.Equal(r.Attempt, string(runworks.OutcomeNotRun))
+		is.Equal(len(w.dispatches()), 1)
+
+		fresh := w.call("entry-1", 2, 10)
+		fresh.Header = map[string]string{runworks.HeaderIdempotencyKey: mintKey("fresh")}
+		is.NoErr(fresh.check(t.Context(), w.client()))
+	})
+}
