Status shows the load by tier; answers that nobody read are counted

runworks status shows an entry's requests by tier, waiting and running, and says that agents' figures are as last reported. The counter of dropped answers stood in the list of metrics and was never moved; an agent now counts each answer that it lets go unread.

--- a/cmd/runworks/status.go
+++ b/cmd/runworks/status.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -57,6 +59,12 @@
 func printStatus(out io.Writer, s *entry.Status) error {
 	_, _ = fmt.Fprintf(out, "entry %s: configuration %d, %d requests, stopping %t\n\n", s.Name, s.Version, s.Requests, s.Stopping)
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "TIER\tWAITING\tRUNNING")
+	for _, name := range slices.Sorted(maps.Keys(s.Tiers)) {
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\n", name, s.Tiers[name].Waiting, s.Tiers[name].Running)
+	}
+	_ = w.Flush()
+	_, _ = fmt.Fprintln(out, "\nSlots, running and waiting are as each agent last reported, some seconds ago.")
 	_, _ = fmt.Fprintln(w, "HOST\tBACKEND SERVER\tCONNECTED\tLEAVING\tCONFIGURATION\tSLOTS\tRUNNING\tWAITING")
 	for _, a := range s.Agents {
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%t\t%t\t%d\t%d\t%d\t%d\n", a.Host, a.Server, a.Connected, a.Leaving, a.Version, a.Slots, a.Running, a.Waiting)
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -120,15 +120,16 @@
 	return (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 }
 
-// listenFirst gives an open listener first, and then ports that the kernel picks.
-func listenFirst(ctx context.Context, first net.Listener) func(string) (net.Listener, error) {
-	used := false
+// listenFirst gives open listeners first, in turn, and then ports that the kernel
+// picks.
+func listenFirst(ctx context.Context, open ...net.Listener) func(string) (net.Listener, error) {
 	return func(address string) (net.Listener, error) {
-		if !used {
-			used = true
-			return first, nil
+		if len(open) == 0 {
+			return listen(ctx, address)
 		}
-		return listen(ctx, address)
+		next := open[0]
+		open = open[1:]
+		return next, nil
 	}
 }
 
@@ -138,14 +139,18 @@
 	if err != nil {
 		return errorx.Decorate(err, "listen for callers")
 	}
+	operators, err := listen(ctx, anyPort)
+	if err != nil {
+		return errorx.Decorate(err, "listen for operators")
+	}
 	process := &daemon.Entry{
 		Settings: &setting.Entry{Common: d.common("entry", "walvis-a")},
 		Parts: daemon.Parts{
 			Log: &d.log, Hosts: &d.hosts, Logger: d.Logger.Named("entry"),
-			Listen: listenFirst(ctx, listener),
+			Listen: listenFirst(ctx, listener, operators),
 		},
 	}
-	d.greet(listener.Addr().String())
+	d.greet(listener.Addr().String(), operators.Addr().String())
 	return process.Run(ctx, stop)
 }
 
@@ -157,7 +162,7 @@
 }
 
 // greet tells the person at the keyboard how to make a call.
-func (d *Dev) greet(address string) {
+func (d *Dev) greet(address, operators string) {
 	_, _ = fmt.Fprintf(d.Out, `runworks dev is ready on http://%[1]s with the key %[2]s
 
 Try a question to an engine, streamed:
@@ -167,7 +172,10 @@
 Try the plain service:
   curl http://%[1]s/services/yard-app/gate/check-in -H 'Authorization: Bearer %[2]s' -d 'truck 12'
 
-`, address, Key)
+See what the entry sees:
+  runworks status --operators http://%[3]s
+
+`, address, Key, operators)
 }
 
 // close ends the stand-ins and waits for all parts.
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -21,6 +21,7 @@
 	DefaultListSettle    = 5 * time.Second
 	DefaultRestateEvery  = 10 * time.Minute
 	DefaultMaxBodyBytes  = 8 << 20
+	DefaultKeySkew       = 5 * time.Second
 )
 
 const minFleetKeyBytes = 16
@@ -108,7 +109,7 @@
 
 // LoadAgent reads and checks an agent's settings.
 func LoadAgent(file string) (*Agent, error) {
-	s := &Agent{Common: defaults(), KeySkew: 5 * time.Second}
+	s := &Agent{Common: defaults(), KeySkew: DefaultKeySkew}
 	return s, load(file, s, s.check)
 }
 
--- a/services/agent/agent.go
+++ b/services/agent/agent.go
@@ -26,7 +26,6 @@
 	DefaultMaxKeptBytes   = 64 << 20
 	DefaultMaxKeys        = 100_000
 	DefaultKeyKeep        = 10 * time.Minute
-	DefaultKeySkew        = 5 * time.Second
 	DefaultOrphanLimit    = 5 * time.Second
 	DefaultKeyedLimit     = 2 * time.Minute
 )
--- a/services/agent/sweep.go
+++ b/services/agent/sweep.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/runworks/runworks/modules/metrics"
 	"github.com/runworks/runworks/services/control"
 )
 
@@ -39,7 +40,7 @@
 			delete(a.runs, id)
 		case r.answer == nil:
 		case !r.keep && age > a.OrphanLimit:
-			r.answer = nil
+			a.dropLocked(r)
 		case r.keep:
 			kept = append(kept, r)
 		}
@@ -54,7 +55,15 @@
 	for _, r := range kept {
 		total += r.answer.Size()
 		if total > a.MaxKeptBytes {
-			r.answer = nil
+			a.dropLocked(r)
 		}
 	}
 }
+
+// dropLocked lets go of an answer, and counts one that nobody read to its end.
+func (a *Agent) dropLocked(r *run) {
+	r.answer = nil
+	if !r.whole {
+		metrics.Count(a.Metrics.Dropped, metrics.Rank(r.ticket.Tier))
+	}
+}
--- a/services/entry/answer.go
+++ b/services/entry/answer.go
@@ -226,10 +226,7 @@
 
 // closed counts an answer out.
 func (e *Entry) closed(a *Answer) {
-	defer e.finish()
-	if a.req == nil {
-		return
-	}
+	defer e.finish(a.req.Tier, true)
 	outcome := runworks.OutcomeDone
 	if !a.whole {
 		outcome = runworks.OutcomeFailed
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -67,6 +67,7 @@
 	links    map[*link]struct{}
 	pending  map[runworks.RequestID]*pending
 	active   int
+	tiers    map[string]*TierStatus
 	stopping bool
 	changed  notify.Change
 }
@@ -86,6 +87,7 @@
 	e.members = make(map[string]*member)
 	e.links = make(map[*link]struct{})
 	e.pending = make(map[runworks.RequestID]*pending)
+	e.tiers = make(map[string]*TierStatus)
 	e.client = &http.Client{Transport: &http.Transport{
 		DialContext:         e.Dial,
 		DisableCompression:  true,
@@ -154,20 +156,38 @@
 	return nil
 }
 
-// begin counts a request in, unless the entry is stopping.
-func (e *Entry) begin() error {
+// begin counts a request in as waiting, unless the entry is stopping.
+func (e *Entry) begin(tier string) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.stopping {
 		return runworks.ErrStopping
 	}
 	e.active++
+	if e.tiers[tier] == nil {
+		e.tiers[tier] = &TierStatus{}
+	}
+	e.tiers[tier].Waiting++
 	return nil
 }
 
-func (e *Entry) finish() {
+// answered counts a request as running from now on: its answer has begun.
+func (e *Entry) answered(tier string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tiers[tier].Waiting--
+	e.tiers[tier].Running++
+}
+
+// finish counts a request out; begun says whether its answer had begun.
+func (e *Entry) finish(tier string, begun bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if begun {
+		e.tiers[tier].Running--
+	} else {
+		e.tiers[tier].Waiting--
+	}
 	e.active--
 	e.changed.Signal()
 }
@@ -184,6 +204,13 @@
 	Waiting   int    `json:"waiting"`
 }
 
+// TierStatus counts the requests of one tier at an entry.
+type TierStatus struct {
+	// Waiting have no answer yet; the answers of Running have begun.
+	Waiting int `json:"waiting"`
+	Running int `json:"running"`
+}
+
 // Status is what an operator sees of an entry.
 type Status struct {
 	Name        string               `json:"name"`
@@ -191,5 +218,7 @@
 	Version     int64                `json:"version"`
 	Stopping    bool                 `json:"stopping"`
 	Requests    int                  `json:"requests"`
-	Agents      []AgentStatus        `json:"agents"`
+	// Tiers counts the requests by the name of their tier.
+	Tiers  map[string]TierStatus `json:"tiers"`
+	Agents []AgentStatus         `json:"agents"`
 }
--- a/services/entry/members.go
+++ b/services/entry/members.go
@@ -132,6 +132,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := Status{Name: e.Name, Incarnation: e.incarnation, Version: e.Config.Version(), Stopping: e.stopping, Requests: e.active}
+	s.Tiers = make(map[string]TierStatus, len(e.tiers))
+	for name, t := range e.tiers {
+		s.Tiers[name] = *t
+	}
 	for _, m := range e.members {
 		one := AgentStatus{Host: m.host.Name, Leaving: m.listedLeaving}
 		if l := m.link; l != nil {
--- a/services/entry/serve.go
+++ b/services/entry/serve.go
@@ -20,17 +20,18 @@
 // Serve takes a request through to the head of its answer. The error is a
 // Failure. After an answer, the caller reads and closes it.
 func (e *Entry) Serve(ctx context.Context, req *runworks.Request) (*Answer, error) {
-	if err := e.begin(); err != nil {
+	if err := e.begin(req.Tier); err != nil {
 		return nil, runworks.NotRun(err, retryWhenAway)
 	}
 	started := time.Now()
 	answer, err := e.answer(ctx, req)
 	if err != nil {
-		e.finish()
+		e.finish(req.Tier, false)
 		e.countFailure(req, err)
 		return nil, err
 	}
 	answer.req = req
+	e.answered(req.Tier)
 	metrics.Observe(e.Metrics.FirstByteSeconds, time.Since(started).Seconds(), metrics.Tier(req.Tier))
 	return answer, nil
 }
--- a/tests/memnet_test.go
+++ b/standin/memnet/memnet.go
@@ -1,4 +1,6 @@
-package tests
+// Package memnet is a network in memory, for runs in virtual time: connections
+// have a latency, and can be cut, mended and reset between any two hosts.
+package memnet
 
 import (
 	"context"
@@ -13,10 +15,9 @@
 	errReset   = errors.New("memnet: connection reset")
 )
 
-// memnet is a network in memory, for runs in virtual time. An address is
-// host:port; what is cut between two hosts waits until the cut is mended, as
-// TCP does.
-type memnet struct {
+// Network is a network in memory. An address is host:port; what is cut between
+// two hosts waits until the cut is mended, as TCP does.
+type Network struct {
 	latency time.Duration
 
 	mu        sync.Mutex
@@ -25,8 +26,9 @@
 	cuts      map[[2]string]chan struct{}
 }
 
-func newMemnet(latency time.Duration) *memnet {
-	return &memnet{
+// New builds a network whose messages take the latency.
+func New(latency time.Duration) *Network {
+	return &Network{
 		latency: latency, listeners: map[string]*memListener{}, wires: map[*wire]struct{}{}, cuts: map[[2]string]chan struct{}{},
 	}
 }
@@ -43,8 +45,8 @@
 	return [2]string{a, b}
 }
 
-// listen opens a listener at an address.
-func (n *memnet) listen(address string) (net.Listener, error) {
+// Listen opens a listener at an address.
+func (n *Network) Listen(address string) (net.Listener, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.listeners[address] != nil {
@@ -55,13 +57,14 @@
 	return l, nil
 }
 
-// dialer gives the way out of a host.
-func (n *memnet) dialer(from string) func(context.Context, string, string) (net.Conn, error) {
-	return func(ctx context.Context, _, address string) (net.Conn, error) { return n.dial(ctx, from, address) }
+// Dialer gives the way out of a host.
+func (n *Network) Dialer(from string) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) { return n.Dial(ctx, from, address) }
 }
 
-func (n *memnet) dial(ctx context.Context, from, address string) (net.Conn, error) {
-	if err := n.pass(ctx, from, hostOf(address)); err != nil {
+// Dial opens a connection from a host to an address.
+func (n *Network) Dial(ctx context.Context, from, address string) (net.Conn, error) {
+	if err := n.Pass(ctx, from, hostOf(address)); err != nil {
 		return nil, err
 	}
 	n.mu.Lock()
@@ -82,8 +85,8 @@
 	return nil, errRefused
 }
 
-// pass waits while two hosts are cut off from each other.
-func (n *memnet) pass(ctx context.Context, a, b string) error {
+// Pass waits while two hosts are cut off from each other.
+func (n *Network) Pass(ctx context.Context, a, b string) error {
 	for {
 		n.mu.Lock()
 		mended := n.cuts[pair(a, b)]
@@ -99,8 +102,8 @@
 	}
 }
 
-// cut holds up all that travels between two hosts until mend.
-func (n *memnet) cut(a, b string) {
+// Cut holds up all that travels between two hosts until mend.
+func (n *Network) Cut(a, b string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.cuts[pair(a, b)] == nil {
@@ -108,7 +111,8 @@
 	}
 }
 
-func (n *memnet) mend(a, b string) {
+// Mend ends a cut.
+func (n *Network) Mend(a, b string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if mended := n.cuts[pair(a, b)]; mended != nil {
@@ -117,8 +121,8 @@
 	}
 }
 
-// reset breaks all connections between two hosts; b may be empty for all hosts.
-func (n *memnet) reset(a, b string) {
+// Reset breaks all connections between two hosts; b may be empty for all hosts.
+func (n *Network) Reset(a, b string) {
 	n.mu.Lock()
 	var broken []*wire
 	for w := range n.wires {
@@ -132,25 +136,38 @@
 	}
 }
 
-// down closes the listeners of a host and breaks its connections.
-func (n *memnet) down(host string) {
+// CloseListener closes the listener at an address, if there is one.
+func (n *Network) CloseListener(address string) {
 	n.mu.Lock()
-	var listeners []*memListener
-	for address, l := range n.listeners {
-		if hostOf(address) == host {
-			listeners = append(listeners, l)
-		}
-	}
+	l := n.listeners[address]
 	n.mu.Unlock()
-	for _, l := range listeners {
+	if l != nil {
 		_ = l.Close()
 	}
-	n.reset(host, "")
 }
 
+// Close breaks all connections.
+func (n *Network) Close() {
+	n.mu.Lock()
+	all := make([]*wire, 0, len(n.wires))
+	for w := range n.wires {
+		all = append(all, w)
+	}
+	n.mu.Unlock()
+	for _, w := range all {
+		w.close()
+	}
+}
+
+const (
+	// maxParcels bounds what is on its way in one direction.
+	maxParcels  = 4096
+	parcelBytes = 32 << 10
+)
+
 // wire is a connection: two pipes with a queue for each direction between them.
 type wire struct {
-	net   *memnet
+	net   *Network
 	ends  [2]string
 	inner [2]net.Conn
 	ctx   context.Context
@@ -158,7 +175,7 @@
 }
 
 // wire makes a connection and gives its two ends.
-func (n *memnet) wire(from, to string) (near, far net.Conn) {
+func (n *Network) wire(from, to string) (near, far net.Conn) {
 	near, nearInner := net.Pipe()
 	far, farInner := net.Pipe()
 	ctx, stop := context.WithCancelCause(context.Background())
@@ -190,10 +207,10 @@
 // carry takes bytes from one end to the other, after the latency and any cut.
 // The end of one end reaches the other as bytes do.
 func (w *wire) carry(from, to net.Conn) {
-	queue := make(chan parcel, 4096)
+	queue := make(chan parcel, maxParcels)
 	go func() {
 		for {
-			p := make([]byte, 32<<10)
+			p := make([]byte, parcelBytes)
 			k, err := from.Read(p)
 			select {
 			case queue <- parcel{data: p[:k], due: time.Now().Add(w.net.latency), err: err}:
@@ -227,7 +244,7 @@
 	if d := time.Until(p.due); d > 0 {
 		time.Sleep(d)
 	}
-	if err := w.net.pass(w.ctx, w.ends[0], w.ends[1]); err != nil {
+	if err := w.net.Pass(w.ctx, w.ends[0], w.ends[1]); err != nil {
 		return false
 	}
 	if len(p.data) > 0 {
@@ -260,7 +277,7 @@
 
 // memListener is a listener of a memnet.
 type memListener struct {
-	net     *memnet
+	net     *Network
 	address memAddr
 	queue   chan net.Conn
 	once    sync.Once
--- a/tests/callers_test.go
+++ b/tests/callers_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/runworks/runworks/modules/tracing"
 	"github.com/runworks/runworks/routers/callers"
+	"github.com/runworks/runworks/services/entry"
 	"github.com/runworks/runworks/standin"
 )
 
@@ -130,7 +131,7 @@
 		is := is.New(t)
 		w := newWorld(t, smallWorld)
 		defer w.close()
-		conn, err := w.net.dial(t.Context(), "caller", "entry-1:70")
+		conn, err := w.net.Dial(t.Context(), "caller", "entry-1:70")
 		is.NoErr(err)
 		_, err = io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+worldKey+
 			"\r\nContent-Length: 100\r\n\r\n{\"model\":")
@@ -158,10 +159,14 @@
 		c.Stream = true
 		done := make(chan *result)
 		go func() { done <- c.do(ctx, w.client()) }()
-		w.until("an engine runs it", callers.ReadHeaderTimeout, func() bool { return w.running() == 1 })
+		w.until("its answer has begun", callers.ReadHeaderTimeout, func() bool {
+			return w.entry("entry-1").Entry.Status().Tiers["urgent"] == entry.TierStatus{Running: 1}
+		})
+		is.Equal(w.running(), 1)
 		cancel()
 		is.True(!(<-done).Whole)
 		w.until("its slot is free", callers.ReadHeaderTimeout, func() bool { return w.running() == 0 })
+		is.Equal(w.entry("entry-1").Entry.Status().Tiers["urgent"], entry.TierStatus{})
 		thrown := 0
 		for _, e := range w.engines {
 			thrown += e.Stats().Thrown
--- a/tests/retry_test.go
+++ b/tests/retry_test.go
@@ -65,11 +65,8 @@
 		is := is.New(t)
 		w := newWorld(t, smallWorld)
 		defer w.close()
-		w.net.mu.Lock()
-		l := w.net.listeners["host-p1:80"]
-		w.net.mu.Unlock()
-		_ = l.Close()
-		w.net.reset("host-p1", "host-p1")
+		w.net.CloseListener("host-p1:80")
+		w.net.Reset("host-p1", "host-p1")
 		for i := range 50 {
 			c := w.call("entry-1", i, 1)
 			c.Service = "app"
@@ -122,7 +119,7 @@
 			go func() { done <- c.check(t.Context(), client) }()
 			for range 3 {
 				time.Sleep(100 * time.Millisecond)
-				w.net.reset("host-e1", "host-e1")
+				w.net.Reset("host-e1", "host-e1")
 			}
 			err := <-done
 			if stream {
--- a/tests/schedule_test.go
+++ b/tests/schedule_test.go
@@ -168,12 +168,12 @@
 	}},
 	{"cut", func(s *schedule, pick *rand.Rand) {
 		a, b := s.entries[pick.IntN(2)], "host-"+s.servers[pick.IntN(len(s.servers))]
-		s.w.net.cut(a, b)
+		s.w.net.Cut(a, b)
 		time.Sleep(time.Duration(pick.IntN(15000)) * time.Millisecond)
-		s.w.net.mend(a, b)
+		s.w.net.Mend(a, b)
 	}},
 	{"reset", func(s *schedule, pick *rand.Rand) {
-		s.w.net.reset(s.entries[pick.IntN(2)], "host-"+s.servers[pick.IntN(len(s.servers))])
+		s.w.net.Reset(s.entries[pick.IntN(2)], "host-"+s.servers[pick.IntN(len(s.servers))])
 	}},
 	{"slow engine", func(s *schedule, pick *rand.Rand) {
 		e := s.w.engines[[]string{"e1", "e2", "e3"}[pick.IntN(3)]]
@@ -188,9 +188,9 @@
 	}},
 	{"cut from the platform", func(s *schedule, pick *rand.Rand) {
 		host := append([]string{"host-e1", "host-p1"}, s.entries...)[pick.IntN(4)]
-		s.w.net.cut(host, "platform")
+		s.w.net.Cut(host, "platform")
 		time.Sleep(time.Duration(pick.IntN(30000)) * time.Millisecond)
-		s.w.net.mend(host, "platform")
+		s.w.net.Mend(host, "platform")
 	}},
 	{"leave", func(s *schedule, pick *rand.Rand) {
 		server := s.servers[pick.IntN(len(s.servers))]
--- a/tests/sweep_test.go
+++ b/tests/sweep_test.go
@@ -16,7 +16,7 @@
 }
 
 var failures = []failure{
-	{"reset", func(w *world, server string) { w.net.reset("entry-1", "host-"+server) }},
+	{"reset", func(w *world, server string) { w.net.Reset("entry-1", "host-"+server) }},
 	{"cut 1s", func(w *world, server string) { w.cutFor("entry-1", "host-"+server, time.Second) }},
 	{"cut 5s", func(w *world, server string) { w.cutFor("entry-1", "host-"+server, 5*time.Second) }},
 	{"cut 20s", func(w *world, server string) { w.cutFor("entry-1", "host-"+server, 20*time.Second) }},
@@ -30,10 +30,10 @@
 
 // cutFor cuts two hosts off from each other for a time.
 func (w *world) cutFor(a, b string, d time.Duration) {
-	w.net.cut(a, b)
+	w.net.Cut(a, b)
 	w.work.Go(func() {
 		time.Sleep(d)
-		w.net.mend(a, b)
+		w.net.Mend(a, b)
 	})
 }
 
--- a/tests/world_test.go
+++ b/tests/world_test.go
@@ -19,6 +19,7 @@
 	"github.com/runworks/runworks/services/config"
 	"github.com/runworks/runworks/services/entry"
 	"github.com/runworks/runworks/standin"
+	"github.com/runworks/runworks/standin/memnet"
 )
 
 // settle is longer than any time that a closed connection is waited for.
@@ -37,7 +38,7 @@
 	spec worldSpec
 	// fakes are the engines of a measurement.
 	fakes map[string]*fakeEngine
-	net   *memnet
+	net   *memnet.Network
 	log   *standin.Log
 	hosts *standin.Hosts
 	// tracer records the spans of all parts; nil records none.
@@ -102,7 +103,7 @@
 func newWorld(t *testing.T, spec worldSpec) *world {
 	t.Helper()
 	w := &world{
-		t: t, spec: spec, net: newMemnet(spec.latency), log: &standin.Log{}, hosts: &standin.Hosts{}, tracer: spec.tracer,
+		t: t, spec: spec, net: memnet.New(spec.latency), log: &standin.Log{}, hosts: &standin.Hosts{}, tracer: spec.tracer,
 		engines: map[string]*standin.Engine{}, plains: map[string]*standin.Plain{},
 		agents: map[string]*running[*daemon.Agent]{}, entries: map[string]*running[*daemon.Entry]{},
 	}
@@ -170,7 +171,7 @@
 
 // serve runs a handler at a port of a host until the world closes.
 func (w *world) serve(host, port string, handler http.Handler) {
-	listener, err := w.net.listen(host + ":" + port)
+	listener, err := w.net.Listen(host + ":" + port)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -188,8 +189,8 @@
 
 func (w *world) parts(host string) daemon.Parts {
 	return daemon.Parts{
-		Log: &farLog{net: w.net, host: host, log: w.log}, Hosts: w.hosts, Dial: w.net.dialer(host),
-		Listen: func(address string) (net.Listener, error) { return w.net.listen(address) }, Tracer: w.tracer,
+		Log: &farLog{net: w.net, host: host, log: w.log}, Hosts: w.hosts, Dial: w.net.Dialer(host),
+		Listen: func(address string) (net.Listener, error) { return w.net.Listen(address) }, Tracer: w.tracer,
 	}
 }
 
@@ -246,42 +247,29 @@
 	return r
 }
 
-// killHost ends a part at once, as if its host died: nothing more leaves it.
-func killHost[T any](w *world, r *running[T], host string) {
-	w.net.down(host)
-	r.kill()
-	<-r.done
-}
-
+// killAgent ends an agent at once, as if its process died: nothing more leaves it.
 func (w *world) killAgent(server string) {
 	w.mu.Lock()
 	r := w.agents[server]
 	w.mu.Unlock()
-	w.net.reset("host-"+server, "")
-	killPorts(w.net, "host-"+server)
+	w.net.Reset("host-"+server, "")
+	w.net.CloseListener("host-" + server + ":70")
+	w.net.CloseListener("host-" + server + ":71")
 	r.kill()
 	<-r.done
 }
 
-// killPorts closes a host's ports but the backend server's.
-func killPorts(n *memnet, host string) {
-	for _, port := range []string{":70", ":71"} {
-		n.mu.Lock()
-		l := n.listeners[host+port]
-		n.mu.Unlock()
-		if l != nil {
-			_ = l.Close()
-		}
-	}
-}
-
 func (w *world) killEntry(name string) {
 	w.mu.Lock()
 	r := w.entries[name]
 	delete(w.entries, name)
 	w.mu.Unlock()
 	w.hosts.Remove(name)
-	killHost(w, r, name)
+	w.net.CloseListener(name + ":70")
+	w.net.CloseListener(name + ":71")
+	w.net.Reset(name, "")
+	r.kill()
+	<-r.done
 }
 
 func (w *world) entry(name string) *daemon.Entry {
@@ -339,7 +327,7 @@
 
 // client gives an HTTP client at a caller's host.
 func (w *world) client() *http.Client {
-	transport := &http.Transport{DialContext: w.net.dialer("caller"), DisableKeepAlives: true}
+	transport := &http.Transport{DialContext: w.net.Dialer("caller"), DisableKeepAlives: true}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.clients = append(w.clients, transport)
@@ -383,15 +371,7 @@
 		c.CloseIdleConnections()
 	}
 	w.work.Wait()
-	w.net.mu.Lock()
-	var wires []*wire
-	for one := range w.net.wires {
-		wires = append(wires, one)
-	}
-	w.net.mu.Unlock()
-	for _, one := range wires {
-		one.close()
-	}
+	w.net.Close()
 	// What net/http still waits for, by its own bounded times, ends in virtual time.
 	time.Sleep(settle)
 }
@@ -399,7 +379,7 @@
 // farLog is the log service as a host reaches it: a cut between the host and
 // the platform is an outage for this host alone.
 type farLog struct {
-	net  *memnet
+	net  *memnet.Network
 	host string
 	log  *standin.Log
 }
@@ -410,7 +390,7 @@
 func (l *farLog) Append(ctx context.Context, data []byte) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
-	if err := l.net.pass(ctx, l.host, "platform"); err != nil {
+	if err := l.net.Pass(ctx, l.host, "platform"); err != nil {
 		return 0, fmt.Errorf("append: %w", err)
 	}
 	return l.log.Append(ctx, data)
@@ -420,7 +400,7 @@
 func (l *farLog) Read(ctx context.Context, from int64) (*runworks.LogPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
-	if err := l.net.pass(ctx, l.host, "platform"); err != nil {
+	if err := l.net.Pass(ctx, l.host, "platform"); err != nil {
 		return nil, fmt.Errorf("read: %w", err)
 	}
 	return l.log.Read(ctx, from)
