--- a/services/agent/claim.go
+++ b/services/agent/claim.go
@@ -87,14 +87,16 @@
 
 // expireAt bars a claimed request from running once its grant has lapsed.
 func (a *Agent) expireAt(r *run, at time.Time) {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-a.life.Done():
-		return
-	case <-r.started:
-		return
-	case <-timer.C:
+	if left := time.Until(at); left > 0 {
+		timer := time.NewTimer(left)
+		defer timer.Stop()
+		select {
+		case <-a.life.Done():
+			return
+		case <-r.started:
+			return
+		case <-timer.C:
+		}
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
