Read again: a stale way to a backend server, an unread resume, a check beside its twin

- An agent kept the way to its backend server when only the service's kind changed at the same address, so a plain service could have been sent an engine's resume and cancel.
Cause: the kind was added to the way, not to what is compared.
TestConfigureFollowsTheBackendServer failed first (two ways built, three wanted).
- An answer that broke five times was asked for a fifth time and the rest closed unread.
Now all five resumes are read, and the error is the last break's own.
- Whether an agent seems to have a free slot stood in the entry and in the picker, the one corrected by the ticket just sent.
Both call Candidate.Free, before it is sent.

--- a/picker.go
+++ b/picker.go
@@ -16,6 +16,9 @@
 	SentSince int
 }
 
+// Free says whether the agent seems to have a free slot.
+func (c *Candidate) Free() bool { return max(c.Running+c.Waiting, c.Own) < c.Slots }
+
 // Picker chooses who gets the tickets of a request; it is called under a lock
 // and must not wait.
 type Picker interface {
--- a/services/agent/agent.go
+++ b/services/agent/agent.go
@@ -8,9 +8,8 @@
 	"github.com/hashicorp/go-hclog"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/runworks/runworks/modules/group"
-
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/group"
 	"github.com/runworks/runworks/modules/metrics"
 	"github.com/runworks/runworks/modules/notify"
 	"github.com/runworks/runworks/services/config"
@@ -74,6 +73,7 @@
 	busy    map[int]int
 	slots   int
 	backend runworks.Backend
+	kind    runworks.ServiceKind
 	address string
 	leaving bool
 	downTo  time.Time
@@ -152,9 +152,9 @@
 		a.giveBackLocked(control.RefusedUnserved)
 		return
 	}
-	if a.address != place.Server.Address {
-		a.address = place.Server.Address
-		a.backend = a.Connect(place.Service.Kind, a.address)
+	if a.kind != place.Service.Kind || a.address != place.Server.Address {
+		a.kind, a.address = place.Service.Kind, place.Server.Address
+		a.backend = a.Connect(a.kind, a.address)
 	}
 	a.slots = place.Server.Slots
 	a.scheduleLocked()
--- a/services/agent/agent_test.go
+++ b/services/agent/agent_test.go
@@ -206,6 +206,34 @@
 	})
 }
 
+// TestConfigureFollowsTheBackendServer builds the way to the backend server anew
+// when its address or its kind changes, and only then.
+func TestConfigureFollowsTheBackendServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, _ := newTestAgent(t, &fakeBackend{})
+		defer a.Close()
+		var built []string
+		a.Connect = func(kind runworks.ServiceKind, address string) runworks.Backend {
+			built = append(built, string(kind)+" "+address)
+			return &fakeBackend{}
+		}
+		steps := []struct {
+			kind    runworks.ServiceKind
+			address string
+		}{
+			{runworks.KindEngine, "http://a"}, {runworks.KindEngine, "http://a"},
+			{runworks.KindPlain, "http://a"}, {runworks.KindPlain, "http://b"},
+		}
+		for i, step := range steps {
+			a.Configure(config.NewInForce(int64(i+2), &runworks.Config{Services: []runworks.Service{{
+				Name: "s", Kind: step.kind, BackendServers: []runworks.BackendServer{{Name: "e1", Address: step.address, Slots: 2}},
+			}}}))
+		}
+		is.Equal(built, []string{"engine http://a", "plain http://a", "plain http://b"})
+	})
+}
+
 // TestOrphanEnds lets a run go whose reader does not come back; one with a key
 // goes on for longer.
 func TestOrphanEnds(t *testing.T) {
--- a/services/agent/dispatch.go
+++ b/services/agent/dispatch.go
@@ -77,13 +77,16 @@
 // engine's work goes on instead of being thrown away.
 func (a *Agent) copyWhole(ctx context.Context, r *run, backend runworks.Backend, body io.ReadCloser) error {
 	from := int64(0)
-	for range maxResumes {
+	for resumes := 0; ; resumes++ {
 		n, err := a.copyAnswer(ctx, r, body)
 		_ = body.Close()
 		from += n
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
+		if resumes == maxResumes {
+			return errorx.Decorate(err, "picked up %d times", resumes)
+		}
 		reply, resumeErr := backend.Resume(ctx, r.id, from)
 		if resumeErr != nil {
 			return err
@@ -91,8 +94,6 @@
 		metrics.Count(a.Metrics.Resumes)
 		body = reply.Body
 	}
-	_ = body.Close()
-	return errorx.Decorate(runworks.ErrBackend, "the answer broke %d times", maxResumes)
 }
 
 // copyAnswer copies an answer up to its end or break, and tells how much came.
--- a/services/entry/candidates.go
+++ b/services/entry/candidates.go
@@ -34,12 +34,12 @@
 	return out
 }
 
-// bestLocked asks the picker which agent gets the first ticket; nil if there is
-// none to ask for.
-func (e *Entry) bestLocked(req *runworks.Request) *link {
+// bestLocked asks the picker which agent gets the first ticket, and tells whether
+// that one seems to have a free slot; nil if there is none to ask for.
+func (e *Entry) bestLocked(req *runworks.Request) (best *link, free bool) {
 	eligible := e.eligibleLocked(req.Service)
 	if len(eligible) == 0 {
-		return nil
+		return nil, false
 	}
 	sort.Slice(eligible, func(i, j int) bool { return eligible[i].server < eligible[j].server })
 	candidates := make([]runworks.Candidate, len(eligible))
@@ -47,7 +47,8 @@
 	for i, l := range eligible {
 		candidates[i] = l.candidateLocked(now.Place(l.server).Server.Speed)
 	}
-	return eligible[e.Picker.Pick(req, candidates)]
+	i := e.Picker.Pick(req, candidates)
+	return eligible[i], candidates[i].Free()
 }
 
 func (l *link) candidateLocked(speed float64) runworks.Candidate {
@@ -59,8 +60,3 @@
 		Own: l.granted + l.standing, SentSince: l.sentSince,
 	}
 }
-
-// idleLocked says whether the agent seems to have a free slot.
-func (l *link) idleLocked() bool {
-	return max(l.beat.Running+l.beat.Waiting, l.granted+l.standing-1) < l.beat.Slots
-}
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -9,9 +9,8 @@
 	"github.com/hashicorp/go-hclog"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/runworks/runworks/modules/group"
-
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/group"
 	"github.com/runworks/runworks/modules/metrics"
 	"github.com/runworks/runworks/modules/notify"
 	"github.com/runworks/runworks/modules/rpc"
--- a/services/entry/place.go
+++ b/services/entry/place.go
@@ -75,12 +75,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.pending[p.id] = p
-	best := e.bestLocked(req)
+	best, free := e.bestLocked(req)
 	if best == nil {
 		return p
 	}
 	p.offerLocked(best)
-	if !best.idleLocked() {
+	if !free {
 		p.offerAllLocked()
 	}
 	return p
--- a/services/pick/pick.go
+++ b/services/pick/pick.go
@@ -21,7 +21,7 @@
 
 // before says whether a is the better guess than b.
 func before(a, b *runworks.Candidate) bool {
-	freeA, freeB := free(a), free(b)
+	freeA, freeB := a.Free(), b.Free()
 	switch {
 	case freeA != freeB:
 		return freeA
@@ -31,9 +31,6 @@
 	return work(a) < work(b)
 }
 
-// free says whether the agent seems to have a free slot.
-func free(c *runworks.Candidate) bool { return max(c.Running+c.Waiting, c.Own) < c.Slots }
-
 // Spread implements runworks.Picker.
 func (LeastWork) Spread() bool { return true }
 
