--- /dev/null
+++ b/cmd/runworks/front.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/runworks/runworks/daemon"
+	"github.com/runworks/runworks/modules/logging"
+	"github.com/runworks/runworks/modules/setting"
+)
+
+// addFront adds the command that runs a front.
+func addFront(app *kingpin.Application) {
+	cmd := app.Command("front", "Run a front: an entry on a platform whose store holds the routing and names the backend servers.\n\nExample: runworks front --settings /etc/runworks/settings.yaml")
+	file := cmd.Flag("settings", "The settings, a YAML file.").Required().String()
+	check := cmd.Flag("check", "Only check the settings.").Bool()
+	cmd.Action(func(*kingpin.ParseContext) error {
+		settings, err := setting.LoadFront(*file)
+		if err != nil {
+			return err
+		}
+		if *check {
+			fmt.Println("the settings are good")
+			return nil
+		}
+		ctx, stop, done := signals()
+		defer done()
+		out := logging.NewBounded(os.Stdout, settings.LogLines)
+		defer out.Close()
+		process := &daemon.Front{
+			Settings: settings, Logger: logging.New(out, "front", settings.Log.Level, settings.Log.JSON),
+			Reload: reloads(), LoadSettings: func() (*setting.Front, error) { return setting.LoadFront(*file) },
+		}
+		return process.Run(ctx, stop)
+	})
+}
+
+// reloads tells of each SIGHUP.
+func reloads() <-chan struct{} {
+	got := make(chan os.Signal, 1)
+	signal.Notify(got, syscall.SIGHUP)
+	out := make(chan struct{})
+	go func() {
+		for range got {
+			out <- struct{}{}
+		}
+	}()
+	return out
+}
--- a/cmd/runworks/main.go
+++ b/cmd/runworks/main.go
@@ -17,7 +17,7 @@
 	app := kingpin.New("runworks", "A request scheduler for unlike engines.")
 	app.HelpFlag.Short('h')
 	app.Version(daemon.Version)
-	commands := []func(*kingpin.Application){addEntry, addAgent, addApply, addCheck, addStatus, addDev, addVersion}
+	commands := []func(*kingpin.Application){addEntry, addAgent, addFront, addApply, addCheck, addStatus, addDev, addVersion}
 	for _, add := range commands {
 		add(app)
 	}
--- /dev/null
+++ b/daemon/front.go
@@ -0,0 +1,317 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+	"github.com/sourcegraph/conc"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/httpconn"
+	"github.com/runworks/runworks/modules/metrics"
+	"github.com/runworks/runworks/modules/rpc"
+	"github.com/runworks/runworks/modules/setting"
+	"github.com/runworks/runworks/modules/tcp"
+	"github.com/runworks/runworks/modules/tracing"
+	"github.com/runworks/runworks/platform"
+	"github.com/runworks/runworks/routers/operators"
+	"github.com/runworks/runworks/services/dispatch"
+	"github.com/runworks/runworks/services/forward"
+	"github.com/runworks/runworks/services/peers"
+	"github.com/runworks/runworks/services/quota"
+	"github.com/runworks/runworks/services/route"
+)
+
+const (
+	// memoryPart is the part of the memory limit that the Go heap may take: the
+	// rest is for stacks and for bytes that wait in sockets.
+	memoryPart = 0.6
+	// stopMargin is how much before the end of the grace a stop is over.
+	stopMargin = 700 * time.Millisecond
+	// headerTimeout bounds the reading of a request's head.
+	headerTimeout = 3 * time.Second
+	// idleTimeout bounds how long a caller's connection rests.
+	idleTimeout = 15 * time.Second
+)
+
+// Front runs a front by its settings.
+type Front struct {
+	Settings *setting.Front
+	Logger   hclog.Logger
+	// Reload is told to read the settings again; LoadSettings reads them.
+	Reload       <-chan struct{}
+	LoadSettings func() (*setting.Front, error)
+
+	metrics    *metrics.Set
+	tracer     trace.Tracer
+	table      *forward.Forwarder
+	dispatcher *dispatch.Dispatcher
+	quota      *quota.Quota
+	budgets    *forward.Budgets
+	exchange   *peers.Exchange
+	front      *platform.Front
+	servers    platform.Servers
+	store      *platform.Store
+	red        atomic.Bool
+	listed     atomic.Bool
+}
+
+// Run runs until stop is closed and the planned stop is over; the end of ctx
+// cuts everything.
+func (d *Front) Run(ctx context.Context, stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.limit()
+	flush, err := d.build(ctx)
+	if err != nil {
+		return err
+	}
+	defer flush()
+	list, err := d.open(ctx)
+	if err != nil {
+		return err
+	}
+	var work conc.WaitGroup
+	d.follow(ctx, &work)
+	for _, one := range list {
+		work.Go(func() { _ = one.server.Serve(one.listener) })
+	}
+	work.Go(func() { d.reload(ctx) })
+	d.Logger.Info("started", "name", d.Settings.Name, "hall", d.Settings.Hall, "version", Version, "incarnation", d.exchange.Self.Incarnation)
+	select {
+	case <-ctx.Done():
+	case <-stop:
+		d.drain(ctx, list[0].server)
+	}
+	for _, one := range list {
+		_ = one.server.Close()
+	}
+	cancel()
+	work.Wait()
+	d.Logger.Info("stopped", "name", d.Settings.Name)
+	return nil
+}
+
+// limit keeps the process inside its share of the host.
+func (d *Front) limit() {
+	if d.Settings.Cores > 0 {
+		runtime.GOMAXPROCS(d.Settings.Cores)
+	}
+	if d.Settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(d.Settings.MemoryMB<<20)))
+	}
+}
+
+// build puts the parts together; the function it gives sends the last spans.
+func (d *Front) build(ctx context.Context) (func(), error) {
+	s := d.Settings
+	var err error
+	if d.metrics, err = newMetrics(); err != nil {
+		return nil, err
+	}
+	d.tracer = tracing.None()
+	flushSpans := func() {}
+	if s.Traces.Endpoint != "" {
+		provider, err := tracing.NewProvider(ctx, s.Traces.Endpoint, s.Name, s.Traces.Sampled)
+		if err != nil {
+			return nil, err
+		}
+		d.tracer = provider.Tracer()
+		flushSpans = func() { flush(provider) }
+	}
+	dial := tcp.Options{Silence: s.Silence}.Dial
+	d.dispatcher = &dispatch.Dispatcher{Hall: s.Hall}
+	d.quota = &quota.Quota{}
+	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack}
+	d.table = &forward.Forwarder{
+		Dispatcher: d.dispatcher, Quota: d.quota, Budgets: d.budgets, Logger: d.Logger, Metrics: d.metrics, Tracer: d.tracer,
+		Sender: &platform.Sender{Pool: &httpconn.Pool{Dial: dial, Recognise: platform.Recognise}},
+	}
+	d.front = &platform.Front{Forwarder: d.table, Logger: d.Logger, MaxBodyBytes: s.MaxBodyBytes}
+	d.store = &platform.Store{Address: s.Store, Client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}}}
+	d.exchange = &peers.Exchange{
+		Self: peers.Member{Name: s.Name, Address: s.Peers, Incarnation: runworks.NewIncarnation()},
+		Dial: dial, Keys: rpc.FleetKeys(s.FleetKeys), Logger: d.Logger,
+		Beat: d.beat, OnBeat: d.onBeat, OnGone: d.onGone,
+	}
+	return flushSpans, nil
+}
+
+// listening is a server with its listener.
+type listening struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+// open opens all listeners; the callers' is the first.
+func (d *Front) open(ctx context.Context) ([]listening, error) {
+	s := d.Settings
+	forOperators := &operators.Routes{Ready: d.ready, Metrics: d.metrics, Status: func() any { return d.status() }}
+	list := []struct {
+		what, address string
+		handler       http.Handler
+	}{
+		{"callers", s.Listen, d.front},
+		{"balancer", s.Ready, platform.ReadyHandler(d.ready)},
+		{"fronts", s.Peers, d.exchange},
+		{"operators", s.Operators, forOperators.Handler()},
+	}
+	var out []listening
+	for _, one := range list {
+		l, err := tcp.Options{Silence: s.Silence}.Listen(ctx, one.address)
+		if err != nil {
+			for _, opened := range out {
+				_ = opened.listener.Close()
+			}
+			return nil, errorx.Decorate(err, "listen for %s on %s", one.what, one.address)
+		}
+		server := &http.Server{Handler: one.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: d.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
+		out = append(out, listening{server: server, listener: l})
+		d.Logger.Info("listening", "for", one.what, "address", l.Addr().String())
+	}
+	return out, nil
+}
+
+// follow starts what keeps this front's knowledge up to date.
+func (d *Front) follow(ctx context.Context, work *conc.WaitGroup) {
+	routing := &platform.Watch{Store: d.store, Topic: platform.TopicOperators, Logger: d.Logger, OnState: d.onRouting, OnChange: d.onRouting}
+	servers := &platform.Watch{Store: d.store, Topic: platform.TopicServers, Logger: d.Logger}
+	servers.OnState = func(records []platform.Record) { d.onServers(records, d.servers.Reset) }
+	servers.OnChange = func(records []platform.Record) { d.onServers(records, d.servers.Apply) }
+	members := &platform.Members{Store: d.store, Self: d.exchange.Self, Logger: d.Logger, OnMembers: d.exchange.SetMembers}
+	work.Go(func() { d.exchange.Run(ctx) })
+	work.Go(func() { routing.Run(ctx) })
+	work.Go(func() { servers.Run(ctx) })
+	work.Go(func() { members.Run(ctx) })
+}
+
+// onRouting puts the newest document in force; it never goes back to an older one.
+func (d *Front) onRouting(records []platform.Record) {
+	for _, r := range records {
+		if r.Key != platform.KeyRouting || len(r.Value) == 0 {
+			continue
+		}
+		routing, err := platform.DecodeRouting(r.Value)
+		if err != nil {
+			d.Logger.Error("routing refused, the one in force stays", "error", err.Error())
+			continue
+		}
+		old := d.table.Table.Load()
+		if old != nil && old.Routing.Version >= routing.Version {
+			continue
+		}
+		d.table.Table.Store(route.NewTable(routing))
+		d.Logger.Info("routing in force", "routing_version", routing.Version, "routes", len(routing.Routes), "customers", len(routing.Customers))
+	}
+}
+
+// onServers puts the list of backend servers in force.
+func (d *Front) onServers(records []platform.Record, take func([]platform.Record) error) {
+	if err := take(records); err != nil {
+		d.Logger.Error("the record of a backend server can't be read", "error", err.Error())
+	}
+	added, left := d.dispatcher.Replace(d.servers.List())
+	d.listed.Store(true)
+	for _, one := range added {
+		d.Logger.Info("backend server known", "server", one.ID, "service", one.Service, "address", one.Address, "hall", one.Hall, "leaving", one.Leaving)
+	}
+	for _, one := range left {
+		d.Logger.Info("backend server leaves", "server", one.ID, "service", one.Service, "address", one.Address)
+	}
+}
+
+func (d *Front) beat() peers.Beat {
+	b := peers.Beat{Running: d.dispatcher.Running(), Drawn: d.quota.Drawn()}
+	if table := d.table.Table.Load(); table != nil {
+		b.RoutingVersion = table.Routing.Version
+	}
+	return b
+}
+
+func (d *Front) onBeat(now time.Time, b *peers.Beat) {
+	running := b.Running
+	if running == nil {
+		running = map[string]int{}
+	}
+	d.dispatcher.Report(b.From.Incarnation, running)
+	d.quota.Report(now, b.From.Incarnation, b.Drawn)
+	d.budgets.SetEntries(d.exchange.Live() + 1)
+}
+
+func (d *Front) onGone(from runworks.Incarnation) {
+	d.dispatcher.Report(from, nil)
+}
+
+// ready says whether the front can take calls.
+func (d *Front) ready() error {
+	switch {
+	case d.red.Load():
+		return runworks.ErrStopping
+	case d.table.Table.Load() == nil:
+		return runworks.ErrNotReady
+	case !d.listed.Load():
+		return errorx.Decorate(runworks.ErrNotReady, "no list of backend servers was read")
+	}
+	return nil
+}
+
+// FrontStatus is what a front tells operators.
+type FrontStatus struct {
+	RoutingVersion int64           `json:"routing_version"`
+	Fronts         int             `json:"fronts"`
+	Servers        []dispatch.Load `json:"servers"`
+	Waiting        map[string]int  `json:"waiting"`
+}
+
+func (d *Front) status() FrontStatus {
+	out := FrontStatus{Fronts: d.exchange.Live() + 1, Servers: d.dispatcher.Loads(), Waiting: d.dispatcher.Waiting()}
+	if table := d.table.Table.Load(); table != nil {
+		out.RoutingVersion = table.Routing.Version
+	}
+	return out
+}
+
+// reload puts changed settings in force where that needs no start.
+func (d *Front) reload(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.Reload:
+		}
+		s, err := d.LoadSettings()
+		if err != nil {
+			d.Logger.Error("settings refused, the ones in force stay", "error", err.Error())
+			continue
+		}
+		d.budgets.SetRates(s.RetryRatio, s.RetrySlack)
+		d.Logger.Info("settings read again", "retry_ratio", s.RetryRatio, "retry_slack", s.RetrySlack)
+	}
+}
+
+// drain turns readiness red, goes on until the balancer has noticed, and then
+// finishes what is there.
+func (d *Front) drain(ctx context.Context, server *http.Server) {
+	end := time.Now().Add(d.Settings.Grace - stopMargin)
+	d.red.Store(true)
+	d.front.Closing.Store(true)
+	d.Logger.Info("planned stop: not ready from now on", "stop_notice", d.Settings.StopNotice.String(), "grace", d.Settings.Grace.String())
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(d.Settings.StopNotice):
+	}
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		d.Logger.Warn("planned stop cut short", "error", err.Error())
+	}
+}
--- a/errors.go
+++ b/errors.go
@@ -23,6 +23,12 @@
 	ErrUnknownService = plain("unknown_service", "no service has this name")
 	// ErrNoRule says that no rule lets the customer use the service this way.
 	ErrNoRule = plain("no_rule", "no rule allows this customer, kind and service")
+	// ErrNoRoute says that no route fits the host and path.
+	ErrNoRoute = plain("no_route", "no route fits this host and path")
+	// ErrNoServer says that no backend server of the service is known.
+	ErrNoServer = plain("no_server", "no backend server of this service is known")
+	// ErrTurnedAway says that the backend servers that were asked turned the call away.
+	ErrTurnedAway = plain("turned_away", "the backend servers turned the call away")
 	// ErrLimit says that a limit of the customer is reached.
 	ErrLimit = plain("customer_limit", "a limit of the customer is reached")
 	// ErrShortage says that every eligible backend server refused the request.
--- /dev/null
+++ b/inbound.go
@@ -0,0 +1,74 @@
+package runworks
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// Inbound is one attempt of a caller, decoded by the front door.
+type Inbound struct {
+	// ID is the caller's, new for each attempt.
+	ID     RequestID
+	Method string
+	// Target is path and query with their escapes, as they came.
+	Target string
+	Host   string
+	// Path is the target's path with its escapes.
+	Path string
+	// Header is what is passed on to a backend server.
+	Header http.Header
+	Body   []byte
+	// Key tells who calls; empty if none was sent.
+	Key string
+	// Received is when the call had been read.
+	Received time.Time
+	// Timeout is how long the caller waits from Received on; 0 is not told.
+	Timeout time.Duration
+	// PromptTokens and MaxTokens are the sizes that the caller states; 0 if not.
+	PromptTokens int
+	MaxTokens    int
+	// ExpectedTokens is the caller's guess of the answer's length; 0 if none.
+	ExpectedTokens int
+	// Subject names the last part of the prompt; equal ones share memory of the
+	// prompt at an engine. Empty if not told.
+	Subject string
+}
+
+// Tokens is what the call costs of a customer's limit; plain is the cost of a
+// call that states no tokens.
+func (in *Inbound) Tokens(plain float64) float64 {
+	if in.PromptTokens+in.MaxTokens == 0 {
+		return plain
+	}
+	return float64(in.PromptTokens + in.MaxTokens)
+}
+
+// Send is one call to one backend server.
+type Send struct {
+	Inbound *Inbound
+	To      Instance
+	// Customer is told to the backend server; empty if nobody is known.
+	Customer string
+	// Left is the time that the backend server may work on it.
+	Left time.Duration
+	// LastEvent is the last event of a stream that is to go on; empty at first.
+	LastEvent string
+}
+
+// ServerReply is a backend server's answer; the caller closes Body.
+type ServerReply struct {
+	Reply
+	// NotRun is the backend server's word that it did not run the call.
+	NotRun bool
+	// Gone says that another backend server has this address now.
+	Gone bool
+	// Leaving says that the backend server closes the connection behind this answer.
+	Leaving bool
+}
+
+// Sender sends one call to a backend server, at most once. The error is
+// ErrNotDispatched only if the call provably never left, else ErrBackend.
+type Sender interface {
+	Send(ctx context.Context, s *Send) (*ServerReply, error)
+}
--- /dev/null
+++ b/modules/httpconn/pool.go
@@ -0,0 +1,162 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/runworks/runworks"
+)
+
+// Defaults of a pool.
+const (
+	// DefaultDialTimeout bounds the opening of a connection on a network of one
+	// region.
+	DefaultDialTimeout = time.Second
+	// DefaultIdle is how long an unused connection is kept where the server
+	// states no time of its own.
+	DefaultIdle = 10 * time.Second
+	// DefaultMaxIdle bounds the unused connections to one address.
+	DefaultMaxIdle = 32
+	// idleMargin is how much earlier than the server an unused connection is
+	// let go, for the way there.
+	idleMargin = 500 * time.Millisecond
+)
+
+// Pool keeps connections by address; set the exported fields before use.
+type Pool struct {
+	// Dial opens connections.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// DialTimeout, Idle and MaxIdle are the defaults above if zero.
+	DialTimeout time.Duration
+	Idle        time.Duration
+	MaxIdle     int
+	// Recognise says whether an answer belongs to a request; nil takes any.
+	Recognise func(req *http.Request, res *http.Response) bool
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+}
+
+// conn is one connection, used by one request at a time.
+type conn struct {
+	net.Conn
+	address string
+	br      *bufio.Reader
+	reused  bool
+	expires time.Time
+	// keepFor is the idle time that the server stated last; 0 if none.
+	keepFor time.Duration
+}
+
+// get gives a kept connection or opens one; the error is ErrNotDispatched.
+func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+	for {
+		c := p.takeIdle(address)
+		if c == nil {
+			break
+		}
+		if time.Now().Before(c.expires) && c.quiet() {
+			c.reused = true
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	ctx, cancel := context.WithTimeout(ctx, orDuration(p.DialTimeout, DefaultDialTimeout))
+	defer cancel()
+	raw, err := p.Dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, errorx.Decorate(runworks.ErrNotDispatched, "reach %s: %v", address, err)
+	}
+	return &conn{Conn: raw, address: address, br: bufio.NewReader(raw)}, nil
+}
+
+func (p *Pool) takeIdle(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+// put keeps a connection for the next request.
+func (p *Pool) put(c *conn) {
+	keep := orDuration(p.Idle, DefaultIdle)
+	if c.keepFor > 0 {
+		keep = min(keep, c.keepFor-idleMargin)
+	}
+	if keep <= 0 {
+		_ = c.Close()
+		return
+	}
+	c.expires = time.Now().Add(keep)
+	maxIdle := p.MaxIdle
+	if maxIdle == 0 {
+		maxIdle = DefaultMaxIdle
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.address]) >= maxIdle {
+		_ = c.Close()
+		return
+	}
+	if p.idle == nil {
+		p.idle = make(map[string][]*conn)
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// Forget closes the unused connections to an address.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		_ = c.Close()
+	}
+}
+
+// Close closes all unused connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, list := range idle {
+		for _, c := range list {
+			_ = c.Close()
+		}
+	}
+}
+
+// noteKeepAlive reads the idle time that a server states.
+func (c *conn) noteKeepAlive(res *http.Response) {
+	for _, part := range strings.Split(res.Header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if n, err := strconv.Atoi(value); err == nil {
+			c.keepFor = time.Duration(n) * time.Second
+		}
+	}
+}
+
+func orDuration(d, otherwise time.Duration) time.Duration {
+	if d == 0 {
+		return otherwise
+	}
+	return d
+}
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -168,27 +168,39 @@
 	m.address("listen", c.Listen)
 	m.address("operators", c.Operators)
 	m.url("log_service", c.LogService)
-	if len(c.FleetKeys) == 0 {
+	m.fleetKeys(c.FleetKeys)
+	m.positive("config_poll", c.ConfigPoll)
+	m.positive("restate_every", c.RestateEvery)
+	m.positive("stop_limit", c.StopLimit)
+	m.log(&c.Log)
+	m.traces(&c.Traces)
+}
+
+func (m *mistakes) fleetKeys(keys []string) {
+	if len(keys) == 0 {
 		m.add("fleet_keys", "at least one key is needed")
 	}
-	for i, key := range c.FleetKeys {
+	for i, key := range keys {
 		if len(key) < minFleetKeyBytes {
 			m.add(fmt.Sprintf("fleet_keys[%d]", i), "shorter than %d bytes", minFleetKeyBytes)
 		}
 	}
-	m.positive("config_poll", c.ConfigPoll)
-	m.positive("restate_every", c.RestateEvery)
-	m.positive("stop_limit", c.StopLimit)
-	switch c.Log.Level {
+}
+
+func (m *mistakes) log(l *Log) {
+	switch l.Level {
 	case "", "trace", "debug", "info", "warn", "error":
 	default:
-		m.add("log.level", "%q is none of trace, debug, info, warn, error", c.Log.Level)
+		m.add("log.level", "%q is none of trace, debug, info, warn, error", l.Level)
 	}
-	if c.Traces.Endpoint != "" {
-		m.url("traces.endpoint", c.Traces.Endpoint)
+}
+
+func (m *mistakes) traces(t *Traces) {
+	if t.Endpoint != "" {
+		m.url("traces.endpoint", t.Endpoint)
 	}
-	if c.Traces.Sampled < 0 || c.Traces.Sampled > 1 {
-		m.add("traces.sampled", "%g is not from 0 to 1", c.Traces.Sampled)
+	if t.Sampled < 0 || t.Sampled > 1 {
+		m.add("traces.sampled", "%g is not from 0 to 1", t.Sampled)
 	}
 }
 
--- /dev/null
+++ b/services/dispatch/dispatch.go
@@ -0,0 +1,270 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/services/ticket"
+)
+
+const (
+	// DefaultMaxWaiting bounds the calls that wait at an entry for one service.
+	DefaultMaxWaiting = 2000
+	// recheck is how often waiting calls are looked at without an event: the
+	// suspensions above end by themselves.
+	recheck = 50 * time.Millisecond
+	// rankSteps spreads the ranks, so that a call that missed its target stands
+	// between its own rank and the next.
+	rankSteps = 2
+)
+
+// Ask is a call that wants a backend server.
+type Ask struct {
+	ID       runworks.RequestID
+	Service  string
+	Rank     int
+	Customer string
+	// PromptTokens and MaxTokens are the sizes that the caller states.
+	PromptTokens int
+	MaxTokens    int
+	// Target is when the answer, or the first event, is expected.
+	Target time.Time
+	// Deadline is when the call is given up.
+	Deadline time.Time
+	// Avoid are the ids of the servers that had the call already.
+	Avoid []string
+}
+
+// Dispatcher places the calls of one entry; set the exported fields before use.
+type Dispatcher struct {
+	// Hall is where the entry stands.
+	Hall string
+	// MaxWaiting is DefaultMaxWaiting if zero.
+	MaxWaiting int
+
+	mu       sync.Mutex
+	servers  map[string]*server
+	services map[string]*service
+	peers    map[runworks.Incarnation]map[string]int
+}
+
+// service holds the backend servers of a service and the calls that wait.
+type service struct {
+	name    string
+	servers []*server
+	queue   ticket.Queue
+	asks    map[runworks.RequestID]*waiter
+}
+
+// waiter is a call that waits.
+type waiter struct {
+	ask   *Ask
+	lease chan *Lease
+	late  bool
+}
+
+// Lease is a call's right to one slot of a backend server.
+type Lease struct {
+	Instance runworks.Instance
+
+	dispatcher *Dispatcher
+	server     *server
+	service    string
+	once       sync.Once
+}
+
+// Release gives the slot back and says how the call ended.
+func (l *Lease) Release(r Result) {
+	l.once.Do(func() {
+		d := l.dispatcher
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		l.server.own--
+		l.server.note(time.Now(), r)
+		d.pumpLocked(d.services[l.service])
+	})
+}
+
+// Pace records the time between two events of the call's stream.
+func (l *Lease) Pace(gap time.Duration) {
+	l.dispatcher.mu.Lock()
+	defer l.dispatcher.mu.Unlock()
+	l.server.notePace(gap)
+}
+
+// Acquire waits until a backend server is free for the call. The errors are
+// ErrNoServer if none is known, ErrShortage if too many wait, ErrTimeLimit at
+// the call's deadline, and the cause of ctx.
+func (d *Dispatcher) Acquire(ctx context.Context, ask *Ask) (*Lease, error) {
+	w, lease, err := d.enter(ask)
+	if lease != nil || err != nil {
+		return lease, err
+	}
+	target := time.NewTimer(time.Until(ask.Target))
+	defer target.Stop()
+	deadline := time.NewTimer(time.Until(ask.Deadline))
+	defer deadline.Stop()
+	again := time.NewTicker(recheck)
+	defer again.Stop()
+	for {
+		select {
+		case lease := <-w.lease:
+			return granted(lease)
+		case <-target.C:
+			d.demote(w)
+		case <-again.C:
+			d.pump(ask.Service)
+		case <-deadline.C:
+			return d.leave(w, runworks.ErrTimeLimit)
+		case <-ctx.Done():
+			return d.leave(w, context.Cause(ctx))
+		}
+	}
+}
+
+// granted gives the lease that a waiter received; a closed channel gives none.
+func granted(lease *Lease) (*Lease, error) {
+	if lease == nil {
+		return nil, runworks.ErrShortage
+	}
+	return lease, nil
+}
+
+// enter takes a free slot at once, or puts the call among those that wait.
+func (d *Dispatcher) enter(ask *Ask) (*waiter, *Lease, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.services[ask.Service]
+	if s == nil || !s.any(ask) {
+		return nil, nil, runworks.ErrNoServer
+	}
+	w := &waiter{ask: ask, lease: make(chan *Lease, 1)}
+	if !d.waitLocked(s, w) {
+		return nil, nil, runworks.ErrShortage
+	}
+	d.pumpLocked(s)
+	select {
+	case lease := <-w.lease:
+		lease, err := granted(lease)
+		return nil, lease, err
+	default:
+		return w, nil, nil
+	}
+}
+
+// waitLocked puts a call in the queue of its service; false if it is full.
+func (d *Dispatcher) waitLocked(s *service, w *waiter) bool {
+	rank := rankSteps * w.ask.Rank
+	if w.late {
+		rank++
+	}
+	t := &ticket.Waiting{
+		Ticket: runworks.Ticket{
+			ID: w.ask.ID, Service: w.ask.Service, Tier: rank, Customer: w.ask.Customer,
+			PromptTokens: w.ask.PromptTokens, MaxTokens: w.ask.MaxTokens,
+		},
+		Deadline: w.ask.Deadline,
+	}
+	verdict, dropped := s.queue.Offer(time.Now(), t, func(int) int { return 0 })
+	if dropped != nil {
+		s.drop(dropped.ID)
+	}
+	if verdict != ticket.Taken {
+		return false
+	}
+	s.asks[w.ask.ID] = w
+	return true
+}
+
+// drop gives up a call whose place went to a higher tier.
+func (s *service) drop(id runworks.RequestID) {
+	if w := s.asks[id]; w != nil {
+		delete(s.asks, id)
+		close(w.lease)
+	}
+}
+
+// demote puts a call that missed its target behind those of its rank that can
+// still meet theirs.
+func (d *Dispatcher) demote(w *waiter) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.services[w.ask.Service]
+	if s == nil || s.queue.Remove(w.ask.ID) == nil {
+		return
+	}
+	w.late = true
+	delete(s.asks, w.ask.ID)
+	if !d.waitLocked(s, w) {
+		close(w.lease)
+	}
+}
+
+// leave takes a call out of the queue; a lease that came in the meantime wins.
+func (d *Dispatcher) leave(w *waiter, err error) (*Lease, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case lease := <-w.lease:
+		return granted(lease)
+	default:
+	}
+	if s := d.services[w.ask.Service]; s != nil {
+		s.queue.Remove(w.ask.ID)
+		delete(s.asks, w.ask.ID)
+	}
+	return nil, err
+}
+
+func (d *Dispatcher) pump(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pumpLocked(d.services[name])
+}
+
+// pumpLocked gives free slots to the calls that wait, the first by tier first.
+func (d *Dispatcher) pumpLocked(s *service) {
+	if s == nil {
+		return
+	}
+	now := time.Now()
+	var passed []*waiter
+	for s.queue.Len() > 0 {
+		open := s.open(now)
+		if len(open) == 0 {
+			break
+		}
+		t := s.queue.Pop(now, func(int) bool { return true })
+		if t == nil {
+			break
+		}
+		w := s.asks[t.ID]
+		delete(s.asks, t.ID)
+		to := d.choose(s, open, w.ask)
+		if to == nil {
+			passed = append(passed, w)
+			continue
+		}
+		to.own++
+		w.lease <- &Lease{Instance: to.Instance, dispatcher: d, server: to, service: s.name}
+	}
+	for _, w := range passed {
+		if !d.waitLocked(s, w) {
+			close(w.lease)
+		}
+	}
+}
+
+// any says whether a backend server is known that the call may go to.
+func (s *service) any(ask *Ask) bool {
+	for _, one := range s.servers {
+		if !one.Leaving && !slices.Contains(ask.Avoid, one.ID) {
+			return true
+		}
+	}
+	return false
+}
+
--- /dev/null
+++ b/services/dispatch/fleet.go
@@ -0,0 +1,162 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/services/ticket"
+)
+
+// Replace puts the list of backend servers in force. A server that is on it no
+// more is leaving: what it runs goes on, and it gets nothing new. The result
+// holds the instances that are new, and those that left.
+func (d *Dispatcher) Replace(list []runworks.Instance) (added, left []runworks.Instance) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.servers
+	d.servers = make(map[string]*server, len(list))
+	for _, one := range list {
+		s := old[one.ID]
+		if s == nil {
+			s = &server{}
+			added = append(added, one)
+		} else if one.Leaving && !s.Leaving {
+			left = append(left, one)
+		}
+		s.Instance = one
+		d.servers[one.ID] = s
+	}
+	for id, s := range old {
+		if d.servers[id] == nil {
+			if !s.Leaving {
+				left = append(left, s.Instance)
+			}
+			s.Leaving = true
+		}
+	}
+	d.regroupLocked()
+	d.shareLocked()
+	return added, left
+}
+
+// regroupLocked deals the servers out to their services again.
+func (d *Dispatcher) regroupLocked() {
+	if d.services == nil {
+		d.services = make(map[string]*service)
+	}
+	for _, s := range d.services {
+		s.servers = nil
+	}
+	for _, one := range d.servers {
+		s := d.services[one.Service]
+		if s == nil {
+			s = d.newService(one.Service)
+			d.services[one.Service] = s
+		}
+		s.servers = append(s.servers, one)
+	}
+	for _, s := range d.services {
+		d.pumpLocked(s)
+	}
+}
+
+func (d *Dispatcher) newService(name string) *service {
+	maxWaiting := d.MaxWaiting
+	if maxWaiting == 0 {
+		maxWaiting = DefaultMaxWaiting
+	}
+	return &service{
+		name: name, asks: make(map[runworks.RequestID]*waiter),
+		queue: ticket.Queue{MaxWaiting: maxWaiting},
+	}
+}
+
+// Running gives how many calls of this entry each backend server has.
+func (d *Dispatcher) Running() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make(map[string]int)
+	for id, s := range d.servers {
+		if s.own > 0 {
+			out[id] = s.own
+		}
+	}
+	return out
+}
+
+// Report takes how many calls another entry has at each backend server; nil
+// forgets that entry.
+func (d *Dispatcher) Report(from runworks.Incarnation, running map[string]int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.peers == nil {
+		d.peers = make(map[runworks.Incarnation]map[string]int)
+	}
+	if running == nil {
+		delete(d.peers, from)
+	} else {
+		d.peers[from] = running
+	}
+	d.shareLocked()
+	for _, s := range d.services {
+		d.pumpLocked(s)
+	}
+}
+
+// shareLocked adds up what the other entries have at each server.
+func (d *Dispatcher) shareLocked() {
+	for _, s := range d.servers {
+		s.others = 0
+	}
+	for _, running := range d.peers {
+		for id, n := range running {
+			if s := d.servers[id]; s != nil {
+				s.others += n
+			}
+		}
+	}
+}
+
+// Load is the state of one backend server for operators.
+type Load struct {
+	ID        string    `json:"id"`
+	Service   string    `json:"service"`
+	Hall      string    `json:"hall"`
+	Slots     int       `json:"slots"`
+	Own       int       `json:"own"`
+	Others    int       `json:"others"`
+	Leaving   bool      `json:"leaving,omitempty"`
+	Suspended time.Time `json:"suspended_until,omitzero"`
+}
+
+// Loads gives the state of all backend servers.
+func (d *Dispatcher) Loads() []Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]Load, 0, len(d.servers))
+	for _, s := range d.servers {
+		out = append(out, Load{
+			ID: s.ID, Service: s.Service, Hall: s.Hall, Slots: s.Slots, Own: s.own, Others: s.others,
+			Leaving: s.Leaving, Suspended: s.suspended,
+		})
+	}
+	return out
+}
+
+// Waiting gives how many calls wait for each service.
+func (d *Dispatcher) Waiting() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make(map[string]int, len(d.services))
+	for name, s := range d.services {
+		out[name] = s.queue.Len()
+	}
+	return out
+}
+
+// Known says whether any backend server is known.
+func (d *Dispatcher) Known() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.servers) > 0
+}
--- /dev/null
+++ b/services/dispatch/server.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/runworks/runworks"
+)
+
+// Health of a backend server is judged by the calls of this entry alone.
+const (
+	// failuresToSuspend is how many calls in a row must fail without an answer
+	// before a backend server is left out: one may be chance.
+	failuresToSuspend = 2
+	// firstSuspension doubles with each further failure up to lastSuspension, so
+	// that a server that is back is used again within a few seconds.
+	firstSuspension = 250 * time.Millisecond
+	lastSuspension  = 4 * time.Second
+	// fullPause is how long a server that turned a call away as full is left out:
+	// about the time in which one of its slots becomes free.
+	fullPause = 30 * time.Millisecond
+	// paceWeight is the weight of the newest call in the average pace.
+	paceWeight = 0.2
+)
+
+// server is a backend server as this entry knows it.
+type server struct {
+	runworks.Instance
+	// own is how many calls of this entry it has now.
+	own int
+	// others is how many calls the other entries said they have there.
+	others int
+	// failures is how many calls in a row failed without an answer.
+	failures int
+	// suspended is until when it is left out, if others can do the work.
+	suspended time.Time
+	// full is until when it is taken to be full.
+	full time.Time
+	// pace is the average time between events in seconds; 0 is not known.
+	pace float64
+}
+
+func (s *server) load() int { return s.own + s.others }
+
+// room says whether the server has a free slot, as far as is known.
+func (s *server) room(now time.Time) bool {
+	return !s.Leaving && !now.Before(s.full) && s.load() < s.Slots
+}
+
+// healthy says whether calls may be sent there as long as others can do the work.
+func (s *server) healthy(now time.Time) bool { return !s.Leaving && !now.Before(s.suspended) }
+
+// note records how a call ended.
+func (s *server) note(now time.Time, r Result) {
+	switch r {
+	case Served:
+		s.failures = 0
+		s.suspended = time.Time{}
+	case TurnedAway:
+		s.full = now.Add(fullPause)
+	case Unreachable, Broken:
+		s.failures++
+		if r == Unreachable || s.failures >= failuresToSuspend {
+			wait := firstSuspension << min(s.failures, 5)
+			s.suspended = now.Add(min(wait, lastSuspension))
+		}
+	case Moved:
+		s.Leaving = true
+	case Abandoned:
+	}
+}
+
+// notePace records the time between two events of a stream.
+func (s *server) notePace(gap time.Duration) {
+	if s.pace == 0 {
+		s.pace = gap.Seconds()
+		return
+	}
+	s.pace += paceWeight * (gap.Seconds() - s.pace)
+}
+
+// Result says how a call at a backend server ended.
+type Result int
+
+// The results of a call.
+const (
+	// Served means that the server gave a whole answer.
+	Served Result = iota
+	// TurnedAway means that the server said that it did not run the call.
+	TurnedAway
+	// Unreachable means that no byte of the call left.
+	Unreachable
+	// Broken means that the call was sent and no whole answer came.
+	Broken
+	// Moved means that another backend server has the address.
+	Moved
+	// Abandoned means that the caller left or the time was over.
+	Abandoned
+)
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/runworks/runworks/modules/rpc"
 	"github.com/runworks/runworks/services/config"
 	"github.com/runworks/runworks/services/pick"
+	"github.com/runworks/runworks/services/retry"
 )
 
 // Defaults of an entry's times.
@@ -59,7 +60,7 @@
 	incarnation runworks.Incarnation
 	work        group.Group
 	client      *http.Client
-	retries     budget
+	retries     retry.Budget
 
 	mu       sync.Mutex
 	members  map[string]*member
@@ -83,6 +84,7 @@
 		e.HostsPoll = DefaultHostsPoll
 	}
 	e.incarnation = runworks.NewIncarnation()
+	e.retries.Earned, e.retries.Most = retryEarned, retryMost
 	e.members = make(map[string]*member)
 	e.links = make(map[*link]struct{})
 	e.pending = make(map[runworks.RequestID]*pending)
--- a/services/entry/place_test.go
+++ b/services/entry/place_test.go
@@ -117,13 +117,14 @@
 // TestRetryBudget spends no more retries than a tenth of the requests earned.
 func TestRetryBudget(t *testing.T) {
 	is := is.New(t)
-	var b budget
-	is.True(!b.spend()) // nothing earned yet
+	e := &Entry{Logger: hclog.NewNullLogger()}
+	e.Start()
+	is.True(!e.retries.Spend()) // nothing earned yet
 	for range 1000 {
-		b.earn()
+		e.retries.Earn()
 	}
 	n := 0
-	for b.spend() {
+	for e.retries.Spend() {
 		n++
 	}
 	is.Equal(n, int(retryMost))
--- /dev/null
+++ b/services/forward/forward.go
@@ -0,0 +1,262 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/metrics"
+	"github.com/runworks/runworks/modules/tracing"
+	"github.com/runworks/runworks/services/dispatch"
+	"github.com/runworks/runworks/services/quota"
+	"github.com/runworks/runworks/services/route"
+)
+
+// When callers are told to come back.
+const (
+	// retryNotReady is about the time that an entry needs to read its state.
+	retryNotReady = time.Second
+	// retryShort is about the time in which a queue of refused calls passes.
+	retryShort = 500 * time.Millisecond
+	// retryTurnedAway is some times the time in which a slot becomes free.
+	retryTurnedAway = 200 * time.Millisecond
+)
+
+const (
+	// defaultTimeout bounds a call whose caller and route name no time.
+	defaultTimeout = 30 * time.Second
+	// maxSends bounds the backend servers that are asked for one call, those
+	// that turned it away included: each takes a part of the retry budget.
+	maxSends = 4
+)
+
+// Forwarder owns the calls of one entry; set the exported fields before use.
+type Forwarder struct {
+	// Table is the routing in force; nil as long as none was read.
+	Table      atomic.Pointer[route.Table]
+	Dispatcher *dispatch.Dispatcher
+	Quota      *quota.Quota
+	Budgets    *Budgets
+	Sender     runworks.Sender
+	Logger     hclog.Logger
+	Metrics    *metrics.Set
+	Tracer     trace.Tracer
+}
+
+// call is one call on its way.
+type call struct {
+	f      *Forwarder
+	in     *runworks.Inbound
+	cancel context.CancelFunc
+
+	table    *route.Table
+	route    *runworks.Route
+	customer *runworks.RoutedCustomer
+	service  string
+	deadline time.Time
+	rank     int
+
+	// tried are the servers that had the call, and ran counts those of them that
+	// may have run it.
+	tried []string
+	ran   int
+	// waited is the time spent in the queue.
+	waited time.Duration
+	// last is the server that the call went to last.
+	last runworks.Instance
+	// firstByte is when the answer's head was there; zero if it never was.
+	firstByte time.Time
+}
+
+// Serve gives the answer to a call; the error is a *runworks.Failure. The caller
+// of Serve closes the answer's body. The end of ctx gives the call up.
+func (f *Forwarder) Serve(ctx context.Context, in *runworks.Inbound) (*runworks.Reply, error) {
+	c := &call{f: f, in: in}
+	ctx, span := f.Tracer.Start(ctx, tracing.SpanEntry)
+	defer span.End()
+	if failure := c.admit(); failure != nil {
+		c.finish(failure.Outcome, 0, failure.Err)
+		return nil, failure
+	}
+	ctx, c.cancel = context.WithDeadlineCause(ctx, c.deadline, runworks.ErrTimeLimit)
+	reply, failure := c.serve(ctx)
+	if failure != nil {
+		c.finish(failure.Outcome, 0, failure.Err)
+		return nil, failure
+	}
+	return reply, nil
+}
+
+// admit finds route, customer and service, and draws on the customer's limit.
+func (c *call) admit() *runworks.Failure {
+	now := time.Now()
+	if c.table = c.f.Table.Load(); c.table == nil {
+		return runworks.NotRun(runworks.ErrNotReady, retryNotReady)
+	}
+	var err error
+	if c.route, err = c.table.Route(c.in.Host, c.in.Path); err != nil {
+		return runworks.NotRun(err, 0)
+	}
+	if c.customer, err = c.table.Customer(c.route, c.in.Key); err != nil {
+		return runworks.NotRun(err, 0)
+	}
+	c.rank = c.route.Rank
+	if c.customer != nil {
+		if c.customer.Rank != nil {
+			c.rank = *c.customer.Rank
+		}
+		if wait := c.f.Quota.Take(now, c.customer, c.in.Tokens(c.customer.TokensPerCall)); wait > 0 {
+			return runworks.NotRun(runworks.ErrLimit, wait)
+		}
+	}
+	c.service = route.Share(c.route, c.in.ID)
+	c.deadline = c.in.Received.Add(c.allowed())
+	c.f.Budgets.Earn(c.service)
+	return nil
+}
+
+// allowed is how long the call is held at most.
+func (c *call) allowed() time.Duration {
+	allowed := defaultTimeout
+	if c.route.Timeout > 0 {
+		allowed = c.route.Timeout
+	}
+	if c.in.Timeout > 0 {
+		allowed = min(allowed, c.in.Timeout)
+	}
+	return allowed
+}
+
+// serve sends the call until there is an answer, or nothing more may be tried.
+func (c *call) serve(ctx context.Context) (*runworks.Reply, *runworks.Failure) {
+	for {
+		lease, failure := c.acquire(ctx)
+		if failure != nil {
+			return nil, failure
+		}
+		reply, failure := c.attempt(ctx, lease, "")
+		if failure == nil {
+			return c.answer(ctx, lease, reply)
+		}
+		if !c.mayTryAgain(ctx, failure) {
+			return nil, failure
+		}
+		metrics.Count(c.f.Metrics.Retries, metrics.Cause(string(failure.Outcome)))
+	}
+}
+
+// acquire waits for a backend server.
+func (c *call) acquire(ctx context.Context) (*dispatch.Lease, *runworks.Failure) {
+	began := time.Now()
+	lease, err := c.f.Dispatcher.Acquire(ctx, c.ask())
+	c.waited += time.Since(began)
+	metrics.Observe(c.f.Metrics.WaitSeconds, time.Since(began).Seconds(), metrics.Rank(c.rank))
+	if err == nil {
+		c.last = lease.Instance
+		return lease, nil
+	}
+	if c.ran > 0 {
+		return nil, &runworks.Failure{Err: err, Outcome: runworks.OutcomeUnknown}
+	}
+	return nil, runworks.NotRun(err, retryShort)
+}
+
+func (c *call) ask() *dispatch.Ask {
+	target := c.deadline
+	if c.route.Target > 0 {
+		target = c.in.Received.Add(c.route.Target)
+	}
+	name := ""
+	if c.customer != nil {
+		name = c.customer.Name
+	}
+	return &dispatch.Ask{
+		ID: c.in.ID, Service: c.service, Rank: c.rank, Customer: name,
+		PromptTokens: c.in.PromptTokens, MaxTokens: c.in.MaxTokens,
+		Target: target, Deadline: c.deadline, Avoid: slices.Clone(c.tried),
+	}
+}
+
+// attempt sends the call to one backend server. After a failure the lease is
+// given back; the failure says whether the call may have run.
+func (c *call) attempt(ctx context.Context, lease *dispatch.Lease, lastEvent string) (*runworks.ServerReply, *runworks.Failure) {
+	c.tried = append(c.tried, lease.Instance.ID)
+	spanCtx, span := c.f.Tracer.Start(ctx, tracing.SpanBackend)
+	defer span.End()
+	send := &runworks.Send{Inbound: c.in, To: lease.Instance, Left: time.Until(c.deadline), LastEvent: lastEvent}
+	if c.customer != nil {
+		send.Customer = c.customer.Name
+	}
+	metrics.Count(c.f.Metrics.Dispatches, metrics.Rank(c.rank))
+	reply, err := c.f.Sender.Send(spanCtx, send)
+	switch {
+	case errors.Is(err, runworks.ErrNotDispatched):
+		lease.Release(c.endOf(ctx, dispatch.Unreachable))
+		return nil, c.notRun(err)
+	case err != nil:
+		c.ran++
+		lease.Release(c.endOf(ctx, dispatch.Broken))
+		return nil, c.broken(ctx, err)
+	case reply.Gone:
+		_ = reply.Body.Close()
+		lease.Release(dispatch.Moved)
+		return nil, c.notRun(errorx.Decorate(runworks.ErrTurnedAway, "another server has the address of %s", lease.Instance.ID))
+	case reply.NotRun:
+		_ = reply.Body.Close()
+		lease.Release(dispatch.TurnedAway)
+		return nil, c.notRun(errorx.Decorate(runworks.ErrTurnedAway, "%s answered %d", lease.Instance.ID, reply.Status))
+	}
+	c.ran++
+	return reply, nil
+}
+
+// endOf keeps a server's record clean of what the caller or the clock ended.
+func (c *call) endOf(ctx context.Context, r dispatch.Result) dispatch.Result {
+	if ctx.Err() != nil {
+		return dispatch.Abandoned
+	}
+	return r
+}
+
+// notRun is the failure of an attempt that did not run; the call as a whole was
+// not run only if no earlier attempt was.
+func (c *call) notRun(err error) *runworks.Failure {
+	if c.ran > 0 {
+		return &runworks.Failure{Err: err, Outcome: runworks.OutcomeUnknown}
+	}
+	return runworks.NotRun(err, retryTurnedAway)
+}
+
+// broken is the failure of an attempt that may have run.
+func (c *call) broken(ctx context.Context, err error) *runworks.Failure {
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	return &runworks.Failure{Err: err, Outcome: runworks.OutcomeUnknown}
+}
+
+// mayTryAgain says whether a failed attempt may be followed by another.
+func (c *call) mayTryAgain(ctx context.Context, failure *runworks.Failure) bool {
+	if ctx.Err() != nil || len(c.tried) >= maxSends {
+		return false
+	}
+	if c.ran > 0 && (!c.repeatable() || c.ran >= c.route.MaxAttempts) {
+		return false
+	}
+	if failure.Outcome != runworks.OutcomeNotRun && !c.repeatable() {
+		return false
+	}
+	return c.f.Budgets.Spend(c.service)
+}
+
+// repeatable says whether the call may run more than once.
+func (c *call) repeatable() bool {
+	return c.route.Kind == runworks.CallRepeatable || c.route.Kind == runworks.CallStream && c.route.Resumable
+}
--- /dev/null
+++ b/services/forward/log.go
@@ -0,0 +1,39 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/metrics"
+)
+
+// finish ends a call and writes its one line: what decided it, and how it ended.
+func (c *call) finish(outcome runworks.Outcome, status int, err error) {
+	if c.cancel != nil {
+		c.cancel()
+	}
+	metrics.Count(c.f.Metrics.Requests, metrics.Rank(c.rank), metrics.Result(string(outcome)))
+	fields := []any{
+		"request", c.in.ID, "outcome", outcome, "status", status,
+		"took_ms", time.Since(c.in.Received).Milliseconds(), "waited_ms", c.waited.Milliseconds(),
+	}
+	if c.table != nil {
+		fields = append(fields, "routing_version", c.table.Routing.Version)
+	}
+	if c.route != nil {
+		fields = append(fields, "route", c.route.Name, "service", c.service, "rank", c.rank)
+	}
+	if c.customer != nil {
+		fields = append(fields, "customer", c.customer.Name)
+	}
+	if len(c.tried) > 0 {
+		fields = append(fields, "servers", c.tried, "ran", c.ran)
+	}
+	if !c.firstByte.IsZero() {
+		fields = append(fields, "first_byte_ms", c.firstByte.Sub(c.in.Received).Milliseconds())
+	}
+	if err != nil {
+		fields = append(fields, "cause", err.Error())
+	}
+	c.f.Logger.Info("call ended", fields...)
+}
--- /dev/null
+++ b/services/forward/stream.go
@@ -0,0 +1,163 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/metrics"
+	"github.com/runworks/runworks/services/dispatch"
+)
+
+const (
+	// streamChunk is how much of a stream is read at once.
+	streamChunk = 4 << 10
+	// maxEvent bounds one event of a stream.
+	maxEvent = 1 << 20
+)
+
+// eventEnd ends an event of a stream.
+var eventEnd = []byte("\n\n")
+
+// errEventTooLong says that a stream holds an event beyond maxEvent.
+var errEventTooLong = errors.New("an event of the stream is too long")
+
+// stream is the body of a streamed answer. It passes on whole events only, so
+// that another server can take a broken stream up behind the last of them.
+type stream struct {
+	call  *call
+	ctx   context.Context
+	lease *dispatch.Lease
+	body  io.ReadCloser
+
+	// ready are whole events that were not given to Read yet; part is the begin
+	// of the next one.
+	ready []byte
+	part  []byte
+	// lastEvent is the id of the last whole event.
+	lastEvent string
+	lastAt    time.Time
+	events    int
+	end       error
+	closed    bool
+}
+
+// Read implements io.Reader; io.EOF is only given behind a whole answer.
+func (s *stream) Read(p []byte) (int, error) {
+	for len(s.ready) == 0 {
+		if s.end != nil {
+			return 0, s.end
+		}
+		s.fill()
+	}
+	n := copy(p, s.ready)
+	s.ready = s.ready[n:]
+	return n, nil
+}
+
+// fill reads from the server until an event is whole or the stream ends.
+func (s *stream) fill() {
+	chunk := make([]byte, streamChunk)
+	n, err := s.body.Read(chunk)
+	s.take(chunk[:n])
+	switch {
+	case errors.Is(err, io.EOF):
+		// What stands behind the last event is part of a whole answer.
+		s.ready = append(s.ready, s.part...)
+		s.part = nil
+		s.end = io.EOF
+	case err != nil:
+		s.part = nil
+		s.end = s.resume(err)
+	case len(s.part) > maxEvent:
+		s.end = errEventTooLong
+	}
+}
+
+// take moves whole events to what is ready.
+func (s *stream) take(data []byte) {
+	s.part = append(s.part, data...)
+	i := bytes.LastIndex(s.part, eventEnd)
+	if i < 0 {
+		return
+	}
+	whole := s.part[:i+len(eventEnd)]
+	for _, event := range bytes.SplitAfter(whole, eventEnd) {
+		if len(event) > 0 {
+			s.note(event)
+		}
+	}
+	s.ready = append(s.ready, whole...)
+	s.part = append([]byte(nil), s.part[i+len(eventEnd):]...)
+}
+
+// note keeps an event's id and the time since the one before.
+func (s *stream) note(event []byte) {
+	for _, line := range bytes.Split(event, []byte("\n")) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			s.lastEvent = string(bytes.TrimSpace(value))
+		}
+	}
+	now := time.Now()
+	if s.events > 0 {
+		s.lease.Pace(now.Sub(s.lastAt))
+	}
+	s.events++
+	s.lastAt = now
+}
+
+// resume goes on with a broken stream at another server; it gives nil if the
+// stream goes on, else why it ends here.
+func (s *stream) resume(broke error) error {
+	c := s.call
+	_ = s.body.Close()
+	s.lease.Release(c.endOf(s.ctx, dispatch.Broken))
+	for {
+		failure := &runworks.Failure{Err: broke, Outcome: runworks.OutcomeUnknown}
+		if !c.route.Resumable || !c.mayTryAgain(s.ctx, failure) {
+			return c.broken(s.ctx, broke)
+		}
+		metrics.Count(c.f.Metrics.Resumes)
+		lease, failure := c.acquire(s.ctx)
+		if failure != nil {
+			return failure
+		}
+		reply, failure := c.attempt(s.ctx, lease, s.lastEvent)
+		if failure != nil {
+			broke = failure
+			continue
+		}
+		s.lease = lease
+		if reply.Status < 300 {
+			s.body = reply.Body
+			return nil
+		}
+		_ = reply.Body.Close()
+		lease.Release(dispatch.Served)
+		broke = runworks.ErrBackend
+	}
+}
+
+// Close implements io.Closer; it gives the slot back and logs the end.
+func (s *stream) Close() error {
+	if s.closed {
+		return nil
+	}
+	s.closed = true
+	_ = s.body.Close()
+	if errors.Is(s.end, io.EOF) {
+		s.lease.Release(dispatch.Served)
+		s.call.finish(runworks.OutcomeDone, 0, nil)
+	} else {
+		err := s.end
+		if err == nil {
+			err = context.Cause(s.ctx)
+		}
+		s.lease.Release(s.call.endOf(s.ctx, dispatch.Abandoned))
+		s.call.finish(runworks.OutcomeUnknown, 0, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/services/peers/peers.go
@@ -0,0 +1,299 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/group"
+	"github.com/runworks/runworks/modules/rpc"
+)
+
+// MethodBeat is the notification that carries a Beat.
+const MethodBeat = "entry.beat"
+
+const (
+	// DefaultEvery is the time between heartbeats: about the time in which a few
+	// slots of a service become free.
+	DefaultEvery = 50 * time.Millisecond
+	// everyPerPeer stretches the time between heartbeats with the number of
+	// entries, so that their cost to an entry stays bounded.
+	everyPerPeer = 5 * time.Millisecond
+	// quietAfter is after how many heartbeats with nothing new one is sent all
+	// the same.
+	quietAfter = 5
+	// silentAfter is when an entry that sent no heartbeat counts as gone, and
+	// what it ran as ended or cut off.
+	silentAfter = 1500 * time.Millisecond
+	// firstRedial and lastRedial are the waits between attempts to reach an entry.
+	firstRedial = 100 * time.Millisecond
+	lastRedial  = 2 * time.Second
+	sendTimeout = time.Second
+)
+
+// Member is an entry that others may reach.
+type Member struct {
+	Name string `json:"name"`
+	// Address is host:port for the other entries.
+	Address     string               `json:"address"`
+	Incarnation runworks.Incarnation `json:"incarnation"`
+}
+
+// Beat is what an entry tells the others.
+type Beat struct {
+	From Member `json:"from"`
+	// Running is how many calls the entry has at each backend server, by its id.
+	Running map[string]int `json:"running,omitempty"`
+	// Drawn is what the entry drew on the customers' limits since its start.
+	Drawn map[string]float64 `json:"drawn,omitempty"`
+	// RoutingVersion is the version of the routing in force there.
+	RoutingVersion int64 `json:"routing_version,omitempty"`
+}
+
+// Exchange keeps the entries in touch; set the exported fields before Run.
+type Exchange struct {
+	Self   Member
+	Dial   rpc.DialFunc
+	Keys   rpc.FleetKeys
+	Logger hclog.Logger
+	// Every is DefaultEvery if zero.
+	Every time.Duration
+	// Beat gives what this entry tells; From is filled in.
+	Beat func() Beat
+	// OnBeat is told what another entry said, and OnGone which one fell silent.
+	OnBeat func(now time.Time, b *Beat)
+	OnGone func(from runworks.Incarnation)
+
+	work  group.Group
+	ctx   context.Context
+	mu    sync.Mutex
+	links map[string]*link
+	heard map[runworks.Incarnation]*life
+}
+
+// link is the connection to one other entry.
+type link struct {
+	member Member
+	cancel context.CancelFunc
+	conn   *jsonrpc2.Conn
+}
+
+// life is what is known of another entry's incarnation.
+type life struct {
+	name string
+	last time.Time
+}
+
+// Run sends heartbeats until ctx ends.
+func (x *Exchange) Run(ctx context.Context) {
+	x.mu.Lock()
+	x.ctx = ctx
+	x.mu.Unlock()
+	var last []byte
+	quiet := 0
+	for ctx.Err() == nil {
+		x.forgetSilent(time.Now())
+		beat := x.Beat()
+		beat.From = x.Self
+		data, err := json.Marshal(beat)
+		if err != nil {
+			x.Logger.Error("encode the heartbeat", "error", err.Error())
+		}
+		if quiet++; string(data) != string(last) || quiet >= quietAfter {
+			x.send(ctx, json.RawMessage(data))
+			last, quiet = data, 0
+		}
+		pause(ctx, x.every())
+	}
+	x.work.Close()
+}
+
+func (x *Exchange) every() time.Duration {
+	every := x.Every
+	if every == 0 {
+		every = DefaultEvery
+	}
+	return max(every, time.Duration(x.Live())*everyPerPeer)
+}
+
+// send gives a heartbeat to every entry that is connected.
+func (x *Exchange) send(ctx context.Context, data json.RawMessage) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	x.mu.Lock()
+	conns := make([]*jsonrpc2.Conn, 0, len(x.links))
+	for _, l := range x.links {
+		if l.conn != nil {
+			conns = append(conns, l.conn)
+		}
+	}
+	x.mu.Unlock()
+	for _, conn := range conns {
+		if err := conn.Notify(ctx, MethodBeat, data); err != nil {
+			// The link's own loop dials again and logs the loss.
+			_ = conn.Close()
+		}
+	}
+}
+
+// Live gives how many other entries sent a heartbeat of late.
+func (x *Exchange) Live() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.heard)
+}
+
+// SetMembers puts the list of entries in force.
+func (x *Exchange) SetMembers(members []Member) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.links == nil {
+		x.links = make(map[string]*link)
+	}
+	listed := make(map[string]bool, len(members))
+	for _, m := range members {
+		if m.Name == x.Self.Name {
+			continue
+		}
+		listed[m.Name] = true
+		l := x.links[m.Name]
+		if l != nil && l.member.Address == m.Address {
+			continue
+		}
+		if l != nil {
+			l.cancel()
+		}
+		x.openLocked(m)
+	}
+	for name, l := range x.links {
+		if !listed[name] {
+			l.cancel()
+			delete(x.links, name)
+		}
+	}
+}
+
+// openLocked keeps a connection to another entry.
+func (x *Exchange) openLocked(m Member) {
+	if x.ctx == nil {
+		x.ctx = context.Background()
+	}
+	ctx, cancel := context.WithCancel(x.ctx)
+	l := &link{member: m, cancel: cancel}
+	x.links[m.Name] = l
+	x.work.Go(func() { x.keep(ctx, l) })
+}
+
+// keep dials an entry again and again until ctx ends.
+func (x *Exchange) keep(ctx context.Context, l *link) {
+	wait := firstRedial
+	for ctx.Err() == nil {
+		stream, err := rpc.Dial(ctx, x.Dial, l.member.Address, x.Keys)
+		if err != nil {
+			pause(ctx, wait)
+			wait = min(2*wait, lastRedial)
+			continue
+		}
+		wait = firstRedial
+		conn := rpc.Serve(ctx, stream, refuse)
+		x.setConn(l, conn)
+		x.Logger.Info("dependency regained", "dependency", "entry", "name", l.member.Name, "address", l.member.Address)
+		select {
+		case <-conn.DisconnectNotify():
+		case <-ctx.Done():
+			_ = conn.Close()
+		}
+		x.setConn(l, nil)
+		x.Logger.Warn("dependency lost", "dependency", "entry", "name", l.member.Name, "address", l.member.Address)
+	}
+}
+
+func (x *Exchange) setConn(l *link, conn *jsonrpc2.Conn) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	l.conn = conn
+}
+
+// refuse answers calls on connections that only send.
+func refuse(_ context.Context, method string, _ json.RawMessage) (any, error) {
+	return nil, errorx.UnsupportedOperation.New("no method %s on this connection", method)
+}
+
+// ServeHTTP takes the connections of other entries.
+func (x *Exchange) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != rpc.Path || !x.Keys.Accept(r) {
+		http.Error(w, "only entries of this fleet connect here", http.StatusForbidden)
+		return
+	}
+	stream, err := rpc.Accept(w, r)
+	if err != nil {
+		x.Logger.Warn("connection of an entry refused", "from", r.RemoteAddr, "error", err.Error())
+		return
+	}
+	x.mu.Lock()
+	ctx := x.ctx
+	x.mu.Unlock()
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	<-rpc.Serve(ctx, stream, x.handle).DisconnectNotify()
+}
+
+// handle takes a heartbeat.
+func (x *Exchange) handle(_ context.Context, method string, params json.RawMessage) (any, error) {
+	if method != MethodBeat {
+		return refuse(context.Background(), method, params)
+	}
+	var b Beat
+	if err := json.Unmarshal(params, &b); err != nil {
+		x.Logger.Warn("heartbeat of an entry can't be read", "error", err.Error())
+		return nil, errorx.Decorate(err, "decode the heartbeat")
+	}
+	now := time.Now()
+	x.mu.Lock()
+	known := x.heard[b.From.Incarnation]
+	if x.heard == nil {
+		x.heard = make(map[runworks.Incarnation]*life)
+	}
+	x.heard[b.From.Incarnation] = &life{name: b.From.Name, last: now}
+	x.mu.Unlock()
+	if known == nil {
+		x.Logger.Info("entry heard", "name", b.From.Name, "incarnation", b.From.Incarnation, "routing_version", b.RoutingVersion)
+	}
+	x.OnBeat(now, &b)
+	return nil, nil
+}
+
+// forgetSilent counts entries as gone that sent nothing for a while.
+func (x *Exchange) forgetSilent(now time.Time) {
+	x.mu.Lock()
+	var gone []runworks.Incarnation
+	for id, one := range x.heard {
+		if now.Sub(one.last) > silentAfter {
+			gone = append(gone, id)
+			x.Logger.Warn("entry fell silent", "name", one.name, "incarnation", id, "silent_ms", now.Sub(one.last).Milliseconds())
+			delete(x.heard, id)
+		}
+	}
+	x.mu.Unlock()
+	for _, id := range gone {
+		x.OnGone(id)
+	}
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/services/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry bounds how often calls are sent again.
+package retry
--- /dev/null
+++ b/services/route/table.go
@@ -0,0 +1,105 @@
+package route
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/runworks/runworks"
+)
+
+// Table is a routing with the look-ups that calls need. It is never changed
+// once built.
+type Table struct {
+	Routing *runworks.Routing
+
+	// hosts holds the routes of each host, the longest path prefix first.
+	hosts     map[string][]*runworks.Route
+	customers map[string]*runworks.RoutedCustomer
+	services  map[string]*runworks.RoutedService
+}
+
+// NewTable builds the look-ups of a routing.
+func NewTable(r *runworks.Routing) *Table {
+	t := &Table{
+		Routing: r, hosts: map[string][]*runworks.Route{},
+		customers: map[string]*runworks.RoutedCustomer{}, services: map[string]*runworks.RoutedService{},
+	}
+	for i := range r.Routes {
+		one := &r.Routes[i]
+		t.hosts[one.Host] = append(t.hosts[one.Host], one)
+	}
+	for _, list := range t.hosts {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].PathPrefix) > len(list[j].PathPrefix) })
+	}
+	for i := range r.Customers {
+		for _, hash := range r.Customers[i].KeySHA256 {
+			t.customers[hash] = &r.Customers[i]
+		}
+	}
+	for i := range r.Services {
+		t.services[r.Services[i].Name] = &r.Services[i]
+	}
+	return t
+}
+
+// Route gives the route with the longest path prefix; ErrNoRoute if there is none.
+func (t *Table) Route(host, path string) (*runworks.Route, error) {
+	for _, one := range t.hosts[host] {
+		if strings.HasPrefix(path, one.PathPrefix) {
+			return one, nil
+		}
+	}
+	return nil, runworks.ErrNoRoute
+}
+
+// Customer gives who calls a route with a key: nil for a public route, or where
+// the routing has no customers. The errors are ErrNoKey and ErrUnknownKey.
+func (t *Table) Customer(r *runworks.Route, key string) (*runworks.RoutedCustomer, error) {
+	if len(t.Routing.Customers) == 0 {
+		return nil, nil
+	}
+	if key == "" {
+		if r.Public {
+			return nil, nil
+		}
+		return nil, runworks.ErrNoKey
+	}
+	customer := t.customers[HashKey(key)]
+	if customer == nil && !r.Public {
+		return nil, runworks.ErrUnknownKey
+	}
+	return customer, nil
+}
+
+// HashKey gives the form in which a key stands in a routing.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Service gives a service by name; nil if the routing has none.
+func (t *Table) Service(name string) *runworks.RoutedService { return t.services[name] }
+
+// Share gives the service that takes a call: the weights' parts of the ids, so
+// that every entry chooses alike. It is empty for a route without services.
+func Share(r *runworks.Route, id runworks.RequestID) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	n := int(xxhash.Sum64String(string(id)) % uint64(total))
+	for _, s := range r.Shares {
+		if n < s.Weight {
+			return s.Service
+		}
+		n -= s.Weight
+	}
+	return ""
+}
