Limits counted over a sliding window; routes' ranks stand between customers' ranks

All customers but one share a rank, so that a quick question went before a dossier. Ruled out: reports of the other fronts missing (4 of 4 were counted).

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -129,7 +129,7 @@
 	}
 	dial := tcp.Options{Silence: s.Silence}.Dial
 	d.dispatcher = &dispatch.Dispatcher{Hall: s.Hall}
-	d.quota = &quota.Quota{}
+	d.quota = &quota.Quota{Window: s.QuotaWindow}
 	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack}
 	d.table = &forward.Forwarder{
 		Dispatcher: d.dispatcher, Quota: d.quota, Budgets: d.budgets, Logger: d.Logger, Metrics: d.metrics, Tracer: d.tracer,
--- a/modules/setting/front.go
+++ b/modules/setting/front.go
@@ -17,6 +17,8 @@
 	DefaultSilence = 3 * time.Second
 	// DefaultRetryRatio is the part of a retry that each call earns.
 	DefaultRetryRatio = 0.1
+	// DefaultQuotaWindow is the span over which the customers' limits are counted.
+	DefaultQuotaWindow = 8 * time.Second
 	// DefaultLogLines bounds the log lines of a second.
 	DefaultLogLines = 300
 )
@@ -50,6 +52,8 @@
 	RetryRatio float64 `yaml:"retry_ratio"`
 	// RetrySlack is how many retries all fronts together may make beyond that.
 	RetrySlack float64 `yaml:"retry_slack"`
+	// QuotaWindow is the span over which the customers' limits are counted.
+	QuotaWindow time.Duration `yaml:"quota_window"`
 	// MaxBodyBytes bounds a call's body as long as no routing is in force.
 	MaxBodyBytes int64 `yaml:"max_body_bytes"`
 	// Cores is how many processors the process may use; 0 is all.
@@ -68,6 +72,7 @@
 func LoadFront(file string) (*Front, error) {
 	s := &Front{
 		Grace: DefaultGrace, StopNotice: DefaultStopNotice, Silence: DefaultSilence, RetryRatio: DefaultRetryRatio,
+		QuotaWindow:  DefaultQuotaWindow,
 		MaxBodyBytes: DefaultMaxBodyBytes, LogLines: DefaultLogLines, Log: Log{JSON: true}, Traces: Traces{Sampled: 1},
 	}
 	return s, load(file, s, s.check)
@@ -86,6 +91,7 @@
 	m.positive("grace", s.Grace)
 	m.positive("stop_notice", s.StopNotice)
 	m.positive("silence", s.Silence)
+	m.positive("quota_window", s.QuotaWindow)
 	if s.StopNotice >= s.Grace {
 		m.add("stop_notice", "%s is not below grace, %s", s.StopNotice, s.Grace)
 	}
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -16,17 +16,22 @@
 	// recheck is how often waiting calls are looked at without an event: the
 	// suspensions above end by themselves.
 	recheck = 50 * time.Millisecond
-	// rankSteps spreads the ranks, so that a call that missed its target stands
-	// between its own rank and the next.
-	rankSteps = 2
+	// routeSteps spreads the ranks, so that the ranks of routes stand between them.
+	routeSteps = 16
+	// lateSteps spreads the ranks of routes, so that a call that missed its target
+	// stands between its own and the next.
+	lateSteps = 2
 )
 
 // Ask is a call that wants a backend server.
 type Ask struct {
-	ID       runworks.RequestID
-	Service  string
-	Rank     int
-	Customer string
+	ID      runworks.RequestID
+	Service string
+	// Rank is the customer's, or else the route's; RouteRank decides between calls
+	// of the same rank.
+	Rank      int
+	RouteRank int
+	Customer  string
 	// PromptTokens and MaxTokens are the sizes that the caller states.
 	PromptTokens int
 	MaxTokens    int
@@ -157,7 +162,7 @@
 
 // waitLocked puts a call in the queue of its service; false if it is full.
 func (d *Dispatcher) waitLocked(s *service, w *waiter) bool {
-	rank := rankSteps * w.ask.Rank
+	rank := lateSteps * (routeSteps*w.ask.Rank + min(w.ask.RouteRank, routeSteps-1))
 	if w.late {
 		rank++
 	}
@@ -267,4 +272,3 @@
 	}
 	return false
 }
-
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -112,8 +112,10 @@
 		if c.customer.Rank != nil {
 			c.rank = *c.customer.Rank
 		}
-		if wait := c.f.Quota.Take(now, c.customer, c.in.Tokens(c.customer.TokensPerCall)); wait > 0 {
-			return runworks.NotRun(runworks.ErrLimit, wait)
+		tokens := c.in.Tokens(c.customer.TokensPerCall)
+		if v := c.f.Quota.Take(now, c.customer, tokens); v.Wait > 0 {
+			return runworks.NotRun(errorx.Decorate(runworks.ErrLimit, "%.0f tokens asked, %.0f used and %.0f assumed of %.0f, %d other entries counted",
+				tokens, v.Used, v.Assumed, v.Allowed, v.Heard), v.Wait)
 		}
 	}
 	c.service = route.Share(c.route, c.in.ID)
@@ -178,7 +180,7 @@
 		name = c.customer.Name
 	}
 	return &dispatch.Ask{
-		ID: c.in.ID, Service: c.service, Rank: c.rank, Customer: name,
+		ID: c.in.ID, Service: c.service, Rank: c.rank, RouteRank: c.route.Rank, Customer: name,
 		PromptTokens: c.in.PromptTokens, MaxTokens: c.in.MaxTokens,
 		Target: target, Deadline: c.deadline, Avoid: slices.Clone(c.tried),
 	}
--- a/services/quota/quota.go
+++ b/services/quota/quota.go
@@ -13,65 +13,68 @@
 	SilentAfter = time.Second
 	// ForgetAfter is when a silent entry counts as gone.
 	ForgetAfter = 10 * time.Second
-	// DefaultOverdraft is how far a bucket may be drawn below zero, as a part of
-	// the tokens of a second: reports of the others are that late at most.
-	DefaultOverdraft = 0.1
+	// DefaultWindow is the span over which a limit is counted.
+	DefaultWindow = 8 * time.Second
 )
 
 // Drawn is what one life of an entry drew since its start, by customer.
 type Drawn map[string]float64
 
-// Quota holds the buckets; set the exported fields before use.
+// Quota counts what the customers asked for of late at all entries; set the
+// exported fields before use. A limit lets through, in any window, its rate times
+// the window and its burst.
 type Quota struct {
-	// Overdraft is DefaultOverdraft if zero.
-	Overdraft float64
+	// Window is DefaultWindow if zero.
+	Window time.Duration
 
-	mu      sync.Mutex
-	buckets map[string]*bucket
-	drawn   Drawn
-	peers   map[runworks.Incarnation]*peer
-}
-
-// bucket holds what a customer may still ask for.
-type bucket struct {
-	level  float64
-	filled time.Time
-	// rate and burst are the limit in force.
-	rate, burst float64
+	mu    sync.Mutex
+	used  map[string]*usage
+	drawn Drawn
+	peers map[runworks.Incarnation]*peer
 }
 
 // peer is what another life of an entry said.
 type peer struct {
 	drawn Drawn
 	heard time.Time
-	// charged is until when its share was charged without its word.
-	charged time.Time
 }
 
-// Take draws the tokens of a call on the customer's bucket. It gives zero, or
-// how long until the bucket has them.
-func (q *Quota) Take(now time.Time, c *runworks.RoutedCustomer, tokens float64) time.Duration {
+// Verdict says whether a call is inside a customer's limit, and why.
+type Verdict struct {
+	// Wait is how long until the limit has room; 0 lets the call pass.
+	Wait time.Duration
+	// Used is what was drawn in the window before the call, in tokens, and
+	// Assumed what entries that are out of touch may have drawn.
+	Used, Assumed float64
+	// Allowed is what the limit lets through in a window.
+	Allowed float64
+	// Heard is how many other entries' drawings are counted in.
+	Heard int
+}
+
+// Take draws the tokens of a call on the customer's limit, if it has room.
+func (q *Quota) Take(now time.Time, c *runworks.RoutedCustomer, tokens float64) Verdict {
 	if c == nil || c.TokensPerSecond <= 0 {
-		return 0
+		return Verdict{}
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	b := q.fill(now, c)
-	overdraft := q.Overdraft
-	if overdraft == 0 {
-		overdraft = DefaultOverdraft
+	u := q.of(c.Name)
+	v := Verdict{
+		Used: u.sum(now, q.window()), Assumed: q.assumed(now, c.TokensPerSecond),
+		Allowed: c.TokensPerSecond*q.window().Seconds() + c.TokenBurst, Heard: len(q.peers),
 	}
-	floor := -overdraft * c.TokensPerSecond
-	// A call larger than the whole bucket passes when the bucket is full.
-	if short := min(tokens, b.burst) + floor - b.level; short > 0 {
-		return time.Duration(short / c.TokensPerSecond * float64(time.Second))
+	// A call larger than the whole limit passes when nothing else was drawn.
+	if over := v.Used + v.Assumed + min(tokens, v.Allowed) - v.Allowed; over > 0 {
+		v.Wait = u.until(now, q.window(), over)
+		return v
 	}
-	b.level -= tokens
+	u.add(now, tokens)
 	if q.drawn == nil {
 		q.drawn = Drawn{}
 	}
 	q.drawn[c.Name] += tokens
-	return 0
+	return v
 }
 
 // Drawn gives what this entry drew since its start.
@@ -85,9 +88,9 @@
 	return out
 }
 
-// Report takes what another life of an entry drew since its start. A life that
-// is heard for the first time may have been drawing before: only what it draws
-// from then on counts, as buckets start full.
+// Report takes what another life of an entry drew since its start. Of a life
+// that is heard for the first time nothing is known of when it drew: only what it
+// draws from then on counts.
 func (q *Quota) Report(now time.Time, from runworks.Incarnation, drawn Drawn) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -96,16 +99,16 @@
 	}
 	p := q.peers[from]
 	if p == nil {
-		q.peers[from] = &peer{drawn: drawn, heard: now, charged: now}
+		q.peers[from] = &peer{drawn: drawn, heard: now}
 		q.sweep(now)
 		return
 	}
 	for name, n := range drawn {
-		if b := q.buckets[name]; b != nil {
-			b.level -= n - p.drawn[name]
+		if more := n - p.drawn[name]; more > 0 {
+			q.of(name).add(now, more)
 		}
 	}
-	p.drawn, p.heard, p.charged = drawn, now, now
+	p.drawn, p.heard = drawn, now
 }
 
 // sweep forgets the lives that are gone.
@@ -117,36 +120,35 @@
 	}
 }
 
-// fill brings a customer's bucket up to now.
-func (q *Quota) fill(now time.Time, c *runworks.RoutedCustomer) *bucket {
-	if q.buckets == nil {
-		q.buckets = make(map[string]*bucket)
+// assumed is what the entries that are out of touch may have drawn since they
+// were heard: each keeps to an equal part of the rate when it hears nobody.
+func (q *Quota) assumed(now time.Time, rate float64) float64 {
+	part := rate / float64(len(q.peers)+1)
+	sum := 0.0
+	for _, p := range q.peers {
+		silent := now.Sub(p.heard)
+		if silent > SilentAfter && silent <= ForgetAfter {
+			sum += part * min(silent, q.window()).Seconds()
+		}
 	}
-	b := q.buckets[c.Name]
-	if b == nil {
-		b = &bucket{level: c.TokenBurst, filled: now}
-		q.buckets[c.Name] = b
+	return sum
+}
+
+func (q *Quota) window() time.Duration {
+	if q.Window == 0 {
+		return DefaultWindow
 	}
-	b.rate, b.burst = c.TokensPerSecond, c.TokenBurst
-	b.level = min(b.level+now.Sub(b.filled).Seconds()*b.rate, b.burst)
-	b.filled = now
-	q.chargeSilent(now)
-	return b
+	return q.Window
 }
 
-// chargeSilent draws, for each entry that is out of touch, the equal part of the
-// limit that it keeps to by itself.
-func (q *Quota) chargeSilent(now time.Time) {
-	part := 1 / float64(len(q.peers)+1)
-	for _, p := range q.peers {
-		silent := now.Sub(p.heard)
-		if silent < SilentAfter || silent > ForgetAfter {
-			continue
-		}
-		span := now.Sub(p.charged).Seconds()
-		p.charged = now
-		for _, b := range q.buckets {
-			b.level -= span * b.rate * part
-		}
+func (q *Quota) of(name string) *usage {
+	if q.used == nil {
+		q.used = make(map[string]*usage)
+	}
+	u := q.used[name]
+	if u == nil {
+		u = &usage{}
+		q.used[name] = u
 	}
+	return u
 }
