--- a/daemon/front.go
+++ b/daemon/front.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/group"
 	"github.com/runworks/runworks/modules/httpconn"
 	"github.com/runworks/runworks/modules/metrics"
 	"github.com/runworks/runworks/modules/rpc"
@@ -60,8 +61,13 @@
 	front      *platform.Front
 	servers    platform.Servers
 	store      *platform.Store
-	red        atomic.Bool
-	listed     atomic.Bool
+	watches    map[peers.Subject]*platform.Watch
+	members    *platform.Members
+	// asking holds the subjects that another front is being asked for.
+	asking map[peers.Subject]*atomic.Bool
+	work   group.Group
+	red    atomic.Bool
+	listed atomic.Bool
 }
 
 // Run runs until stop is closed and the planned stop is over; the end of ctx
@@ -96,6 +102,7 @@
 	}
 	cancel()
 	work.Wait()
+	d.work.Close()
 	d.Logger.Info("stopped", "name", d.Settings.Name)
 	return nil
 }
@@ -140,8 +147,9 @@
 	d.exchange = &peers.Exchange{
 		Self: peers.Member{Name: s.Name, Address: s.Peers, Incarnation: runworks.NewIncarnation()},
 		Dial: dial, Keys: rpc.FleetKeys(s.FleetKeys), Logger: d.Logger,
-		Beat: d.beat, OnBeat: d.onBeat, OnGone: d.onGone,
+		Beat: d.beat, OnBeat: d.onBeat, OnGone: d.onGone, State: d.state,
 	}
+	d.watch()
 	return flushSpans, nil
 }
 
@@ -180,17 +188,69 @@
 	return out, nil
 }
 
-// follow starts what keeps this front's knowledge up to date.
-func (d *Front) follow(ctx context.Context, work *conc.WaitGroup) {
-	routing := &platform.Watch{Store: d.store, Topic: platform.TopicOperators, Logger: d.Logger, OnState: d.onRouting, OnChange: d.onRouting}
-	servers := &platform.Watch{Store: d.store, Topic: platform.TopicServers, Logger: d.Logger}
+// watch builds what keeps this front's knowledge up to date.
+func (d *Front) watch() {
+	routing := &platform.Watch{Topic: platform.TopicOperators, OnState: d.onRouting, OnChange: d.onRouting}
+	servers := &platform.Watch{Topic: platform.TopicServers}
 	servers.OnState = func(records []platform.Record) { d.onServers(records, d.servers.Reset) }
 	servers.OnChange = func(records []platform.Record) { d.onServers(records, d.servers.Apply) }
-	members := &platform.Members{Store: d.store, Self: d.exchange.Self, Logger: d.Logger, OnMembers: d.exchange.SetMembers}
+	d.watches = map[peers.Subject]*platform.Watch{peers.SubjectRouting: routing, peers.SubjectServers: servers}
+	d.asking = map[peers.Subject]*atomic.Bool{}
+	for subject, w := range d.watches {
+		d.asking[subject] = &atomic.Bool{}
+		w.Store, w.Logger = d.store, d.Logger
+		w.Fronts = func() int { return d.exchange.Live() + 1 }
+	}
+	d.members = &platform.Members{Store: d.store, Self: d.exchange.Self, Logger: d.Logger, OnMembers: d.exchange.SetMembers}
+}
+
+// follow keeps this front's knowledge up to date.
+func (d *Front) follow(ctx context.Context, work *conc.WaitGroup) {
 	work.Go(func() { d.exchange.Run(ctx) })
-	work.Go(func() { routing.Run(ctx) })
-	work.Go(func() { servers.Run(ctx) })
-	work.Go(func() { members.Run(ctx) })
+	for _, w := range d.watches {
+		work.Go(func() { w.Run(ctx) })
+	}
+	work.Go(func() { d.members.Run(ctx) })
+}
+
+// state gives what this front knows of a subject, for other fronts.
+func (d *Front) state(subject peers.Subject) (any, error) {
+	w := d.watches[subject]
+	if w == nil {
+		return nil, errorx.IllegalArgument.New("nothing is known of %s", subject)
+	}
+	return w.Snapshot(), nil
+}
+
+// catchUp learns what another front knows already: from the store, or from that
+// front while the store can't be read.
+func (d *Front) catchUp(from string, subject peers.Subject, position int64) {
+	w := d.watches[subject]
+	if w == nil || position <= w.Position() {
+		return
+	}
+	if !w.Lost() {
+		w.Hint(position)
+		return
+	}
+	if d.asking[subject].CompareAndSwap(false, true) {
+		d.work.Go(func() {
+			defer d.asking[subject].Store(false)
+			d.learn(from, subject, w)
+		})
+	}
+}
+
+// learn asks another front for what it knows of a subject.
+func (d *Front) learn(from string, subject peers.Subject, w *platform.Watch) {
+	var s platform.Snapshot
+	if err := d.exchange.AskState(context.Background(), from, subject, &s); err != nil {
+		d.Logger.Warn("another front could not be asked", "name", from, "subject", subject, "error", err.Error())
+		return
+	}
+	if w.Take(&s) {
+		d.Logger.Info("learned from another front", "name", from, "subject", subject, "offset", s.Offset)
+	}
 }
 
 // onRouting puts the newest document in force; it never goes back to an older one.
@@ -229,7 +289,10 @@
 }
 
 func (d *Front) beat() peers.Beat {
-	b := peers.Beat{Running: d.dispatcher.Running(), Drawn: d.quota.Drawn()}
+	b := peers.Beat{Running: d.dispatcher.Running(), Drawn: d.quota.Drawn(), Positions: map[peers.Subject]int64{}}
+	for subject, w := range d.watches {
+		b.Positions[subject] = w.Position()
+	}
 	if table := d.table.Table.Load(); table != nil {
 		b.RoutingVersion = table.Routing.Version
 	}
@@ -244,6 +307,9 @@
 	d.dispatcher.Report(b.From.Incarnation, running)
 	d.quota.Report(now, b.From.Incarnation, b.Drawn)
 	d.budgets.SetEntries(d.exchange.Live() + 1)
+	for subject, position := range b.Positions {
+		d.catchUp(b.From.Name, subject, position)
+	}
 }
 
 func (d *Front) onGone(from runworks.Incarnation) {
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -16,8 +16,27 @@
 	"github.com/runworks/runworks/modules/rpc"
 )
 
-// MethodBeat is the notification that carries a Beat.
-const MethodBeat = "entry.beat"
+// The methods between entries.
+const (
+	// MethodBeat is the notification that carries a Beat.
+	MethodBeat = "entry.beat"
+	// MethodState is the call for what an entry knows of a Subject.
+	MethodState = "entry.state"
+)
+
+// Subject names something that all entries follow.
+type Subject string
+
+// The subjects.
+const (
+	SubjectRouting Subject = "routing"
+	SubjectServers Subject = "servers"
+)
+
+// StateCall asks for what an entry knows.
+type StateCall struct {
+	Subject Subject `json:"subject"`
+}
 
 const (
 	// DefaultEvery is the time between heartbeats: about the time in which a few
@@ -55,6 +74,8 @@
 	Drawn map[string]float64 `json:"drawn,omitempty"`
 	// RoutingVersion is the version of the routing in force there.
 	RoutingVersion int64 `json:"routing_version,omitempty"`
+	// Positions tell how far the entry has followed each subject.
+	Positions map[Subject]int64 `json:"positions,omitempty"`
 }
 
 // Exchange keeps the entries in touch; set the exported fields before Run.
@@ -70,6 +91,8 @@
 	// OnBeat is told what another entry said, and OnGone which one fell silent.
 	OnBeat func(now time.Time, b *Beat)
 	OnGone func(from runworks.Incarnation)
+	// State gives what this entry knows of a subject, for others.
+	State func(s Subject) (any, error)
 
 	work  group.Group
 	ctx   context.Context
@@ -150,19 +173,15 @@
 	return len(x.heard)
 }
 
-// SetMembers puts the list of entries in force.
+// SetMembers makes entries known. An entry that is not on the list stays known:
+// it may have been heard before it was listed.
 func (x *Exchange) SetMembers(members []Member) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.links == nil {
-		x.links = make(map[string]*link)
-	}
-	listed := make(map[string]bool, len(members))
 	for _, m := range members {
 		if m.Name == x.Self.Name {
 			continue
 		}
-		listed[m.Name] = true
 		l := x.links[m.Name]
 		if l != nil && l.member.Address == m.Address {
 			continue
@@ -172,12 +191,6 @@
 		}
 		x.openLocked(m)
 	}
-	for name, l := range x.links {
-		if !listed[name] {
-			l.cancel()
-			delete(x.links, name)
-		}
-	}
 }
 
 // openLocked keeps a connection to another entry.
@@ -185,6 +198,9 @@
 	if x.ctx == nil {
 		x.ctx = context.Background()
 	}
+	if x.links == nil {
+		x.links = make(map[string]*link)
+	}
 	ctx, cancel := context.WithCancel(x.ctx)
 	l := &link{member: m, cancel: cancel}
 	x.links[m.Name] = l
@@ -246,15 +262,46 @@
 	<-rpc.Serve(ctx, stream, x.handle).DisconnectNotify()
 }
 
-// handle takes a heartbeat.
-func (x *Exchange) handle(_ context.Context, method string, params json.RawMessage) (any, error) {
-	if method != MethodBeat {
-		return refuse(context.Background(), method, params)
+// AskState asks the named entry for what it knows of a subject.
+func (x *Exchange) AskState(ctx context.Context, name string, subject Subject, out any) error {
+	x.mu.Lock()
+	var conn *jsonrpc2.Conn
+	if l := x.links[name]; l != nil {
+		conn = l.conn
+	}
+	x.mu.Unlock()
+	if conn == nil {
+		return errorx.IllegalState.New("there is no connection to %s", name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	if err := conn.Call(ctx, MethodState, StateCall{Subject: subject}, out); err != nil {
+		return errorx.Decorate(err, "ask %s for %s", name, subject)
 	}
+	return nil
+}
+
+// handle takes a message of another entry.
+func (x *Exchange) handle(ctx context.Context, method string, params json.RawMessage) (any, error) {
+	switch method {
+	case MethodBeat:
+		return nil, x.takeBeat(params)
+	case MethodState:
+		var c StateCall
+		if err := json.Unmarshal(params, &c); err != nil {
+			return nil, errorx.Decorate(err, "decode the call")
+		}
+		return x.State(c.Subject)
+	}
+	return refuse(ctx, method, params)
+}
+
+// takeBeat takes a heartbeat.
+func (x *Exchange) takeBeat(params json.RawMessage) error {
 	var b Beat
 	if err := json.Unmarshal(params, &b); err != nil {
 		x.Logger.Warn("heartbeat of an entry can't be read", "error", err.Error())
-		return nil, errorx.Decorate(err, "decode the heartbeat")
+		return errorx.Decorate(err, "decode the heartbeat")
 	}
 	now := time.Now()
 	x.mu.Lock()
@@ -263,12 +310,15 @@
 		x.heard = make(map[runworks.Incarnation]*life)
 	}
 	x.heard[b.From.Incarnation] = &life{name: b.From.Name, last: now}
+	if x.links[b.From.Name] == nil && b.From.Name != x.Self.Name {
+		x.openLocked(b.From)
+	}
 	x.mu.Unlock()
 	if known == nil {
 		x.Logger.Info("entry heard", "name", b.From.Name, "incarnation", b.From.Incarnation, "routing_version", b.RoutingVersion)
 	}
 	x.OnBeat(now, &b)
-	return nil, nil
+	return nil
 }
 
 // forgetSilent counts entries as gone that sent nothing for a while.
