One slot a server for urgent routes; long answers only where they can end in time

Dossiers and compliance summaries waited for slots that quick questions held. Ruled out: pauses between events (400 ms allowed, 160 seen at most).

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -136,7 +136,7 @@
 	}
 	dial := tcp.Options{Silence: s.Silence}.Dial
 	d.dispatcher = &dispatch.Dispatcher{Hall: s.Hall}
-	d.quota = &quota.Quota{Window: s.QuotaWindow}
+	d.quota = &quota.Quota{Window: s.QuotaWindow, Started: time.Now()}
 	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack}
 	d.table = &forward.Forwarder{
 		Dispatcher: d.dispatcher, Quota: d.quota, Budgets: d.budgets, Logger: d.Logger, Metrics: d.metrics, Tracer: d.tracer,
@@ -207,6 +207,7 @@
 // follow keeps this front's knowledge up to date.
 func (d *Front) follow(ctx context.Context, work *conc.WaitGroup) {
 	work.Go(func() { d.exchange.Run(ctx) })
+	work.Go(func() { d.dispatcher.Run(ctx) })
 	for _, w := range d.watches {
 		work.Go(func() { w.Run(ctx) })
 	}
--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -5,9 +5,22 @@
 	"time"
 )
 
-// hallCost is what another hall adds to a server's score, as a part of its load:
-// it decides between equals.
-const hallCost = 0.05
+const (
+	// hallCost is what another hall adds to a server's score, as a part of its
+	// load: it decides between equals.
+	hallCost = 0.05
+	// reservedSlots of each server are kept from the lowest rank of routes, where
+	// it has minSlotsToReserve.
+	reservedSlots     = 1
+	minSlotsToReserve = 4
+	// paceTolerance is how much slower than the fastest a server may be and still
+	// take what no server can finish in time.
+	paceTolerance = 1.3
+	// lengthMargin is for answers longer than expected: four of five are shorter.
+	lengthMargin = 1.5
+	// lengthWeight is the weight of the newest answer in the average length.
+	lengthWeight = 0.05
+)
 
 // open gives the servers with a free slot; suspended ones only if no server of
 // the service is healthy.
@@ -22,13 +35,33 @@
 	return open
 }
 
+// reserved is how many slots of each server are kept from calls of a route's
+// rank: the lowest rank leaves some for those that can't wait.
+func (s *service) reserved(one *server, routeRank int) int {
+	if s.lowest == 0 || routeRank < s.lowest || one.Slots < minSlotsToReserve {
+		return 0
+	}
+	return reservedSlots
+}
+
+// anyFor says whether one of the open servers has a slot for a route's rank.
+func (s *service) anyFor(open []*server, routeRank int) bool {
+	return slices.ContainsFunc(open, func(one *server) bool {
+		return one.load()+s.reserved(one, routeRank) < one.Slots
+	})
+}
+
 // choose gives the open server that suits a call best; nil if none may have it.
-func (d *Dispatcher) choose(s *service, open []*server, ask *Ask) *server {
+func (d *Dispatcher) choose(now time.Time, s *service, open []*server, ask *Ask) *server {
 	var best *server
 	var lowest float64
-	typical := s.typicalPace()
+	typical, fastest := s.paces()
+	left := ask.Deadline.Sub(now).Seconds()
 	for _, one := range open {
-		if slices.Contains(ask.Avoid, one.ID) {
+		if slices.Contains(ask.Avoid, one.ID) || one.load()+s.reserved(one, ask.RouteRank) >= one.Slots {
+			continue
+		}
+		if one.pace > fastest*paceTolerance && s.expected(one, ask) > left {
 			continue
 		}
 		if score := d.score(one, typical); best == nil || score < lowest {
@@ -38,6 +71,24 @@
 	return best
 }
 
+// expected is how many seconds a server needs for a stream's events, with a
+// margin, as the caller's guess is often short; 0 if that is not known.
+func (s *service) expected(one *server, ask *Ask) float64 {
+	if s.perEvent == 0 {
+		return 0
+	}
+	return lengthMargin * float64(ask.ExpectedTokens) / s.perEvent * one.pace
+}
+
+// noteLength records how many expected tokens an event stood for.
+func (s *service) noteLength(perEvent float64) {
+	if s.perEvent == 0 {
+		s.perEvent = perEvent
+		return
+	}
+	s.perEvent += lengthWeight * (perEvent - s.perEvent)
+}
+
 // score is lower for the better server: its share of taken slots, times its
 // pace against the others.
 func (d *Dispatcher) score(s *server, typical float64) float64 {
@@ -51,17 +102,21 @@
 	return score
 }
 
-// typicalPace is the mean pace of the servers whose pace is known.
-func (s *service) typicalPace() float64 {
+// paces gives the mean and the lowest of the paces that are known; 0 if none is.
+func (s *service) paces() (typical, fastest float64) {
 	sum, n := 0.0, 0
 	for _, one := range s.servers {
-		if one.pace > 0 {
-			sum += one.pace
-			n++
+		if one.pace == 0 || one.Leaving {
+			continue
 		}
+		if n == 0 || one.pace < fastest {
+			fastest = one.pace
+		}
+		sum += one.pace
+		n++
 	}
 	if n == 0 {
-		return 0
+		return 0, 0
 	}
-	return sum / float64(n)
+	return sum / float64(n), fastest
 }
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -13,9 +13,12 @@
 const (
 	// DefaultMaxWaiting bounds the calls that wait at an entry for one service.
 	DefaultMaxWaiting = 2000
-	// recheck is how often waiting calls are looked at without an event: the
-	// suspensions above end by themselves.
+	// recheck is how often waiting calls are looked at without an event:
+	// suspensions end by themselves.
 	recheck = 50 * time.Millisecond
+	// maxPassed bounds the calls that are passed over in one look because no free
+	// server suits them.
+	maxPassed = 32
 	// routeSteps spreads the ranks, so that the ranks of routes stand between them.
 	routeSteps = 16
 	// lateSteps spreads the ranks of routes, so that a call that missed its target
@@ -35,6 +38,8 @@
 	// PromptTokens and MaxTokens are the sizes that the caller states.
 	PromptTokens int
 	MaxTokens    int
+	// ExpectedTokens is the caller's guess of the answer's length; 0 if none.
+	ExpectedTokens int
 	// Target is when the answer, or the first event, is expected.
 	Target time.Time
 	// Deadline is when the call is given up.
@@ -62,6 +67,11 @@
 	servers []*server
 	queue   ticket.Queue
 	asks    map[runworks.RequestID]*waiter
+	// lowest is the lowest of the routes' ranks that were seen.
+	lowest int
+	// perEvent is how many of the tokens that callers expect an event stands for,
+	// on average; 0 is not known.
+	perEvent float64
 }
 
 // waiter is a call that waits.
@@ -100,6 +110,20 @@
 	l.server.notePace(gap)
 }
 
+// Length records how many events a whole answer had of which the caller expected
+// so many tokens.
+func (l *Lease) Length(expectedTokens, events int) {
+	if expectedTokens == 0 || events == 0 {
+		return
+	}
+	d := l.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.services[l.service]; s != nil {
+		s.noteLength(float64(expectedTokens) / float64(events))
+	}
+}
+
 // Acquire waits until a backend server is free for the call. The errors are
 // ErrNoServer if none is known, ErrShortage if too many wait, ErrTimeLimit at
 // the call's deadline, and the cause of ctx.
@@ -112,16 +136,12 @@
 	defer target.Stop()
 	deadline := time.NewTimer(time.Until(ask.Deadline))
 	defer deadline.Stop()
-	again := time.NewTicker(recheck)
-	defer again.Stop()
 	for {
 		select {
 		case lease := <-w.lease:
 			return granted(lease)
 		case <-target.C:
 			d.demote(w)
-		case <-again.C:
-			d.pump(ask.Service)
 		case <-deadline.C:
 			return d.leave(w, runworks.ErrTimeLimit)
 		case <-ctx.Done():
@@ -162,13 +182,10 @@
 
 // waitLocked puts a call in the queue of its service; false if it is full.
 func (d *Dispatcher) waitLocked(s *service, w *waiter) bool {
-	rank := lateSteps * (routeSteps*w.ask.Rank + min(w.ask.RouteRank, routeSteps-1))
-	if w.late {
-		rank++
-	}
+	s.lowest = max(s.lowest, w.ask.RouteRank)
 	t := &ticket.Waiting{
 		Ticket: runworks.Ticket{
-			ID: w.ask.ID, Service: w.ask.Service, Tier: rank, Customer: w.ask.Customer,
+			ID: w.ask.ID, Service: w.ask.Service, Tier: queueRank(w.ask, w.late), Customer: w.ask.Customer,
 			PromptTokens: w.ask.PromptTokens, MaxTokens: w.ask.MaxTokens,
 		},
 		Deadline: w.ask.Deadline,
@@ -224,31 +241,48 @@
 	return nil, err
 }
 
-func (d *Dispatcher) pump(name string) {
+// Run looks at the waiting calls from time to time, until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	again := time.NewTicker(recheck)
+	defer again.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-again.C:
+			d.pumpAll()
+		}
+	}
+}
+
+func (d *Dispatcher) pumpAll() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.pumpLocked(d.services[name])
+	for _, s := range d.services {
+		d.pumpLocked(s)
+	}
 }
 
-// pumpLocked gives free slots to the calls that wait, the first by tier first.
+// pumpLocked gives free slots to the calls that wait, the first by tier first. A
+// call that no free server suits is passed over.
 func (d *Dispatcher) pumpLocked(s *service) {
 	if s == nil {
 		return
 	}
 	now := time.Now()
 	var passed []*waiter
-	for s.queue.Len() > 0 {
+	for s.queue.Len() > 0 && len(passed) < maxPassed {
 		open := s.open(now)
 		if len(open) == 0 {
 			break
 		}
-		t := s.queue.Pop(now, func(int) bool { return true })
+		t := s.queue.Pop(now, func(rank int) bool { return s.anyFor(open, routeRank(rank)) })
 		if t == nil {
 			break
 		}
 		w := s.asks[t.ID]
 		delete(s.asks, t.ID)
-		to := d.choose(s, open, w.ask)
+		to := d.choose(now, s, open, w.ask)
 		if to == nil {
 			passed = append(passed, w)
 			continue
@@ -263,6 +297,18 @@
 	}
 }
 
+// queueRank gives the tier in which a call waits.
+func queueRank(ask *Ask, late bool) int {
+	rank := lateSteps * (routeSteps*ask.Rank + min(ask.RouteRank, routeSteps-1))
+	if late {
+		rank++
+	}
+	return rank
+}
+
+// routeRank gives the route's rank back.
+func routeRank(queueRank int) int { return queueRank / lateSteps % routeSteps }
+
 // any says whether a backend server is known that the call may go to.
 func (s *service) any(ask *Ask) bool {
 	for _, one := range s.servers {
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -73,6 +73,8 @@
 	last runworks.Instance
 	// firstByte is when the answer's head was there; zero if it never was.
 	firstByte time.Time
+	// events is how many events of a stream were passed on.
+	events int
 }
 
 // Serve gives the answer to a call; the error is a *runworks.Failure. The caller
@@ -181,7 +183,7 @@
 	}
 	return &dispatch.Ask{
 		ID: c.in.ID, Service: c.service, Rank: c.rank, RouteRank: c.route.Rank, Customer: name,
-		PromptTokens: c.in.PromptTokens, MaxTokens: c.in.MaxTokens,
+		PromptTokens: c.in.PromptTokens, MaxTokens: c.in.MaxTokens, ExpectedTokens: c.in.ExpectedTokens,
 		Target: target, Deadline: c.deadline, Avoid: slices.Clone(c.tried),
 	}
 }
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -30,7 +30,10 @@
 		fields = append(fields, "servers", c.tried, "ran", c.ran)
 	}
 	if !c.firstByte.IsZero() {
-		fields = append(fields, "first_byte_ms", c.firstByte.Sub(c.in.Received).Milliseconds())
+		fields = append(fields, "first_byte_ms", c.firstByte.Sub(c.in.Received).Milliseconds(), "events", c.events)
+	}
+	if c.in.MaxTokens > 0 {
+		fields = append(fields, "prompt_tokens", c.in.PromptTokens, "max_tokens", c.in.MaxTokens, "expected_tokens", c.in.ExpectedTokens)
 	}
 	if err != nil {
 		fields = append(fields, "cause", err.Error())
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -40,7 +40,6 @@
 	// lastEvent is the id of the last whole event.
 	lastEvent string
 	lastAt    time.Time
-	events    int
 	end       error
 	closed    bool
 }
@@ -102,10 +101,10 @@
 		}
 	}
 	now := time.Now()
-	if s.events > 0 {
+	if s.call.events > 0 && !s.lastAt.IsZero() {
 		s.lease.Pace(now.Sub(s.lastAt))
 	}
-	s.events++
+	s.call.events++
 	s.lastAt = now
 }
 
@@ -149,6 +148,7 @@
 	s.closed = true
 	_ = s.body.Close()
 	if errors.Is(s.end, io.EOF) {
+		s.lease.Length(s.call.in.ExpectedTokens, s.call.events)
 		s.lease.Release(dispatch.Served)
 		s.call.finish(runworks.OutcomeDone, 0, nil)
 	} else {
--- a/services/quota/quota.go
+++ b/services/quota/quota.go
@@ -13,6 +13,9 @@
 	SilentAfter = time.Second
 	// ForgetAfter is when a silent entry counts as gone.
 	ForgetAfter = 10 * time.Second
+	// startAllowance is what a limit is open for at once after a start, at its rate:
+	// about the time of a few calls of a customer with a low limit.
+	startAllowance = time.Second
 	// DefaultWindow is the span over which a limit is counted.
 	DefaultWindow = 8 * time.Second
 )
@@ -26,6 +29,9 @@
 type Quota struct {
 	// Window is DefaultWindow if zero.
 	Window time.Duration
+	// Started is when this entry began to count. What was drawn before it is not
+	// known, so a limit opens from there on at its rate.
+	Started time.Time
 
 	mu    sync.Mutex
 	used  map[string]*usage
@@ -62,7 +68,7 @@
 	u := q.of(c.Name)
 	v := Verdict{
 		Used: u.sum(now, q.window()), Assumed: q.assumed(now, c.TokensPerSecond),
-		Allowed: c.TokensPerSecond*q.window().Seconds() + c.TokenBurst, Heard: len(q.peers),
+		Allowed: q.allowed(now, c), Heard: len(q.peers),
 	}
 	// A call larger than the whole limit passes when nothing else was drawn.
 	if over := v.Used + v.Assumed + min(tokens, v.Allowed) - v.Allowed; over > 0 {
@@ -77,6 +83,15 @@
 	return v
 }
 
+// allowed is what a limit lets through in the window before now.
+func (q *Quota) allowed(now time.Time, c *runworks.RoutedCustomer) float64 {
+	counted := now.Sub(q.Started)
+	if counted >= q.window() {
+		return c.TokensPerSecond*q.window().Seconds() + c.TokenBurst
+	}
+	return c.TokensPerSecond * (counted + startAllowance).Seconds()
+}
+
 // Drawn gives what this entry drew since its start.
 func (q *Quota) Drawn() Drawn {
 	q.mu.Lock()
