--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -38,12 +38,21 @@
 // reserved is how many slots of each server are kept from calls of a route's
 // rank: the lowest rank leaves some for those that can't wait.
 func (s *service) reserved(one *server, routeRank int) int {
-	if s.lowest == 0 || routeRank < s.lowest || one.Slots < minSlotsToReserve {
+	if s.highest == s.lowest || routeRank < s.lowest || one.Slots < minSlotsToReserve {
 		return 0
 	}
 	return reservedSlots
 }
 
+// noteRank records a route's rank.
+func (s *service) noteRank(routeRank int) {
+	if !s.ranked {
+		s.highest, s.lowest, s.ranked = routeRank, routeRank, true
+	}
+	s.highest = min(s.highest, routeRank)
+	s.lowest = max(s.lowest, routeRank)
+}
+
 // anyFor says whether one of the open servers has a slot for a route's rank.
 func (s *service) anyFor(open []*server, routeRank int) bool {
 	return slices.ContainsFunc(open, func(one *server) bool {
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -67,8 +67,10 @@
 	servers []*server
 	queue   ticket.Queue
 	asks    map[runworks.RequestID]*waiter
-	// lowest is the lowest of the routes' ranks that were seen.
-	lowest int
+	// highest and lowest are the bounds of the routes' ranks that were seen: 0 is
+	// the highest rank there is.
+	highest, lowest int
+	ranked          bool
 	// perEvent is how many of the tokens that callers expect an event stands for,
 	// on average; 0 is not known.
 	perEvent float64
@@ -182,7 +184,7 @@
 
 // waitLocked puts a call in the queue of its service; false if it is full.
 func (d *Dispatcher) waitLocked(s *service, w *waiter) bool {
-	s.lowest = max(s.lowest, w.ask.RouteRank)
+	s.noteRank(w.ask.RouteRank)
 	t := &ticket.Waiting{
 		Ticket: runworks.Ticket{
 			ID: w.ask.ID, Service: w.ask.Service, Tier: queueRank(w.ask, w.late), Customer: w.ask.Customer,
