Calls are refused at once that can't start in time; what did not run is given back to its limit

Ruled out: affinity to an engine's kept prompts (each last part comes once, 2451 of 2468 calls), so nothing but 60 shared tokens could be found again.

--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -42,6 +42,9 @@
 	ExpectedTokens int
 	// Target is when the answer, or the first event, is expected.
 	Target time.Time
+	// Patience is when a caller leaves who saw nothing of the answer; zero is the
+	// deadline.
+	Patience time.Time
 	// Deadline is when the call is given up.
 	Deadline time.Time
 	// Avoid are the ids of the servers that had the call already.
@@ -71,6 +74,8 @@
 	// the highest rank there is.
 	highest, lowest int
 	ranked          bool
+	// grants are the times of the last grants, by the route's rank.
+	grants [routeSteps]grants
 	// perEvent is how many of the tokens that callers expect an event stands for,
 	// on average; 0 is not known.
 	perEvent float64
@@ -136,15 +141,15 @@
 	}
 	target := time.NewTimer(time.Until(ask.Target))
 	defer target.Stop()
-	deadline := time.NewTimer(time.Until(ask.Deadline))
-	defer deadline.Stop()
+	patience := time.NewTimer(time.Until(ask.lastStart()))
+	defer patience.Stop()
 	for {
 		select {
 		case lease := <-w.lease:
 			return granted(lease)
 		case <-target.C:
 			d.demote(w)
-		case <-deadline.C:
+		case <-patience.C:
 			return d.leave(w, runworks.ErrTimeLimit)
 		case <-ctx.Done():
 			return d.leave(w, context.Cause(ctx))
@@ -168,6 +173,10 @@
 	if s == nil || !s.any(ask) {
 		return nil, nil, runworks.ErrNoServer
 	}
+	now := time.Now()
+	if !s.hopeful(now, ask) {
+		return nil, nil, runworks.ErrShortage
+	}
 	w := &waiter{ask: ask, lease: make(chan *Lease, 1)}
 	if !d.waitLocked(s, w) {
 		return nil, nil, runworks.ErrShortage
@@ -290,6 +299,7 @@
 			continue
 		}
 		to.own++
+		s.noteGrant(now, w.ask.RouteRank)
 		w.lease <- &Lease{Instance: to.Instance, dispatcher: d, server: to, service: s.name}
 	}
 	for _, w := range passed {
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -23,8 +24,13 @@
 const (
 	// retryNotReady is about the time that an entry needs to read its state.
 	retryNotReady = time.Second
-	// retryShort is about the time in which a queue of refused calls passes.
-	retryShort = 500 * time.Millisecond
+	// retryShort and retrySpread bound the wait after a shortage: a burst lasts a
+	// few seconds, and those who come back must not make the next one.
+	retryShort  = 1500 * time.Millisecond
+	retrySpread = 2500 * time.Millisecond
+	// retryPart is the part of a caller's time left, as a divisor, that it waits
+	// before it comes back.
+	retryPart = 3
 	// retryTurnedAway is some times the time in which a slot becomes free.
 	retryTurnedAway = 200 * time.Millisecond
 )
@@ -32,6 +38,12 @@
 const (
 	// defaultTimeout bounds a call whose caller and route name no time.
 	defaultTimeout = 30 * time.Second
+	// A caller leaves a stream after a silence of the longest of minPatience,
+	// targetPatience times the target, and gapPatience times the longest pause that
+	// it expects between events (the callers' side of the platform's pages).
+	minPatience    = 2 * time.Second
+	targetPatience = 4
+	gapPatience    = 8
 	// maxSends bounds the backend servers that are asked for one call, those
 	// that turned it away included: each takes a part of the retry budget.
 	maxSends = 4
@@ -67,6 +79,8 @@
 	// may have run it.
 	tried []string
 	ran   int
+	// drawn is what the call took of its customer's limit, in tokens.
+	drawn float64
 	// waited is the time spent in the queue.
 	waited time.Duration
 	// last is the server that the call went to last.
@@ -90,6 +104,7 @@
 	ctx, c.cancel = context.WithDeadlineCause(ctx, c.deadline, runworks.ErrTimeLimit)
 	reply, failure := c.serve(ctx)
 	if failure != nil {
+		c.giveBack(failure)
 		c.finish(failure.Outcome, 0, failure.Err)
 		return nil, failure
 	}
@@ -119,6 +134,7 @@
 			return runworks.NotRun(errorx.Decorate(runworks.ErrLimit, "%.0f tokens asked, %.0f used and %.0f assumed of %.0f, %d other entries counted",
 				tokens, v.Used, v.Assumed, v.Allowed, v.Heard), v.Wait)
 		}
+		c.drawn = tokens
 	}
 	c.service = route.Share(c.route, c.in.ID)
 	c.deadline = c.in.Received.Add(c.allowed())
@@ -126,6 +142,13 @@
 	return nil
 }
 
+// giveBack returns what a call that did not run took of its customer's limit.
+func (c *call) giveBack(failure *runworks.Failure) {
+	if c.drawn > 0 && failure.Outcome == runworks.OutcomeNotRun {
+		c.f.Quota.Return(time.Now(), c.customer, c.drawn)
+	}
+}
+
 // allowed is how long the call is held at most.
 func (c *call) allowed() time.Duration {
 	allowed := defaultTimeout
@@ -169,7 +192,7 @@
 	if c.ran > 0 {
 		return nil, &runworks.Failure{Err: err, Outcome: runworks.OutcomeUnknown}
 	}
-	return nil, runworks.NotRun(err, retryShort)
+	return nil, runworks.NotRun(err, c.retryAfter())
 }
 
 func (c *call) ask() *dispatch.Ask {
@@ -184,8 +207,25 @@
 	return &dispatch.Ask{
 		ID: c.in.ID, Service: c.service, Rank: c.rank, RouteRank: c.route.Rank, Customer: name,
 		PromptTokens: c.in.PromptTokens, MaxTokens: c.in.MaxTokens, ExpectedTokens: c.in.ExpectedTokens,
-		Target: target, Deadline: c.deadline, Avoid: slices.Clone(c.tried),
+		Target: target, Patience: c.patience(), Deadline: c.deadline, Avoid: slices.Clone(c.tried),
+	}
+}
+
+// patience is when a caller leaves that saw nothing of a stream; zero for calls
+// that are no stream.
+func (c *call) patience() time.Time {
+	if c.route.Kind != runworks.CallStream {
+		return time.Time{}
 	}
+	gap := max(minPatience, targetPatience*c.route.Target, gapPatience*c.route.MaxGap)
+	return c.in.Received.Add(gap)
+}
+
+// retryAfter is when a caller is to come back that found all servers taken: after
+// some bursts' length, spread, and inside the part of its time that it will wait.
+func (c *call) retryAfter() time.Duration {
+	wait := retryShort + rand.N(retrySpread)
+	return min(wait, time.Until(c.deadline)/retryPart)
 }
 
 // attempt sends the call to one backend server. After a failure the lease is
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -33,7 +33,7 @@
 		fields = append(fields, "first_byte_ms", c.firstByte.Sub(c.in.Received).Milliseconds(), "events", c.events)
 	}
 	if c.in.MaxTokens > 0 {
-		fields = append(fields, "prompt_tokens", c.in.PromptTokens, "max_tokens", c.in.MaxTokens, "expected_tokens", c.in.ExpectedTokens)
+		fields = append(fields, "prompt_tokens", c.in.PromptTokens, "max_tokens", c.in.MaxTokens, "expected_tokens", c.in.ExpectedTokens, "subject", c.in.Subject)
 	}
 	if err != nil {
 		fields = append(fields, "cause", err.Error())
--- a/services/quota/quota.go
+++ b/services/quota/quota.go
@@ -20,7 +20,8 @@
 	DefaultWindow = 8 * time.Second
 )
 
-// Drawn is what one life of an entry drew since its start, by customer.
+// Drawn is what one life of an entry drew since its start, less what it gave
+// back, by customer.
 type Drawn map[string]float64
 
 // Quota counts what the customers asked for of late at all entries; set the
@@ -83,6 +84,17 @@
 	return v
 }
 
+// Return gives tokens back that were drawn for a call that did not run.
+func (q *Quota) Return(now time.Time, c *runworks.RoutedCustomer, tokens float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if _, drew := q.drawn[c.Name]; !drew {
+		return
+	}
+	q.of(c.Name).add(now, -tokens)
+	q.drawn[c.Name] -= tokens
+}
+
 // allowed is what a limit lets through in the window before now.
 func (q *Quota) allowed(now time.Time, c *runworks.RoutedCustomer) float64 {
 	counted := now.Sub(q.Started)
@@ -119,7 +131,7 @@
 		return
 	}
 	for name, n := range drawn {
-		if more := n - p.drawn[name]; more > 0 {
+		if more := n - p.drawn[name]; more != 0 {
 			q.of(name).add(now, more)
 		}
 	}
--- a/services/ticket/queue.go
+++ b/services/ticket/queue.go
@@ -124,14 +124,19 @@
 	return n
 }
 
-// ByTier gives the number of waiting tickets for each rank.
-func (q *Queue) ByTier() map[int]int {
-	out := make(map[int]int, len(q.tiers))
+// EachTier tells f the number of waiting tickets of each rank that has some.
+func (q *Queue) EachTier(f func(rank, waiting int)) {
 	for _, t := range q.tiers {
 		if t.size > 0 {
-			out[t.rank] = t.size
+			f(t.rank, t.size)
 		}
 	}
+}
+
+// ByTier gives the number of waiting tickets for each rank.
+func (q *Queue) ByTier() map[int]int {
+	out := make(map[int]int, len(q.tiers))
+	q.EachTier(func(rank, waiting int) { out[rank] = waiting })
 	return out
 }
 
