--- a/services/dispatch/hope.go
+++ b/services/dispatch/hope.go
@@ -8,7 +8,7 @@
 	grantSpan = time.Second
 	// hopePart is the part of the time to its target that a call may be expected
 	// to wait; what is left is for the server's first event.
-	hopePart = 0.6
+	hopePart = 1.0
 	// startMargin is how much before its caller leaves a call must start at least.
 	startMargin = 300 * time.Millisecond
 )
