--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -21,6 +21,8 @@
 	addPlain(app, listen)
 	addLog(app, listen)
 	addHosts(app, listen)
+	addStore(app, listen)
+	addRouted(app, listen)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		os.Exit(1)
@@ -71,3 +73,17 @@
 	cmd.Flag("lag", "How old the list is that readers get.").Default("0s").DurationVar(&h.Lag)
 	cmd.Action(func(*kingpin.ParseContext) error { return serve(*listen, h.Handler()) })
 }
+
+func addStore(app *kingpin.Application, listen *string) {
+	cmd := app.Command("store", "The store of the users' platform.")
+	s := &standin.Store{}
+	cmd.Action(func(*kingpin.ParseContext) error { return serve(*listen, s.Handler()) })
+}
+
+func addRouted(app *kingpin.Application, listen *string) {
+	cmd := app.Command("routed", "A backend server of the users' platform.")
+	b := &standin.Routed{}
+	cmd.Flag("instance", "The id of its life.").Required().StringVar(&b.Instance)
+	cmd.Flag("delay", "How long a call runs, and the time between events.").Default("0s").DurationVar(&b.Delay)
+	cmd.Action(func(*kingpin.ParseContext) error { return serve(*listen, b.Handler()) })
+}
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -53,7 +53,7 @@
 
 	metrics    *metrics.Set
 	tracer     trace.Tracer
-	table      *forward.Forwarder
+	forwarder  *forward.Forwarder
 	dispatcher *dispatch.Dispatcher
 	quota      *quota.Quota
 	budgets    *forward.Budgets
@@ -76,29 +76,31 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	d.limit()
-	flush, err := d.build(ctx)
+	listeners, err := d.listen(ctx)
 	if err != nil {
 		return err
 	}
-	defer flush()
-	list, err := d.open(ctx)
+	flush, err := d.build(ctx, listeners[forFronts].Addr().String())
 	if err != nil {
+		closeAll(listeners)
 		return err
 	}
+	defer flush()
+	list := d.open(listeners)
 	var work conc.WaitGroup
 	d.follow(ctx, &work)
-	for _, one := range list {
-		work.Go(func() { _ = one.server.Serve(one.listener) })
+	for i, server := range list {
+		work.Go(func() { _ = server.Serve(listeners[i]) })
 	}
 	work.Go(func() { d.reload(ctx) })
 	d.Logger.Info("started", "name", d.Settings.Name, "hall", d.Settings.Hall, "version", Version, "incarnation", d.exchange.Self.Incarnation)
 	select {
 	case <-ctx.Done():
 	case <-stop:
-		d.drain(ctx, list[0].server)
+		d.drain(ctx, list[forCallers])
 	}
-	for _, one := range list {
-		_ = one.server.Close()
+	for _, server := range list {
+		_ = server.Close()
 	}
 	cancel()
 	work.Wait()
@@ -117,8 +119,9 @@
 	}
 }
 
-// build puts the parts together; the function it gives sends the last spans.
-func (d *Front) build(ctx context.Context) (func(), error) {
+// build puts the parts together; address is where other fronts reach this one.
+// The function it gives sends the last spans.
+func (d *Front) build(ctx context.Context, address string) (func(), error) {
 	s := d.Settings
 	var err error
 	if d.metrics, err = newMetrics(); err != nil {
@@ -138,14 +141,14 @@
 	d.dispatcher = &dispatch.Dispatcher{Hall: s.Hall}
 	d.quota = &quota.Quota{Window: s.QuotaWindow, Started: time.Now()}
 	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack}
-	d.table = &forward.Forwarder{
+	d.forwarder = &forward.Forwarder{
 		Dispatcher: d.dispatcher, Quota: d.quota, Budgets: d.budgets, Logger: d.Logger, Metrics: d.metrics, Tracer: d.tracer,
 		Sender: &platform.Sender{Pool: &httpconn.Pool{Dial: dial, Recognise: platform.Recognise}},
 	}
-	d.front = &platform.Front{Forwarder: d.table, Logger: d.Logger, MaxBodyBytes: s.MaxBodyBytes}
+	d.front = &platform.Front{Forwarder: d.forwarder, Logger: d.Logger, MaxBodyBytes: s.MaxBodyBytes}
 	d.store = &platform.Store{Address: s.Store, Client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}}}
 	d.exchange = &peers.Exchange{
-		Self: peers.Member{Name: s.Name, Address: s.Peers, Incarnation: runworks.NewIncarnation()},
+		Self: peers.Member{Name: s.Name, Address: address, Incarnation: runworks.NewIncarnation()},
 		Dial: dial, Keys: rpc.FleetKeys(s.FleetKeys), Logger: d.Logger,
 		Beat: d.beat, OnBeat: d.onBeat, OnGone: d.onGone, State: d.state,
 	}
@@ -153,41 +156,54 @@
 	return flushSpans, nil
 }
 
-// listening is a server with its listener.
-type listening struct {
-	server   *http.Server
-	listener net.Listener
-}
+// The listeners of a front.
+const (
+	forCallers = iota
+	forBalancer
+	forFronts
+	forOperators
+)
 
-// open opens all listeners; the callers' is the first.
-func (d *Front) open(ctx context.Context) ([]listening, error) {
+// listen opens all listeners.
+func (d *Front) listen(ctx context.Context) ([]net.Listener, error) {
 	s := d.Settings
-	forOperators := &operators.Routes{Ready: d.ready, Metrics: d.metrics, Status: func() any { return d.status() }}
-	list := []struct {
-		what, address string
-		handler       http.Handler
-	}{
-		{"callers", s.Listen, d.front},
-		{"balancer", s.Ready, platform.ReadyHandler(d.ready)},
-		{"fronts", s.Peers, d.exchange},
-		{"operators", s.Operators, forOperators.Handler()},
-	}
-	var out []listening
-	for _, one := range list {
-		l, err := tcp.Options{Silence: s.Silence}.Listen(ctx, one.address)
+	names := []string{forCallers: "callers", forBalancer: "balancer", forFronts: "fronts", forOperators: "operators"}
+	addresses := []string{forCallers: s.Listen, forBalancer: s.Ready, forFronts: s.Peers, forOperators: s.Operators}
+	var out []net.Listener
+	for i, address := range addresses {
+		l, err := tcp.Options{Silence: s.Silence}.Listen(ctx, address)
 		if err != nil {
-			for _, opened := range out {
-				_ = opened.listener.Close()
-			}
-			return nil, errorx.Decorate(err, "listen for %s on %s", one.what, one.address)
+			closeAll(out)
+			return nil, errorx.Decorate(err, "listen for %s on %s", names[i], address)
 		}
-		server := &http.Server{Handler: one.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: d.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
-		out = append(out, listening{server: server, listener: l})
-		d.Logger.Info("listening", "for", one.what, "address", l.Addr().String())
+		out = append(out, l)
+		d.Logger.Info("listening", "for", names[i], "address", l.Addr().String())
 	}
 	return out, nil
 }
 
+func closeAll(list []net.Listener) {
+	for _, l := range list {
+		_ = l.Close()
+	}
+}
+
+// open builds the servers of the listeners.
+func (d *Front) open(listeners []net.Listener) []*http.Server {
+	operatorRoutes := &operators.Routes{Ready: d.ready, Metrics: d.metrics, Status: func() any { return d.status() }}
+	handlers := []http.Handler{
+		forCallers: d.front, forBalancer: platform.ReadyHandler(d.ready), forFronts: d.exchange, forOperators: operatorRoutes.Handler(),
+	}
+	out := make([]*http.Server, len(listeners))
+	for i, handler := range handlers {
+		out[i] = &http.Server{
+			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			ErrorLog: d.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		}
+	}
+	return out
+}
+
 // watch builds what keeps this front's knowledge up to date.
 func (d *Front) watch() {
 	routing := &platform.Watch{Topic: platform.TopicOperators, OnState: d.onRouting, OnChange: d.onRouting}
@@ -265,11 +281,11 @@
 			d.Logger.Error("routing refused, the one in force stays", "error", err.Error())
 			continue
 		}
-		old := d.table.Table.Load()
+		old := d.forwarder.Table.Load()
 		if old != nil && old.Routing.Version >= routing.Version {
 			continue
 		}
-		d.table.Table.Store(route.NewTable(routing))
+		d.forwarder.Table.Store(route.NewTable(routing))
 		d.Logger.Info("routing in force", "routing_version", routing.Version, "routes", len(routing.Routes), "customers", len(routing.Customers))
 	}
 }
@@ -294,7 +310,7 @@
 	for subject, w := range d.watches {
 		b.Positions[subject] = w.Position()
 	}
-	if table := d.table.Table.Load(); table != nil {
+	if table := d.forwarder.Table.Load(); table != nil {
 		b.RoutingVersion = table.Routing.Version
 	}
 	return b
@@ -322,7 +338,7 @@
 	switch {
 	case d.red.Load():
 		return runworks.ErrStopping
-	case d.table.Table.Load() == nil:
+	case d.forwarder.Table.Load() == nil:
 		return runworks.ErrNotReady
 	case !d.listed.Load():
 		return errorx.Decorate(runworks.ErrNotReady, "no list of backend servers was read")
@@ -340,7 +356,7 @@
 
 func (d *Front) status() FrontStatus {
 	out := FrontStatus{Fronts: d.exchange.Live() + 1, Servers: d.dispatcher.Loads(), Waiting: d.dispatcher.Waiting()}
-	if table := d.table.Table.Load(); table != nil {
+	if table := d.forwarder.Table.Load(); table != nil {
 		out.RoutingVersion = table.Routing.Version
 	}
 	return out
--- a/modules/setting/front.go
+++ b/modules/setting/front.go
@@ -17,6 +17,8 @@
 	DefaultSilence = 3 * time.Second
 	// DefaultRetryRatio is the part of a retry that each call earns.
 	DefaultRetryRatio = 0.1
+	// DefaultRetrySlack lets a fleet that just started send a few calls once more.
+	DefaultRetrySlack = 20
 	// DefaultQuotaWindow is the span over which the customers' limits are counted.
 	DefaultQuotaWindow = 8 * time.Second
 	// DefaultLogLines bounds the log lines of a second.
@@ -71,7 +73,7 @@
 // LoadFront reads and checks a front's settings.
 func LoadFront(file string) (*Front, error) {
 	s := &Front{
-		Grace: DefaultGrace, StopNotice: DefaultStopNotice, Silence: DefaultSilence, RetryRatio: DefaultRetryRatio,
+		Grace: DefaultGrace, StopNotice: DefaultStopNotice, Silence: DefaultSilence, RetryRatio: DefaultRetryRatio, RetrySlack: DefaultRetrySlack,
 		QuotaWindow:  DefaultQuotaWindow,
 		MaxBodyBytes: DefaultMaxBodyBytes, LogLines: DefaultLogLines, Log: Log{JSON: true}, Traces: Traces{Sampled: 1},
 	}
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -74,8 +74,8 @@
 	// the highest rank there is.
 	highest, lowest int
 	ranked          bool
-	// grants are the times of the last grants, by the route's rank.
-	grants [routeSteps]grants
+	// duration is how long a call has its slot on average, in seconds; 0 is not known.
+	duration float64
 	// perEvent is how many of the tokens that callers expect an event stands for,
 	// on average; 0 is not known.
 	perEvent float64
@@ -95,6 +95,7 @@
 	dispatcher *Dispatcher
 	server     *server
 	service    string
+	began      time.Time
 	once       sync.Once
 }
 
@@ -105,8 +106,12 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		l.server.own--
-		l.server.note(time.Now(), r)
-		d.pumpLocked(d.services[l.service])
+		now := time.Now()
+		l.server.note(now, r)
+		if s := d.services[l.service]; s != nil {
+			s.noteDuration(now.Sub(l.began))
+			d.pumpLocked(s)
+		}
 	})
 }
 
@@ -299,8 +304,7 @@
 			continue
 		}
 		to.own++
-		s.noteGrant(now, w.ask.RouteRank)
-		w.lease <- &Lease{Instance: to.Instance, dispatcher: d, server: to, service: s.name}
+		w.lease <- &Lease{Instance: to.Instance, dispatcher: d, server: to, service: s.name, began: now}
 	}
 	for _, w := range passed {
 		if !d.waitLocked(s, w) {
--- /dev/null
+++ b/standin/routed.go
@@ -0,0 +1,286 @@
+package standin
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// The headers between a front and a backend server of the users' platform.
+const (
+	RoutedID        = "X-Request-Id"
+	RoutedSignature = "X-Response-Signature"
+	routedInstance  = "X-Expect-Instance"
+	routedNotRun    = "X-Not-Executed"
+	routedCustomer  = "X-Tenant-Id"
+	routedTimeout   = "X-Timeout-Ms"
+)
+
+// RoutedFaults are the settable faults of a Routed server; each is used up by the
+// calls that it hits.
+type RoutedFaults struct {
+	// TurnAway answers that many calls with the word that they were not run.
+	TurnAway int `json:"turn_away"`
+	// Surplus sends, before that many answers, one that belongs to no request.
+	Surplus int `json:"surplus"`
+	// Reset runs that many calls and resets their connections without an answer.
+	Reset int `json:"reset"`
+	// Unframed sends that many answers without a length and resets the connection
+	// in their middle.
+	Unframed int `json:"unframed"`
+	// Fail runs that many calls and answers 500.
+	Fail int `json:"fail"`
+	// BreakAt, unless zero, resets streams inside the event of that number.
+	BreakAt int `json:"break_at"`
+	// Breaks bounds how many streams BreakAt hits.
+	Breaks int `json:"breaks"`
+}
+
+// RoutedCall is a call that a Routed server ran.
+type RoutedCall struct {
+	ID, Method, Target, Customer, LastEvent string
+	Header                                  http.Header
+	Body                                    []byte
+}
+
+// Routed is a stand-in for a backend server of the users' platform. Set the
+// exported fields before use.
+type Routed struct {
+	// Instance is the id of its life.
+	Instance string
+	// Delay is how long a call runs before its answer, or between two events.
+	Delay time.Duration
+	// Hold, unless nil, keeps every call running until it is closed.
+	Hold <-chan struct{}
+
+	mu     sync.Mutex
+	faults RoutedFaults
+	calls  []RoutedCall
+	active int
+	most   int
+}
+
+// SetFaults sets the faults from now on.
+func (b *Routed) SetFaults(f RoutedFaults) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.faults = f
+}
+
+// Calls gives the calls that were run, in their order.
+func (b *Routed) Calls() []RoutedCall {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]RoutedCall(nil), b.calls...)
+}
+
+// Most gives the most calls that ran at once.
+func (b *Routed) Most() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.most
+}
+
+// Active gives how many calls run now.
+func (b *Routed) Active() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.active
+}
+
+// RoutedAnswer is the body that a call without events gets, a function of the
+// request alone.
+func RoutedAnswer(id, method, target string, body []byte) []byte {
+	sum := sha256.Sum256(body)
+	return fmt.Appendf(nil, "%s %s %s %s\n", id, method, target, hex.EncodeToString(sum[:]))
+}
+
+// RoutedEvent is the event of a number, from 1, of a stream.
+func RoutedEvent(target string, n int) []byte {
+	return fmt.Appendf(nil, "id: %d\ndata: %s %d\n\n", n, target, n)
+}
+
+// spend uses a fault up.
+func (b *Routed) spend(n *int) bool {
+	if *n <= 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
+// Handler serves calls, the ones that ran at GET /calls, and faults at POST /control.
+func (b *Routed) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.Method + " " + r.URL.Path {
+		case "GET /calls":
+			writeJSON(w, b.Calls())
+		case "POST /control":
+			var f RoutedFaults
+			if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+				http.Error(w, err.Error(), http.StatusBadRequest)
+				return
+			}
+			b.SetFaults(f)
+		default:
+			b.ServeHTTP(w, r)
+		}
+	})
+}
+
+// ServeHTTP implements http.Handler. A call whose query has events=N is answered
+// by a stream of N events.
+func (b *Routed) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	w.Header().Set(RoutedID, r.Header.Get(RoutedID))
+	if want := r.Header.Get(routedInstance); want != "" && want != b.Instance {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	b.mu.Lock()
+	if b.spend(&b.faults.TurnAway) {
+		b.mu.Unlock()
+		w.Header().Set(routedNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	b.calls = append(b.calls, RoutedCall{
+		ID: r.Header.Get(RoutedID), Method: r.Method, Target: r.RequestURI, Customer: r.Header.Get(routedCustomer),
+		LastEvent: r.Header.Get("Last-Event-Id"), Header: r.Header.Clone(), Body: body,
+	})
+	b.active++
+	b.most = max(b.most, b.active)
+	b.mu.Unlock()
+	defer func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.active--
+	}()
+	if b.Hold != nil {
+		select {
+		case <-b.Hold:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	b.answer(w, r, body)
+}
+
+// answer gives the answer to a call, with the faults that hit it.
+func (b *Routed) answer(w http.ResponseWriter, r *http.Request, body []byte) {
+	if n, err := strconv.Atoi(r.URL.Query().Get("events")); err == nil {
+		b.stream(w, r, n)
+		return
+	}
+	if !waitFor(r, b.Delay) {
+		return
+	}
+	id := r.Header.Get(RoutedID)
+	data := RoutedAnswer(id, r.Method, r.RequestURI, body)
+	b.mu.Lock()
+	reset, unframed, surplus, fail := b.spend(&b.faults.Reset), false, false, false
+	if !reset {
+		unframed = b.spend(&b.faults.Unframed)
+		surplus = !unframed && b.spend(&b.faults.Surplus)
+		fail = !unframed && !surplus && b.spend(&b.faults.Fail)
+	}
+	b.mu.Unlock()
+	switch {
+	case reset:
+		resetConn(w, nil)
+	case unframed:
+		head := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%s: %s\r\nConnection: close\r\n\r\n", RoutedID, id)
+		resetConn(w, append(head, data[:len(data)/2]...))
+	case surplus:
+		b.surplus(w, id, data)
+	case fail:
+		w.WriteHeader(http.StatusInternalServerError)
+	default:
+		w.Header().Set(RoutedSignature, signature(data))
+		_, _ = w.Write(data)
+	}
+}
+
+func signature(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:8])
+}
+
+// surplus sends an answer to nobody's request, and then the right one.
+func (b *Routed) surplus(w http.ResponseWriter, id string, data []byte) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "HTTP/1.1 200 OK\r\n%s: nobody\r\nContent-Length: 5\r\n\r\nwrong", RoutedID)
+	fmt.Fprintf(&out, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n", RoutedID, id, RoutedSignature, signature(data), len(data))
+	out.Write(data)
+	_, _ = conn.Write(out.Bytes())
+}
+
+// resetConn writes what is given and resets the connection.
+func resetConn(w http.ResponseWriter, data []byte) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = conn.Write(data)
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// stream sends events from the one behind Last-Event-Id on.
+func (b *Routed) stream(w http.ResponseWriter, r *http.Request, events int) {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(RoutedSignature, b.Instance)
+	w.WriteHeader(http.StatusOK)
+	controller := http.NewResponseController(w)
+	for n := last + 1; n <= events; n++ {
+		if !waitFor(r, b.Delay) {
+			return
+		}
+		event := RoutedEvent(r.RequestURI, n)
+		if b.breaks(n) {
+			_, _ = w.Write(event[:len(event)/2])
+			_ = controller.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write(event)
+		_ = controller.Flush()
+	}
+}
+
+// breaks says whether a stream breaks inside an event.
+func (b *Routed) breaks(n int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.faults.BreakAt == n && b.spend(&b.faults.Breaks)
+}
+
+// waitFor waits for d; false says that the caller left.
+func waitFor(r *http.Request, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-r.Context().Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/standin/store.go
@@ -0,0 +1,268 @@
+package standin
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/runworks/runworks/modules/notify"
+)
+
+// StoreFaults are the store's settable faults.
+type StoreFaults struct {
+	// Down answers every call with 503.
+	Down bool `json:"down"`
+	// LoseAnswers makes that many appends take effect and cuts their connections.
+	LoseAnswers int `json:"lose_answers"`
+	// MissWakes makes that many appends wake no read that waits.
+	MissWakes int `json:"miss_wakes"`
+}
+
+// Store is a stand-in for the platform's store: keyed topics of one partition.
+// The zero value is ready.
+type Store struct {
+	mu      sync.Mutex
+	topics  map[string]*topic
+	faults  StoreFaults
+	changed notify.Change
+	calls   map[string]int
+}
+
+type topic struct {
+	// first is the first offset retained.
+	first   int64
+	records [][]byte
+	newest  map[string]newestRecord
+}
+
+type newestRecord struct {
+	value  []byte
+	offset int64
+}
+
+// SetFaults sets the faults from now on.
+func (s *Store) SetFaults(f StoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Calls gives how often a path was called.
+func (s *Store) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
+// Put appends a record, as the platform itself does; an empty value drops the key.
+func (s *Store) Put(name, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.appendLocked(name, append(append([]byte{byte(len(key))}, key...), value...))
+}
+
+// Forget drops the history of a topic; the newest records stay.
+func (s *Store) Forget(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.first += int64(len(t.records))
+	t.records = nil
+	s.changed.Signal()
+}
+
+func (s *Store) topic(name string) *topic {
+	if s.topics == nil {
+		s.topics = make(map[string]*topic)
+	}
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{newest: make(map[string]newestRecord)}
+		s.topics[name] = t
+	}
+	return t
+}
+
+// appendLocked takes a keyed record: the key's length, the key and the value.
+func (s *Store) appendLocked(name string, record []byte) int64 {
+	t := s.topic(name)
+	offset := t.first + int64(len(t.records))
+	t.records = append(t.records, record)
+	key, value := string(record[1:1+record[0]]), record[1+record[0]:]
+	if len(value) == 0 {
+		delete(t.newest, key)
+	} else {
+		t.newest[key] = newestRecord{value: value, offset: offset}
+	}
+	if s.faults.MissWakes > 0 {
+		s.faults.MissWakes--
+	} else {
+		s.changed.Signal()
+	}
+	return offset
+}
+
+// Handler serves the store's protocol, and its faults at POST /control.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /-/log-append", s.serveAppend)
+	mux.HandleFunc("GET /-/log-read", s.serveRead)
+	mux.HandleFunc("GET /-/log-newest", s.serveNewest)
+	mux.HandleFunc("POST /control", s.serveControl)
+	mux.HandleFunc("POST /put", s.servePut)
+	return mux
+}
+
+// up counts a call, and refuses it while the store is down.
+func (s *Store) up(w http.ResponseWriter, r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.calls == nil {
+		s.calls = make(map[string]int)
+	}
+	s.calls[r.URL.Path]++
+	if s.faults.Down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	return !s.faults.Down
+}
+
+func (s *Store) serveControl(w http.ResponseWriter, r *http.Request) {
+	var f StoreFaults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+func (s *Store) servePut(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Put(r.FormValue("topic"), r.FormValue("key"), value)
+}
+
+func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
+	if !s.up(w, r) {
+		return
+	}
+	data, err := io.ReadAll(r.Body)
+	if err != nil || len(data) < 5 || int(binary.BigEndian.Uint32(data)) != len(data)-4 || int(data[4]) > len(data)-5 {
+		http.Error(w, "one keyed record is expected", http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	offset := s.appendLocked(r.URL.Query().Get("topic"), data[4:])
+	lose := s.faults.LoseAnswers > 0
+	if lose {
+		s.faults.LoseAnswers--
+	}
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, map[string]int64{"offset": offset, "end": offset + 1})
+}
+
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
+	if !s.up(w, r) {
+		return
+	}
+	query := r.URL.Query()
+	from, err := strconv.ParseInt(query.Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	waitMs, _ := strconv.Atoi(query.Get("waitMs"))
+	limit := time.NewTimer(time.Duration(waitMs) * time.Millisecond)
+	defer limit.Stop()
+	for {
+		s.mu.Lock()
+		t := s.topic(query.Get("topic"))
+		page, gone := t.page(from)
+		changed := s.changed.Wait()
+		s.mu.Unlock()
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(page) > pageHeadBytes {
+			_, _ = w.Write(page)
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			_, _ = w.Write(page)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+const pageHeadBytes = 16
+
+// page gives the records from an offset on, in the form of a read.
+func (t *topic) page(from int64) (page []byte, gone bool) {
+	if from < t.first {
+		return nil, true
+	}
+	end := t.first + int64(len(t.records))
+	page = binary.BigEndian.AppendUint64(nil, uint64(end))
+	page = binary.BigEndian.AppendUint64(page, uint64(t.first))
+	for i := from - t.first; i < int64(len(t.records)); i++ {
+		page = binary.BigEndian.AppendUint32(page, uint32(len(t.records[i])))
+		page = append(page, t.records[i]...)
+	}
+	return page, false
+}
+
+// newestItem is one record in the answer to a look at the newest.
+type newestItem struct {
+	Key    string `json:"key"`
+	Value  string `json:"value"`
+	Offset int64  `json:"offset"`
+}
+
+// newestPage is the answer to a look at the newest records.
+type newestPage struct {
+	Items   []newestItem `json:"items"`
+	HasMore bool         `json:"hasMore"`
+	End     int64        `json:"end"`
+}
+
+// newestItems bounds the records of one page; it is small, so that tests meet
+// more than one.
+const newestItems = 5
+
+func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
+	if !s.up(w, r) {
+		return
+	}
+	after := r.URL.Query().Get("afterRev")
+	s.mu.Lock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	out := newestPage{Items: []newestItem{}, End: t.first + int64(len(t.records))}
+	for key, one := range t.newest {
+		if key > after {
+			out.Items = append(out.Items, newestItem{Key: key, Value: base64.StdEncoding.EncodeToString(one.value), Offset: one.offset})
+		}
+	}
+	s.mu.Unlock()
+	sort.Slice(out.Items, func(i, j int) bool { return out.Items[i].Key < out.Items[j].Key })
+	if len(out.Items) > newestItems {
+		out.Items, out.HasMore = out.Items[:newestItems], true
+	}
+	writeJSON(w, out)
+}
--- /dev/null
+++ b/tests/platform_site_test.go
@@ -0,0 +1,207 @@
+package tests
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/runworks/runworks/standin"
+)
+
+// platformDocument is what the operators of the platform site put on its store.
+const platformDocument = `{"version": %d,
+ "routes": [
+  {"name": "quick", "host": "yard.example", "pathPrefix": "/safe/", "kind": "safe", "timeoutMs": 5000, "sloMs": 1000, "priority": 1, "service": "app", "maxAttempts": 2},
+  {"name": "once", "host": "yard.example", "pathPrefix": "/once/", "kind": "unsafe", "timeoutMs": 5000, "sloMs": 1000, "priority": 1, "service": "app", "maxAttempts": 1},
+  {"name": "open", "host": "yard.example", "pathPrefix": "/open/", "kind": "safe", "timeoutMs": 5000, "sloMs": 1000, "priority": 1, "service": "app", "maxAttempts": 2, "public": true},
+  {"name": "chat", "host": "yard.example", "pathPrefix": "/chat/", "kind": "streaming", "timeoutMs": 20000, "sloMs": 1000, "priority": 2, "service": "llm", "maxAttempts": 1, "gapTargetMs": 400},
+  {"name": "long", "host": "yard.example", "pathPrefix": "/chat/long/", "kind": "streaming", "timeoutMs": 20000, "sloMs": 1000, "priority": 0, "service": "llm", "maxAttempts": 2, "resumable": true, "gapTargetMs": 400}],
+ "services": [{"name": "app", "maxConns": 100}, {"name": "llm", "maxConns": 100, "engine": {"slots": 8}}],
+ "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+ "tenants": [{"name": "yard", "apiKeys": ["yard-key"], "unit": "tokens", "plainTokens": 200},
+  {"name": "small", "apiKeys": ["small-key"], "unit": "tokens", "plainTokens": 200, "ratePerS": 10, "burst": 100}]}`
+
+// platformSite is fronts, backend servers and the store as separate processes.
+type platformSite struct {
+	*site
+	store  *process
+	fronts map[string]*process
+}
+
+// newPlatformSite starts a store, two backend servers for each service, and fronts.
+func newPlatformSite(t testing.TB, fronts ...string) *platformSite {
+	t.Helper()
+	p := newBarePlatformSite(t)
+	p.putDocument(1)
+	for _, name := range []string{"app-1", "app-2", "llm-1", "llm-2"} {
+		p.addServer(name)
+	}
+	for _, name := range fronts {
+		p.startFront(name)
+	}
+	for _, name := range fronts {
+		p.waitReady(name, len(fronts))
+	}
+	return p
+}
+
+// newBarePlatformSite starts only a store.
+func newBarePlatformSite(t testing.TB) *platformSite {
+	t.Helper()
+	p := &platformSite{site: &site{t: t, dir: t.TempDir(), backend: map[string]*process{}}, fronts: map[string]*process{}}
+	p.store = start(t, "store", "standin", "store")
+	return p
+}
+
+func (p *platformSite) putDocument(version int) {
+	p.t.Helper()
+	p.put("keyed.op", "config", fmt.Appendf(nil, platformDocument, version))
+}
+
+// put writes a record as the platform does.
+func (p *platformSite) put(topic, key string, value []byte) {
+	p.t.Helper()
+	query := url.Values{"topic": {topic}, "key": {key}}
+	p.post("http://"+p.store.address("standin")+"/put?"+query.Encode(), value)
+}
+
+func (p *platformSite) post(target string, body []byte) {
+	p.t.Helper()
+	res, err := http.Post(target, "application/json", bytes.NewReader(body))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	_ = res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		p.t.Fatalf("%s: %s", target, res.Status)
+	}
+}
+
+// setFaults sets the faults of a stand-in.
+func (p *platformSite) setFaults(of *process, faults any) {
+	p.t.Helper()
+	data, err := json.Marshal(faults)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.post("http://"+of.address("standin")+"/control", data)
+}
+
+// addServer starts a backend server, named after its service, and lists it.
+func (p *platformSite) addServer(name string, args ...string) {
+	p.t.Helper()
+	p.backend[name] = start(p.t, name, "standin", append([]string{"routed", "--instance", name}, args...)...)
+	p.listServer(name, "ready")
+}
+
+func (p *platformSite) listServer(name, state string) {
+	p.t.Helper()
+	service, _, _ := strings.Cut(name, "-")
+	p.put("keyed.servers", name, fmt.Appendf(nil, `{"service": %q, "address": %q, "zone": "a", "slots": 8, "state": %q, "seq": 1}`,
+		service, p.backend[name].address("standin"), state))
+}
+
+func (p *platformSite) frontSettings(name string) string {
+	return fmt.Sprintf(`name: %s
+hall: a
+listen: 127.0.0.1:0
+ready: 127.0.0.1:0
+peers: 127.0.0.1:0
+operators: 127.0.0.1:0
+store: %s
+fleet_keys: [%s]
+grace: 6s
+stop_notice: 1s
+log_lines: 5000
+`, name, p.store.address("standin"), processFleetKey)
+}
+
+func (p *platformSite) startFront(name string) {
+	p.t.Helper()
+	p.fronts[name] = start(p.t, name, "runworks", "front", "--settings", p.settings(name, p.frontSettings(name)))
+}
+
+// ready asks a front as the balancer does.
+func (p *platformSite) ready(name string) int {
+	res, err := http.Get("http://" + p.fronts[name].address("balancer") + "/-/ready") //nolint:gosec // a process of this test
+	if err != nil {
+		return 0
+	}
+	_ = res.Body.Close()
+	return res.StatusCode
+}
+
+// waitReady waits until a front is ready and knows all fronts and servers.
+func (p *platformSite) waitReady(name string, fronts int) {
+	p.t.Helper()
+	p.until(name+" is ready", func() bool {
+		var status struct {
+			Fronts  int               `json:"fronts"`
+			Servers []json.RawMessage `json:"servers"`
+		}
+		return p.ready(name) == http.StatusOK && getJSON("http://"+p.fronts[name].address("operators")+"/status", &status) &&
+			status.Fronts == fronts && len(status.Servers) == len(p.backend)
+	})
+}
+
+// platformCall is one caller's request at a front.
+type platformCall struct {
+	id, method, target, key string
+	header                  http.Header
+	body                    []byte
+}
+
+// do sends a call on a connection of its own and gives the answer whole.
+func (p *platformSite) do(front string, c platformCall) (*http.Response, []byte, error) {
+	req, err := http.NewRequest(c.method, "http://"+p.fronts[front].address("callers")+"/", bytes.NewReader(c.body))
+	if err != nil {
+		return nil, nil, err
+	}
+	path, query, _ := strings.Cut(c.target, "?")
+	req.URL.Opaque, req.URL.RawQuery = path, query
+	req.Host = "yard.example"
+	for name, values := range c.header {
+		req.Header[name] = values
+	}
+	req.Header.Set(standin.RoutedID, c.id)
+	if c.key != "" {
+		req.Header.Set("X-Credential", c.key)
+	}
+	if req.Header.Get("X-Timeout-Ms") == "" {
+		req.Header.Set("X-Timeout-Ms", "10000")
+	}
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	res, err := transport.RoundTrip(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	return res, data, err
+}
+
+// calls gives what a backend server ran.
+func (p *platformSite) calls(server string) []standin.RoutedCall {
+	p.t.Helper()
+	var out []standin.RoutedCall
+	if !getJSON("http://"+p.backend[server].address("standin")+"/calls", &out) {
+		p.t.Fatalf("%s does not tell its calls", server)
+	}
+	return out
+}
+
+// writeSettings changes a front's settings file.
+func (p *platformSite) writeSettings(name, text string) {
+	p.t.Helper()
+	if err := os.WriteFile(filepath.Join(p.dir, name+".yaml"), []byte(text), 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+}
