Tests of the new parts: connections, limits, placing, calls, store, documents

Found by them: a call that every server turned away was told that no server is known; the last answer tells why now.

--- /dev/null
+++ b/modules/httpconn/pool_test.go
@@ -0,0 +1,285 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
+)
+
+const whole = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok"
+
+// scripted is a server whose connections are handled by a function.
+type scripted struct {
+	address string
+	conns   atomic.Int32
+	closed  chan struct{}
+}
+
+func serveConns(t *testing.T, handle func(c net.Conn, br *bufio.Reader, n int32)) *scripted {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &scripted{address: l.Addr().String(), closed: make(chan struct{}, 100)}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n := s.conns.Add(1)
+			go func() {
+				defer func() { s.closed <- struct{}{} }()
+				defer func() { _ = c.Close() }()
+				handle(c, bufio.NewReader(c), n)
+			}()
+		}
+	}()
+	return s
+}
+
+// readRequest takes one request with its body; false at the connection's end.
+func readRequest(br *bufio.Reader) bool {
+	req, err := http.ReadRequest(br)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return err == nil
+}
+
+func newPool() *Pool {
+	return &Pool{
+		Dial:      (&net.Dialer{}).DialContext,
+		Recognise: func(_ *http.Request, res *http.Response) bool { return res.Header.Get("X-Id") == "1" },
+	}
+}
+
+func request(t *testing.T, method, address, body string) *http.Request {
+	t.Helper()
+	var reader io.Reader
+	if body != "" {
+		reader = io.NopCloser(strings.NewReader(body))
+	}
+	req, err := http.NewRequest(method, "http://"+address+"/a", reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.ContentLength = int64(len(body))
+	return req
+}
+
+// get sends a GET and reads its whole answer.
+func get(t *testing.T, p *Pool, s *scripted) (string, error) {
+	t.Helper()
+	res, err := p.Do(context.Background(), s.address, request(t, http.MethodGet, s.address, ""))
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	return string(data), err
+}
+
+// TestSentOnce breaks a kept connection under a GET: it may have run, so it is not
+// sent again, as http.Transport would.
+func TestSentOnce(t *testing.T) {
+	is := is.New(t)
+	var arrivals atomic.Int32
+	s := serveConns(t, func(c net.Conn, br *bufio.Reader, _ int32) {
+		for readRequest(br) {
+			if arrivals.Add(1) == 2 {
+				return
+			}
+			_, _ = io.WriteString(c, whole)
+		}
+	})
+	p := newPool()
+	defer p.Close()
+	text, err := get(t, p, s)
+	is.NoErr(err)
+	is.Equal(text, "ok")
+	_, err = get(t, p, s)
+	is.True(errors.Is(err, runworks.ErrBackend))
+	is.Equal(arrivals.Load(), int32(2))
+	is.Equal(s.conns.Load(), int32(1))
+}
+
+// TestIdleConnectionThatEnded finds a kept connection closed before it is used,
+// and one on which something came that nobody asked for: both are left.
+func TestIdleConnectionThatEnded(t *testing.T) {
+	for _, after := range []string{"", whole} {
+		is := is.New(t)
+		s := serveConns(t, func(c net.Conn, br *bufio.Reader, n int32) {
+			for readRequest(br) {
+				_, _ = io.WriteString(c, whole)
+				if n == 1 {
+					_, _ = io.WriteString(c, after)
+					if after == "" {
+						return
+					}
+				}
+			}
+		})
+		p := newPool()
+		_, err := get(t, p, s)
+		is.NoErr(err)
+		waitUnquiet(t, p, s.address)
+		text, err := get(t, p, s)
+		is.NoErr(err)
+		is.Equal(text, "ok")
+		is.Equal(s.conns.Load(), int32(2))
+		p.Close()
+	}
+}
+
+// waitUnquiet waits until the end, or the byte, has reached the kept connection.
+func waitUnquiet(t *testing.T, p *Pool, address string) {
+	t.Helper()
+	limit := time.Now().Add(10 * time.Second)
+	for time.Now().Before(limit) {
+		p.mu.Lock()
+		list := p.idle[address]
+		quiet := len(list) > 0 && list[0].quiet()
+		p.mu.Unlock()
+		if !quiet {
+			return
+		}
+	}
+	t.Fatal("the connection stays quiet")
+}
+
+// TestAnswerOfAnother passes over an answer to another request, and takes the one
+// that is recognised.
+func TestAnswerOfAnother(t *testing.T) {
+	is := is.New(t)
+	s := serveConns(t, func(c net.Conn, br *bufio.Reader, _ int32) {
+		for readRequest(br) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 9\r\nContent-Length: 5\r\n\r\nwrong"+whole)
+		}
+	})
+	p := newPool()
+	defer p.Close()
+	text, err := get(t, p, s)
+	is.NoErr(err)
+	is.Equal(text, "ok")
+}
+
+// TestOnlyOtherAnswers gives up when the right answer does not come.
+func TestOnlyOtherAnswers(t *testing.T) {
+	is := is.New(t)
+	s := serveConns(t, func(c net.Conn, br *bufio.Reader, _ int32) {
+		if readRequest(br) {
+			_, _ = io.WriteString(c, strings.Repeat("HTTP/1.1 200 OK\r\nX-Id: 9\r\nContent-Length: 5\r\n\r\nwrong", 9))
+		}
+	})
+	p := newPool()
+	defer p.Close()
+	_, err := get(t, p, s)
+	is.True(errors.Is(err, runworks.ErrBackend))
+}
+
+// TestEarlyAnswer answers a long body before it was read: the connection must not
+// be used again, as the server may read the rest of the body there.
+func TestEarlyAnswer(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	s := serveConns(t, func(c net.Conn, br *bufio.Reader, n int32) {
+		if n == 1 {
+			_, _ = br.ReadString('\n')
+			_, _ = io.WriteString(c, whole)
+			<-release
+			return
+		}
+		for readRequest(br) {
+			_, _ = io.WriteString(c, whole)
+		}
+	})
+	defer close(release)
+	p := newPool()
+	defer p.Close()
+	long := strings.Repeat("x", 32<<20)
+	res, err := p.Do(context.Background(), s.address, request(t, http.MethodPost, s.address, long))
+	is.NoErr(err)
+	data, err := io.ReadAll(res.Body)
+	is.NoErr(err)
+	is.Equal(string(data), "ok")
+	is.NoErr(res.Body.Close())
+	_, err = get(t, p, s)
+	is.NoErr(err)
+	is.Equal(s.conns.Load(), int32(2))
+}
+
+// TestUnframedAnswer takes an answer without a length to its connection's end, and
+// does not take it for whole when the connection is reset.
+func TestUnframedAnswer(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		is := is.New(t)
+		s := serveConns(t, func(c net.Conn, br *bufio.Reader, _ int32) {
+			if !readRequest(br) {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nhalf")
+			if tcp, ok := c.(*net.TCPConn); ok && reset {
+				_ = tcp.SetLinger(0)
+			}
+		})
+		p := newPool()
+		text, err := get(t, p, s)
+		if reset {
+			is.True(err != nil)
+		} else {
+			is.NoErr(err)
+			is.Equal(text, "half")
+		}
+		p.Close()
+	}
+}
+
+// TestNotDispatched dials a port where nobody listens: proof that nothing left.
+func TestNotDispatched(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	is.NoErr(l.Close())
+	_, err = newPool().Do(context.Background(), address, request(t, http.MethodGet, address, ""))
+	is.True(errors.Is(err, runworks.ErrNotDispatched))
+}
+
+// TestCancel ends the context: the server sees its connection end.
+func TestCancel(t *testing.T) {
+	is := is.New(t)
+	s := serveConns(t, func(c net.Conn, br *bufio.Reader, _ int32) {
+		readRequest(br)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nok")
+		_, _ = br.ReadByte()
+	})
+	p := newPool()
+	defer p.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	res, err := p.Do(ctx, s.address, request(t, http.MethodGet, s.address, ""))
+	is.NoErr(err)
+	cancel()
+	select {
+	case <-s.closed:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the connection stays open")
+	}
+	_, err = io.ReadAll(res.Body)
+	is.True(err != nil)
+	is.NoErr(res.Body.Close())
+}
--- /dev/null
+++ b/modules/logging/bounded_test.go
@@ -0,0 +1,61 @@
+package logging
+
+import (
+	"bytes"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// stuck is a writer that blocks until it is released.
+type stuck struct {
+	release chan struct{}
+	out     bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return s.out.Write(p)
+}
+
+// TestBoundedNeverBlocks writes to an output that is stuck: the lines beyond the
+// queue are dropped and counted, the others come once it is free.
+func TestBoundedNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &stuck{release: make(chan struct{})}
+		b := NewBounded(out, 1<<20)
+		const lines = queuedLines + 100
+		for range lines {
+			n, err := b.Write([]byte("x\n"))
+			is.NoErr(err)
+			is.Equal(n, 2)
+			synctest.Wait()
+		}
+		is.Equal(b.Dropped(), int64(lines-queuedLines-1)) // one is in the writer's hand
+		close(out.release)
+		b.Close()
+		is.Equal(out.out.Len(), 2*(queuedLines+1))
+	})
+}
+
+// TestBoundedRate lets through so many lines a second.
+func TestBoundedRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out bytes.Buffer
+		b := NewBounded(&out, 10)
+		for range 3 {
+			for range 50 {
+				_, _ = b.Write([]byte("x"))
+			}
+			time.Sleep(time.Second)
+		}
+		b.Close()
+		is.Equal(out.Len(), 30)
+		is.Equal(b.Dropped(), int64(120))
+	})
+}
--- a/modules/setting/setting_test.go
+++ b/modules/setting/setting_test.go
@@ -19,10 +19,13 @@
 			t.Fatal(err)
 		}
 		var err error
-		if d.Cmd == "entry" {
+		switch d.Cmd {
+		case "entry":
 			_, err = LoadEntry(file)
-		} else {
+		case "agent":
 			_, err = LoadAgent(file)
+		case "front":
+			_, err = LoadFront(file)
 		}
 		if err != nil {
 			return strings.ReplaceAll(err.Error(), dir+"/", "") + "\n"
--- /dev/null
+++ b/services/dispatch/dispatch_test.go
@@ -0,0 +1,274 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
+)
+
+// newDispatcher builds one with servers of so many slots each, named s0, s1 and on.
+func newDispatcher(slots ...int) *Dispatcher {
+	d := &Dispatcher{Hall: "a"}
+	d.Replace(instances(slots...))
+	return d
+}
+
+func instances(slots ...int) []runworks.Instance {
+	var list []runworks.Instance
+	for i, n := range slots {
+		list = append(list, runworks.Instance{ID: fmt.Sprintf("s%d", i), Service: "llm", Hall: "a", Slots: n})
+	}
+	return list
+}
+
+func ask(id string, routeRank int) *Ask {
+	now := time.Now()
+	return &Ask{
+		ID: runworks.RequestID(id), Service: "llm", RouteRank: routeRank,
+		Target: now.Add(time.Second), Deadline: now.Add(10 * time.Second),
+	}
+}
+
+// acquired waits in the background for a server.
+func acquired(d *Dispatcher, a *Ask) <-chan *Lease {
+	out := make(chan *Lease, 1)
+	go func() {
+		lease, err := d.Acquire(context.Background(), a)
+		if err != nil {
+			close(out)
+			return
+		}
+		out <- lease
+	}()
+	synctest.Wait()
+	return out
+}
+
+// TestUrgentFirst frees one slot for which calls of three ranks wait, the lowest
+// first in line: the highest gets it, then the next.
+func TestUrgentFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(1)
+		first, err := d.Acquire(context.Background(), ask("first", 1))
+		is.NoErr(err)
+		low := acquired(d, ask("low", 2))
+		middle := acquired(d, ask("middle", 1))
+		high := acquired(d, ask("high", 0))
+		first.Release(Served)
+		lease := <-high
+		is.Equal(len(middle)+len(low), 0)
+		lease.Release(Served)
+		lease = <-middle
+		is.Equal(len(low), 0)
+		lease.Release(Served)
+		(<-low).Release(Served)
+	})
+}
+
+// TestCustomersRankGoesFirst lets the customers' ranks decide before the routes'.
+func TestCustomersRankGoesFirst(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		d := newDispatcher(1)
+		first := <-acquired(d, ask("first", 0))
+		later := ask("later", 0)
+		later.Rank = 1
+		second := acquired(d, later)
+		third := acquired(d, ask("important", 2))
+		first.Release(Served)
+		lease := <-third
+		lease.Release(Served)
+		(<-second).Release(Served)
+	})
+}
+
+// TestLateCallsStepBack puts a call that missed its target behind one of its rank
+// that can still meet its own.
+func TestLateCallsStepBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(1)
+		first := <-acquired(d, ask("first", 1))
+		late := acquired(d, ask("late", 1))
+		time.Sleep(2 * time.Second)
+		fresh := acquired(d, ask("fresh", 1))
+		first.Release(Served)
+		lease := <-fresh
+		is.Equal(len(late), 0)
+		lease.Release(Served)
+		(<-late).Release(Served)
+	})
+}
+
+// TestSlotKeptForUrgentRoutes keeps the last slot of a server from the lowest rank.
+func TestSlotKeptForUrgentRoutes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(4)
+		urgent := <-acquired(d, ask("urgent", 0))
+		urgent.Release(Served)
+		var held []*Lease
+		for i := range 3 {
+			held = append(held, <-acquired(d, ask(fmt.Sprint("chat", i), 2)))
+		}
+		waiting := acquired(d, ask("chat3", 2))
+		is.Equal(len(waiting), 0)
+		urgent = <-acquired(d, ask("urgent2", 0))
+		is.Equal(len(waiting), 0)
+		urgent.Release(Served)
+		is.Equal(len(waiting), 0)
+		held[0].Release(Served)
+		(<-waiting).Release(Served)
+	})
+}
+
+// TestAvoided does not give a call to a server that had it, and says so at once
+// where there is no other.
+func TestAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(4, 4)
+		a := ask("again", 0)
+		a.Avoid = []string{"s0"}
+		lease := <-acquired(d, a)
+		is.Equal(lease.Instance.ID, "s1")
+		lease.Release(Served)
+		a.Avoid = []string{"s0", "s1"}
+		_, err := d.Acquire(context.Background(), a)
+		is.True(errors.Is(err, runworks.ErrNoServer))
+	})
+}
+
+// TestLeavingGetsNothing gives no call to a server that leaves or left the list.
+func TestLeavingGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(4, 4)
+		list := instances(4, 4)
+		list[0].Leaving = true
+		_, left := d.Replace(list)
+		is.Equal(len(left), 1)
+		for i := range 4 {
+			is.Equal((<-acquired(d, ask(fmt.Sprint(i), 0))).Instance.ID, "s1")
+		}
+		_, left = d.Replace(list[:1])
+		is.Equal(left[0].ID, "s1")
+		_, err := d.Acquire(context.Background(), ask("late", 0))
+		is.True(errors.Is(err, runworks.ErrNoServer))
+	})
+}
+
+// TestOthersTakeSlots counts what the other fronts have at a server, and forgets
+// it when they are gone.
+func TestOthersTakeSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(2)
+		d.Report("other", map[string]int{"s0": 2})
+		waiting := acquired(d, ask("waits", 0))
+		is.Equal(len(waiting), 0)
+		d.Report("other", nil)
+		(<-waiting).Release(Served)
+	})
+}
+
+// TestPatience gives a call up before its caller leaves.
+func TestPatience(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(1)
+		<-acquired(d, ask("runs", 0))
+		a := ask("waits", 0)
+		a.Patience = time.Now().Add(3 * time.Second)
+		began := time.Now()
+		_, err := d.Acquire(context.Background(), a)
+		is.True(errors.Is(err, runworks.ErrTimeLimit))
+		is.Equal(time.Since(began), 3*time.Second-startMargin)
+		is.Equal(d.Waiting()["llm"], 0)
+	})
+}
+
+// TestHopelessIsRefusedAtOnce refuses a call that could not start in its target.
+func TestHopelessIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(1)
+		lease := <-acquired(d, ask("runs", 0))
+		time.Sleep(2 * time.Second)
+		lease.Release(Served) // calls keep their slot for 2 s
+		<-acquired(d, ask("runs again", 0))
+		waits := acquired(d, ask("waits", 0))
+		_, err := d.Acquire(context.Background(), ask("hopeless", 0))
+		is.True(errors.Is(err, runworks.ErrShortage))
+		<-waits // given up at its deadline
+	})
+}
+
+// TestBrokenServerIsLeftOut sends nothing to a server whose calls break, as long
+// as another has a slot, and tries it again later.
+func TestBrokenServerIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(9, 9)
+		for broken := 0; broken < failuresToSuspend; {
+			lease := <-acquired(d, ask(fmt.Sprint("break", broken), 0))
+			if lease.Instance.ID == "s0" {
+				broken++
+				defer lease.Release(Served)
+				lease.Release(Broken)
+				continue
+			}
+			lease.Release(Served)
+			d.Report("other", map[string]int{"s1": 8})
+		}
+		d.Report("other", map[string]int{"s1": 5})
+		for i := range 3 {
+			is.Equal((<-acquired(d, ask(fmt.Sprint(i), 0))).Instance.ID, "s1")
+		}
+		time.Sleep(lastSuspension)
+		is.Equal((<-acquired(d, ask("later", 0))).Instance.ID, "s0")
+	})
+}
+
+// TestAllBroken goes on using servers when all of them are suspended.
+func TestAllBroken(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		d := newDispatcher(2)
+		for i := range 5 {
+			(<-acquired(d, ask(fmt.Sprint(i), 0))).Release(Unreachable)
+		}
+	})
+}
+
+// TestLongAnswersNeedFastServers keeps an answer that can't end in time on a slow
+// server for the fast one.
+func TestLongAnswersNeedFastServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(2, 2)
+		for i, gap := range []time.Duration{15 * time.Millisecond, 45 * time.Millisecond} {
+			a := ask(fmt.Sprint("learn", i), 0)
+			a.Avoid = []string{fmt.Sprint("s", 1-i)}
+			lease := <-acquired(d, a)
+			lease.Pace(gap)
+			lease.Length(300, 100)
+			lease.Release(Served)
+		}
+		d.Report("other", map[string]int{"s0": 2})
+		long := ask("long", 0)
+		long.ExpectedTokens = 900 // 300 events: 4.5 s or 13.5 s
+		waiting := acquired(d, long)
+		short := <-acquired(d, ask("short", 0))
+		is.Equal(short.Instance.ID, "s1")
+		is.Equal(len(waiting), 0)
+		d.Report("other", map[string]int{})
+		is.Equal((<-waiting).Instance.ID, "s0")
+	})
+}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -163,15 +163,21 @@
 
 // serve sends the call until there is an answer, or nothing more may be tried.
 func (c *call) serve(ctx context.Context) (*runworks.Reply, *runworks.Failure) {
+	var last *runworks.Failure
 	for {
 		lease, failure := c.acquire(ctx)
 		if failure != nil {
+			if last != nil && errors.Is(failure, runworks.ErrNoServer) {
+				// All that there are had the call: the last of them tells why.
+				failure = last
+			}
 			return nil, failure
 		}
 		reply, failure := c.attempt(ctx, lease, "")
 		if failure == nil {
 			return c.answer(ctx, lease, reply)
 		}
+		last = failure
 		if !c.mayTryAgain(ctx, failure) {
 			return nil, failure
 		}
--- /dev/null
+++ b/services/forward/forward_test.go
@@ -0,0 +1,328 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/metrics"
+	"github.com/runworks/runworks/modules/tracing"
+	"github.com/runworks/runworks/services/dispatch"
+	"github.com/runworks/runworks/services/quota"
+	"github.com/runworks/runworks/services/route"
+)
+
+// reply is what the fake sender does with one send.
+type reply struct {
+	err    error
+	status int
+	notRun bool
+	gone   bool
+	// body is given whole, or up to broken if that is set.
+	body   string
+	broken error
+	// hang waits for the end of the call.
+	hang bool
+}
+
+// sender is a fake that answers the sends in turn.
+type sender struct {
+	replies []reply
+	sends   []runworks.Send
+}
+
+// Send implements runworks.Sender.
+func (s *sender) Send(ctx context.Context, send *runworks.Send) (*runworks.ServerReply, error) {
+	n := len(s.sends)
+	s.sends = append(s.sends, *send)
+	r := s.replies[min(n, len(s.replies)-1)]
+	if r.hang {
+		<-ctx.Done()
+		return nil, errorx.Decorate(runworks.ErrBackend, "hung")
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	end := r.broken
+	if end == nil {
+		end = io.EOF
+	}
+	body := io.NopCloser(io.MultiReader(strings.NewReader(r.body), &failing{end}))
+	status := r.status
+	if status == 0 {
+		status = http.StatusOK
+	}
+	return &runworks.ServerReply{Reply: runworks.Reply{Status: status, Header: http.Header{}, Body: body}, NotRun: r.notRun, Gone: r.gone}, nil
+}
+
+// failing ends a body with an error.
+type failing struct{ err error }
+
+// Read implements io.Reader.
+func (f *failing) Read([]byte) (int, error) { return 0, f.err }
+
+var errReset = errors.New("reset")
+
+func testRouting() *runworks.Routing {
+	shares := []runworks.ServiceShare{{Service: "app", Weight: 1}}
+	base := runworks.Route{Host: "h", Timeout: 5 * time.Second, Target: time.Second, MaxGap: 100 * time.Millisecond, MaxAttempts: 2, Shares: shares}
+	r := &runworks.Routing{Version: 1, Services: []runworks.RoutedService{{Name: "app"}}}
+	for _, one := range []struct {
+		name      string
+		kind      runworks.CallKind
+		resumable bool
+	}{
+		{"safe", runworks.CallRepeatable, false}, {"once", runworks.CallOnce, false},
+		{"stream", runworks.CallStream, false}, {"resumable", runworks.CallStream, true},
+	} {
+		route := base
+		route.Name, route.PathPrefix, route.Kind, route.Resumable = one.name, "/"+one.name+"/", one.kind, one.resumable
+		r.Routes = append(r.Routes, route)
+	}
+	return r
+}
+
+// newForwarder builds one with three servers and a logger that writes to out.
+func newForwarder(t *testing.T, s *sender, out io.Writer) *Forwarder {
+	t.Helper()
+	set, err := metrics.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &dispatch.Dispatcher{}
+	var list []runworks.Instance
+	for i := range 3 {
+		list = append(list, runworks.Instance{ID: fmt.Sprint("s", i), Service: "app", Slots: 4})
+	}
+	d.Replace(list)
+	go d.Run(t.Context())
+	f := &Forwarder{
+		Dispatcher: d, Quota: &quota.Quota{}, Budgets: &Budgets{Slack: 100}, Sender: s, Metrics: set, Tracer: tracing.None(),
+		Logger: hclog.New(&hclog.LoggerOptions{Output: out, JSONFormat: true}),
+	}
+	f.Table.Store(route.NewTable(testRouting()))
+	return f
+}
+
+// serve sends one call and gives the whole answer.
+func serve(ctx context.Context, f *Forwarder, name string) (*runworks.Reply, string, error) {
+	in := &runworks.Inbound{ID: "1", Method: http.MethodPost, Host: "h", Path: "/" + name + "/x", Target: "/" + name + "/x", Received: time.Now()}
+	res, err := f.Serve(ctx, in)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	return res, string(data), err
+}
+
+var (
+	turnedAway = reply{status: 503, notRun: true}
+	moved      = reply{status: 421, gone: true}
+	unreached  = reply{err: errorx.Decorate(runworks.ErrNotDispatched, "refused")}
+	lost       = reply{err: errorx.Decorate(runworks.ErrBackend, "reset")}
+	failed     = reply{status: 500, body: "sorry"}
+	good       = reply{body: "good"}
+	cut        = reply{body: "go", broken: errReset}
+	events     = reply{body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda", broken: errReset}
+	rest       = reply{body: "id: 3\ndata: c\n\n"}
+)
+
+// TestAttempts sends calls of each kind to servers that fail in each way: what may
+// run once is sent again only on proof that it did not run.
+func TestAttempts(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		route   string
+		replies []reply
+		sends   int
+		status  int
+		body    string
+		outcome runworks.Outcome
+	}{
+		{"turned away, then served", "once", []reply{turnedAway, good}, 2, 200, "good", ""},
+		{"another server there, then served", "once", []reply{moved, good}, 2, 200, "good", ""},
+		{"out of reach, then served", "once", []reply{unreached, good}, 2, 200, "good", ""},
+		{"turned away everywhere", "once", []reply{turnedAway}, 3, 0, "", runworks.OutcomeNotRun},
+		{"lost: may have run", "once", []reply{lost, good}, 1, 0, "", runworks.OutcomeUnknown},
+		{"cut in its answer", "once", []reply{cut, good}, 1, 0, "", runworks.OutcomeUnknown},
+		{"its own failure is passed on", "once", []reply{failed, good}, 1, 500, "sorry", ""},
+		{"turned away, then lost", "once", []reply{turnedAway, lost, good}, 2, 0, "", runworks.OutcomeUnknown},
+		{"repeatable and lost", "safe", []reply{lost, good}, 2, 200, "good", ""},
+		{"repeatable and cut", "safe", []reply{cut, good}, 2, 200, "good", ""},
+		{"repeatable and failed", "safe", []reply{failed, good}, 2, 200, "good", ""},
+		{"repeatable, failed twice: its own answer", "safe", []reply{failed, lost, good}, 2, 500, "sorry", ""},
+		{"no more attempts than the route allows", "safe", []reply{lost, lost, good}, 2, 0, "", runworks.OutcomeUnknown},
+		{"a stream runs once", "stream", []reply{lost, good}, 1, 0, "", runworks.OutcomeUnknown},
+		{"a resumable stream may begin again", "resumable", []reply{lost, rest}, 2, 200, rest.body, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &sender{replies: c.replies}
+				res, body, err := serve(context.Background(), newForwarder(t, s, io.Discard), c.route)
+				is.Equal(len(s.sends), c.sends)
+				if c.outcome == "" {
+					is.NoErr(err)
+					is.Equal(res.Status, c.status)
+					is.Equal(body, c.body)
+					return
+				}
+				var failure *runworks.Failure
+				is.True(errors.As(err, &failure))
+				is.Equal(failure.Outcome, c.outcome)
+				is.Equal(failure.RetryAfter > 0, c.outcome == runworks.OutcomeNotRun)
+			})
+		})
+	}
+}
+
+// TestStreamGoesOn breaks a resumable stream inside its third event: the caller
+// gets each event once, and the second server is told the last whole one.
+func TestStreamGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &sender{replies: []reply{events, rest}}
+		_, body, err := serve(context.Background(), newForwarder(t, s, io.Discard), "resumable")
+		is.NoErr(err)
+		is.Equal(body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n")
+		is.Equal(s.sends[1].LastEvent, "2")
+		is.True(s.sends[0].To.ID != s.sends[1].To.ID)
+	})
+}
+
+// TestStreamBreaks breaks a stream that can't be resumed: whole events only, and
+// an end that is no io.EOF.
+func TestStreamBreaks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &sender{replies: []reply{events}}
+		_, body, err := serve(context.Background(), newForwarder(t, s, io.Discard), "stream")
+		is.True(err != nil)
+		is.Equal(body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+		is.Equal(len(s.sends), 1)
+	})
+}
+
+// TestTimeLimit gives a call that hangs its answer at its route's time limit, and
+// tells the server no more time than is left.
+func TestTimeLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &sender{replies: []reply{{hang: true}}}
+		began := time.Now()
+		_, _, err := serve(context.Background(), newForwarder(t, s, io.Discard), "once")
+		is.True(errors.Is(err, runworks.ErrTimeLimit))
+		is.Equal(time.Since(began), 5*time.Second)
+		is.Equal(s.sends[0].Left, 5*time.Second)
+	})
+}
+
+// TestCallerLeaves ends a call whose caller left, at once.
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &sender{replies: []reply{{hang: true}}}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		began := time.Now()
+		_, _, err := serve(ctx, newForwarder(t, s, io.Discard), "once")
+		is.True(err != nil)
+		is.Equal(time.Since(began), time.Second)
+	})
+}
+
+// TestNothingKnown refuses calls as not run while no routing is known, and while
+// no server of the service is.
+func TestNothingKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newForwarder(t, &sender{replies: []reply{good}}, io.Discard)
+		f.Dispatcher.Replace(nil)
+		_, _, err := serve(context.Background(), f, "once")
+		is.True(errors.Is(err, runworks.ErrNoServer))
+		f.Table.Store(nil)
+		_, _, err = serve(context.Background(), f, "once")
+		is.True(errors.Is(err, runworks.ErrNotReady))
+		var failure *runworks.Failure
+		is.True(errors.As(err, &failure))
+		is.Equal(failure.Outcome, runworks.OutcomeNotRun)
+		is.True(failure.RetryAfter > 0)
+	})
+}
+
+// TestBudgetBoundsRetries turns every call away: what is sent again stays inside
+// the budget.
+func TestBudgetBoundsRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &sender{replies: []reply{turnedAway}}
+		f := newForwarder(t, s, io.Discard)
+		f.Budgets = &Budgets{Ratio: 0.2, Slack: 20}
+		f.Budgets.SetEntries(4)
+		const calls = 500
+		for range calls {
+			_, _, _ = serve(context.Background(), f, "once")
+			time.Sleep(100 * time.Millisecond)
+		}
+		again := len(s.sends) - calls
+		is.True(again <= calls/5+20/4)
+		is.True(again >= calls/5-5)
+	})
+}
+
+// TestLimitCountsWhatRan gives what a call drew on its customer's limit back when
+// the call did not run, and keeps it when it did.
+func TestLimitCountsWhatRan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &sender{replies: []reply{turnedAway}}
+		f := newForwarder(t, s, io.Discard)
+		routing := testRouting()
+		routing.Customers = []runworks.RoutedCustomer{{Name: "yard", KeySHA256: []string{route.HashKey("k")}, TokensPerSecond: 10, TokenBurst: 20, TokensPerCall: 100}}
+		f.Table.Store(route.NewTable(routing))
+		in := runworks.Inbound{ID: "1", Host: "h", Path: "/once/x", Target: "/once/x", Key: "k", Received: time.Now()}
+		_, err := f.Serve(context.Background(), &in)
+		is.True(errors.Is(err, runworks.ErrTurnedAway))
+		is.Equal(f.Quota.Drawn()["yard"], 0.0)
+		s.replies = []reply{good}
+		again := in
+		again.Received = time.Now()
+		res, err := f.Serve(context.Background(), &again)
+		is.NoErr(err)
+		is.NoErr(res.Body.Close())
+		is.Equal(f.Quota.Drawn()["yard"], 100.0)
+		_, err = f.Serve(context.Background(), &again)
+		is.True(errors.Is(err, runworks.ErrLimit))
+	})
+}
+
+// TestOneLineForEachCall writes one line with what decided the call.
+func TestOneLineForEachCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out bytes.Buffer
+		s := &sender{replies: []reply{turnedAway, events, rest}}
+		_, _, err := serve(context.Background(), newForwarder(t, s, &out), "resumable")
+		is.NoErr(err)
+		line := out.String()
+		is.Equal(strings.Count(line, "\n"), 1)
+		for _, want := range []string{`"request":"1"`, `"route":"resumable"`, `"outcome":"done"`, `"routing_version":1`, `"servers":["s`, `"ran":2`, `"events":3`} {
+			if !strings.Contains(line, want) {
+				t.Errorf("no %s in %s", want, line)
+			}
+		}
+	})
+}
--- a/tests/platform_site_test.go
+++ b/tests/platform_site_test.go
@@ -39,7 +39,7 @@
 func newPlatformSite(t testing.TB, fronts ...string) *platformSite {
 	t.Helper()
 	p := newBarePlatformSite(t)
-	p.putDocument(1)
+	p.putDocument()
 	for _, name := range []string{"app-1", "app-2", "llm-1", "llm-2"} {
 		p.addServer(name)
 	}
@@ -60,9 +60,10 @@
 	return p
 }
 
-func (p *platformSite) putDocument(version int) {
+// putDocument puts the first version of the document on the store.
+func (p *platformSite) putDocument() {
 	p.t.Helper()
-	p.put("keyed.op", "config", fmt.Appendf(nil, platformDocument, version))
+	p.put("keyed.op", "config", fmt.Appendf(nil, platformDocument, 1))
 }
 
 // put writes a record as the platform does.
--- a/tests/platform_test.go
+++ b/tests/platform_test.go
@@ -161,7 +161,7 @@
 func TestPlatformStoreDownAtStart(t *testing.T) {
 	is := is.New(t)
 	p := newBarePlatformSite(t)
-	p.putDocument(1)
+	p.putDocument()
 	p.addServer("app-1")
 	p.setFaults(p.store, standin.StoreFaults{Down: true})
 	p.startFront("front-1")
@@ -223,7 +223,7 @@
 func TestPlatformPlannedStop(t *testing.T) {
 	is := is.New(t)
 	p := newBarePlatformSite(t)
-	p.putDocument(1)
+	p.putDocument()
 	p.addServer("app-1")
 	p.addServer("llm-1", "--delay", "50ms")
 	p.startFront("front-1")
@@ -272,7 +272,7 @@
 func TestPlatformCallerLeaves(t *testing.T) {
 	is := is.New(t)
 	p := newBarePlatformSite(t)
-	p.putDocument(1)
+	p.putDocument()
 	p.addServer("llm-1", "--delay", "20ms")
 	p.startFront("front-1")
 	p.waitReady("front-1", 1)
