Calls are taken from silent servers; hanging servers are left out

A call that may run again waited for it to the end, and a call that the caller gave up counted as no fault of the server. Ruled out: the fronts' stops between 8 and 16 s (no such call then), one bad server (seven of nine had such calls, 4 to 10 in 100).

--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -44,11 +44,20 @@
 	minPatience    = 2 * time.Second
 	targetPatience = 4
 	gapPatience    = 8
+	// silentTargets is after how many times its target a call is taken from a server
+	// that gave no answer, if another may have it.
+	silentTargets = 2
+	// silence is how long a server with a call gives nothing before its end, by the
+	// caller or the clock, counts against it: many times the pause between events.
+	silence = time.Second
 	// maxSends bounds the backend servers that are asked for one call, those
 	// that turned it away included: each takes a part of the retry budget.
 	maxSends = 4
 )
 
+// errSilent says that a server gave no answer in time.
+var errSilent = errors.New("the backend server stays silent")
+
 // Forwarder owns the calls of one entry; set the exported fields before use.
 type Forwarder struct {
 	// Table is the routing in force; nil as long as none was read.
@@ -85,6 +94,8 @@
 	waited time.Duration
 	// last is the server that the call went to last.
 	last runworks.Instance
+	// sent is when the call went to the last server.
+	sent time.Time
 	// firstByte is when the answer's head was there; zero if it never was.
 	firstByte time.Time
 	// events is how many events of a stream were passed on.
@@ -245,14 +256,15 @@
 		send.Customer = c.customer.Name
 	}
 	metrics.Count(c.f.Metrics.Dispatches, metrics.Rank(c.rank))
-	reply, err := c.f.Sender.Send(spanCtx, send)
+	c.sent = time.Now()
+	reply, err := c.send(spanCtx, send)
 	switch {
 	case errors.Is(err, runworks.ErrNotDispatched):
-		lease.Release(c.endOf(ctx, dispatch.Unreachable))
+		lease.Release(c.endOf(ctx, c.sent, dispatch.Unreachable))
 		return nil, c.notRun(err)
 	case err != nil:
 		c.ran++
-		lease.Release(c.endOf(ctx, dispatch.Broken))
+		lease.Release(c.endOf(ctx, c.sent, dispatch.Broken))
 		return nil, c.broken(ctx, err)
 	case reply.Gone:
 		_ = reply.Body.Close()
@@ -267,9 +279,29 @@
 	return reply, nil
 }
 
-// endOf keeps a server's record clean of what the caller or the clock ended.
-func (c *call) endOf(ctx context.Context, r dispatch.Result) dispatch.Result {
-	if ctx.Err() != nil {
+// send sends the call. A server that stays silent loses a call that another may
+// still have.
+func (c *call) send(ctx context.Context, send *runworks.Send) (*runworks.ServerReply, error) {
+	if !c.repeatable() || c.ran+1 >= c.route.MaxAttempts || c.route.Target == 0 {
+		return c.f.Sender.Send(ctx, send)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	limit := time.AfterFunc(silentTargets*c.route.Target, func() { cancel(errSilent) })
+	reply, err := c.f.Sender.Send(ctx, send)
+	limit.Stop()
+	if errors.Is(context.Cause(ctx), errSilent) {
+		err = errorx.Decorate(runworks.ErrBackend, "%s: %v", send.To.ID, errSilent)
+		if reply != nil {
+			_ = reply.Body.Close()
+		}
+	}
+	return reply, err
+}
+
+// endOf keeps a server's record clean of what the caller or the clock ended, but
+// for calls of which nothing came since a time long enough to tell.
+func (c *call) endOf(ctx context.Context, lastHeard time.Time, r dispatch.Result) dispatch.Result {
+	if ctx.Err() != nil && time.Since(lastHeard) < silence {
 		return dispatch.Abandoned
 	}
 	return r
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -230,6 +230,51 @@
 	})
 }
 
+// TestSilentServer takes a call that may run again from a server that gives no
+// answer, and leaves one that runs once where it is.
+func TestSilentServer(t *testing.T) {
+	for _, c := range []struct {
+		route string
+		sends int
+	}{{"safe", 2}, {"resumable", 2}, {"once", 1}, {"stream", 1}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := &sender{replies: []reply{{hang: true}, good}}
+			began := time.Now()
+			_, _, err := serve(context.Background(), newForwarder(t, s, io.Discard), c.route)
+			is.Equal(len(s.sends), c.sends)
+			if c.sends == 2 {
+				is.NoErr(err)
+				is.Equal(time.Since(began), silentTargets*time.Second)
+			} else {
+				is.True(err != nil)
+			}
+		})
+	}
+}
+
+// TestHangingServerIsLeftOut counts calls against a server that ended by their
+// callers' leaving after a long silence: one that hangs gets no more.
+func TestHangingServerIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &sender{replies: []reply{{hang: true}}}
+		f := newForwarder(t, s, io.Discard)
+		f.Dispatcher.Replace([]runworks.Instance{{ID: "s0", Service: "app", Slots: 4}, {ID: "s1", Service: "app", Slots: 1}})
+		for range 2 {
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			_, _, err := serve(ctx, f, "stream")
+			is.True(err != nil)
+			cancel()
+		}
+		is.Equal(s.sends[0].To.ID, s.sends[1].To.ID)
+		s.replies = []reply{good}
+		_, _, err := serve(context.Background(), f, "stream")
+		is.NoErr(err)
+		is.True(s.sends[2].To.ID != s.sends[1].To.ID)
+	})
+}
+
 // TestCallerLeaves ends a call whose caller left, at once.
 func TestCallerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -108,12 +108,20 @@
 	s.lastAt = now
 }
 
+// lastHeard is when the server gave something last.
+func (s *stream) lastHeard() time.Time {
+	if s.lastAt.IsZero() {
+		return s.call.firstByte
+	}
+	return s.lastAt
+}
+
 // resume goes on with a broken stream at another server; it gives nil if the
 // stream goes on, else why it ends here.
 func (s *stream) resume(broke error) error {
 	c := s.call
 	_ = s.body.Close()
-	s.lease.Release(c.endOf(s.ctx, dispatch.Broken))
+	s.lease.Release(c.endOf(s.ctx, s.lastHeard(), dispatch.Broken))
 	for {
 		failure := &runworks.Failure{Err: broke, Outcome: runworks.OutcomeUnknown}
 		if !c.route.Resumable || !c.mayTryAgain(s.ctx, failure) {
@@ -156,7 +164,7 @@
 		if err == nil {
 			err = context.Cause(s.ctx)
 		}
-		s.lease.Release(s.call.endOf(s.ctx, dispatch.Abandoned))
+		s.lease.Release(s.call.endOf(s.ctx, s.lastHeard(), dispatch.Broken))
 		s.call.finish(runworks.OutcomeUnknown, 0, err)
 	}
 	return nil
