--- a/cmd/runworks/front.go
+++ b/cmd/runworks/front.go
@@ -33,7 +33,7 @@
 		defer out.Close()
 		process := &daemon.Front{
 			Settings: settings, Logger: logging.New(out, "front", settings.Log.Level, settings.Log.JSON),
-			Reload: reloads(), LoadSettings: func() (*setting.Front, error) { return setting.LoadFront(*file) },
+			DroppedLines: out.Dropped, Reload: reloads(), LoadSettings: func() (*setting.Front, error) { return setting.LoadFront(*file) },
 		}
 		return process.Run(ctx, stop)
 	})
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -39,7 +39,8 @@
 	stopMargin = 700 * time.Millisecond
 	// headerTimeout bounds the reading of a request's head.
 	headerTimeout = 3 * time.Second
-	// idleTimeout bounds how long a caller's connection rests.
+	// idleTimeout bounds how long a caller's connection rests, as long as no routing
+	// says otherwise.
 	idleTimeout = 15 * time.Second
 )
 
@@ -47,6 +48,8 @@
 type Front struct {
 	Settings *setting.Front
 	Logger   hclog.Logger
+	// DroppedLines gives how many log lines were dropped; nil is none.
+	DroppedLines func() int64
 	// Reload is told to read the settings again; LoadSettings reads them.
 	Reload       <-chan struct{}
 	LoadSettings func() (*setting.Front, error)
@@ -87,6 +90,7 @@
 	}
 	defer flush()
 	list := d.open(listeners)
+	listeners[forCallers] = &tcp.IdleListener{Listener: listeners[forCallers], Limit: d.idleLimit}
 	var work conc.WaitGroup
 	d.follow(ctx, &work)
 	for i, server := range list {
@@ -127,6 +131,11 @@
 	if d.metrics, err = newMetrics(); err != nil {
 		return nil, err
 	}
+	if d.DroppedLines != nil {
+		if err := d.metrics.WatchDroppedLines(d.DroppedLines); err != nil {
+			return nil, errorx.Decorate(err, "count dropped log lines")
+		}
+	}
 	d.tracer = tracing.None()
 	flushSpans := func() {}
 	if s.Traces.Endpoint != "" {
@@ -138,7 +147,7 @@
 		flushSpans = func() { flush(provider) }
 	}
 	dial := tcp.Options{Silence: s.Silence}.Dial
-	d.dispatcher = &dispatch.Dispatcher{Hall: s.Hall}
+	d.dispatcher = &dispatch.Dispatcher{Hall: s.Hall, OnSuspend: d.onSuspend}
 	d.quota = &quota.Quota{Window: s.QuotaWindow, Started: time.Now()}
 	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack}
 	d.forwarder = &forward.Forwarder{
@@ -197,13 +206,21 @@
 	out := make([]*http.Server, len(listeners))
 	for i, handler := range handlers {
 		out[i] = &http.Server{
-			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: tcp.NoteState,
 			ErrorLog: d.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		}
 	}
 	return out
 }
 
+// idleLimit is how long a caller's connection may rest now.
+func (d *Front) idleLimit() time.Duration {
+	if table := d.forwarder.Table.Load(); table != nil && table.Routing.Limits.IdleTimeout > 0 {
+		return table.Routing.Limits.IdleTimeout
+	}
+	return idleTimeout
+}
+
 // watch builds what keeps this front's knowledge up to date.
 func (d *Front) watch() {
 	routing := &platform.Watch{Topic: platform.TopicOperators, OnState: d.onRouting, OnChange: d.onRouting}
@@ -305,6 +322,10 @@
 	}
 }
 
+func (d *Front) onSuspend(server runworks.Instance, failures int, wait time.Duration) {
+	d.Logger.Warn("backend server left out", "server", server.ID, "service", server.Service, "failures", failures, "for_ms", wait.Milliseconds())
+}
+
 func (d *Front) beat() peers.Beat {
 	b := peers.Beat{Running: d.dispatcher.Running(), Drawn: d.quota.Drawn(), Positions: map[peers.Subject]int64{}}
 	for subject, w := range d.watches {
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -17,6 +17,7 @@
 // causes and outcomes, never ids, customers or addresses.
 type Set struct {
 	handler http.Handler
+	meter   metric.Meter
 
 	// Requests counts requests by tier and outcome.
 	Requests metric.Int64Counter
@@ -58,6 +59,7 @@
 	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
 	b := builder{meter: provider.Meter("runworks")}
 	s := &Set{
+		meter:            b.meter,
 		handler:          promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 		Requests:         b.counter("runworks.requests", "requests by tier and outcome"),
 		Goodput:          b.counter("runworks.goodput", "requests done inside their time limit, by tier"),
@@ -77,6 +79,16 @@
 	return s, b.err
 }
 
+// WatchDroppedLines counts the log lines that were dropped since the start.
+func (s *Set) WatchDroppedLines(dropped func() int64) error {
+	_, err := s.meter.Int64ObservableCounter("runworks.log_lines_dropped", metric.WithDescription("log lines dropped as there were too many"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(dropped())
+			return nil
+		}))
+	return err
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (s *Set) Handler() http.Handler { return s.handler }
 
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -57,6 +57,9 @@
 	Hall string
 	// MaxWaiting is DefaultMaxWaiting if zero.
 	MaxWaiting int
+	// OnSuspend is told of a server that is left out, after how many failures in a
+	// row and for how long; nil tells nobody. It must not wait.
+	OnSuspend func(server runworks.Instance, failures int, wait time.Duration)
 
 	mu       sync.Mutex
 	servers  map[string]*server
@@ -107,7 +110,9 @@
 		defer d.mu.Unlock()
 		l.server.own--
 		now := time.Now()
-		l.server.note(now, r)
+		if wait := l.server.note(now, r); wait > 0 && d.OnSuspend != nil {
+			d.OnSuspend(l.server.Instance, l.server.failures, wait)
+		}
 		if s := d.services[l.service]; s != nil {
 			s.noteDuration(now.Sub(l.began))
 			d.pumpLocked(s)
@@ -179,8 +184,8 @@
 		return nil, nil, runworks.ErrNoServer
 	}
 	now := time.Now()
-	if !s.hopeful(now, ask) {
-		return nil, nil, runworks.ErrShortage
+	if err := s.hopeless(now, ask); err != nil {
+		return nil, nil, err
 	}
 	w := &waiter{ask: ask, lease: make(chan *Lease, 1)}
 	if !d.waitLocked(s, w) {
--- a/services/dispatch/hope.go
+++ b/services/dispatch/hope.go
@@ -1,6 +1,12 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/runworks/runworks"
+)
 
 const (
 	// hopePart is the part of the time to its target that a call may be expected
@@ -12,20 +18,20 @@
 	startMargin = 300 * time.Millisecond
 )
 
-// hopeful says whether a call that comes now is likely to start inside its
-// target. One that is not is better refused at once: its caller comes back when
-// the burst is over, and those that wait are not made late by it.
-func (s *service) hopeful(now time.Time, ask *Ask) bool {
+// hopeless gives an error if a call that comes now is not likely to start inside
+// its target. It is better refused at once: its caller comes back when the burst is
+// over, and those that wait are not made late by it.
+func (s *service) hopeless(now time.Time, ask *Ask) error {
 	ahead := s.ahead(ask)
-	if ahead == 0 {
-		return true
-	}
 	rate := s.rate()
-	if rate == 0 {
-		return true
+	if ahead == 0 || rate == 0 {
+		return nil
 	}
 	allowed := hopePart * ask.Target.Sub(now).Seconds()
-	return float64(ahead+1) <= rate*allowed
+	if float64(ahead+1) <= rate*allowed {
+		return nil
+	}
+	return errorx.Decorate(runworks.ErrShortage, "%d wait ahead, %.1f a second start here, %.0f ms to the target", ahead, rate, allowed*1000)
 }
 
 // rate is how many calls start here in a second when the slots that this entry
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -49,8 +49,8 @@
 // healthy says whether calls may be sent there as long as others can do the work.
 func (s *server) healthy(now time.Time) bool { return !s.Leaving && !now.Before(s.suspended) }
 
-// note records how a call ended.
-func (s *server) note(now time.Time, r Result) {
+// note records how a call ended; it gives how long the server is left out for it.
+func (s *server) note(now time.Time, r Result) time.Duration {
 	switch r {
 	case Served:
 		s.failures = 0
@@ -60,13 +60,15 @@
 	case Unreachable, Broken:
 		s.failures++
 		if r == Unreachable || s.failures >= failuresToSuspend {
-			wait := firstSuspension << min(s.failures, 5)
-			s.suspended = now.Add(min(wait, lastSuspension))
+			wait := min(firstSuspension<<min(s.failures, 5), lastSuspension)
+			s.suspended = now.Add(wait)
+			return wait
 		}
 	case Moved:
 		s.Leaving = true
 	case Abandoned:
 	}
+	return 0
 }
 
 // notePace records the time between two events of a stream.
