A front that stops goes on with short calls until what ran has its answer

It takes no streams from then on, as not run, and goes on with short calls. Ruled out: a slower start (40 ms from start to ready).

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -37,6 +37,10 @@
 	memoryPart = 0.6
 	// stopMargin is how much before the end of the grace a stop is over.
 	stopMargin = 700 * time.Millisecond
+	// stopCheck is how often a planned stop looks whether calls are left, and
+	// shortCalls is the time before its end from which it takes none at all.
+	stopCheck  = 20 * time.Millisecond
+	shortCalls = time.Second
 	// headerTimeout bounds the reading of a request's head.
 	headerTimeout = 3 * time.Second
 	// idleTimeout bounds how long a caller's connection rests, as long as no routing
@@ -401,21 +405,32 @@
 	}
 }
 
-// drain turns readiness red, goes on until the balancer has noticed, and then
-// finishes what is there.
+// drain turns readiness red and goes on until the balancer has noticed. Then it
+// takes no streams any more, but goes on with short calls, as callers may know of no
+// other front, until what ran has its answer.
 func (d *Front) drain(ctx context.Context, server *http.Server) {
 	end := time.Now().Add(d.Settings.Grace - stopMargin)
 	d.red.Store(true)
 	d.front.Closing.Store(true)
 	d.Logger.Info("planned stop: not ready from now on", "stop_notice", d.Settings.StopNotice.String(), "grace", d.Settings.Grace.String())
-	select {
-	case <-ctx.Done():
-		return
-	case <-time.After(d.Settings.StopNotice):
-	}
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
+	sleep(ctx, d.Settings.StopNotice)
+	d.forwarder.Stopping.Store(true)
+	for ctx.Err() == nil && d.forwarder.Active() > 0 && time.Until(end) > shortCalls {
+		sleep(ctx, stopCheck)
+	}
 	if err := server.Shutdown(ctx); err != nil {
-		d.Logger.Warn("planned stop cut short", "error", err.Error())
+		d.Logger.Warn("planned stop cut short", "calls", d.forwarder.Active(), "error", err.Error())
+	}
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -69,8 +69,16 @@
 	Logger     hclog.Logger
 	Metrics    *metrics.Set
 	Tracer     trace.Tracer
+	// Stopping is set near the end of a planned stop: streams, which may last, are
+	// refused as not run.
+	Stopping atomic.Bool
+
+	active atomic.Int64
 }
 
+// Active gives how many calls have no whole answer yet.
+func (f *Forwarder) Active() int64 { return f.active.Load() }
+
 // call is one call on its way.
 type call struct {
 	f      *Forwarder
@@ -106,6 +114,7 @@
 // of Serve closes the answer's body. The end of ctx gives the call up.
 func (f *Forwarder) Serve(ctx context.Context, in *runworks.Inbound) (*runworks.Reply, error) {
 	c := &call{f: f, in: in}
+	f.active.Add(1)
 	ctx, span := f.Tracer.Start(ctx, tracing.SpanEntry)
 	defer span.End()
 	if failure := c.admit(); failure != nil {
@@ -132,6 +141,9 @@
 	if c.route, err = c.table.Route(c.in.Host, c.in.Path); err != nil {
 		return runworks.NotRun(err, 0)
 	}
+	if c.f.Stopping.Load() && c.route.Kind == runworks.CallStream {
+		return runworks.NotRun(runworks.ErrStopping, retryTurnedAway)
+	}
 	if c.customer, err = c.table.Customer(c.route, c.in.Key); err != nil {
 		return runworks.NotRun(err, 0)
 	}
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -275,6 +275,21 @@
 	})
 }
 
+// TestStopping refuses streams near the end of a planned stop, as not run, and
+// takes short calls.
+func TestStopping(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newForwarder(t, &sender{replies: []reply{good}}, io.Discard)
+		f.Stopping.Store(true)
+		_, _, err := serve(context.Background(), f, "stream")
+		is.True(errors.Is(err, runworks.ErrStopping))
+		_, _, err = serve(context.Background(), f, "once")
+		is.NoErr(err)
+		is.Equal(f.Active(), int64(0))
+	})
+}
+
 // TestCallerLeaves ends a call whose caller left, at once.
 func TestCallerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -9,6 +9,7 @@
 
 // finish ends a call and writes its one line: what decided it, and how it ended.
 func (c *call) finish(outcome runworks.Outcome, status int, err error) {
+	c.f.active.Add(-1)
 	if c.cancel != nil {
 		c.cancel()
 	}
