--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -158,8 +159,21 @@
 		for i := range 4 {
 			is.Equal((<-acquired(d, ask(fmt.Sprint(i), 0))).Instance.ID, "s1")
 		}
+		d.Replace(list)
+		away := ask("away", 0)
+		away.Service = "app"
+		list = append(list, runworks.Instance{ID: "p0", Service: "app", Slots: 9, Leaving: true}, runworks.Instance{ID: "p1", Service: "app", Slots: 9})
+		d.Replace(list)
+		for range 3 { // also when the only other one can't be reached
+			lease := <-acquired(d, away)
+			is.Equal(lease.Instance.ID, "p1")
+			lease.Release(Unreachable)
+		}
 		_, left = d.Replace(list[:1])
-		is.Equal(left[0].ID, "s1")
+		ids := []string{left[0].ID, left[1].ID}
+		slices.Sort(ids)
+		is.Equal(ids, []string{"p1", "s1"})
+		is.Equal(len(left), 2)
 		_, err := d.Acquire(context.Background(), ask("late", 0))
 		is.True(errors.Is(err, runworks.ErrNoServer))
 	})
--- a/services/forward/answer.go
+++ b/services/forward/answer.go
@@ -54,8 +54,7 @@
 // again tries a call that ran and failed once more, if it may; else it gives the
 // failure, or the server's own answer.
 func (c *call) again(ctx context.Context, failure *runworks.Failure, own *runworks.Reply) (*runworks.Reply, *runworks.Failure) {
-	ran := &runworks.Failure{Err: runworks.ErrBackend, Outcome: runworks.OutcomeFailed}
-	if c.mayTryAgain(ctx, ran) {
+	if c.mayTryAgain(ctx) {
 		metrics.Count(c.f.Metrics.Retries, metrics.Cause("failed"))
 		reply, second := c.serve(ctx)
 		if second == nil || own == nil {
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -92,17 +92,15 @@
 	return &runworks.Failure{Err: err, Outcome: runworks.OutcomeUnknown}
 }
 
-// mayTryAgain says whether a failed attempt may be followed by another.
-func (c *call) mayTryAgain(ctx context.Context, failure *runworks.Failure) bool {
+// mayTryAgain says whether a failed attempt may be followed by another: always
+// after proof that no attempt ran, else only if the call may run again.
+func (c *call) mayTryAgain(ctx context.Context) bool {
 	if ctx.Err() != nil || len(c.tried) >= maxSends {
 		return false
 	}
 	if c.ran > 0 && (!c.repeatable() || c.ran >= c.route.MaxAttempts) {
 		return false
 	}
-	if failure.Outcome != runworks.OutcomeNotRun && !c.repeatable() {
-		return false
-	}
 	return c.f.Budgets.Spend(c.service)
 }
 
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -201,7 +201,7 @@
 			return c.answer(ctx, lease, reply)
 		}
 		last = failure
-		if !c.mayTryAgain(ctx, failure) {
+		if !c.mayTryAgain(ctx) {
 			return nil, failure
 		}
 		metrics.Count(c.f.Metrics.Retries, metrics.Cause(string(failure.Outcome)))
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -123,8 +123,7 @@
 	_ = s.body.Close()
 	s.lease.Release(c.endOf(s.ctx, s.lastHeard(), dispatch.Broken))
 	for {
-		failure := &runworks.Failure{Err: broke, Outcome: runworks.OutcomeUnknown}
-		if !c.route.Resumable || !c.mayTryAgain(s.ctx, failure) {
+		if !c.route.Resumable || !c.mayTryAgain(s.ctx) {
 			return c.broken(s.ctx, broke)
 		}
 		metrics.Count(c.f.Metrics.Resumes)
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -40,13 +40,10 @@
 
 // openLocked keeps a connection to another entry.
 func (x *Exchange) openLocked(m Member) {
-	if x.ctx == nil {
-		x.ctx = context.Background()
-	}
 	if x.links == nil {
 		x.links = make(map[string]*link)
 	}
-	ctx, cancel := context.WithCancel(x.ctx)
+	ctx, cancel := context.WithCancel(x.ctxLocked())
 	l := &link{member: m, cancel: cancel}
 	x.links[m.Name] = l
 	x.work.Go(func() { x.keep(ctx, l) })
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -95,9 +95,11 @@
 	// State gives what this entry knows of a subject, for others.
 	State func(s Subject) (any, error)
 
-	work  group.Group
+	work group.Group
+	mu   sync.Mutex
+	// ctx ends with Run; connections may be asked for before it.
 	ctx   context.Context
-	mu    sync.Mutex
+	end   context.CancelFunc
 	links map[string]*link
 	heard map[runworks.Incarnation]*life
 }
@@ -110,9 +112,6 @@
 
 // Run sends heartbeats until ctx ends.
 func (x *Exchange) Run(ctx context.Context) {
-	x.mu.Lock()
-	x.ctx = ctx
-	x.mu.Unlock()
 	var last []byte
 	quiet := 0
 	for ctx.Err() == nil {
@@ -129,9 +128,21 @@
 		}
 		pause.For(ctx, x.every())
 	}
+	x.mu.Lock()
+	x.ctxLocked()
+	x.end()
+	x.mu.Unlock()
 	x.work.Close()
 }
 
+// ctxLocked gives the context of all connections.
+func (x *Exchange) ctxLocked() context.Context {
+	if x.ctx == nil {
+		x.ctx, x.end = context.WithCancel(context.Background())
+	}
+	return x.ctx
+}
+
 func (x *Exchange) every() time.Duration {
 	every := x.Every
 	if every == 0 {
@@ -179,11 +190,8 @@
 		return
 	}
 	x.mu.Lock()
-	ctx := x.ctx
+	ctx := x.ctxLocked()
 	x.mu.Unlock()
-	if ctx == nil {
-		ctx = context.Background()
-	}
 	<-rpc.Serve(ctx, stream, x.handle).DisconnectNotify()
 }
 
--- /dev/null
+++ b/services/peers/peers_test.go
@@ -0,0 +1,162 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/rpc"
+	"github.com/runworks/runworks/standin/memnet"
+)
+
+// entry is one entry of a test, with what it heard.
+type entry struct {
+	*Exchange
+	network *memnet.Network
+	server  *http.Server
+	cancel  context.CancelFunc
+
+	mu    sync.Mutex
+	heard map[runworks.Incarnation]Beat
+	gone  []runworks.Incarnation
+	tells int
+}
+
+// startEntry starts an entry on the network; its name is its host.
+func startEntry(t *testing.T, network *memnet.Network, name string, key string) *entry {
+	t.Helper()
+	e := &entry{network: network, heard: map[runworks.Incarnation]Beat{}}
+	e.Exchange = &Exchange{
+		Self: Member{Name: name, Address: name + ":1", Incarnation: runworks.Incarnation(name + "-life")},
+		Dial: network.Dialer(name), Keys: rpc.FleetKeys{key}, Logger: hclog.NewNullLogger(),
+		Beat: func() Beat {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return Beat{Running: runworks.RunningCalls{"s": e.tells}}
+		},
+		OnBeat: func(_ time.Time, b *Beat) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.heard[b.From.Incarnation] = *b
+		},
+		OnGone: func(from runworks.Incarnation) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.gone = append(e.gone, from)
+		},
+		State: func(Subject) (any, error) { return name + " knows", nil },
+	}
+	l, err := network.Listen(name + ":1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.server = &http.Server{Handler: e.Exchange} //nolint:gosec // a test's server
+	go func() { _ = e.server.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	go e.Run(ctx)
+	return e
+}
+
+// tell changes what an entry tells the others.
+func (e *entry) tell(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tells = n
+}
+
+// runsAt gives what an entry heard of another's calls; -1 if it heard nothing.
+func (e *entry) runsAt(name string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b, ok := e.heard[runworks.Incarnation(name+"-life")]
+	if !ok {
+		return -1
+	}
+	return b.Running["s"]
+}
+
+// inNetwork runs a test with entries a and b, of which a knows b from the list.
+func inNetwork(t *testing.T, keyOfB string, test func(is *is.I, network *memnet.Network, a, b *entry)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New(time.Millisecond)
+		a := startEntry(t, network, "a", "key-of-the-fleet")
+		b := startEntry(t, network, "b", keyOfB)
+		a.SetMembers([]Member{a.Self, b.Self})
+		time.Sleep(time.Second)
+		test(is.New(t), network, a, b)
+		for _, e := range []*entry{a, b} {
+			e.cancel()
+			_ = e.server.Close()
+		}
+		network.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestEntriesHearEachOther lets an entry that nobody listed be dialled back, and
+// passes each change on within a heartbeat.
+func TestEntriesHearEachOther(t *testing.T) {
+	inNetwork(t, "key-of-the-fleet", func(is *is.I, _ *memnet.Network, a, b *entry) {
+		is.Equal(a.runsAt("b"), 0)
+		is.Equal(b.runsAt("a"), 0)
+		a.tell(3)
+		time.Sleep(2 * DefaultEvery)
+		is.Equal(b.runsAt("a"), 3)
+		is.Equal(a.Live(), 1)
+	})
+}
+
+// TestSilentEntryIsGone counts an entry as gone that is cut off, and hears it again
+// afterwards.
+func TestSilentEntryIsGone(t *testing.T) {
+	inNetwork(t, "key-of-the-fleet", func(is *is.I, network *memnet.Network, a, b *entry) {
+		network.Cut("a", "b")
+		time.Sleep(silentAfter + time.Second)
+		is.Equal(a.Live(), 0)
+		is.Equal(len(a.gone), 1)
+		network.Reset("a", "b")
+		network.Mend("a", "b")
+		b.tell(7)
+		time.Sleep(2 * lastRedial)
+		is.Equal(a.runsAt("b"), 7)
+		is.Equal(a.Live(), 1)
+	})
+}
+
+// TestAskState asks another entry for what it knows.
+func TestAskState(t *testing.T) {
+	inNetwork(t, "key-of-the-fleet", func(is *is.I, _ *memnet.Network, a, _ *entry) {
+		var out string
+		is.NoErr(a.AskState(context.Background(), "b", SubjectRouting, &out))
+		is.Equal(out, "b knows")
+		is.True(a.AskState(context.Background(), "nobody", SubjectRouting, &out) != nil)
+	})
+}
+
+// TestOtherFleetIsRefused takes no connection that shows another fleet's key.
+func TestOtherFleetIsRefused(t *testing.T) {
+	inNetwork(t, "key-of-another-fleet", func(is *is.I, _ *memnet.Network, a, b *entry) {
+		is.Equal(a.runsAt("b"), -1)
+		is.Equal(b.runsAt("a"), -1)
+	})
+}
+
+// TestBadHeartbeat refuses what can't be read.
+func TestBadHeartbeat(t *testing.T) {
+	is := is.New(t)
+	x := &Exchange{Logger: hclog.NewNullLogger()}
+	_, err := x.handle(context.Background(), MethodBeat, json.RawMessage(`{`))
+	is.True(err != nil)
+	_, err = x.handle(context.Background(), "entry.unknown", nil)
+	is.True(err != nil)
+}
