Read again: one wiring of commands, one tracer, one key hash, one moving average; dead code out

Cause: three commands wired settings, check and signals alike; the front built its tracer beside the one that all processes have; the hash of a key, a wait cut short by a request's end and a moving average stood two or three times; a nil report meant a front was gone; fields and functions that nobody read were left from the first draft. The label of the front's retries is result, as docs/operators/metrics.md says and the entry has it. No other change in behaviour.

--- a/cmd/runworks/agent.go
+++ b/cmd/runworks/agent.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -13,22 +12,14 @@
 
 // addAgent adds the command that runs an agent.
 func addAgent(app *kingpin.Application) {
-	cmd := app.Command("agent", "Run an agent beside a backend server: decide what runs on it and when.\n\nExample: runworks agent --settings /etc/runworks/agent.yaml")
-	file := cmd.Flag("settings", "The settings, a YAML file.").Required().String()
-	check := cmd.Flag("check", "Only check the settings.").Bool()
-	cmd.Action(func(*kingpin.ParseContext) error {
-		settings, err := setting.LoadAgent(*file)
+	help := "Run an agent beside a backend server: decide what runs on it and when.\n\nExample: runworks agent --settings /etc/runworks/agent.yaml"
+	addProcess(app, "agent", help, func(file string) (runFunc, error) {
+		settings, err := setting.LoadAgent(file)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		if *check {
-			fmt.Println("the settings are good")
-			return nil
-		}
-		ctx, stop, done := signals()
-		defer done()
 		logger := logging.New(os.Stderr, "agent", settings.Log.Level, settings.Log.JSON)
 		process := &daemon.Agent{Settings: settings, Parts: daemon.Parts{Logger: logger}}
-		return process.Run(ctx, stop)
+		return process.Run, nil
 	})
 }
--- a/cmd/runworks/front.go
+++ b/cmd/runworks/front.go
@@ -1,7 +1,7 @@
 package main
 
 import (
-	"fmt"
+	"context"
 	"os"
 	"os/signal"
 	"syscall"
@@ -15,27 +15,21 @@
 
 // addFront adds the command that runs a front.
 func addFront(app *kingpin.Application) {
-	cmd := app.Command("front", "Run a front: an entry on a platform whose store holds the routing and names the backend servers.\n\nExample: runworks front --settings /etc/runworks/settings.yaml")
-	file := cmd.Flag("settings", "The settings, a YAML file.").Required().String()
-	check := cmd.Flag("check", "Only check the settings.").Bool()
-	cmd.Action(func(*kingpin.ParseContext) error {
-		settings, err := setting.LoadFront(*file)
+	help := "Run a front: an entry on a platform whose store holds the routing and names the backend servers.\n\nExample: runworks front --settings /etc/runworks/settings.yaml"
+	addProcess(app, "front", help, func(file string) (runFunc, error) {
+		settings, err := setting.LoadFront(file)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		if *check {
-			fmt.Println("the settings are good")
-			return nil
-		}
-		ctx, stop, done := signals()
-		defer done()
-		out := logging.NewBounded(os.Stdout, settings.LogLines)
-		defer out.Close()
-		process := &daemon.Front{
-			Settings: settings, Logger: logging.New(out, "front", settings.Log.Level, settings.Log.JSON),
-			DroppedLines: out.Dropped, Reload: reloads(), LoadSettings: func() (*setting.Front, error) { return setting.LoadFront(*file) },
-		}
-		return process.Run(ctx, stop)
+		return func(ctx context.Context, stop <-chan struct{}) error {
+			out := logging.NewBounded(os.Stdout, settings.LogLines)
+			defer out.Close()
+			process := &daemon.Front{
+				Settings: settings, Logger: logging.New(out, "front", settings.Log.Level, settings.Log.JSON),
+				DroppedLines: out.Dropped, Reload: reloads(), LoadSettings: func() (*setting.Front, error) { return setting.LoadFront(file) },
+			}
+			return process.Run(ctx, stop)
+		}, nil
 	})
 }
 
--- /dev/null
+++ b/cmd/runworks/process.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// runFunc runs a process until stop is closed and its planned stop is over.
+type runFunc func(ctx context.Context, stop <-chan struct{}) error
+
+// addProcess adds a command that runs a process by its settings, or only checks
+// them. load reads the settings and gives what runs the process.
+func addProcess(app *kingpin.Application, name, help string, load func(file string) (runFunc, error)) {
+	cmd := app.Command(name, help)
+	file := cmd.Flag("settings", "The settings, a YAML file.").Required().String()
+	check := cmd.Flag("check", "Only check the settings.").Bool()
+	cmd.Action(func(*kingpin.ParseContext) error {
+		run, err := load(*file)
+		if err != nil {
+			return err
+		}
+		if *check {
+			fmt.Println("the settings are good")
+			return nil
+		}
+		ctx, stop, done := signals()
+		defer done()
+		return run(ctx, stop)
+	})
+}
--- a/config.go
+++ b/config.go
@@ -1,6 +1,10 @@
 package runworks
 
-import "time"
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+)
 
 // ServiceKind says what stands behind a service.
 type ServiceKind string
@@ -88,3 +92,10 @@
 	// MaxTimeout bounds the time limit a caller may ask for; 0 is the tier's timeout.
 	MaxTimeout time.Duration `json:"max_timeout,omitempty" yaml:"max_timeout,omitempty"`
 }
+
+// HashKey gives the form in which a customer's key stands in a configuration: its
+// SHA-256 hash in hexadecimal.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -12,7 +12,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/joomcode/errorx"
 	"github.com/sourcegraph/conc"
-	"go.opentelemetry.io/otel/trace"
 
 	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/modules/group"
@@ -21,7 +20,6 @@
 	"github.com/runworks/runworks/modules/rpc"
 	"github.com/runworks/runworks/modules/setting"
 	"github.com/runworks/runworks/modules/tcp"
-	"github.com/runworks/runworks/modules/tracing"
 	"github.com/runworks/runworks/platform"
 	"github.com/runworks/runworks/routers/operators"
 	"github.com/runworks/runworks/services/dispatch"
@@ -52,7 +50,6 @@
 	LoadSettings func() (*setting.Front, error)
 
 	metrics    *metrics.Set
-	tracer     trace.Tracer
 	forwarder  *forward.Forwarder
 	dispatcher *dispatch.Dispatcher
 	quota      *quota.Quota
@@ -133,22 +130,16 @@
 			return nil, errorx.Decorate(err, "count dropped log lines")
 		}
 	}
-	d.tracer = tracing.None()
-	flushSpans := func() {}
-	if s.Traces.Endpoint != "" {
-		provider, err := tracing.NewProvider(ctx, s.Traces.Endpoint, s.Name, s.Traces.Sampled)
-		if err != nil {
-			return nil, err
-		}
-		d.tracer = provider.Tracer()
-		flushSpans = func() { flush(provider) }
+	tracer, flushSpans, err := newTracer(ctx, s.Name, s.Traces)
+	if err != nil {
+		return nil, err
 	}
 	dial := tcp.Options{Silence: s.Silence}.Dial
 	d.dispatcher = &dispatch.Dispatcher{Hall: s.Hall, OnSuspend: d.onSuspend}
 	d.quota = &quota.Quota{Window: s.QuotaWindow, Started: time.Now()}
 	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack}
 	d.forwarder = &forward.Forwarder{
-		Dispatcher: d.dispatcher, Quota: d.quota, Budgets: d.budgets, Logger: d.Logger, Metrics: d.metrics, Tracer: d.tracer,
+		Dispatcher: d.dispatcher, Quota: d.quota, Budgets: d.budgets, Logger: d.Logger, Metrics: d.metrics, Tracer: tracer,
 		Sender: &platform.Sender{Pool: &httpconn.Pool{Dial: dial, Recognise: platform.Recognise}},
 	}
 	d.front = &platform.Front{Forwarder: d.forwarder, Logger: d.Logger, MaxBodyBytes: s.MaxBodyBytes}
--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -127,11 +127,7 @@
 }
 
 func (d *Front) onBeat(now time.Time, b *peers.Beat) {
-	running := b.Running
-	if running == nil {
-		running = runworks.RunningCalls{}
-	}
-	d.dispatcher.Report(b.From.Incarnation, running)
+	d.dispatcher.Report(b.From.Incarnation, b.Running)
 	d.quota.Report(now, b.From.Incarnation, b.Drawn)
 	d.budgets.SetEntries(d.exchange.Live() + 1)
 	for subject, position := range b.Positions {
@@ -140,7 +136,7 @@
 }
 
 func (d *Front) onGone(from runworks.Incarnation) {
-	d.dispatcher.Report(from, nil)
+	d.dispatcher.Forget(from)
 }
 
 func (d *Front) onSuspend(server runworks.Instance, failures int, wait time.Duration) {
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -57,16 +57,22 @@
 	if p.Tracer != nil {
 		return func() {}, nil
 	}
-	if c.Traces.Endpoint == "" {
-		p.Tracer = tracing.None()
-		return func() {}, nil
+	tracer, flushSpans, err := newTracer(ctx, c.Name, c.Traces)
+	p.Tracer = tracer
+	return flushSpans, err
+}
+
+// newTracer builds the tracer of a process by its settings; the function it gives
+// sends the last spans.
+func newTracer(ctx context.Context, process string, t setting.Traces) (trace.Tracer, func(), error) {
+	if t.Endpoint == "" {
+		return tracing.None(), func() {}, nil
 	}
-	provider, err := tracing.NewProvider(ctx, c.Traces.Endpoint, c.Name, c.Traces.Sampled)
+	provider, err := tracing.NewProvider(ctx, t.Endpoint, process, t.Sampled)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	p.Tracer = provider.Tracer()
-	return func() { flush(provider) }, nil
+	return provider.Tracer(), func() { flush(provider) }, nil
 }
 
 const flushTimeout = 3 * time.Second
--- a/inbound.go
+++ b/inbound.go
@@ -63,8 +63,6 @@
 	NotRun bool
 	// Gone says that another backend server has this address now.
 	Gone bool
-	// Leaving says that the backend server closes the connection behind this answer.
-	Leaving bool
 }
 
 // Sender sends one call to a backend server, at most once. The error is
--- a/modules/httpconn/pool.go
+++ b/modules/httpconn/pool.go
@@ -50,7 +50,6 @@
 	net.Conn
 	address string
 	br      *bufio.Reader
-	reused  bool
 	expires time.Time
 	// keepFor is the idle time that the server stated last; 0 if none.
 	keepFor time.Duration
@@ -64,7 +63,6 @@
 			break
 		}
 		if time.Now().Before(c.expires) && c.quiet() {
-			c.reused = true
 			return c, nil
 		}
 		_ = c.Close()
@@ -117,17 +115,6 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// Forget closes the unused connections to an address.
-func (p *Pool) Forget(address string) {
-	p.mu.Lock()
-	list := p.idle[address]
-	delete(p.idle, address)
-	p.mu.Unlock()
-	for _, c := range list {
-		_ = c.Close()
-	}
-}
-
 // Close closes all unused connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/services/config/index.go
+++ b/services/config/index.go
@@ -1,8 +1,6 @@
 package config
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"slices"
 	"sort"
 
@@ -77,8 +75,7 @@
 
 // CustomerByKey finds who owns a key; nil if nobody does.
 func (f *InForce) CustomerByKey(key string) *runworks.Customer {
-	sum := sha256.Sum256([]byte(key))
-	return f.keys[hex.EncodeToString(sum[:])]
+	return f.keys[runworks.HashKey(key)]
 }
 
 // Customer finds a customer by name; nil if there is none.
--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -70,7 +70,7 @@
 		if slices.Contains(ask.Avoid, one.ID) || one.load()+s.reserved(one, ask.RouteRank) >= one.Slots {
 			continue
 		}
-		if one.pace > fastest*paceTolerance && s.expected(one, ask) > left {
+		if float64(one.pace) > fastest*paceTolerance && s.expected(one, ask) > left {
 			continue
 		}
 		if score := d.score(one, typical); best == nil || score < lowest {
@@ -86,16 +86,7 @@
 	if s.perEvent == 0 {
 		return 0
 	}
-	return lengthMargin * float64(ask.ExpectedTokens) / s.perEvent * one.pace
-}
-
-// noteLength records how many expected tokens an event stood for.
-func (s *service) noteLength(perEvent float64) {
-	if s.perEvent == 0 {
-		s.perEvent = perEvent
-		return
-	}
-	s.perEvent += lengthWeight * (perEvent - s.perEvent)
+	return lengthMargin * float64(ask.ExpectedTokens) / float64(s.perEvent) * float64(one.pace)
 }
 
 // score is lower for the better server: its share of taken slots, times its
@@ -103,7 +94,7 @@
 func (d *Dispatcher) score(s *server, typical float64) float64 {
 	score := float64(s.load()+1) / float64(max(s.Slots, 1))
 	if s.pace > 0 && typical > 0 {
-		score *= s.pace / typical
+		score *= float64(s.pace) / typical
 	}
 	if s.Hall != d.Hall {
 		score += hallCost
@@ -118,10 +109,11 @@
 		if one.pace == 0 || one.Leaving {
 			continue
 		}
-		if n == 0 || one.pace < fastest {
-			fastest = one.pace
+		pace := float64(one.pace)
+		if n == 0 || pace < fastest {
+			fastest = pace
 		}
-		sum += one.pace
+		sum += pace
 		n++
 	}
 	if n == 0 {
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -78,10 +78,10 @@
 	highest, lowest int
 	ranked          bool
 	// duration is how long a call has its slot on average, in seconds; 0 is not known.
-	duration float64
+	duration average
 	// perEvent is how many of the tokens that callers expect an event stands for,
 	// on average; 0 is not known.
-	perEvent float64
+	perEvent average
 }
 
 // waiter is a call that waits.
--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -188,7 +188,7 @@
 		d.Report("other", map[string]int{"s0": 2})
 		waiting := acquired(d, ask("waits", 0))
 		is.Equal(len(waiting), 0)
-		d.Report("other", nil)
+		d.Forget("other")
 		(<-waiting).Release(Served)
 	})
 }
--- a/services/dispatch/fleet.go
+++ b/services/dispatch/fleet.go
@@ -84,19 +84,27 @@
 	return out
 }
 
-// Report takes how many calls another entry has at each backend server; nil
-// forgets that entry.
+// Report takes how many calls another entry has at each backend server.
 func (d *Dispatcher) Report(from runworks.Incarnation, running runworks.RunningCalls) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.peers == nil {
 		d.peers = make(map[runworks.Incarnation]runworks.RunningCalls)
 	}
-	if running == nil {
-		delete(d.peers, from)
-	} else {
-		d.peers[from] = running
-	}
+	d.peers[from] = running
+	d.reportedLocked()
+}
+
+// Forget counts the calls of another entry as ended: it is gone.
+func (d *Dispatcher) Forget(from runworks.Incarnation) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.peers, from)
+	d.reportedLocked()
+}
+
+// reportedLocked adds up what the others run, and uses the slots that this frees.
+func (d *Dispatcher) reportedLocked() {
 	d.shareLocked()
 	for _, s := range d.services {
 		d.pumpLocked(s)
@@ -153,10 +161,3 @@
 	}
 	return out
 }
-
-// Known says whether any backend server is known.
-func (d *Dispatcher) Known() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.servers) > 0
-}
--- a/services/dispatch/hope.go
+++ b/services/dispatch/hope.go
@@ -44,16 +44,7 @@
 	for _, one := range s.servers {
 		own += one.own
 	}
-	return float64(own) / s.duration
-}
-
-// noteDuration records how long a call had its slot.
-func (s *service) noteDuration(d time.Duration) {
-	if s.duration == 0 {
-		s.duration = d.Seconds()
-		return
-	}
-	s.duration += durationWeight * (d.Seconds() - s.duration)
+	return float64(own) / float64(s.duration)
 }
 
 // ahead is how many calls of the same route's rank would start before this one.
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -30,7 +30,7 @@
 			d.OnSuspend(l.server.Instance, l.server.failures, wait)
 		}
 		if s := d.services[l.service]; s != nil {
-			s.noteDuration(now.Sub(l.began))
+			s.duration.add(now.Sub(l.began).Seconds(), durationWeight)
 			d.pumpLocked(s)
 		}
 	})
@@ -40,7 +40,7 @@
 func (l *Lease) Pace(gap time.Duration) {
 	l.dispatcher.mu.Lock()
 	defer l.dispatcher.mu.Unlock()
-	l.server.notePace(gap)
+	l.server.pace.add(gap.Seconds(), paceWeight)
 }
 
 // Length records how many events a whole answer had of which the caller expected
@@ -53,6 +53,6 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if s := d.services[l.service]; s != nil {
-		s.noteLength(float64(expectedTokens) / float64(events))
+		s.perEvent.add(float64(expectedTokens)/float64(events), lengthWeight)
 	}
 }
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -36,7 +36,7 @@
 	// full is until when it is taken to be full.
 	full time.Time
 	// pace is the average time between events in seconds; 0 is not known.
-	pace float64
+	pace average
 }
 
 func (s *server) load() int { return s.own + s.others }
@@ -71,15 +71,6 @@
 	return 0
 }
 
-// notePace records the time between two events of a stream.
-func (s *server) notePace(gap time.Duration) {
-	if s.pace == 0 {
-		s.pace = gap.Seconds()
-		return
-	}
-	s.pace += paceWeight * (gap.Seconds() - s.pace)
-}
-
 // Result says how a call at a backend server ended.
 type Result int
 
--- a/services/forward/answer.go
+++ b/services/forward/answer.go
@@ -55,7 +55,7 @@
 // failure, or the server's own answer.
 func (c *call) again(ctx context.Context, failure *runworks.Failure, own *runworks.Reply) (*runworks.Reply, *runworks.Failure) {
 	if c.mayTryAgain(ctx) {
-		metrics.Count(c.f.Metrics.Retries, metrics.Cause("failed"))
+		metrics.Count(c.f.Metrics.Retries, metrics.Result(string(runworks.OutcomeFailed)))
 		reply, second := c.serve(ctx)
 		if second == nil || own == nil {
 			return reply, second
--- a/services/forward/budgets.go
+++ b/services/forward/budgets.go
@@ -23,6 +23,9 @@
 func (b *Budgets) SetEntries(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if n == b.entries {
+		return
+	}
 	b.entries = n
 	for _, one := range b.services {
 		one.Limit(b.part())
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -100,8 +100,6 @@
 	drawn float64
 	// waited is the time spent in the queue.
 	waited time.Duration
-	// last is the server that the call went to last.
-	last runworks.Instance
 	// sent is when the call went to the last server.
 	sent time.Time
 	// firstByte is when the answer's head was there; zero if it never was.
@@ -204,7 +202,7 @@
 		if !c.mayTryAgain(ctx) {
 			return nil, failure
 		}
-		metrics.Count(c.f.Metrics.Retries, metrics.Cause(string(failure.Outcome)))
+		metrics.Count(c.f.Metrics.Retries, metrics.Result(string(failure.Outcome)))
 	}
 }
 
@@ -215,7 +213,6 @@
 	c.waited += time.Since(began)
 	metrics.Observe(c.f.Metrics.WaitSeconds, time.Since(began).Seconds(), metrics.Rank(c.rank))
 	if err == nil {
-		c.last = lease.Instance
 		return lease, nil
 	}
 	if c.ran > 0 {
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -351,7 +351,7 @@
 		s := &sender{replies: []reply{turnedAway}}
 		f := newForwarder(t, s, io.Discard)
 		routing := testRouting()
-		routing.Customers = []runworks.RoutedCustomer{{Name: "yard", KeySHA256: []string{route.HashKey("k")}, TokensPerSecond: 10, TokenBurst: 20, TokensPerCall: 100}}
+		routing.Customers = []runworks.RoutedCustomer{{Name: "yard", KeySHA256: []string{runworks.HashKey("k")}, TokensPerSecond: 10, TokenBurst: 20, TokensPerCall: 100}}
 		f.Table.Store(route.NewTable(routing))
 		in := runworks.Inbound{ID: "1", Host: "h", Path: "/once/x", Target: "/once/x", Key: "k", Received: time.Now()}
 		_, err := f.Serve(context.Background(), &in)
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -101,7 +101,7 @@
 		}
 	}
 	now := time.Now()
-	if s.call.events > 0 && !s.lastAt.IsZero() {
+	if !s.lastAt.IsZero() {
 		s.lease.Pace(now.Sub(s.lastAt))
 	}
 	s.call.events++
--- a/services/route/table.go
+++ b/services/route/table.go
@@ -1,8 +1,6 @@
 package route
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"sort"
 	"strings"
 
@@ -19,14 +17,13 @@
 	// hosts holds the routes of each host, the longest path prefix first.
 	hosts     map[string][]*runworks.Route
 	customers map[string]*runworks.RoutedCustomer
-	services  map[string]*runworks.RoutedService
 }
 
 // NewTable builds the look-ups of a routing.
 func NewTable(r *runworks.Routing) *Table {
 	t := &Table{
 		Routing: r, hosts: map[string][]*runworks.Route{},
-		customers: map[string]*runworks.RoutedCustomer{}, services: map[string]*runworks.RoutedService{},
+		customers: map[string]*runworks.RoutedCustomer{},
 	}
 	for i := range r.Routes {
 		one := &r.Routes[i]
@@ -40,9 +37,6 @@
 			t.customers[hash] = &r.Customers[i]
 		}
 	}
-	for i := range r.Services {
-		t.services[r.Services[i].Name] = &r.Services[i]
-	}
 	return t
 }
 
@@ -68,22 +62,13 @@
 		}
 		return nil, runworks.ErrNoKey
 	}
-	customer := t.customers[HashKey(key)]
+	customer := t.customers[runworks.HashKey(key)]
 	if customer == nil && !r.Public {
 		return nil, runworks.ErrUnknownKey
 	}
 	return customer, nil
 }
 
-// HashKey gives the form in which a key stands in a routing.
-func HashKey(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
-// Service gives a service by name; nil if the routing has none.
-func (t *Table) Service(name string) *runworks.RoutedService { return t.services[name] }
-
 // Share gives the service that takes a call: the weights' parts of the ids, so
 // that every entry chooses alike. It is empty for a route without services.
 func Share(r *runworks.Route, id runworks.RequestID) string {
--- a/services/route/table_test.go
+++ b/services/route/table_test.go
@@ -50,7 +50,7 @@
 			}
 			r.Routes = append(r.Routes, one)
 		case "customer":
-			r.Customers = append(r.Customers, runworks.RoutedCustomer{Name: f[1], KeySHA256: []string{HashKey(f[2])}})
+			r.Customers = append(r.Customers, runworks.RoutedCustomer{Name: f[1], KeySHA256: []string{runworks.HashKey(f[2])}})
 		}
 	}
 	return r
--- a/standin/routed.go
+++ b/standin/routed.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/runworks/runworks/modules/pause"
 )
 
 // The headers between a front and a backend server of the users' platform.
@@ -275,12 +277,6 @@
 
 // waitFor waits for d; false says that the caller left.
 func waitFor(r *http.Request, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-r.Context().Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	pause.For(r.Context(), d)
+	return r.Context().Err() == nil
 }
