Free slots are shared out between the fronts that wait; failing servers are told to all

Change: fronts tell what waits there; of a free slot only as many may make use as there are slots, by rank and a hash weighted with what waits, and more the longer it stays free. Servers that fail, hang or have moved are named in the heartbeats, and left out until they are heard again. A connection that is refused costs no budget. A new life of a front ends what was assumed of its old one.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -135,7 +135,8 @@
 		return nil, err
 	}
 	dial := tcp.Options{Silence: s.Silence}.Dial
-	d.dispatcher = &dispatch.Dispatcher{Hall: s.Hall, OnSuspend: d.onSuspend}
+	self := peers.Member{Name: s.Name, Address: address, Incarnation: runworks.NewIncarnation()}
+	d.dispatcher = &dispatch.Dispatcher{Self: self.Incarnation, Hall: s.Hall, OnSuspend: d.onSuspend}
 	d.quota = &quota.Quota{Window: s.QuotaWindow, Started: time.Now()}
 	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack}
 	d.forwarder = &forward.Forwarder{
@@ -145,9 +146,9 @@
 	d.front = &platform.Front{Forwarder: d.forwarder, Logger: d.Logger, MaxBodyBytes: s.MaxBodyBytes}
 	d.store = &platform.Store{Address: s.Store, Client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}}}
 	d.exchange = &peers.Exchange{
-		Self: peers.Member{Name: s.Name, Address: address, Incarnation: runworks.NewIncarnation()},
+		Self: self,
 		Dial: dial, Keys: rpc.FleetKeys(s.FleetKeys), Logger: d.Logger,
-		Beat: d.beat, OnBeat: d.onBeat, OnGone: d.onGone, State: d.state,
+		Beat: d.beat, OnBeat: d.onBeat, OnGone: d.onGone, OnReplaced: d.onReplaced, State: d.state,
 	}
 	d.watch()
 	return flushSpans, nil
--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -116,7 +116,7 @@
 }
 
 func (d *Front) beat() peers.Beat {
-	b := peers.Beat{Running: d.dispatcher.Running(), Drawn: d.quota.Drawn(), Positions: map[peers.Subject]int64{}}
+	b := peers.Beat{Load: d.dispatcher.Own(), Drawn: d.quota.Drawn(), Positions: map[peers.Subject]int64{}}
 	for subject, w := range d.watches {
 		b.Positions[subject] = w.Position()
 	}
@@ -127,7 +127,7 @@
 }
 
 func (d *Front) onBeat(now time.Time, b *peers.Beat) {
-	d.dispatcher.Report(b.From.Incarnation, b.Running)
+	d.dispatcher.Report(b.From.Incarnation, b.Load)
 	d.quota.Report(now, b.From.Incarnation, b.Drawn)
 	d.budgets.SetEntries(d.exchange.Live() + 1)
 	for subject, position := range b.Positions {
@@ -135,6 +135,11 @@
 	}
 }
 
+func (d *Front) onReplaced(old runworks.Incarnation) {
+	d.dispatcher.Forget(old)
+	d.quota.Forget(old)
+}
+
 func (d *Front) onGone(from runworks.Incarnation) {
 	d.dispatcher.Forget(from)
 }
--- a/inbound.go
+++ b/inbound.go
@@ -74,6 +74,25 @@
 // RunningCalls is how many calls an entry has at each backend server, by its id.
 type RunningCalls map[string]int
 
+// WaitingCalls are the calls of the highest rank that wait at an entry, by service.
+type WaitingCalls map[string]WaitingCall
+
+// WaitingCall tells of the calls that wait at an entry for one service.
+type WaitingCall struct {
+	// Rank is the highest rank of a call that waits, 0 being the highest there is.
+	Rank int `json:"rank"`
+	// Calls is how many of that rank wait.
+	Calls int `json:"calls"`
+}
+
+// EntryLoad is what an entry tells the others of the calls that it has.
+type EntryLoad struct {
+	Running RunningCalls `json:"running,omitempty"`
+	Waiting WaitingCalls `json:"waiting,omitempty"`
+	// LeftOut are the ids of the backend servers that failed this entry of late.
+	LeftOut []string `json:"left_out,omitempty"`
+}
+
 // DrawnTokens is what one life of an entry drew on each customer's limit since its
 // start, less what it gave back, by the customer's name.
 type DrawnTokens map[string]float64
--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -26,9 +26,9 @@
 // the service is healthy.
 func (s *service) open(now time.Time) []*server {
 	var open []*server
-	healthy := slices.ContainsFunc(s.servers, func(one *server) bool { return one.healthy(now) })
+	healthy := slices.ContainsFunc(s.servers, func(one *server) bool { return s.healthy(now, one) })
 	for _, one := range s.servers {
-		if one.room(now) && (one.healthy(now) || !healthy) {
+		if one.room(now) && (s.healthy(now, one) || !healthy) {
 			open = append(open, one)
 		}
 	}
@@ -65,7 +65,18 @@
 	var best *server
 	var lowest float64
 	typical, fastest := s.paces()
+	for _, one := range s.suited(now, open, ask, fastest) {
+		if score := d.score(one, typical); best == nil || score < lowest {
+			best, lowest = one, score
+		}
+	}
+	return best
+}
+
+// suited gives the open servers that may have a call.
+func (s *service) suited(now time.Time, open []*server, ask *Ask, fastest float64) []*server {
 	left := ask.Deadline.Sub(now).Seconds()
+	var out []*server
 	for _, one := range open {
 		if slices.Contains(ask.Avoid, one.ID) || one.load()+s.reserved(one, ask.RouteRank) >= one.Slots {
 			continue
@@ -73,11 +84,9 @@
 		if float64(one.pace) > fastest*paceTolerance && s.expected(one, ask) > left {
 			continue
 		}
-		if score := d.score(one, typical); best == nil || score < lowest {
-			best, lowest = one, score
-		}
+		out = append(out, one)
 	}
-	return best
+	return out
 }
 
 // expected is how many seconds a server needs for a stream's events, with a
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -55,6 +55,8 @@
 type Dispatcher struct {
 	// Hall is where the entry stands.
 	Hall string
+	// Self names the entry's life to the other entries.
+	Self runworks.Incarnation
 	// MaxWaiting is DefaultMaxWaiting if zero.
 	MaxWaiting int
 	// OnSuspend is told of a server that is left out, after how many failures in a
@@ -64,7 +66,7 @@
 	mu       sync.Mutex
 	servers  map[string]*server
 	services map[string]*service
-	peers    map[runworks.Incarnation]runworks.RunningCalls
+	peers    map[runworks.Incarnation]runworks.EntryLoad
 }
 
 // service holds the backend servers of a service and the calls that wait.
@@ -79,6 +81,9 @@
 	ranked          bool
 	// duration is how long a call has its slot on average, in seconds; 0 is not known.
 	duration average
+	// response is the mean time from a call's start to the head of its answer, in
+	// seconds; 0 is not known.
+	response average
 	// perEvent is how many of the tokens that callers expect an event stands for,
 	// on average; 0 is not known.
 	perEvent average
@@ -243,7 +248,7 @@
 	now := time.Now()
 	var passed []*waiter
 	for s.queue.Len() > 0 && len(passed) < maxPassed {
-		open := s.open(now)
+		open := d.turns(now, s, s.open(now))
 		if len(open) == 0 {
 			break
 		}
@@ -258,7 +263,7 @@
 			passed = append(passed, w)
 			continue
 		}
-		to.own++
+		to.take(now)
 		w.lease <- &Lease{Instance: to.Instance, dispatcher: d, server: to, service: s.name, began: now}
 	}
 	for _, w := range passed {
--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -29,6 +29,9 @@
 	return list
 }
 
+// runs is the load of an entry at which nothing waits.
+func runs(calls runworks.RunningCalls) runworks.EntryLoad { return runworks.EntryLoad{Running: calls} }
+
 func ask(id string, routeRank int) *Ask {
 	now := time.Now()
 	return &Ask{
@@ -185,7 +188,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		d := newDispatcher(2)
-		d.Report("other", map[string]int{"s0": 2})
+		d.Report("other", runs(runworks.RunningCalls{"s0": 2}))
 		waiting := acquired(d, ask("waits", 0))
 		is.Equal(len(waiting), 0)
 		d.Forget("other")
@@ -240,9 +243,9 @@
 				continue
 			}
 			lease.Release(Served)
-			d.Report("other", map[string]int{"s1": 8})
+			d.Report("other", runs(runworks.RunningCalls{"s1": 8}))
 		}
-		d.Report("other", map[string]int{"s1": 5})
+		d.Report("other", runs(runworks.RunningCalls{"s1": 5}))
 		for i := range 3 {
 			is.Equal((<-acquired(d, ask(fmt.Sprint(i), 0))).Instance.ID, "s1")
 		}
@@ -275,14 +278,14 @@
 			lease.Length(300, 100)
 			lease.Release(Served)
 		}
-		d.Report("other", map[string]int{"s0": 2})
+		d.Report("other", runs(runworks.RunningCalls{"s0": 2}))
 		long := ask("long", 0)
 		long.ExpectedTokens = 900 // 300 events: 4.5 s or 13.5 s
 		waiting := acquired(d, long)
 		short := <-acquired(d, ask("short", 0))
 		is.Equal(short.Instance.ID, "s1")
 		is.Equal(len(waiting), 0)
-		d.Report("other", map[string]int{})
+		d.Report("other", runs(runworks.RunningCalls{}))
 		is.Equal((<-waiting).Instance.ID, "s0")
 	})
 }
--- a/services/dispatch/fleet.go
+++ b/services/dispatch/fleet.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/runworks/runworks"
@@ -71,27 +72,39 @@
 	}
 }
 
-// Running gives how many calls of this entry each backend server has.
-func (d *Dispatcher) Running() runworks.RunningCalls {
+// Own gives what this entry runs and what waits here, for the others. They may take
+// the slots that calls left here from now on.
+func (d *Dispatcher) Own() runworks.EntryLoad {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := make(runworks.RunningCalls)
+	out := runworks.EntryLoad{Running: make(runworks.RunningCalls), Waiting: make(runworks.WaitingCalls)}
+	now := time.Now()
 	for id, s := range d.servers {
+		s.vacated = 0
+		if s.failing(now, d.services[s.Service]) {
+			out.LeftOut = append(out.LeftOut, id)
+		}
 		if s.own > 0 {
-			out[id] = s.own
+			out.Running[id] = s.own
+		}
+	}
+	slices.Sort(out.LeftOut)
+	for name, s := range d.services {
+		if rank, calls := s.queue.First(); calls > 0 {
+			out.Waiting[name] = runworks.WaitingCall{Rank: rank, Calls: calls}
 		}
 	}
 	return out
 }
 
-// Report takes how many calls another entry has at each backend server.
-func (d *Dispatcher) Report(from runworks.Incarnation, running runworks.RunningCalls) {
+// Report takes what another entry runs and what waits there.
+func (d *Dispatcher) Report(from runworks.Incarnation, load runworks.EntryLoad) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.peers == nil {
-		d.peers = make(map[runworks.Incarnation]runworks.RunningCalls)
+		d.peers = make(map[runworks.Incarnation]runworks.EntryLoad)
 	}
-	d.peers[from] = running
+	d.peers[from] = load
 	d.reportedLocked()
 }
 
@@ -111,17 +124,28 @@
 	}
 }
 
-// shareLocked adds up what the other entries have at each server.
+// shareLocked adds up what the other entries have at each server, and what they say
+// of it.
 func (d *Dispatcher) shareLocked() {
+	now := time.Now()
 	for _, s := range d.servers {
 		s.others = 0
+		s.doubts = 0
 	}
-	for _, running := range d.peers {
-		for id, n := range running {
+	for _, load := range d.peers {
+		for id, n := range load.Running {
 			if s := d.servers[id]; s != nil {
 				s.others += n
 			}
 		}
+		for _, id := range load.LeftOut {
+			if s := d.servers[id]; s != nil {
+				s.doubts++
+			}
+		}
+	}
+	for _, s := range d.servers {
+		s.noteDoubts(now)
 	}
 }
 
--- /dev/null
+++ b/services/dispatch/health.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import "time"
+
+const (
+	// silence is how long a server that has calls of this entry may give nothing at
+	// all: many times the pause between two events, and the first event of a long
+	// prompt is there by then.
+	silence = time.Second
+	// silentResponses is how many times the mean time to an answer's head a server
+	// may be silent, where that is more.
+	silentResponses = 4
+	// responseWeight is the weight of the newest answer in the mean time to its head.
+	responseWeight = 0.05
+)
+
+// healthy says whether calls may be sent to a server as long as others can do the
+// work. What other entries say of it counts until it was heard here.
+func (s *service) healthy(now time.Time, one *server) bool {
+	doubted := !one.doubted.IsZero() && !one.heard.After(one.doubted)
+	return !one.Leaving && !doubted && !one.failing(now, s)
+}
+
+// failing says whether calls of this entry speak against a server.
+func (s *server) failing(now time.Time, of *service) bool {
+	return s.moved || now.Before(s.suspended) || s.silent(now, of)
+}
+
+// silent says whether a server gave nothing for so long that its calls are likely
+// to be lost.
+func (s *server) silent(now time.Time, of *service) bool {
+	if s.own == 0 {
+		return false
+	}
+	last := s.busy
+	if s.heard.After(last) {
+		last = s.heard
+	}
+	limit := silence
+	if of != nil {
+		limit = max(limit, time.Duration(silentResponses*float64(of.response)*float64(time.Second)))
+	}
+	return now.Sub(last) > limit
+}
+
+// noteDoubts keeps since when other entries leave the server out. After their word
+// one more failure here is enough.
+func (s *server) noteDoubts(now time.Time) {
+	switch {
+	case s.doubts == 0:
+		s.doubted = time.Time{}
+	case s.doubted.IsZero():
+		s.doubted = now
+		s.failures = max(s.failures, failuresToSuspend-1)
+	}
+}
+
+// Heard records that the call's server gave something.
+func (l *Lease) Heard() {
+	l.dispatcher.mu.Lock()
+	defer l.dispatcher.mu.Unlock()
+	l.server.heard = time.Now()
+}
+
+// Responded records that the head of the call's answer came.
+func (l *Lease) Responded() {
+	d := l.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	l.server.heard = now
+	if s := d.services[l.service]; s != nil {
+		s.response.add(now.Sub(l.began).Seconds(), responseWeight)
+	}
+}
--- /dev/null
+++ b/services/dispatch/health_test.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
+)
+
+// taken gives the server that a call gets at once.
+func taken(t *testing.T, d *Dispatcher, id string) *Lease {
+	t.Helper()
+	lease := <-acquired(d, ask(id, 0))
+	if lease == nil {
+		t.Fatalf("%s gets no server", id)
+	}
+	return lease
+}
+
+// TestSilentServerGetsNothing leaves a server out that gives nothing to the calls it
+// has, tells the others so, and uses it again once something came.
+func TestSilentServerGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(9, 9)
+		d.Report("other", runs(runworks.RunningCalls{"s1": 5}))
+		silent := taken(t, d, "silent")
+		is.Equal(silent.Instance.ID, "s0")
+		silent.Responded()
+		is.Equal(len(d.Own().LeftOut), 0)
+		time.Sleep(silence + time.Millisecond)
+		is.Equal(d.Own().LeftOut, []string{"s0"})
+		for i := range 3 {
+			is.Equal(taken(t, d, fmt.Sprint(i)).Instance.ID, "s1")
+		}
+		silent.Heard()
+		is.Equal(taken(t, d, "again").Instance.ID, "s0")
+	})
+}
+
+// TestSlowServiceIsNotSilent gives servers time that take long for every answer.
+func TestSlowServiceIsNotSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(9, 9)
+		first := taken(t, d, "first")
+		time.Sleep(5 * time.Second)
+		first.Responded()
+		first.Release(Served)
+		taken(t, d, "second")
+		time.Sleep(10 * time.Second)
+		is.Equal(len(d.Own().LeftOut), 0)
+	})
+}
+
+// TestOthersWordCounts leaves a server out that failed another entry, until it was
+// heard here; one failure here is enough from then on.
+func TestOthersWordCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(9, 9)
+		before := taken(t, d, "before")
+		is.True(before.Instance.ID == "s0" || before.Instance.ID == "s1")
+		time.Sleep(time.Millisecond)
+		d.Report("other", runworks.EntryLoad{LeftOut: []string{before.Instance.ID}})
+		for i := range 3 {
+			is.True(taken(t, d, fmt.Sprint(i)).Instance.ID != before.Instance.ID)
+		}
+		is.Equal(len(d.Own().LeftOut), 0) // hearsay is not passed on
+		time.Sleep(time.Millisecond)
+		before.Heard()
+		is.Equal(taken(t, d, "after").Instance.ID, before.Instance.ID)
+		before.Release(Broken)
+		is.Equal(d.Own().LeftOut, []string{before.Instance.ID})
+	})
+}
+
+// TestMovedStaysOut does not use a server again at whose address another was met,
+// though the list still names it.
+func TestMovedStaysOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(9, 9)
+		moved := taken(t, d, "moved")
+		moved.Release(Moved)
+		d.Replace(instances(9, 9))
+		for i := range 5 {
+			is.True(taken(t, d, fmt.Sprint(i)).Instance.ID != moved.Instance.ID)
+		}
+		is.Equal(d.Own().LeftOut, []string{moved.Instance.ID})
+	})
+}
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -24,7 +24,7 @@
 		d := l.dispatcher
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		l.server.own--
+		l.server.vacate()
 		now := time.Now()
 		if wait := l.server.note(now, r); wait > 0 && d.OnSuspend != nil {
 			d.OnSuspend(l.server.Instance, l.server.failures, wait)
@@ -40,6 +40,7 @@
 func (l *Lease) Pace(gap time.Duration) {
 	l.dispatcher.mu.Lock()
 	defer l.dispatcher.mu.Unlock()
+	l.server.heard = time.Now()
 	l.server.pace.add(gap.Seconds(), paceWeight)
 }
 
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -6,7 +6,6 @@
 	"github.com/runworks/runworks"
 )
 
-// Health of a backend server is judged by the calls of this entry alone.
 const (
 	// failuresToSuspend is how many calls in a row must fail without an answer
 	// before a backend server is left out: one may be chance.
@@ -29,10 +28,25 @@
 	own int
 	// others is how many calls the other entries said they have there.
 	others int
+	// vacated is how many slots calls of this entry left of which the others do not
+	// know yet.
+	vacated int
+	// seen is the load at the last look, and since the time since which it stands.
+	seen  int
+	since time.Time
 	// failures is how many calls in a row failed without an answer.
 	failures int
 	// suspended is until when it is left out, if others can do the work.
 	suspended time.Time
+	// moved is set once another server was met at its address.
+	moved bool
+	// heard is when a call of this entry last got anything from it, and busy since
+	// when it has had calls of this entry all the time.
+	heard, busy time.Time
+	// doubts is how many other entries leave it out, and doubted since when some do;
+	// zero if none does.
+	doubts  int
+	doubted time.Time
 	// full is until when it is taken to be full.
 	full time.Time
 	// pace is the average time between events in seconds; 0 is not known.
@@ -41,14 +55,26 @@
 
 func (s *server) load() int { return s.own + s.others }
 
+// take gives a slot to a call of this entry.
+func (s *server) take(now time.Time) {
+	if s.own == 0 {
+		s.busy = now
+	}
+	s.own++
+	s.vacated = max(s.vacated-1, 0)
+}
+
+// vacate takes the slot of a call of this entry back.
+func (s *server) vacate() {
+	s.own--
+	s.vacated++
+}
+
 // room says whether the server has a free slot, as far as is known.
 func (s *server) room(now time.Time) bool {
-	return !s.Leaving && !now.Before(s.full) && s.load() < s.Slots
+	return !s.Leaving && !s.moved && !now.Before(s.full) && s.load() < s.Slots
 }
 
-// healthy says whether calls may be sent there as long as others can do the work.
-func (s *server) healthy(now time.Time) bool { return !s.Leaving && !now.Before(s.suspended) }
-
 // note records how a call ended; it gives how long the server is left out for it.
 func (s *server) note(now time.Time, r Result) time.Duration {
 	switch r {
@@ -65,7 +91,7 @@
 			return wait
 		}
 	case Moved:
-		s.Leaving = true
+		s.moved = true
 	case Abandoned:
 	}
 	return 0
--- /dev/null
+++ b/services/dispatch/turn.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/runworks/runworks"
+)
+
+// turnTime, and turnPerPeer for each other entry, is after how long a free slot is
+// open to one more entry: the first in turn has taken it and told so by then, or has
+// not. Both are twice the time between heartbeats (package peers).
+const (
+	turnTime    = 100 * time.Millisecond
+	turnPerPeer = 10 * time.Millisecond
+)
+
+// turns gives those of the open servers that this entry may use for a call of its
+// highest waiting rank. A slot that becomes free is told to all entries at once, and
+// all that have calls waiting would send one. So they share free slots by what all of
+// them know: the higher rank goes first, and between equals a hash weighted with the
+// number of calls that wait. A slot that the entry's own call left is its own until
+// the others are told.
+func (d *Dispatcher) turns(now time.Time, s *service, open []*server) []*server {
+	rank, calls := s.queue.First()
+	rivals := d.rivals(s.name, rank)
+	out := open[:0]
+	for _, one := range open {
+		if one.vacated > 0 || d.ahead(one, rivals, runworks.WaitingCall{Rank: rank, Calls: calls}) < one.onOffer(now, d.turnTime())-s.reserved(one, routeRank(rank)) {
+			out = append(out, one)
+		}
+	}
+	return out
+}
+
+// rival is another entry with calls of this rank, or a higher one, waiting.
+type rival struct {
+	life runworks.Incarnation
+	runworks.WaitingCall
+}
+
+// rivals gives the entries whose calls compete with one of a rank.
+func (d *Dispatcher) rivals(service string, rank int) []rival {
+	var out []rival
+	for life, load := range d.peers {
+		if w, ok := load.Waiting[service]; ok && w.Rank <= rank {
+			out = append(out, rival{life: life, WaitingCall: w})
+		}
+	}
+	return out
+}
+
+// ahead is how many rivals come before this entry at a server.
+func (d *Dispatcher) ahead(one *server, rivals []rival, mine runworks.WaitingCall) int {
+	if len(rivals) == 0 {
+		return 0
+	}
+	n := 0
+	own := claim(one.ID, d.Self, mine.Calls)
+	for _, r := range rivals {
+		if r.Rank < mine.Rank || claim(one.ID, r.life, r.Calls) > own {
+			n++
+		}
+	}
+	return n
+}
+
+// turnTime is how long an entry in turn has for itself.
+func (d *Dispatcher) turnTime() time.Duration {
+	return turnTime + time.Duration(len(d.peers))*turnPerPeer
+}
+
+// claim is the weight of an entry's claim on a server, by weighted rendezvous
+// hashing: of all entries the one with the most calls has most often the highest.
+func claim(server string, life runworks.Incarnation, calls int) float64 {
+	u := (float64(xxhash.Sum64String(server+string(life))>>11) + 0.5) / (1 << 53)
+	return float64(calls) / -math.Log(u)
+}
+
+// onOffer is how many entries in turn may use the server: one for each free slot,
+// and more the longer nobody took them.
+func (s *server) onOffer(now time.Time, turn time.Duration) int {
+	if load := s.load(); load != s.seen || s.since.IsZero() {
+		s.seen, s.since = load, now
+	}
+	return s.Slots - s.load() + int(now.Sub(s.since)/turn)
+}
--- /dev/null
+++ b/services/dispatch/turn_test.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
+)
+
+// fleet is entries that know each other, before one server of one slot.
+type fleet []*Dispatcher
+
+func newFleet(n int) fleet {
+	var all fleet
+	for i := range n {
+		d := newDispatcher(1)
+		d.Self = runworks.Incarnation(fmt.Sprint("entry-", i))
+		all = append(all, d)
+	}
+	return all
+}
+
+// tell lets all entries hear what the others have, as one heartbeat does.
+func (f fleet) tell() {
+	for _, from := range f {
+		load := from.Own()
+		for _, to := range f {
+			if to != from {
+				to.Report(from.Self, load)
+			}
+		}
+	}
+	synctest.Wait()
+}
+
+// started counts the calls that got their server.
+func started(waiting []<-chan *Lease) int {
+	n := 0
+	for _, one := range waiting {
+		n += len(one)
+	}
+	return n
+}
+
+// TestFreeSlotGoesToOneEntry frees the only slot while every entry has a call
+// waiting: one of them takes it, and the next only if the first does not say so.
+func TestFreeSlotGoesToOneEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := newFleet(8)
+		for _, d := range all {
+			d.Report("elsewhere", runs(runworks.RunningCalls{"s0": 1}))
+		}
+		var waiting []<-chan *Lease
+		for i, d := range all {
+			waiting = append(waiting, acquired(d, ask(fmt.Sprint(i), 0)))
+		}
+		all.tell()
+		for _, d := range all {
+			d.Forget("elsewhere")
+		}
+		synctest.Wait()
+		is.Equal(started(waiting), 1)
+		for range 10 { // what runs is known now: nobody else starts
+			time.Sleep(turnTime / 2)
+			all.tell()
+			for _, d := range all {
+				d.pumpAll()
+			}
+			synctest.Wait()
+		}
+		is.Equal(started(waiting), 1)
+		time.Sleep(time.Minute) // those that wait are given up
+	})
+}
+
+// TestUnusedTurnPasses lets the next entry use a slot that the first in turn leaves.
+func TestUnusedTurnPasses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(1)
+		d.Self = "here"
+		load := runs(runworks.RunningCalls{"s0": 1})
+		load.Waiting = runworks.WaitingCalls{"llm": {Rank: 0, Calls: 1_000_000}}
+		d.Report("first", load)
+		waiting := acquired(d, ask("waits", 0))
+		load.Running = nil
+		d.Report("first", load)
+		synctest.Wait()
+		is.Equal(len(waiting), 0)
+		time.Sleep(d.turnTime())
+		d.pumpAll()
+		synctest.Wait()
+		is.Equal(len(waiting), 1)
+	})
+}
+
+// TestHigherRankElsewhereGoesFirst leaves a free slot to the entry with the more
+// urgent call, however many less urgent ones wait here.
+func TestHigherRankElsewhereGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := newFleet(2)
+		for _, d := range all {
+			d.Report("elsewhere", runs(runworks.RunningCalls{"s0": 1}))
+		}
+		var low []<-chan *Lease
+		for i := range 20 {
+			low = append(low, acquired(all[0], ask(fmt.Sprint("low", i), 1)))
+		}
+		urgent := acquired(all[1], ask("urgent", 0))
+		all.tell()
+		for _, d := range all {
+			d.Forget("elsewhere")
+		}
+		synctest.Wait()
+		is.Equal(started(low), 0)
+		is.Equal(len(urgent), 1)
+		time.Sleep(time.Minute) // those that wait are given up
+	})
+}
+
+// TestOwnSlotIsUsedAgain gives a slot that a call left to one that waits here, as the
+// others do not know yet that it is free.
+func TestOwnSlotIsUsedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(1)
+		d.Self = "here"
+		first := taken(t, d, "first")
+		d.Report("other", runworks.EntryLoad{Waiting: runworks.WaitingCalls{"llm": {Rank: 0, Calls: 1_000_000}}})
+		waiting := acquired(d, ask("waits", 0))
+		first.Release(Served)
+		synctest.Wait()
+		is.Equal(len(waiting), 1)
+	})
+}
--- a/services/forward/answer.go
+++ b/services/forward/answer.go
@@ -23,7 +23,7 @@
 	c.firstByte = time.Now()
 	metrics.Observe(c.f.Metrics.FirstByteSeconds, time.Since(c.in.Received).Seconds(), metrics.Rank(c.rank))
 	if c.route.Kind == runworks.CallStream && reply.Status < 300 {
-		s := &stream{call: c, ctx: ctx, lease: lease, body: reply.Body}
+		s := &stream{call: c, ctx: ctx, lease: lease, body: reply.Body, begun: c.firstByte}
 		return &runworks.Reply{Status: reply.Status, Header: reply.Header, Body: s}, nil
 	}
 	return c.whole(ctx, lease, reply)
@@ -54,7 +54,7 @@
 // again tries a call that ran and failed once more, if it may; else it gives the
 // failure, or the server's own answer.
 func (c *call) again(ctx context.Context, failure *runworks.Failure, own *runworks.Reply) (*runworks.Reply, *runworks.Failure) {
-	if c.mayTryAgain(ctx) {
+	if c.mayTryAgain(ctx, nil) {
 		metrics.Count(c.f.Metrics.Retries, metrics.Result(string(runworks.OutcomeFailed)))
 		reply, second := c.serve(ctx)
 		if second == nil || own == nil {
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -17,6 +17,7 @@
 // given back; the failure says whether the call may have run.
 func (c *call) attempt(ctx context.Context, lease *dispatch.Lease, lastEvent string) (*runworks.ServerReply, *runworks.Failure) {
 	c.tried = append(c.tried, lease.Instance.ID)
+	c.sends++
 	spanCtx, span := c.f.Tracer.Start(ctx, tracing.SpanBackend)
 	defer span.End()
 	send := &runworks.Send{Inbound: c.in, To: lease.Instance, Left: time.Until(c.deadline), LastEvent: lastEvent}
@@ -28,6 +29,7 @@
 	reply, err := c.send(spanCtx, send)
 	switch {
 	case errors.Is(err, runworks.ErrNotDispatched):
+		c.sends--
 		lease.Release(c.endOf(ctx, c.sent, dispatch.Unreachable))
 		return nil, c.notRun(err)
 	case err != nil:
@@ -44,6 +46,7 @@
 		return nil, c.notRun(errorx.Decorate(runworks.ErrTurnedAway, "%s answered %d", lease.Instance.ID, reply.Status))
 	}
 	c.ran++
+	lease.Responded()
 	return reply, nil
 }
 
@@ -93,11 +96,15 @@
 }
 
 // mayTryAgain says whether a failed attempt may be followed by another: always
-// after proof that no attempt ran, else only if the call may run again.
-func (c *call) mayTryAgain(ctx context.Context) bool {
-	if ctx.Err() != nil || len(c.tried) >= maxSends {
+// after proof that no attempt ran, else only if the call may run again. A send that
+// never left is no repeat and costs no budget.
+func (c *call) mayTryAgain(ctx context.Context, failed error) bool {
+	if ctx.Err() != nil || c.sends >= maxSends || len(c.tried) >= maxTries {
 		return false
 	}
+	if errors.Is(failed, runworks.ErrNotDispatched) {
+		return true
+	}
 	if c.ran > 0 && (!c.repeatable() || c.ran >= c.route.MaxAttempts) {
 		return false
 	}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -53,6 +53,9 @@
 	// maxSends bounds the backend servers that are asked for one call, those
 	// that turned it away included: each takes a part of the retry budget.
 	maxSends = 4
+	// maxTries bounds those that can't be reached as well: more of them in a row say
+	// that this host is cut off.
+	maxTries = 12
 )
 
 // errSilent says that a server gave no answer in time.
@@ -96,6 +99,8 @@
 	// may have run it.
 	tried []string
 	ran   int
+	// sends counts those that a byte of the call was sent to.
+	sends int
 	// drawn is what the call took of its customer's limit, in tokens.
 	drawn float64
 	// waited is the time spent in the queue.
@@ -199,7 +204,7 @@
 			return c.answer(ctx, lease, reply)
 		}
 		last = failure
-		if !c.mayTryAgain(ctx) {
+		if !c.mayTryAgain(ctx, failure) {
 			return nil, failure
 		}
 		metrics.Count(c.f.Metrics.Retries, metrics.Result(string(failure.Outcome)))
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -343,6 +343,21 @@
 	})
 }
 
+// TestUnreachableServersCostNoBudget goes on to a server that lives although none of
+// the budget is left: what never left is no repeat.
+func TestUnreachableServersCostNoBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &sender{replies: []reply{unreached, unreached, good}}
+		f := newForwarder(t, s, io.Discard)
+		f.Budgets = &Budgets{}
+		_, data, err := serve(t.Context(), f, "once")
+		is.NoErr(err)
+		is.Equal(data, "good")
+		is.Equal(len(s.sends), 3)
+	})
+}
+
 // TestLimitCountsWhatRan gives what a call drew on its customer's limit back when
 // the call did not run, and keeps it when it did.
 func TestLimitCountsWhatRan(t *testing.T) {
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -39,9 +39,12 @@
 	part  []byte
 	// lastEvent is the id of the last whole event.
 	lastEvent string
-	lastAt    time.Time
-	end       error
-	closed    bool
+	// lastAt is when this server gave its last event; zero before its first.
+	lastAt time.Time
+	// begun is when this server began to answer.
+	begun  time.Time
+	end    error
+	closed bool
 }
 
 // Read implements io.Reader; io.EOF is only given behind a whole answer.
@@ -101,7 +104,9 @@
 		}
 	}
 	now := time.Now()
-	if !s.lastAt.IsZero() {
+	if s.lastAt.IsZero() {
+		s.lease.Heard()
+	} else {
 		s.lease.Pace(now.Sub(s.lastAt))
 	}
 	s.call.events++
@@ -111,7 +116,7 @@
 // lastHeard is when the server gave something last.
 func (s *stream) lastHeard() time.Time {
 	if s.lastAt.IsZero() {
-		return s.call.firstByte
+		return s.begun
 	}
 	return s.lastAt
 }
@@ -123,7 +128,7 @@
 	_ = s.body.Close()
 	s.lease.Release(c.endOf(s.ctx, s.lastHeard(), dispatch.Broken))
 	for {
-		if !c.route.Resumable || !c.mayTryAgain(s.ctx) {
+		if !c.route.Resumable || !c.mayTryAgain(s.ctx, broke) {
 			return c.broken(s.ctx, broke)
 		}
 		metrics.Count(c.f.Metrics.Resumes)
@@ -138,7 +143,7 @@
 		}
 		s.lease = lease
 		if reply.Status < 300 {
-			s.body = reply.Body
+			s.body, s.begun, s.lastAt = reply.Body, time.Now(), time.Time{}
 			return nil
 		}
 		_ = reply.Body.Close()
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -69,8 +69,8 @@
 // Beat is what an entry tells the others.
 type Beat struct {
 	From Member `json:"from"`
-	// Running is how many calls the entry has at each backend server, by its id.
-	Running runworks.RunningCalls `json:"running,omitempty"`
+	// Load is what the entry runs and what waits there.
+	Load runworks.EntryLoad `json:"load"`
 	// Drawn is what the entry drew on the customers' limits since its start.
 	Drawn runworks.DrawnTokens `json:"drawn,omitempty"`
 	// RoutingVersion is the version of the routing in force there.
@@ -92,6 +92,8 @@
 	// OnBeat is told what another entry said, and OnGone which one fell silent.
 	OnBeat func(now time.Time, b *Beat)
 	OnGone func(from runworks.Incarnation)
+	// OnReplaced is told which life of an entry is over, as a new one was heard.
+	OnReplaced func(old runworks.Incarnation)
 	// State gives what this entry knows of a subject, for others.
 	State func(s Subject) (any, error)
 
@@ -102,6 +104,8 @@
 	end   context.CancelFunc
 	links map[string]*link
 	heard map[runworks.Incarnation]*life
+	// lives holds the newest life of each entry, by its name.
+	lives map[string]runworks.Incarnation
 }
 
 // life is what is known of another entry's incarnation.
@@ -222,6 +226,13 @@
 	known := x.heard[b.From.Incarnation]
 	if x.heard == nil {
 		x.heard = make(map[runworks.Incarnation]*life)
+		x.lives = make(map[string]runworks.Incarnation)
+	}
+	old := x.lives[b.From.Name]
+	x.lives[b.From.Name] = b.From.Incarnation
+	replaced := old != "" && old != b.From.Incarnation
+	if replaced {
+		delete(x.heard, old)
 	}
 	x.heard[b.From.Incarnation] = &life{name: b.From.Name, last: now}
 	if x.links[b.From.Name] == nil && b.From.Name != x.Self.Name {
@@ -231,6 +242,10 @@
 	if known == nil {
 		x.Logger.Info("entry heard", "name", b.From.Name, "incarnation", b.From.Incarnation, "routing_version", b.RoutingVersion)
 	}
+	if replaced {
+		x.Logger.Info("entry started anew", "name", b.From.Name, "incarnation", b.From.Incarnation, "old_incarnation", old)
+		x.OnReplaced(old)
+	}
 	x.OnBeat(now, &b)
 	return nil
 }
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -27,20 +27,28 @@
 	mu    sync.Mutex
 	heard map[runworks.Incarnation]Beat
 	gone  []runworks.Incarnation
-	tells int
+	// replaced are the lives that were over as a new one of their name was heard.
+	replaced []runworks.Incarnation
+	tells    int
 }
 
 // startEntry starts an entry on the network; its name is its host.
 func startEntry(t *testing.T, network *memnet.Network, name string, key string) *entry {
+	t.Helper()
+	return startLife(t, network, name, key, name+"-life")
+}
+
+// startLife starts an entry under an incarnation.
+func startLife(t *testing.T, network *memnet.Network, name, key, life string) *entry {
 	t.Helper()
 	e := &entry{network: network, heard: map[runworks.Incarnation]Beat{}}
 	e.Exchange = &Exchange{
-		Self: Member{Name: name, Address: name + ":1", Incarnation: runworks.Incarnation(name + "-life")},
+		Self: Member{Name: name, Address: name + ":1", Incarnation: runworks.Incarnation(life)},
 		Dial: network.Dialer(name), Keys: rpc.FleetKeys{key}, Logger: hclog.NewNullLogger(),
 		Beat: func() Beat {
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			return Beat{Running: runworks.RunningCalls{"s": e.tells}}
+			return Beat{Load: runworks.EntryLoad{Running: runworks.RunningCalls{"s": e.tells}}}
 		},
 		OnBeat: func(_ time.Time, b *Beat) {
 			e.mu.Lock()
@@ -52,6 +60,11 @@
 			defer e.mu.Unlock()
 			e.gone = append(e.gone, from)
 		},
+		OnReplaced: func(old runworks.Incarnation) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.replaced = append(e.replaced, old)
+		},
 		State: func(Subject) (any, error) { return name + " knows", nil },
 	}
 	l, err := network.Listen(name + ":1")
@@ -81,7 +94,7 @@
 	if !ok {
 		return -1
 	}
-	return b.Running["s"]
+	return b.Load.Running["s"]
 }
 
 // inNetwork runs a test with entries a and b, of which a knows b from the list.
@@ -160,3 +173,24 @@
 	_, err = x.handle(context.Background(), "entry.unknown", nil)
 	is.True(err != nil)
 }
+
+// TestNewLifeReplacesTheOld tells at once that a life of an entry is over when the
+// entry is heard under a new one, also after it had fallen silent.
+func TestNewLifeReplacesTheOld(t *testing.T) {
+	inNetwork(t, "key-of-the-fleet", func(is *is.I, network *memnet.Network, a, b *entry) {
+		is.Equal(a.runsAt("b"), 0)
+		b.cancel()
+		_ = b.server.Close()
+		time.Sleep(2 * silentAfter)
+		again := startLife(t, network, "b", "key-of-the-fleet", "b-second-life")
+		defer func() {
+			again.cancel()
+			_ = again.server.Close()
+		}()
+		time.Sleep(5 * time.Second)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		is.Equal(a.replaced, []runworks.Incarnation{"b-life"})
+		is.Equal(a.heard["b-second-life"].From.Name, "b")
+	})
+}
--- a/services/quota/quota.go
+++ b/services/quota/quota.go
@@ -134,6 +134,14 @@
 	p.drawn, p.heard = drawn, now
 }
 
+// Forget counts a life of an entry as over: what it drew stays counted, and it draws
+// nothing more.
+func (q *Quota) Forget(life runworks.Incarnation) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.peers, life)
+}
+
 // sweep forgets the lives that are gone.
 func (q *Quota) sweep(now time.Time) {
 	for life, p := range q.peers {
--- a/services/quota/quota_test.go
+++ b/services/quota/quota_test.go
@@ -58,6 +58,22 @@
 	is.Equal(q.Take(begin.Add(ForgetAfter+time.Second), customer(), 1).Assumed, 0.0)
 }
 
+// TestNewLife assumes nothing more of an entry's life that is over: a new one of the
+// same entry was heard. What it had drawn stays counted.
+func TestNewLife(t *testing.T) {
+	is := is.New(t)
+	q := &Quota{Window: 8 * time.Second, Started: begin.Add(-time.Hour)}
+	q.Report(begin, "old", runworks.DrawnTokens{})
+	q.Report(begin, "old", runworks.DrawnTokens{"yard": 300})
+	q.Forget("old")
+	q.Report(begin, "new", runworks.DrawnTokens{})
+	later := begin.Add(4 * time.Second)
+	q.Report(later, "new", runworks.DrawnTokens{})
+	v := q.Take(later, customer(), 1)
+	is.Equal(v.Assumed, 0.0)
+	is.Equal(v.Used, 300.0)
+}
+
 // TestStart opens a limit at its rate after a start: what was drawn before is not
 // known.
 func TestStart(t *testing.T) {
--- a/services/ticket/queue.go
+++ b/services/ticket/queue.go
@@ -124,6 +124,17 @@
 	return n
 }
 
+// First gives the highest rank that waits and how many tickets it has; 0 tickets if
+// none waits.
+func (q *Queue) First() (rank, waiting int) {
+	for _, t := range q.tiers {
+		if t.size > 0 {
+			return t.rank, t.size
+		}
+	}
+	return 0, 0
+}
+
 // EachTier tells f the number of waiting tickets of each rank that has some.
 func (q *Queue) EachTier(f func(rank, waiting int)) {
 	for _, t := range q.tiers {
