Short calls are not held for old news; servers that answer by failures are left out

Cause: (1) fronts with equal knowledge prefer the same server, and what they sent in the last heartbeat is not known to the others. Change: each front adds a taste of its own to a server's score; a server takes as many more calls as find a slot within 50 ms; fronts tell how often in a row a server failed, and leave out for a second the one that does so three times as often as the others.

--- a/inbound.go
+++ b/inbound.go
@@ -89,6 +89,9 @@
 type EntryLoad struct {
 	Running RunningCalls `json:"running,omitempty"`
 	Waiting WaitingCalls `json:"waiting,omitempty"`
+	// Failed is how many calls in a row were answered by a failure of a backend
+	// server's own, by its id.
+	Failed map[string]int `json:"failed,omitempty"`
 	// LeftOut are the ids of the backend servers that failed this entry of late.
 	LeftOut []string `json:"left_out,omitempty"`
 }
--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -13,6 +13,10 @@
 	// it has minSlotsToReserve.
 	reservedSlots     = 1
 	minSlotsToReserve = 4
+	// taste is how much of its score an entry's own taste adds to a server at most: of
+	// servers as good, the entries prefer different ones, as they don't know what the
+	// others sent in this moment.
+	taste = 0.5
 	// paceTolerance is how much slower than the fastest a server may be and still
 	// take what no server can finish in time.
 	paceTolerance = 1.3
@@ -28,13 +32,22 @@
 	var open []*server
 	healthy := slices.ContainsFunc(s.servers, func(one *server) bool { return s.healthy(now, one) })
 	for _, one := range s.servers {
-		if one.room(now) && (s.healthy(now, one) || !healthy) {
+		if one.room(now, s) && (s.healthy(now, one) || !healthy) {
 			open = append(open, one)
 		}
 	}
 	return open
 }
 
+// capacity is how many calls a server may have: one for each slot, and those that
+// find a slot soon where calls are short.
+func (s *service) capacity(one *server) int {
+	if s.duration == 0 {
+		return one.Slots
+	}
+	return one.Slots + int(float64(one.Slots)*freeSoon.Seconds()/float64(s.duration))
+}
+
 // reserved is how many slots of each server are kept from calls of a route's
 // rank: the lowest rank leaves some for those that can't wait.
 func (s *service) reserved(one *server, routeRank int) int {
@@ -56,7 +69,7 @@
 // anyFor says whether one of the open servers has a slot for a route's rank.
 func (s *service) anyFor(open []*server, routeRank int) bool {
 	return slices.ContainsFunc(open, func(one *server) bool {
-		return one.load()+s.reserved(one, routeRank) < one.Slots
+		return one.load()+s.reserved(one, routeRank) < s.capacity(one)
 	})
 }
 
@@ -78,7 +91,7 @@
 	left := ask.Deadline.Sub(now).Seconds()
 	var out []*server
 	for _, one := range open {
-		if slices.Contains(ask.Avoid, one.ID) || one.load()+s.reserved(one, ask.RouteRank) >= one.Slots {
+		if slices.Contains(ask.Avoid, one.ID) || one.load()+s.reserved(one, ask.RouteRank) >= s.capacity(one) {
 			continue
 		}
 		if float64(one.pace) > fastest*paceTolerance && s.expected(one, ask) > left {
@@ -105,6 +118,7 @@
 	if s.pace > 0 && typical > 0 {
 		score *= float64(s.pace) / typical
 	}
+	score *= 1 + taste*draw(s.ID, d.Self)
 	if s.Hall != d.Hall {
 		score += hallCost
 	}
--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -289,3 +289,25 @@
 		is.Equal((<-waiting).Instance.ID, "s0")
 	})
 }
+
+// TestShortCallsNeedNoFreeSlot sends calls that last a few milliseconds on although
+// the other entries' last word was that all slots are taken: that was long ago for them.
+func TestShortCallsNeedNoFreeSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(6)
+		for i := range 40 {
+			lease := taken(t, d, fmt.Sprint("short", i))
+			time.Sleep(25 * time.Millisecond)
+			lease.Release(Served)
+		}
+		d.Report("other", runs(runworks.RunningCalls{"s0": 6}))
+		for i := range 12 { // 6 slots, free twice in freeSoon
+			taken(t, d, fmt.Sprint(i))
+		}
+		waiting := acquired(d, ask("one too many", 0))
+		is.Equal(len(waiting), 0)
+		d.Report("other", runs(nil))
+		(<-waiting).Release(Served)
+	})
+}
--- a/services/dispatch/fleet.go
+++ b/services/dispatch/fleet.go
@@ -77,7 +77,7 @@
 func (d *Dispatcher) Own() runworks.EntryLoad {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := runworks.EntryLoad{Running: make(runworks.RunningCalls), Waiting: make(runworks.WaitingCalls)}
+	out := runworks.EntryLoad{Running: make(runworks.RunningCalls), Waiting: make(runworks.WaitingCalls), Failed: map[string]int{}}
 	now := time.Now()
 	for id, s := range d.servers {
 		s.vacated = 0
@@ -87,6 +87,9 @@
 		if s.own > 0 {
 			out.Running[id] = s.own
 		}
+		if s.failed > 0 {
+			out.Failed[id] = s.failed
+		}
 	}
 	slices.Sort(out.LeftOut)
 	for name, s := range d.services {
@@ -130,7 +133,7 @@
 	now := time.Now()
 	for _, s := range d.servers {
 		s.others = 0
-		s.doubts = 0
+		s.doubts, s.othersFailed = 0, 0
 	}
 	for _, load := range d.peers {
 		for id, n := range load.Running {
@@ -138,6 +141,11 @@
 				s.others += n
 			}
 		}
+		for id, n := range load.Failed {
+			if s := d.servers[id]; s != nil {
+				s.othersFailed += n
+			}
+		}
 		for _, id := range load.LeftOut {
 			if s := d.servers[id]; s != nil {
 				s.doubts++
@@ -147,6 +155,9 @@
 	for _, s := range d.servers {
 		s.noteDoubts(now)
 	}
+	for _, s := range d.services {
+		d.judgeLocked(now, s)
+	}
 }
 
 // Load is the state of one backend server for operators.
--- a/services/dispatch/health.go
+++ b/services/dispatch/health.go
@@ -12,6 +12,13 @@
 	silentResponses = 4
 	// responseWeight is the weight of the newest answer in the mean time to its head.
 	responseWeight = 0.05
+	// minFailed is how many calls in a row a server must have answered by a failure, at
+	// all entries together, and failedFactor how many times as many as the others of
+	// its service on average, before it is left out for failedSuspension: some calls
+	// fail at every server.
+	minFailed        = 5
+	failedFactor     = 3
+	failedSuspension = time.Second
 )
 
 // healthy says whether calls may be sent to a server as long as others can do the
@@ -55,6 +62,29 @@
 	}
 }
 
+// judgeLocked leaves out the servers of a service that answer by failures while the
+// others do not.
+func (d *Dispatcher) judgeLocked(now time.Time, s *service) {
+	sum, n := 0, 0
+	for _, one := range s.servers {
+		if !one.Leaving {
+			sum += one.failed + one.othersFailed
+			n++
+		}
+	}
+	for _, one := range s.servers {
+		failed := one.failed + one.othersFailed
+		if one.failed == 0 || failed < minFailed || failed*(n-1) < failedFactor*(sum-failed) || now.Before(one.suspended) {
+			continue
+		}
+		one.failed = 0
+		one.suspended = now.Add(failedSuspension)
+		if d.OnSuspend != nil {
+			d.OnSuspend(one.Instance, failed, failedSuspension)
+		}
+	}
+}
+
 // Heard records that the call's server gave something.
 func (l *Lease) Heard() {
 	l.dispatcher.mu.Lock()
--- a/services/dispatch/health_test.go
+++ b/services/dispatch/health_test.go
@@ -94,3 +94,42 @@
 		is.Equal(d.Own().LeftOut, []string{moved.Instance.ID})
 	})
 }
+
+// TestFailingServerIsLeftOut leaves a server out for a while that answers by failures,
+// by what all entries together saw, while the others of its service do not.
+func TestFailingServerIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(9, 9, 9)
+		bad := taken(t, d, "bad")
+		id := bad.Instance.ID
+		d.Report("other", runworks.EntryLoad{Failed: map[string]int{id: minFailed - 1}})
+		bad.Release(Failed)
+		is.Equal(d.Own().LeftOut, []string{id})
+		is.Equal(len(d.Own().Failed), 0) // the count starts anew
+		for i := range 6 {
+			is.True(taken(t, d, fmt.Sprint(i)).Instance.ID != id)
+		}
+		time.Sleep(failedSuspension)
+		is.Equal(len(d.Own().LeftOut), 0)
+	})
+}
+
+// TestFailuresEverywhere leaves nobody out where all servers of a service fail alike.
+func TestFailuresEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(1, 1, 1)
+		for i := range 30 {
+			var held []*Lease
+			for k := range 3 {
+				held = append(held, taken(t, d, fmt.Sprint(i, k)))
+			}
+			for _, one := range held {
+				one.Release(Failed)
+			}
+		}
+		is.Equal(len(d.Own().LeftOut), 0)
+		is.Equal(len(d.Own().Failed), 3)
+	})
+}
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -30,7 +30,12 @@
 			d.OnSuspend(l.server.Instance, l.server.failures, wait)
 		}
 		if s := d.services[l.service]; s != nil {
-			s.duration.add(now.Sub(l.began).Seconds(), durationWeight)
+			if r == Served {
+				s.duration.add(now.Sub(l.began).Seconds(), durationWeight)
+			}
+			if r == Failed {
+				d.judgeLocked(now, s)
+			}
 			d.pumpLocked(s)
 		}
 	})
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -17,6 +17,10 @@
 	// fullPause is how long a server that turned a call away as full is left out:
 	// about the time in which one of its slots becomes free.
 	fullPause = 30 * time.Millisecond
+	// freeSoon is within which time a slot has to become free to count as free now:
+	// about the age of what is known of the other entries' calls. It matters where
+	// calls are as short as that.
+	freeSoon = 50 * time.Millisecond
 	// paceWeight is the weight of the newest call in the average pace.
 	paceWeight = 0.2
 )
@@ -36,6 +40,9 @@
 	since time.Time
 	// failures is how many calls in a row failed without an answer.
 	failures int
+	// failed is how many calls in a row it answered by a failure, and othersFailed the
+	// same at the other entries, summed.
+	failed, othersFailed int
 	// suspended is until when it is left out, if others can do the work.
 	suspended time.Time
 	// moved is set once another server was met at its address.
@@ -71,8 +78,8 @@
 }
 
 // room says whether the server has a free slot, as far as is known.
-func (s *server) room(now time.Time) bool {
-	return !s.Leaving && !s.moved && !now.Before(s.full) && s.load() < s.Slots
+func (s *server) room(now time.Time, of *service) bool {
+	return !s.Leaving && !s.moved && !now.Before(s.full) && s.load() < of.capacity(s)
 }
 
 // note records how a call ended; it gives how long the server is left out for it.
@@ -80,6 +87,7 @@
 	switch r {
 	case Served:
 		s.failures = 0
+		s.failed = 0
 		s.suspended = time.Time{}
 	case TurnedAway:
 		s.full = now.Add(fullPause)
@@ -92,6 +100,9 @@
 		}
 	case Moved:
 		s.moved = true
+	case Failed:
+		s.failures = 0
+		s.failed++
 	case Abandoned:
 	}
 	return 0
@@ -114,4 +125,6 @@
 	Moved
 	// Abandoned means that the caller left or the time was over.
 	Abandoned
+	// Failed means that the server answered that it failed.
+	Failed
 )
--- a/services/dispatch/turn.go
+++ b/services/dispatch/turn.go
@@ -28,7 +28,7 @@
 	rivals := d.rivals(s.name, rank)
 	out := open[:0]
 	for _, one := range open {
-		if one.vacated > 0 || d.ahead(one, rivals, runworks.WaitingCall{Rank: rank, Calls: calls}) < one.onOffer(now, d.turnTime())-s.reserved(one, routeRank(rank)) {
+		if one.vacated > 0 || d.ahead(one, rivals, runworks.WaitingCall{Rank: rank, Calls: calls}) < s.onOffer(now, one, d.turnTime())-s.reserved(one, routeRank(rank)) {
 			out = append(out, one)
 		}
 	}
@@ -75,15 +75,19 @@
 // claim is the weight of an entry's claim on a server, by weighted rendezvous
 // hashing: of all entries the one with the most calls has most often the highest.
 func claim(server string, life runworks.Incarnation, calls int) float64 {
-	u := (float64(xxhash.Sum64String(server+string(life))>>11) + 0.5) / (1 << 53)
-	return float64(calls) / -math.Log(u)
+	return float64(calls) / -math.Log(draw(server, life))
+}
+
+// draw gives a number between 0 and 1 that an entry and a server have in common.
+func draw(server string, life runworks.Incarnation) float64 {
+	return (float64(xxhash.Sum64String(server+string(life))>>11) + 0.5) / (1 << 53)
 }
 
 // onOffer is how many entries in turn may use the server: one for each free slot,
 // and more the longer nobody took them.
-func (s *server) onOffer(now time.Time, turn time.Duration) int {
-	if load := s.load(); load != s.seen || s.since.IsZero() {
-		s.seen, s.since = load, now
+func (s *service) onOffer(now time.Time, one *server, turn time.Duration) int {
+	if load := one.load(); load != one.seen || one.since.IsZero() {
+		one.seen, one.since = load, now
 	}
-	return s.Slots - s.load() + int(now.Sub(s.since)/turn)
+	return s.capacity(one) - one.load() + int(now.Sub(one.since)/turn)
 }
--- a/services/forward/answer.go
+++ b/services/forward/answer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -43,7 +44,7 @@
 	}
 	reply.Header.Set("Content-Length", strconv.Itoa(len(data)))
 	out := &runworks.Reply{Status: reply.Status, Header: reply.Header, Body: io.NopCloser(bytes.NewReader(data))}
-	lease.Release(dispatch.Served)
+	lease.Release(resultOf(reply.Status))
 	if reply.Status >= 500 {
 		return c.again(ctx, nil, out)
 	}
@@ -51,6 +52,15 @@
 	return out, nil
 }
 
+// resultOf says what an answer tells of its server. One that says that the time was
+// over speaks against nobody.
+func resultOf(status int) dispatch.Result {
+	if status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout {
+		return dispatch.Failed
+	}
+	return dispatch.Served
+}
+
 // again tries a call that ran and failed once more, if it may; else it gives the
 // failure, or the server's own answer.
 func (c *call) again(ctx context.Context, failure *runworks.Failure, own *runworks.Reply) (*runworks.Reply, *runworks.Failure) {
