A fault soak: the real programs under schedules of faults drawn from seeds

Cause: the proofs take one failure at a time, or run in one process; nothing played the programs as separate processes under faults that come in series and overlap.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,14 @@
 long:
 	$(GO) test -race ./tests/... -run Schedules -seeds $(SEEDS) -timeout 60m
 
+# More seeds of the fault soak over separate processes: make soak SOAK_SEEDS=50 SOAK_FIRST=1000
+.PHONY: soak
+SOAK_SEEDS ?= 50
+SOAK_FIRST ?= 1
+SOAK_TIME ?= 10s
+soak:
+	$(GO) test ./tests/ -run 'TestSoak$$' -v -timeout 60m -parallel 6 -args -soak-seeds $(SOAK_SEEDS) -soak-first $(SOAK_FIRST) -soak-time $(SOAK_TIME)
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"net"
 	"net/http"
@@ -83,7 +84,15 @@
 func addRouted(app *kingpin.Application, listen *string) {
 	cmd := app.Command("routed", "A backend server of the users' platform.")
 	b := &standin.Routed{}
+	tell := cmd.Flag("tell", "Print a line for each call before it runs, as the process may be killed.").Bool()
 	cmd.Flag("instance", "The id of its life.").Required().StringVar(&b.Instance)
 	cmd.Flag("delay", "How long a call runs, and the time between events.").Default("0s").DurationVar(&b.Delay)
-	cmd.Action(func(*kingpin.ParseContext) error { return serve(*listen, b.Handler()) })
+	cmd.Action(func(*kingpin.ParseContext) error {
+		if *tell {
+			b.OnCall = func(c standin.RoutedCall) {
+				fmt.Printf("ran %s %s %s %q %x\n", c.ID, c.Method, c.Target, c.Customer, sha256.Sum256(c.Body))
+			}
+		}
+		return serve(*listen, b.Handler())
+	})
 }
--- a/standin/routed.go
+++ b/standin/routed.go
@@ -60,6 +60,8 @@
 	Instance string
 	// Delay is how long a call runs before its answer, or between two events.
 	Delay time.Duration
+	// OnCall, unless nil, is told of each call that runs, before it does.
+	OnCall func(RoutedCall)
 	// Hold, unless nil, keeps every call running until it is closed.
 	Hold <-chan struct{}
 
@@ -157,13 +159,17 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	b.calls = append(b.calls, RoutedCall{
+	call := RoutedCall{
 		ID: r.Header.Get(RoutedID), Method: r.Method, Target: r.RequestURI, Customer: r.Header.Get(routedCustomer),
 		LastEvent: r.Header.Get("Last-Event-Id"), Header: r.Header.Clone(), Body: body,
-	})
+	}
+	b.calls = append(b.calls, call)
 	b.active++
 	b.most = max(b.most, b.active)
 	b.mu.Unlock()
+	if b.OnCall != nil {
+		b.OnCall(call)
+	}
 	defer func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
