Read again: beliefs about servers are logged, short calls told by twenty answers

Cause: reading the change as a newcomer: a server left out for its silence or by other fronts' word left no line; the first answer after a start alone could make a service's calls look short, and its servers take more than their slots; servers kept after a lapse could be kept longer than the grace when more went later. Change: lines for silence and for other fronts' word, both ways; capacity beyond the slots only after 20 answers; the list is merged again when the first grace is over. TestLapsedRecords failed before the change (second half of the grace), the others tell the lines.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -143,7 +143,7 @@
 	}
 	dial := tcp.Options{Silence: s.Silence}.Dial
 	self := peers.Member{Name: s.Name, Address: address, Incarnation: runworks.NewIncarnation()}
-	d.dispatcher = &dispatch.Dispatcher{Self: self.Incarnation, Hall: s.Hall, OnSuspend: d.onSuspend}
+	d.dispatcher = &dispatch.Dispatcher{Self: self.Incarnation, Hall: s.Hall, OnSuspend: d.onSuspend, OnSilent: d.onSilent, OnDoubt: d.onDoubt}
 	d.quota = &quota.Quota{Window: s.QuotaWindow, Started: time.Now()}
 	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack}
 	d.forwarder = &forward.Forwarder{
--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -166,3 +166,19 @@
 func (d *Front) onSuspend(server runworks.Instance, failures int, wait time.Duration) {
 	d.Logger.Warn("backend server left out", "server", server.ID, "service", server.Service, "failures", failures, "for_ms", wait.Milliseconds())
 }
+
+func (d *Front) onSilent(server runworks.Instance, silent bool) {
+	if silent {
+		d.Logger.Warn("backend server silent, left out until it is heard", "server", server.ID, "service", server.Service)
+		return
+	}
+	d.Logger.Info("backend server heard again", "server", server.ID, "service", server.Service)
+}
+
+func (d *Front) onDoubt(server runworks.Instance, entries int) {
+	if entries > 0 {
+		d.Logger.Warn("backend server left out by other fronts", "server", server.ID, "service", server.Service, "fronts", entries)
+		return
+	}
+	d.Logger.Info("backend server left out by no other front any more", "server", server.ID, "service", server.Service)
+}
--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -22,6 +22,9 @@
 	paceTolerance = 1.3
 	// lengthMargin is for answers longer than expected: four of five are shorter.
 	lengthMargin = 1.5
+	// minServed is how many answers have to be there before their mean duration tells
+	// that calls are short.
+	minServed = 20
 	// lengthWeight is the weight of the newest answer in the average length.
 	lengthWeight = 0.05
 )
@@ -42,7 +45,7 @@
 // capacity is how many calls a server may have: one for each slot, and those that
 // find a slot soon where calls are short.
 func (s *service) capacity(one *server) int {
-	if s.duration == 0 {
+	if s.served < minServed {
 		return one.Slots
 	}
 	return one.Slots + int(float64(one.Slots)*freeSoon.Seconds()/float64(s.duration))
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -62,6 +62,12 @@
 	// OnSuspend is told of a server that is left out, after how many failures in a
 	// row and for how long; nil tells nobody. It must not wait.
 	OnSuspend func(server runworks.Instance, failures int, wait time.Duration)
+	// OnSilent is told of a server that gives nothing to the calls it has, or that it
+	// was heard again; nil tells nobody. It must not wait.
+	OnSilent func(server runworks.Instance, silent bool)
+	// OnDoubt is told how many other entries leave a server out, when the first does
+	// and when none does any more; nil tells nobody. It must not wait.
+	OnDoubt func(server runworks.Instance, entries int)
 
 	mu       sync.Mutex
 	servers  map[string]*server
@@ -81,6 +87,8 @@
 	ranked          bool
 	// duration is how long a call has its slot on average, in seconds; 0 is not known.
 	duration average
+	// served is how many answers went into it.
+	served int
 	// response is the mean time from a call's start to the head of its answer, in
 	// seconds; 0 is not known.
 	response average
@@ -234,6 +242,7 @@
 func (d *Dispatcher) pumpAll() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.watchSilenceLocked(time.Now())
 	for _, s := range d.services {
 		d.pumpLocked(s)
 	}
--- a/services/dispatch/fleet.go
+++ b/services/dispatch/fleet.go
@@ -153,7 +153,7 @@
 		}
 	}
 	for _, s := range d.servers {
-		s.noteDoubts(now)
+		d.noteDoubtsLocked(now, s)
 	}
 	for _, s := range d.services {
 		d.judgeLocked(now, s)
--- a/services/dispatch/health.go
+++ b/services/dispatch/health.go
@@ -50,9 +50,21 @@
 	return now.Sub(last) > limit
 }
 
-// noteDoubts keeps since when other entries leave the server out. After their word
+// watchSilenceLocked tells of servers that fell silent or were heard again.
+func (d *Dispatcher) watchSilenceLocked(now time.Time) {
+	for _, one := range d.servers {
+		silent := one.silent(now, d.services[one.Service])
+		if silent != one.wasSilent && d.OnSilent != nil {
+			d.OnSilent(one.Instance, silent)
+		}
+		one.wasSilent = silent
+	}
+}
+
+// noteDoubtsLocked keeps since when other entries leave a server out. After their word
 // one more failure here is enough.
-func (s *server) noteDoubts(now time.Time) {
+func (d *Dispatcher) noteDoubtsLocked(now time.Time, s *server) {
+	before := s.doubted
 	switch {
 	case s.doubts == 0:
 		s.doubted = time.Time{}
@@ -60,6 +72,9 @@
 		s.doubted = now
 		s.failures = max(s.failures, failuresToSuspend-1)
 	}
+	if s.doubted != before && d.OnDoubt != nil {
+		d.OnDoubt(s.Instance, s.doubts)
+	}
 }
 
 // judgeLocked leaves out the servers of a service that answer by failures while the
--- a/services/dispatch/health_test.go
+++ b/services/dispatch/health_test.go
@@ -27,6 +27,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		d := newDispatcher(9, 9)
+		var told []string
+		d.OnSilent = func(s runworks.Instance, silent bool) { told = append(told, fmt.Sprint(s.ID, " ", silent)) }
 		d.Report("other", runs(runworks.RunningCalls{"s1": 5}))
 		silent := taken(t, d, "silent")
 		is.Equal(silent.Instance.ID, "s0")
@@ -34,10 +36,13 @@
 		is.Equal(len(d.Own().LeftOut), 0)
 		time.Sleep(silence + time.Millisecond)
 		is.Equal(d.Own().LeftOut, []string{"s0"})
+		d.pumpAll()
 		for i := range 3 {
 			is.Equal(taken(t, d, fmt.Sprint(i)).Instance.ID, "s1")
 		}
 		silent.Heard()
+		d.pumpAll()
+		is.Equal(told, []string{"s0 true", "s0 false"})
 		is.Equal(taken(t, d, "again").Instance.ID, "s0")
 	})
 }
@@ -63,6 +68,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		d := newDispatcher(9, 9)
+		var told []int
+		d.OnDoubt = func(_ runworks.Instance, entries int) { told = append(told, entries) }
 		before := taken(t, d, "before")
 		is.True(before.Instance.ID == "s0" || before.Instance.ID == "s1")
 		time.Sleep(time.Millisecond)
@@ -74,6 +81,8 @@
 		time.Sleep(time.Millisecond)
 		before.Heard()
 		is.Equal(taken(t, d, "after").Instance.ID, before.Instance.ID)
+		d.Report("other", runworks.EntryLoad{})
+		is.Equal(told, []int{1, 0})
 		before.Release(Broken)
 		is.Equal(d.Own().LeftOut, []string{before.Instance.ID})
 	})
--- a/services/dispatch/lapse.go
+++ b/services/dispatch/lapse.go
@@ -33,13 +33,13 @@
 	for _, one := range list {
 		listed[one.ID] = one
 	}
-	var gone []runworks.Instance
+	gone := 0
 	for id, one := range l.known {
 		if _, ok := listed[id]; !ok && !one.Leaving && l.since[id].IsZero() {
-			gone = append(gone, one)
+			gone++
 		}
 	}
-	lapsed := len(gone) >= max(minLapsed, len(l.known)/lapsePart)
+	lapsed := gone >= max(minLapsed, len(l.known)/lapsePart)
 	since := make(map[string]time.Time)
 	next := time.Duration(0)
 	for id, one := range l.known {
@@ -54,7 +54,9 @@
 			since[id] = at
 			listed[id] = one
 			list = append(list, one)
-			next = max(next, left)
+			if next == 0 || left < next {
+				next = left
+			}
 		}
 	}
 	l.known, l.since = listed, since
--- a/services/dispatch/lapse_test.go
+++ b/services/dispatch/lapse_test.go
@@ -43,6 +43,9 @@
 	list, next = l.Merge(now, all[4:]) // two are back
 	is.Equal(ids(list), "s2 s3 s4 s5")
 	is.Equal(next, lapseGrace/2)
+	list, next = l.Merge(now, nil) // and gone again
+	is.Equal(ids(list), "s2 s3 s4 s5")
+	is.Equal(next, lapseGrace/2) // the first of them
 	list, next = l.Merge(now.Add(next), all[4:])
 	is.Equal(ids(list), "s4 s5")
 	is.Equal(next, time.Duration(0))
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -32,6 +32,7 @@
 		if s := d.services[l.service]; s != nil {
 			if r == Served {
 				s.duration.add(now.Sub(l.began).Seconds(), durationWeight)
+				s.served++
 			}
 			if r == Failed {
 				d.judgeLocked(now, s)
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -50,6 +50,8 @@
 	// heard is when a call of this entry last got anything from it, and busy since
 	// when it has had calls of this entry all the time.
 	heard, busy time.Time
+	// wasSilent is whether it was silent at the last look.
+	wasSilent bool
 	// doubts is how many other entries leave it out, and doubted since when some do;
 	// zero if none does.
 	doubts  int
--- a/services/dispatch/turn.go
+++ b/services/dispatch/turn.go
@@ -24,11 +24,13 @@
 // number of calls that wait. A slot that the entry's own call left is its own until
 // the others are told.
 func (d *Dispatcher) turns(now time.Time, s *service, open []*server) []*server {
-	rank, calls := s.queue.First()
-	rivals := d.rivals(s.name, rank)
+	var mine runworks.WaitingCall
+	mine.Rank, mine.Calls = s.queue.First()
+	rivals := d.rivals(s.name, mine.Rank)
 	out := open[:0]
 	for _, one := range open {
-		if one.vacated > 0 || d.ahead(one, rivals, runworks.WaitingCall{Rank: rank, Calls: calls}) < s.onOffer(now, one, d.turnTime())-s.reserved(one, routeRank(rank)) {
+		offered := s.onOffer(now, one, d.turnTime()) - s.reserved(one, routeRank(mine.Rank))
+		if one.vacated > 0 || d.ahead(one, rivals, mine) < offered {
 			out = append(out, one)
 		}
 	}
