Mutants hold for the programs that a test builds as well

Cause: "connection-takes-any-answer" was not caught: its proof runs separate processes, which the test builds itself, and the overlay was given to the test's own build alone. Change: the overlay stands in GOFLAGS of the test's environment.

--- a/tests/mutants_test.go
+++ b/tests/mutants_test.go
@@ -67,8 +67,10 @@
 // runMutant runs a test with files changed, without touching the tree.
 func runMutant(t *testing.T, texts map[string]string, pkg, test string) (out string, caught bool) {
 	t.Helper()
-	cmd := exec.Command("go", "test", "-vet=off", "-overlay", writeOverlay(t, texts), "-run", test, "./"+pkg)
+	cmd := exec.Command("go", "test", "-vet=off", "-run", test, "./"+pkg)
 	cmd.Dir = rootOf(t)
+	// In the environment the overlay holds for the programs that a test builds as well.
+	cmd.Env = append(os.Environ(), "GOFLAGS=-overlay="+writeOverlay(t, texts))
 	output, err := cmd.CombinedOutput()
 	if strings.Contains(string(output), "[build failed]") {
 		t.Errorf("the mutant does not build: %s", output)
