A proof that hangs without its mechanism counts as caught

Cause: without x.written (body-not-written-out-is-reused) TestEarlyAnswer hangs and does not fail, so the run of the mutants stood for ten minutes. Change: two minutes for each proof.

--- a/tests/mutants_test.go
+++ b/tests/mutants_test.go
@@ -9,10 +9,14 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 )
 
+// mutantTimeout bounds a proof: none takes a third of it with its mechanism in place.
+const mutantTimeout = 2 * time.Minute
+
 var mutants = flag.Bool("mutants", false, "take each mechanism of testdata/mutants out and see its proof fail")
 
 // TestMutants takes mechanisms out, one at a time, and with -mutants runs the test
@@ -67,7 +71,8 @@
 // runMutant runs a test with files changed, without touching the tree.
 func runMutant(t *testing.T, texts map[string]string, pkg, test string) (out string, caught bool) {
 	t.Helper()
-	cmd := exec.Command("go", "test", "-vet=off", "-run", test, "./"+pkg)
+	// A proof that hangs without its mechanism has caught it too.
+	cmd := exec.Command("go", "test", "-vet=off", "-timeout", mutantTimeout.String(), "-run", test, "./"+pkg)
 	cmd.Dir = rootOf(t)
 	// In the environment the overlay holds for the programs that a test builds as well.
 	cmd.Env = append(os.Environ(), "GOFLAGS=-overlay="+writeOverlay(t, texts))
