--- a/services/dispatch/health_test.go
+++ b/services/dispatch/health_test.go
@@ -71,7 +71,8 @@
 		var told []int
 		d.OnDoubt = func(_ runworks.Instance, entries int) { told = append(told, entries) }
 		before := taken(t, d, "before")
-		is.True(before.Instance.ID == "s0" || before.Instance.ID == "s1")
+		other := map[string]string{"s0": "s1", "s1": "s0"}[before.Instance.ID]
+		d.Report("busy", runs(runworks.RunningCalls{other: 5})) // so that it is the worse
 		time.Sleep(time.Millisecond)
 		d.Report("other", runworks.EntryLoad{LeftOut: []string{before.Instance.ID}})
 		for i := range 3 {
@@ -101,6 +102,10 @@
 			is.True(taken(t, d, fmt.Sprint(i)).Instance.ID != moved.Instance.ID)
 		}
 		is.Equal(d.Own().LeftOut, []string{moved.Instance.ID})
+		// Nor when no other is healthy.
+		time.Sleep(time.Millisecond)
+		d.Report("other", runworks.EntryLoad{LeftOut: []string{"s0", "s1"}})
+		is.True(taken(t, d, "last").Instance.ID != moved.Instance.ID)
 	})
 }
 
