Read once more: one builder of test calls, one restart of a front, what waits in a file of its own

And docs/PROOFS.md says that fronts never end by themselves, which the soak did not check for those that it started again. Change: platformCall.request and readyStatus serve both; restart notes a front that nobody ended; fleet.fill and free; services/dispatch/waiting.go, moved as it was. No behaviour of the product changes, no check is loosened.

--- a/services/dispatch/turn_test.go
+++ b/services/dispatch/turn_test.go
@@ -37,6 +37,20 @@
 	synctest.Wait()
 }
 
+// fill lets another entry have the only slot, and free ends that at all entries.
+func (f fleet) fill() {
+	for _, d := range f {
+		d.Report("elsewhere", runs(runworks.RunningCalls{"s0": 1}))
+	}
+}
+
+func (f fleet) free() {
+	for _, d := range f {
+		d.Forget("elsewhere")
+	}
+	synctest.Wait()
+}
+
 // started counts the calls that got their server.
 func started(waiting []<-chan *Lease) int {
 	n := 0
@@ -52,18 +66,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		all := newFleet(8)
-		for _, d := range all {
-			d.Report("elsewhere", runs(runworks.RunningCalls{"s0": 1}))
-		}
+		all.fill()
 		var waiting []<-chan *Lease
 		for i, d := range all {
 			waiting = append(waiting, acquired(d, ask(fmt.Sprint(i), 0)))
 		}
 		all.tell()
-		for _, d := range all {
-			d.Forget("elsewhere")
-		}
-		synctest.Wait()
+		all.free()
 		is.Equal(started(waiting), 1)
 		for range 10 { // what runs is known now: nobody else starts
 			time.Sleep(turnTime / 2)
@@ -105,19 +114,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		all := newFleet(2)
-		for _, d := range all {
-			d.Report("elsewhere", runs(runworks.RunningCalls{"s0": 1}))
-		}
+		all.fill()
 		var low []<-chan *Lease
 		for i := range 20 {
 			low = append(low, acquired(all[0], ask(fmt.Sprint("low", i), 1)))
 		}
 		urgent := acquired(all[1], ask("urgent", 0))
 		all.tell()
-		for _, d := range all {
-			d.Forget("elsewhere")
-		}
-		synctest.Wait()
+		all.free()
 		is.Equal(started(low), 0)
 		is.Equal(len(urgent), 1)
 		time.Sleep(time.Minute) // those that wait are given up
--- /dev/null
+++ b/services/dispatch/waiting.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/services/ticket"
+)
+
+const (
+	// routeSteps spreads the ranks, so that the ranks of routes stand between them.
+	routeSteps = 16
+	// lateSteps spreads the ranks of routes, so that a call that missed its target
+	// stands between its own and the next.
+	lateSteps = 2
+)
+
+// waiter is a call that waits.
+type waiter struct {
+	ask   *Ask
+	lease chan *Lease
+	late  bool
+}
+
+// waitLocked puts a call in the queue of its service; false if it is full.
+func (d *Dispatcher) waitLocked(s *service, w *waiter) bool {
+	s.noteRank(w.ask.RouteRank)
+	t := &ticket.Waiting{
+		Ticket: runworks.Ticket{
+			ID: w.ask.ID, Service: w.ask.Service, Tier: queueRank(w.ask, w.late), Customer: w.ask.Customer,
+			PromptTokens: w.ask.PromptTokens, MaxTokens: w.ask.MaxTokens,
+		},
+		Deadline: w.ask.Deadline,
+	}
+	verdict, dropped := s.queue.Offer(time.Now(), t, func(int) int { return 0 })
+	if dropped != nil {
+		s.drop(dropped.ID)
+	}
+	if verdict != ticket.Taken {
+		return false
+	}
+	s.asks[w.ask.ID] = w
+	return true
+}
+
+// drop gives up a call whose place went to a higher tier.
+func (s *service) drop(id runworks.RequestID) {
+	if w := s.asks[id]; w != nil {
+		delete(s.asks, id)
+		close(w.lease)
+	}
+}
+
+// demote puts a call that missed its target behind those of its rank that can
+// still meet theirs.
+func (d *Dispatcher) demote(w *waiter) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.services[w.ask.Service]
+	if s == nil || s.queue.Remove(w.ask.ID) == nil {
+		return
+	}
+	w.late = true
+	delete(s.asks, w.ask.ID)
+	if !d.waitLocked(s, w) {
+		close(w.lease)
+	}
+}
+
+// leave takes a call out of the queue; a lease that came in the meantime wins.
+func (d *Dispatcher) leave(w *waiter, err error) (*Lease, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case lease := <-w.lease:
+		return granted(lease)
+	default:
+	}
+	if s := d.services[w.ask.Service]; s != nil {
+		s.queue.Remove(w.ask.ID)
+		delete(s.asks, w.ask.ID)
+	}
+	return nil, err
+}
+
+// queueRank gives the tier in which a call waits.
+func queueRank(ask *Ask, late bool) int {
+	rank := lateSteps * (routeSteps*ask.Rank + min(ask.RouteRank, routeSteps-1))
+	if late {
+		rank++
+	}
+	return rank
+}
+
+// routeRank gives the route's rank back.
+func routeRank(queueRank int) int { return queueRank / lateSteps % routeSteps }
--- a/tests/platform_site_test.go
+++ b/tests/platform_site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/runworks/runworks/standin"
 )
@@ -131,12 +133,7 @@
 
 // ready asks a front as the balancer does.
 func (p *platformSite) ready(name string) int {
-	res, err := http.Get("http://" + p.fronts[name].address("balancer") + "/-/ready") //nolint:gosec // a process of this test
-	if err != nil {
-		return 0
-	}
-	_ = res.Body.Close()
-	return res.StatusCode
+	return readyStatus(p.fronts[name])
 }
 
 // waitReady waits until a front is ready and knows all fronts and servers.
@@ -159,12 +156,14 @@
 	body                    []byte
 }
 
-// do sends a call on a connection of its own and gives the answer whole.
-func (p *platformSite) do(front string, c platformCall) (*http.Response, []byte, error) {
-	req, err := http.NewRequest(c.method, "http://"+p.fronts[front].address("callers")+"/", bytes.NewReader(c.body))
+// request builds the call's request; its body can't be read twice, so that the
+// client never sends it again by itself.
+func (c *platformCall) request(ctx context.Context, address string, timeout time.Duration) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+address+"/", io.NopCloser(bytes.NewReader(c.body)))
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
+	req.ContentLength = int64(len(c.body))
 	path, query, _ := strings.Cut(c.target, "?")
 	req.URL.Opaque, req.URL.RawQuery = path, query
 	req.Host = "yard.example"
@@ -176,7 +175,16 @@
 		req.Header.Set("X-Credential", c.key)
 	}
 	if req.Header.Get("X-Timeout-Ms") == "" {
-		req.Header.Set("X-Timeout-Ms", "10000")
+		req.Header.Set("X-Timeout-Ms", fmt.Sprint(timeout.Milliseconds()))
+	}
+	return req, nil
+}
+
+// do sends a call on a connection of its own and gives the answer whole.
+func (p *platformSite) do(front string, c platformCall) (*http.Response, []byte, error) {
+	req, err := c.request(context.Background(), p.fronts[front].address("callers"), 10*time.Second)
+	if err != nil {
+		return nil, nil, err
 	}
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	defer transport.CloseIdleConnections()
--- a/tests/soak_check_test.go
+++ b/tests/soak_check_test.go
@@ -120,7 +120,7 @@
 func (c *soakCall) make(transport *http.Transport) {
 	ctx, cancel := context.WithTimeout(context.Background(), soakTimeout)
 	defer cancel()
-	req, err := c.request(ctx, c.life.address("callers"))
+	req, err := c.request(ctx, c.life.address("callers"), soakTimeout)
 	if err != nil {
 		c.err = errors.Join(errNotSent, err)
 		return
@@ -138,25 +138,6 @@
 	c.data, c.err = io.ReadAll(res.Body)
 }
 
-// request builds the call's request; its body can't be read twice, so that the
-// client never sends it again by itself.
-func (c *soakCall) request(ctx context.Context, address string) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+address+"/", io.NopCloser(bytes.NewReader(c.body)))
-	if err != nil {
-		return nil, err
-	}
-	req.ContentLength = int64(len(c.body))
-	path, query, _ := strings.Cut(c.target, "?")
-	req.URL.Opaque, req.URL.RawQuery = path, query
-	req.Host = "yard.example"
-	req.Header.Set(standin.RoutedID, c.id)
-	req.Header.Set("X-Timeout-Ms", fmt.Sprint(soakTimeout.Milliseconds()))
-	if c.key != "" {
-		req.Header.Set("X-Credential", c.key)
-	}
-	return req, nil
-}
-
 // whole is the answer that the call has to get.
 func (c *soakCall) whole() []byte {
 	if c.events == 0 {
@@ -331,9 +312,9 @@
 // soakControl is for calls to processes that may be paused.
 var soakControl = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
-// statusOf gives the status of an answer; 0 if there is none.
-func statusOf(url string) int {
-	res, err := soakControl.Get(url)
+// readyStatus asks a front as the balancer does; 0 is no answer.
+func readyStatus(front *process) int {
+	res, err := soakControl.Get("http://" + front.address("balancer") + "/-/ready")
 	if err != nil {
 		return 0
 	}
--- a/tests/soak_faults_test.go
+++ b/tests/soak_faults_test.go
@@ -59,11 +59,7 @@
 		}
 		f.stopping = true
 		f.process.Load().signalIfAlive(syscall.SIGTERM)
-	}, end: func() {
-		if f.process.Load().ended() {
-			s.startFront(f)
-		}
-	}}
+	}, end: func() { s.restart(f) }}
 }
 
 func (s *soak) reload() soakFault {
@@ -80,14 +76,14 @@
 func (s *soak) drainServer() soakFault {
 	server := s.anyServer()
 	return soakFault{name: "a server of " + server.service + " leaves", lasts: soakLeaves + 100*time.Millisecond, begin: func() {
-		life := server.lives[len(server.lives)-1]
+		life := server.life()
 		if life.ended() || !life.left.IsZero() || s.leaving(server.service) {
 			return
 		}
 		s.list(server, "draining")
 		life.left = time.Now()
 	}, end: func() {
-		life := server.lives[len(server.lives)-1]
+		life := server.life()
 		if life.ranThen < 0 && !life.left.IsZero() && time.Since(life.left) > soakLeaves {
 			life.ranThen = len(ranLines(life.text()))
 		}
@@ -97,7 +93,7 @@
 // leaving says whether a server of the service leaves already: one is to stay.
 func (s *soak) leaving(service string) bool {
 	for _, one := range s.servers {
-		if one.service == service && !one.lives[len(one.lives)-1].left.IsZero() {
+		if one.service == service && !one.life().left.IsZero() {
 			return true
 		}
 	}
@@ -109,11 +105,7 @@
 	return soakFault{name: "kill of " + f.name, begin: func() {
 		f.stopping = true
 		f.process.Load().signalIfAlive(syscall.SIGKILL)
-	}, end: func() {
-		if f.process.Load().ended() {
-			s.startFront(f)
-		}
-	}}
+	}, end: func() { s.restart(f) }}
 }
 
 func (s *soak) pauseFront() soakFault {
@@ -148,9 +140,9 @@
 	server := s.anyServer()
 	stale := s.rand.IntN(2) == 0
 	return soakFault{name: fmt.Sprintf("kill of a server of %s, record stays %t", server.service, stale), begin: func() {
-		server.lives[len(server.lives)-1].signalIfAlive(syscall.SIGKILL)
+		server.life().signalIfAlive(syscall.SIGKILL)
 	}, end: func() {
-		life := server.lives[len(server.lives)-1]
+		life := server.life()
 		if !life.ended() {
 			return
 		}
@@ -165,8 +157,8 @@
 	server := s.anyServer()
 	return soakFault{
 		name:  "pause of a server of " + server.service,
-		begin: func() { server.lives[len(server.lives)-1].signalIfAlive(syscall.SIGSTOP) },
-		end:   func() { server.lives[len(server.lives)-1].signalIfAlive(syscall.SIGCONT) },
+		begin: func() { server.life().signalIfAlive(syscall.SIGSTOP) },
+		end:   func() { server.life().signalIfAlive(syscall.SIGCONT) },
 	}
 }
 
@@ -177,7 +169,7 @@
 	all := []standin.RoutedFaults{{TurnAway: n}, {Surplus: n}, {Reset: n}, {Unframed: n}, {Fail: n}, {BreakAt: 2 + s.rand.IntN(6), Breaks: n}}
 	faults := all[s.rand.IntN(len(all))]
 	return soakFault{name: fmt.Sprintf("a server of %s: %+v", server.service, faults), begin: func() {
-		life := server.lives[len(server.lives)-1]
+		life := server.life()
 		if !life.ended() {
 			trySetFaults(life.process, faults)
 		}
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -103,6 +104,9 @@
 	lives   []*soakLife
 }
 
+// life gives the newest life.
+func (s *soakServer) life() *soakLife { return s.lives[len(s.lives)-1] }
+
 // soakLife is one life of a backend server.
 type soakLife struct {
 	*process
@@ -130,15 +134,11 @@
 		s.startFront(f)
 	}
 	for _, f := range s.fronts {
-		s.until(f.name+" is ready", func() bool { return readyAt(f.process.Load()) })
+		s.until(f.name+" is ready", func() bool { return readyStatus(f.process.Load()) == http.StatusOK })
 	}
 	return s
 }
 
-func readyAt(p *process) bool {
-	return statusOf("http://"+p.address("balancer")+"/-/ready") == 200
-}
-
 // publish puts the next version of the document on the store: it takes the last but
 // one turning key away and adds a new one.
 func (s *soak) publish() {
@@ -168,7 +168,7 @@
 
 // list puts the record of a server's newest life on the store; an empty state drops it.
 func (s *soak) list(server *soakServer, state string) {
-	life := server.lives[len(server.lives)-1]
+	life := server.life()
 	var record []byte
 	if state != "" {
 		record = fmt.Appendf(nil, `{"service": %q, "address": %q, "zone": "a", "slots": 8, "state": %q, "seq": 1}`,
@@ -226,7 +226,7 @@
 	}
 	for _, server := range s.servers {
 		server.proxy.set(proxyPasses)
-		life := server.lives[len(server.lives)-1]
+		life := server.life()
 		life.signalIfAlive(syscall.SIGCONT)
 		if life.ended() || !life.left.IsZero() {
 			s.startServer(server)
@@ -248,9 +248,18 @@
 			<-p.done
 		}
 	}
-	if p.ended() {
-		s.startFront(f)
+	s.restart(f)
+}
+
+// restart begins a new life of a front that is gone, and notes it if nobody ended it.
+func (s *soak) restart(f *soakFront) {
+	if !f.process.Load().ended() {
+		return
+	}
+	if !f.stopping {
+		s.ends = append(s.ends, f.name+" ended by itself")
 	}
+	s.startFront(f)
 }
 
 // ended says whether a process is over.
