--- a/Makefile
+++ b/Makefile
@@ -63,3 +63,9 @@
 .PHONY: measure
 measure:
 	$(GO) test ./tests/ -run TestMeasure -v -timeout 60m -args -measure
+
+# Plays versions on the users' bench and compares them:
+# make pairs ARGS='play --bench PATH --name NAME ...', make pairs ARGS='table --name NAME'
+.PHONY: pairs
+pairs:
+	$(GO) run ./bench/pairs $(ARGS)
--- a/tests/mutants_test.go
+++ b/tests/mutants_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+
+	"github.com/runworks/runworks/bench/mutant"
 )
 
 // mutantTimeout bounds a proof: none takes a third of it with its mechanism in place.
@@ -21,16 +23,17 @@
 
 // TestMutants takes mechanisms out, one at a time, and with -mutants runs the test
 // that proves each: it must fail. The data file gives the file, the package and the test;
-// the input is the text that goes, a line of three dashes, and what takes its
-// place, and more such pairs after a line of three equal signs; a pair may begin
-// with a line that names another file after an at sign.
+// the input is a change as mutant.Texts takes it.
 func TestMutants(t *testing.T) {
 	datadriven.RunTest(t, "testdata/mutants", func(t *testing.T, d *datadriven.TestData) string {
 		var file, pkg, test string
 		d.ScanArgs(t, "file", &file)
 		d.ScanArgs(t, "pkg", &pkg)
 		d.ScanArgs(t, "test", &test)
-		texts := mutatedTexts(t, file, d.Input)
+		texts, err := mutant.Texts(rootOf(t), file, d.Input)
+		if err != nil {
+			t.Fatal(err)
+		}
 		if !*mutants {
 			return d.Expected // that each change still applies is all that is tested
 		}
@@ -44,20 +47,6 @@
 	})
 }
 
-// mutatedTexts makes all changes of one mutant and gives the changed files' texts
-// by path.
-func mutatedTexts(t *testing.T, file, change string) map[string]string {
-	t.Helper()
-	texts := map[string]string{}
-	for _, one := range strings.Split(change, "\n===\n") {
-		if named, rest, ok := strings.Cut(one, "\n"); ok && strings.HasPrefix(named, "@ ") {
-			file, one = strings.TrimPrefix(named, "@ "), rest
-		}
-		mutate(t, texts, filepath.Join(rootOf(t), file), one)
-	}
-	return texts
-}
-
 // rootOf gives the tree's root.
 func rootOf(t *testing.T) string {
 	t.Helper()
@@ -84,24 +73,6 @@
 	return string(output), err != nil
 }
 
-// mutate makes one change in the text of a file, reading the file first if it is
-// not among the texts.
-func mutate(t *testing.T, texts map[string]string, path, change string) {
-	t.Helper()
-	if _, ok := texts[path]; !ok {
-		data, err := os.ReadFile(path)
-		if err != nil {
-			t.Fatal(err)
-		}
-		texts[path] = string(data)
-	}
-	old, changed, ok := strings.Cut(change+"\n", "\n---\n")
-	if !ok || strings.Count(texts[path], old) != 1 {
-		t.Fatalf("%s: the text to change must stand in it once: %q", path, old)
-	}
-	texts[path] = strings.Replace(texts[path], old, strings.TrimSuffix(changed, "\n"), 1)
-}
-
 // writeOverlay writes the changed files and the overlay that names them.
 func writeOverlay(t *testing.T, texts map[string]string) string {
 	t.Helper()
