Short calls of the lowest rank leave no slot free

Cause: one slot of each server was kept from the lowest rank of routes.

Change: the slot is kept only while calls of the lowest rank last at least as long as the average call, as seen here.

--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -54,7 +54,7 @@
 // reserved is how many slots of each server are kept from calls of a route's
 // rank: the lowest rank leaves some for those that can't wait.
 func (s *service) reserved(one *server, routeRank int) int {
-	if s.highest == s.lowest || routeRank < s.lowest || one.Slots < minSlotsToReserve {
+	if s.highest == s.lowest || routeRank < s.lowest || one.Slots < minSlotsToReserve || !s.lastingLowest() {
 		return 0
 	}
 	return reservedSlots
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -80,6 +80,8 @@
 	// the highest rank there is.
 	highest, lowest int
 	ranked          bool
+	// records tell of the routes' ranks.
+	records map[int]*rankRecord
 	// duration is how long a call has its slot on average, in seconds; 0 is not known.
 	duration average
 	// served is how many answers went into it.
@@ -200,7 +202,7 @@
 			continue
 		}
 		to.take(now)
-		w.lease <- &Lease{Instance: to.Instance, dispatcher: d, server: to, service: s.name, began: now}
+		w.lease <- &Lease{Instance: to.Instance, dispatcher: d, server: to, service: s.name, routeRank: routeRank(t.Tier), began: now}
 	}
 	for _, w := range passed {
 		if !d.waitLocked(s, w) {
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -14,6 +14,7 @@
 	dispatcher *Dispatcher
 	server     *server
 	service    string
+	routeRank  int
 	began      time.Time
 	once       sync.Once
 }
@@ -32,6 +33,7 @@
 		if s := d.services[l.service]; s != nil {
 			if r == Served {
 				s.duration.add(now.Sub(l.began).Seconds(), durationWeight)
+				s.record(l.routeRank).duration.add(now.Sub(l.began).Seconds(), durationWeight)
 				s.served++
 			}
 			if r == Failed {
