Log the target and the longest pause of an answer

Cause: a late answer did not say in its line whether it waited, was read late, or paused for too long.

Change: `call ended` has the route's rank, target and allowed pause, and the longest pause between events. Ruled out: a line an event.

--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -114,8 +114,10 @@
 	sent time.Time
 	// firstByte is when the answer's head was there; zero if it never was.
 	firstByte time.Time
-	// events is how many events of a stream were passed on.
-	events int
+	// events is how many events of a stream were passed on, and longestPause the longest
+	// time between two of them at one server.
+	events       int
+	longestPause time.Duration
 }
 
 // Serve gives the answer to a call; the error is a *runworks.Failure. The caller
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -22,7 +22,8 @@
 		fields = append(fields, "routing_version", c.table.Routing.Version)
 	}
 	if c.route != nil {
-		fields = append(fields, "route", c.route.Name, "service", c.service, "rank", c.rank)
+		fields = append(fields, "route", c.route.Name, "service", c.service, "rank", c.rank, "route_rank", c.route.Rank,
+			"target_ms", c.route.Target.Milliseconds(), "max_gap_ms", c.route.MaxGap.Milliseconds())
 	}
 	if c.customer != nil {
 		fields = append(fields, "customer", c.customer.Name)
@@ -37,7 +38,8 @@
 		fields = append(fields, "servers", c.tried, "ran", c.ran)
 	}
 	if !c.firstByte.IsZero() {
-		fields = append(fields, "first_byte_ms", c.firstByte.Sub(c.in.Received).Milliseconds(), "events", c.events)
+		fields = append(fields, "first_byte_ms", c.firstByte.Sub(c.in.Received).Milliseconds(), "events", c.events,
+			"longest_pause_ms", c.longestPause.Milliseconds())
 	}
 	if c.in.MaxTokens > 0 {
 		fields = append(fields, "prompt_tokens", c.in.PromptTokens, "max_tokens", c.in.MaxTokens, "expected_tokens", c.in.ExpectedTokens, "subject", c.in.Subject)
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -107,7 +107,9 @@
 	if s.lastAt.IsZero() {
 		s.lease.Heard()
 	} else {
-		s.lease.Pace(now.Sub(s.lastAt))
+		pause := now.Sub(s.lastAt)
+		s.lease.Pace(pause)
+		s.call.longestPause = max(s.call.longestPause, pause)
 	}
 	s.call.events++
 	s.lastAt = now
