Late calls stand behind all in time; hope is judged by what a tier gets, and again later

Cause: hope was judged once, by starts of all ranks as if the call's own rank had them all. A call that missed its target still went before lower ranks that could meet theirs.

Change: a late call stands behind all of its customers' rank that are in time.

--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -82,6 +82,8 @@
 	ranked          bool
 	// records tell of the routes' ranks.
 	records map[int]*rankRecord
+	// shares are the parts of the starts that the tiers get while their calls wait.
+	shares map[int]float64
 	// duration is how long a call has its slot on average, in seconds; 0 is not known.
 	duration average
 	// served is how many answers went into it.
@@ -111,7 +113,9 @@
 		case lease := <-w.lease:
 			return granted(lease)
 		case <-target.C:
-			d.demote(w)
+			if err := d.demote(w); err != nil {
+				return nil, err
+			}
 		case <-patience.C:
 			return d.leave(w, runworks.ErrTimeLimit)
 		case <-ctx.Done():
@@ -137,10 +141,10 @@
 		return nil, nil, runworks.ErrNoServer
 	}
 	now := time.Now()
-	if err := s.hopeless(now, ask); err != nil {
+	w := &waiter{ask: ask, lease: make(chan *Lease, 1)}
+	if err := s.judge(now, w); err != nil {
 		return nil, nil, err
 	}
-	w := &waiter{ask: ask, lease: make(chan *Lease, 1)}
 	if !d.waitLocked(s, w) {
 		return nil, nil, runworks.ErrShortage
 	}
@@ -173,6 +177,7 @@
 	defer d.mu.Unlock()
 	d.watchSilenceLocked(time.Now())
 	for _, s := range d.services {
+		s.prune(time.Now())
 		d.pumpLocked(s)
 	}
 }
@@ -202,6 +207,7 @@
 			continue
 		}
 		to.take(now)
+		s.noteStart(t.Tier)
 		w.lease <- &Lease{Instance: to.Instance, dispatcher: d, server: to, service: s.name, routeRank: routeRank(t.Tier), began: now}
 	}
 	for _, w := range passed {
--- a/services/dispatch/hope.go
+++ b/services/dispatch/hope.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -18,20 +19,60 @@
 	startMargin = 300 * time.Millisecond
 )
 
-// hopeless gives an error if a call that comes now is not likely to start inside
-// its target. It is better refused at once: its caller comes back when the burst is
-// over, and those that wait are not made late by it.
-func (s *service) hopeless(now time.Time, ask *Ask) error {
-	ahead := s.ahead(ask)
-	rate := s.rate()
-	if ahead == 0 || rate == 0 {
+// judge decides how a call that comes now is to wait: for its target, or, if it is not
+// likely to start by then, as a late one. The error says that it has no hope to be
+// served before its caller leaves: that one is better told at once.
+func (s *service) judge(now time.Time, w *waiter) error {
+	tier := queueRank(w.ask, false)
+	allowed := hopePart * w.ask.Target.Sub(now).Seconds()
+	if s.startsIn(tier, s.waitingIn(tier)) <= allowed {
 		return nil
 	}
-	allowed := hopePart * ask.Target.Sub(now).Seconds()
-	if float64(ahead+1) <= rate*allowed {
-		return nil
+	return s.judgeLate(now, w)
+}
+
+// judgeLate puts a call among the late ones, if it is likely to start before its caller
+// leaves.
+func (s *service) judgeLate(now time.Time, w *waiter) error {
+	tier := queueRank(w.ask, true)
+	ahead := s.waitingIn(tier)
+	left := w.ask.lastStart().Sub(now).Seconds()
+	if in := s.startsIn(tier, ahead); in > left {
+		return errorx.Decorate(runworks.ErrShortage, "%d late calls wait ahead for some %.0f ms, the caller leaves in %.0f ms", ahead, in*1000, left*1000)
+	}
+	w.late = true
+	return nil
+}
+
+// prune tells the late calls that have no hope any more, as the queue moves.
+func (s *service) prune(now time.Time) {
+	var late []*waiter
+	for _, w := range s.asks {
+		if w.late {
+			late = append(late, w)
+		}
+	}
+	slices.SortFunc(late, func(a, b *waiter) int { return a.ask.lastStart().Compare(b.ask.lastStart()) })
+	ahead := make(map[int]int)
+	for _, w := range late {
+		tier := queueRank(w.ask, true)
+		if s.startsIn(tier, ahead[tier]) > w.ask.lastStart().Sub(now).Seconds() {
+			s.queue.Remove(w.ask.ID)
+			s.drop(w.ask.ID)
+			continue
+		}
+		ahead[tier]++
+	}
+}
+
+// startsIn is in how many seconds a call of a tier starts that has so many ahead; 0 for
+// the first, and as long as nothing is known.
+func (s *service) startsIn(tier, ahead int) float64 {
+	rate := s.rate() * s.share(tier)
+	if ahead == 0 || rate == 0 {
+		return 0
 	}
-	return errorx.Decorate(runworks.ErrShortage, "%d wait ahead, %.1f a second start here, %.0f ms to the target", ahead, rate, allowed*1000)
+	return float64(ahead+1) / rate
 }
 
 // rate is how many calls start here in a second when the slots that this entry
@@ -47,13 +88,12 @@
 	return float64(own) / float64(s.duration)
 }
 
-// ahead is how many calls of the same route's rank would start before this one.
-func (s *service) ahead(ask *Ask) int {
+// waitingIn is how many calls of a tier wait.
+func (s *service) waitingIn(tier int) int {
 	n := 0
-	mine := queueRank(ask, false)
 	s.queue.EachTier(func(rank, waiting int) {
-		if rank <= mine && routeRank(rank) == min(ask.RouteRank, routeSteps-1) {
-			n += waiting
+		if rank == tier {
+			n = waiting
 		}
 	})
 	return n
--- a/services/dispatch/ranks.go
+++ b/services/dispatch/ranks.go
@@ -1,5 +1,9 @@
 package dispatch
 
+// shareWeight is the weight of the newest start in a tier's share of the starts: some
+// twenty starts tell, which is half a second under load.
+const shareWeight = 0.05
+
 // rankRecord is what is known of the calls of one route's rank.
 type rankRecord struct {
 	// duration is how long such a call has its slot on average, in seconds; 0 is not
@@ -26,3 +30,26 @@
 	lowest := s.record(s.lowest).duration
 	return lowest == 0 || lowest >= s.duration
 }
+
+// noteStart records which of the tiers that wait a call started from. A tier that
+// nothing is known of is taken to get every start.
+func (s *service) noteStart(tier int) {
+	if s.shares == nil {
+		s.shares = make(map[int]float64)
+	}
+	s.queue.EachTier(func(waiting, _ int) {
+		if waiting != tier {
+			s.shares[waiting] = s.share(waiting) * (1 - shareWeight)
+		}
+	})
+	share := s.share(tier)
+	s.shares[tier] = share + shareWeight*(1-share)
+}
+
+// share is the part of the starts that a tier gets while its calls wait.
+func (s *service) share(tier int) float64 {
+	if share, ok := s.shares[tier]; ok {
+		return share
+	}
+	return 1
+}
--- a/services/dispatch/waiting.go
+++ b/services/dispatch/waiting.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	// routeSteps spreads the ranks, so that the ranks of routes stand between them.
+	// routeSteps spreads the ranks of customers, so that the ranks of routes stand
+	// between them.
 	routeSteps = 16
-	// lateSteps spreads the ranks of routes, so that a call that missed its target
-	// stands between its own and the next.
+	// lateSteps spreads them once more, so that calls that missed their targets stand
+	// behind all of their customers' rank that can still meet theirs.
 	lateSteps = 2
 )
 
@@ -51,20 +52,23 @@
 	}
 }
 
-// demote puts a call that missed its target behind those of its rank that can
-// still meet theirs.
-func (d *Dispatcher) demote(w *waiter) {
+// demote puts a call that missed its target behind those that can still meet theirs.
+// One that has no hope to be served there before its caller leaves is told so.
+func (d *Dispatcher) demote(w *waiter) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.services[w.ask.Service]
-	if s == nil || s.queue.Remove(w.ask.ID) == nil {
-		return
+	if s == nil || w.late || s.queue.Remove(w.ask.ID) == nil {
+		return nil
 	}
-	w.late = true
 	delete(s.asks, w.ask.ID)
+	if err := s.judgeLate(time.Now(), w); err != nil {
+		return err
+	}
 	if !d.waitLocked(s, w) {
 		close(w.lease)
 	}
+	return nil
 }
 
 // leave takes a call out of the queue; a lease that came in the meantime wins.
@@ -85,12 +89,12 @@
 
 // queueRank gives the tier in which a call waits.
 func queueRank(ask *Ask, late bool) int {
-	rank := lateSteps * (routeSteps*ask.Rank + min(ask.RouteRank, routeSteps-1))
+	step := lateSteps * ask.Rank
 	if late {
-		rank++
+		step++
 	}
-	return rank
+	return routeSteps*step + min(ask.RouteRank, routeSteps-1)
 }
 
 // routeRank gives the route's rank back.
-func routeRank(queueRank int) int { return queueRank / lateSteps % routeSteps }
+func routeRank(queueRank int) int { return queueRank % routeSteps }
