Servers are forecast: time to the first event and pauses, by their pace and the prompt

Cause: engines of one service differ four times and more in pace. A long prompt at a slow one holds its whole batch up beyond the pause that callers allow (250 ms): a quarter to a half of all streams there were late, and calls were placed by slots and pace alone.

Change: a line from prompt tokens to the time to the first event, learned from all streams and stretched by a server's steady pace against the fastest, gives for each call and server the time to its first event and the pause that its reading brings. Where a server meets the target and keeps the pauses, only such ones may have the call.

Mended on the way: calls that came in the same instant were judged in the order of a map, so that the first of them could be given up in place of the last; seen as one failure of TestHopelessIsToldAsTheQueueMoves, traced, 600 runs since without one.

--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -89,9 +89,14 @@
 	return best
 }
 
-// suited gives the open servers that may have a call.
+// suited gives the open servers that may have a call. Where some server of the service
+// would let it meet its target, and its batch the pauses that callers allow, only such
+// ones may.
 func (s *service) suited(now time.Time, open []*server, ask *Ask, fastest float64) []*server {
 	left := ask.Deadline.Sub(now).Seconds()
+	fitting := slices.ContainsFunc(s.servers, func(one *server) bool {
+		return s.healthy(now, one) && !slices.Contains(ask.Avoid, one.ID) && s.fits(now, one, ask)
+	})
 	var out []*server
 	for _, one := range open {
 		if slices.Contains(ask.Avoid, one.ID) || one.load()+s.reserved(one, ask.RouteRank) >= s.capacity(one) {
@@ -100,6 +105,9 @@
 		if float64(one.pace) > fastest*paceTolerance && s.expected(one, ask) > left {
 			continue
 		}
+		if fitting && !s.fits(now, one, ask) {
+			continue
+		}
 		out = append(out, one)
 	}
 	return out
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -35,6 +35,8 @@
 	MaxTokens    int
 	// ExpectedTokens is the caller's guess of the answer's length; 0 if none.
 	ExpectedTokens int
+	// MaxPause is the longest pause between events that keeps an answer in time; 0 if none.
+	MaxPause time.Duration
 	// Target is when the answer, or the first event, is expected.
 	Target time.Time
 	// Patience is when a caller leaves who saw nothing of the answer; zero is the
@@ -76,6 +78,8 @@
 	servers []*server
 	queue   ticket.Queue
 	asks    map[runworks.RequestID]*waiter
+	// came is how many calls came.
+	came int
 	// highest and lowest are the bounds of the routes' ranks that were seen: 0 is
 	// the highest rank there is.
 	highest, lowest int
@@ -91,6 +95,10 @@
 	// response is the mean time from a call's start to the head of its answer, in
 	// seconds; 0 is not known.
 	response average
+	// readings tell how long the fastest server takes to the first event.
+	readings readings
+	// maxPause is the shortest of the longest pauses that callers allow; 0 is not known.
+	maxPause time.Duration
 	// perEvent is how many of the tokens that callers expect an event stands for,
 	// on average; 0 is not known.
 	perEvent average
@@ -141,7 +149,8 @@
 		return nil, nil, runworks.ErrNoServer
 	}
 	now := time.Now()
-	w := &waiter{ask: ask, lease: make(chan *Lease, 1)}
+	s.came++
+	w := &waiter{ask: ask, lease: make(chan *Lease, 1), number: s.came}
 	if err := s.judge(now, w); err != nil {
 		return nil, nil, err
 	}
--- a/services/dispatch/hope.go
+++ b/services/dispatch/hope.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -52,7 +53,7 @@
 			late = append(late, w)
 		}
 	}
-	slices.SortFunc(late, func(a, b *waiter) int { return a.ask.lastStart().Compare(b.ask.lastStart()) })
+	slices.SortFunc(late, firstToLeave)
 	ahead := make(map[int]int)
 	for _, w := range late {
 		tier := queueRank(w.ask, true)
@@ -65,6 +66,11 @@
 	}
 }
 
+// firstToLeave orders calls by when their callers leave, and as they came.
+func firstToLeave(a, b *waiter) int {
+	return cmp.Or(a.ask.lastStart().Compare(b.ask.lastStart()), cmp.Compare(a.number, b.number))
+}
+
 // startsIn is in how many seconds a call of a tier starts that has so many ahead; 0 for
 // the first, and as long as nothing is known.
 func (s *service) startsIn(tier, ahead int) float64 {
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -50,6 +50,12 @@
 	defer l.dispatcher.mu.Unlock()
 	l.server.heard = time.Now()
 	l.server.pace.add(gap.Seconds(), paceWeight)
+	l.server.steady.add(gap.Seconds(), steadyWeight)
+	broke := 0.0
+	if s := l.dispatcher.services[l.service]; s != nil && s.maxPause > 0 && gap > s.maxPause {
+		broke = 1
+	}
+	l.server.breaks += breakWeight * (broke - l.server.breaks)
 }
 
 // Length records how many events a whole answer had of which the caller expected
@@ -65,3 +71,16 @@
 		s.perEvent.add(float64(expectedTokens)/float64(events), lengthWeight)
 	}
 }
+
+// FirstEvent records that the first event of the call's answer came, for a prompt of so
+// many tokens.
+func (l *Lease) FirstEvent(promptTokens int) {
+	d := l.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	l.server.heard = now
+	if s := d.services[l.service]; s != nil && promptTokens > 0 {
+		s.readings.add(float64(promptTokens), now.Sub(l.began).Seconds()/s.slowness(l.server))
+	}
+}
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -60,6 +60,10 @@
 	full time.Time
 	// pace is the average time between events in seconds; 0 is not known.
 	pace average
+	// steady is the same over more events.
+	steady average
+	// breaks is the part of its events that come after a longer pause than callers allow.
+	breaks float64
 }
 
 func (s *server) load() int { return s.own + s.others }
--- a/services/dispatch/waiting.go
+++ b/services/dispatch/waiting.go
@@ -21,11 +21,16 @@
 	ask   *Ask
 	lease chan *Lease
 	late  bool
+	// number tells the order in which calls came.
+	number int
 }
 
 // waitLocked puts a call in the queue of its service; false if it is full.
 func (d *Dispatcher) waitLocked(s *service, w *waiter) bool {
 	s.noteRank(w.ask.RouteRank)
+	if pause := w.ask.MaxPause; pause > 0 && (s.maxPause == 0 || pause < s.maxPause) {
+		s.maxPause = pause
+	}
 	t := &ticket.Waiting{
 		Ticket: runworks.Ticket{
 			ID: w.ask.ID, Service: w.ask.Service, Tier: queueRank(w.ask, w.late), Customer: w.ask.Customer,
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -267,7 +267,7 @@
 	return &dispatch.Ask{
 		ID: c.in.ID, Service: c.service, Rank: c.rank, RouteRank: c.route.Rank, Customer: name,
 		PromptTokens: c.in.PromptTokens, MaxTokens: c.in.MaxTokens, ExpectedTokens: c.in.ExpectedTokens,
-		Target: target, Patience: c.patience(), Deadline: c.deadline, Avoid: slices.Clone(c.tried),
+		MaxPause: c.route.MaxGap, Target: target, Patience: c.patience(), Deadline: c.deadline, Avoid: slices.Clone(c.tried),
 	}
 }
 
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -105,7 +105,7 @@
 	}
 	now := time.Now()
 	if s.lastAt.IsZero() {
-		s.lease.Heard()
+		s.lease.FirstEvent(s.call.in.PromptTokens)
 	} else {
 		pause := now.Sub(s.lastAt)
 		s.lease.Pace(pause)
