Shorter calls of a customer go first, by a tenth of their expected duration

Cause: answers differ a hundredfold in length, and calls of a rank and customer were served as they came: one long answer took the slot that ten short ones could have used in time.

Change: a call stands behind others of its customer by a tenth of its expected duration, from the caller's guess and the fastest server's pace.

--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -384,3 +384,27 @@
 		(<-waiting).Release(Served)
 	})
 }
+
+// TestShorterGoesFirst serves the call with the shorter answer before a longer one that
+// came earlier.
+func TestShorterGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(1)
+		first := <-acquired(d, ask("first", 0))
+		first.Length(60, 10)
+		first.Pace(50 * time.Millisecond)
+		long := ask("long", 0)
+		long.ExpectedTokens = 1200
+		waits := acquired(d, long)
+		time.Sleep(10 * time.Millisecond)
+		short := ask("short", 0)
+		short.ExpectedTokens = 30
+		goes := acquired(d, short)
+		first.Release(Served)
+		lease := <-goes
+		is.Equal(len(waits), 0)
+		lease.Release(Served)
+		(<-waits).Release(Served)
+	})
+}
--- a/services/dispatch/waiting.go
+++ b/services/dispatch/waiting.go
@@ -37,6 +37,7 @@
 			PromptTokens: w.ask.PromptTokens, MaxTokens: w.ask.MaxTokens,
 		},
 		Deadline: w.ask.Deadline,
+		Behind:   s.behind(w.ask),
 	}
 	verdict, dropped := s.queue.Offer(time.Now(), t, func(int) int { return 0 })
 	if dropped != nil {
@@ -103,3 +104,16 @@
 
 // routeRank gives the route's rank back.
 func routeRank(queueRank int) int { return queueRank % routeSteps }
+
+// lengthPart is which part of its expected duration a call stands behind shorter ones.
+const lengthPart = 0.1
+
+// behind is how much a call stands behind shorter ones.
+func (s *service) behind(ask *Ask) time.Duration {
+	if s.perEvent == 0 {
+		return 0
+	}
+	_, fastest := s.paces()
+	events := float64(ask.ExpectedTokens) / float64(s.perEvent)
+	return time.Duration(lengthPart * events * fastest * float64(time.Second))
+}
--- a/services/ticket/fair.go
+++ b/services/ticket/fair.go
@@ -134,8 +134,9 @@
 func (h waitingHeap) Len() int { return len(h) }
 
 func (h waitingHeap) Less(i, j int) bool {
-	if !h[i].Deadline.Equal(h[j].Deadline) {
-		return h[i].Deadline.Before(h[j].Deadline)
+	mine, other := h[i].Deadline.Add(h[i].Behind), h[j].Deadline.Add(h[j].Behind)
+	if !mine.Equal(other) {
+		return mine.Before(other)
 	}
 	return h[i].seq < h[j].seq
 }
--- a/services/ticket/queue.go
+++ b/services/ticket/queue.go
@@ -17,6 +17,9 @@
 	Source Source
 	// Deadline is the end of the request's time limit on the agent's clock.
 	Deadline time.Time
+	// Behind is how much later than by its deadline the ticket stands in its customer's
+	// order.
+	Behind time.Duration
 
 	seq      uint64
 	index    int
--- a/services/ticket/queue_test.go
+++ b/services/ticket/queue_test.go
@@ -220,3 +220,19 @@
 		q.Pop(start, anyRank)
 	}
 }
+
+// TestBehind puts a ticket behind one with a later deadline of the same customer.
+func TestBehind(t *testing.T) {
+	is := is.New(t)
+	q := Queue{MaxWaiting: 9}
+	long := waiting("long", 1, "a")
+	long.Behind = time.Minute
+	short := waiting("short", 1, "a")
+	short.Deadline = short.Deadline.Add(time.Second)
+	for _, w := range []*Waiting{long, short} {
+		verdict, _ := q.Offer(start, w, noneBusy)
+		is.Equal(verdict, Taken)
+	}
+	is.Equal(q.Pop(start, anyRank).ID, short.ID)
+	is.Equal(q.Pop(start, anyRank).ID, long.ID)
+}
