Unread prompts of all entries, and the time to the first event, count in the choice

Cause: a call behind a prompt of 50,000 tokens, sent there by another front, waits half a second for its first event at a server that looks free.

Change: each server's unread prompt tokens are kept, and told to the other entries from 4,000 on; the forecast counts them, and the time to the first event, as a part of the time to the target, goes into a server's score.

--- a/inbound.go
+++ b/inbound.go
@@ -92,6 +92,9 @@
 	// Failed is how many calls in a row were answered by a failure of a backend
 	// server's own, by its id.
 	Failed map[string]int `json:"failed,omitempty"`
+	// Reading is how many tokens of its calls' prompts each backend server still reads,
+	// by its id, as far as it matters to others.
+	Reading map[string]int `json:"reading,omitempty"`
 	// LeftOut are the ids of the backend servers that failed this entry of late.
 	LeftOut []string `json:"left_out,omitempty"`
 }
--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -82,7 +82,7 @@
 	var lowest float64
 	typical, fastest := s.paces()
 	for _, one := range s.suited(now, open, ask, fastest) {
-		if score := d.score(one, typical); best == nil || score < lowest {
+		if score := d.score(one, typical) + s.delay(now, one, ask); best == nil || score < lowest {
 			best, lowest = one, score
 		}
 	}
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -216,8 +216,9 @@
 			continue
 		}
 		to.take(now)
+		to.reading += w.ask.PromptTokens
 		s.noteStart(t.Tier)
-		w.lease <- &Lease{Instance: to.Instance, dispatcher: d, server: to, service: s.name, routeRank: routeRank(t.Tier), began: now}
+		w.lease <- &Lease{Instance: to.Instance, dispatcher: d, server: to, service: s.name, routeRank: routeRank(t.Tier), began: now, reading: w.ask.PromptTokens}
 	}
 	for _, w := range passed {
 		if !d.waitLocked(s, w) {
--- a/services/dispatch/fleet.go
+++ b/services/dispatch/fleet.go
@@ -75,7 +75,7 @@
 func (d *Dispatcher) Own() runworks.EntryLoad {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := runworks.EntryLoad{Running: make(runworks.RunningCalls), Waiting: make(runworks.WaitingCalls), Failed: map[string]int{}}
+	out := runworks.EntryLoad{Running: make(runworks.RunningCalls), Waiting: make(runworks.WaitingCalls), Failed: map[string]int{}, Reading: map[string]int{}}
 	now := time.Now()
 	for id, s := range d.servers {
 		s.vacated = 0
@@ -85,6 +85,9 @@
 		if s.own > 0 {
 			out.Running[id] = s.own
 		}
+		if s.reading >= minReadingTold {
+			out.Reading[id] = s.reading
+		}
 		if s.failed > 0 {
 			out.Failed[id] = s.failed
 		}
@@ -131,7 +134,7 @@
 	now := time.Now()
 	for _, s := range d.servers {
 		s.others = 0
-		s.doubts, s.othersFailed = 0, 0
+		s.doubts, s.othersFailed, s.othersReading = 0, 0, 0
 	}
 	for _, load := range d.peers {
 		for id, n := range load.Running {
@@ -139,6 +142,11 @@
 				s.others += n
 			}
 		}
+		for id, n := range load.Reading {
+			if s := d.servers[id]; s != nil {
+				s.othersReading += n
+			}
+		}
 		for id, n := range load.Failed {
 			if s := d.servers[id]; s != nil {
 				s.othersFailed += n
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -16,7 +16,9 @@
 	service    string
 	routeRank  int
 	began      time.Time
-	once       sync.Once
+	// reading is how many tokens of the call's prompt the server has still to read.
+	reading int
+	once    sync.Once
 }
 
 // Release gives the slot back and says how the call ended.
@@ -26,6 +28,7 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		l.server.vacate()
+		l.readLocked()
 		now := time.Now()
 		if wait := l.server.note(now, r); wait > 0 && d.OnSuspend != nil {
 			d.OnSuspend(l.server.Instance, l.server.failures, wait)
@@ -80,7 +83,14 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	l.server.heard = now
+	l.readLocked()
 	if s := d.services[l.service]; s != nil && promptTokens > 0 {
 		s.readings.add(float64(promptTokens), now.Sub(l.began).Seconds()/s.slowness(l.server))
 	}
 }
+
+// readLocked notes that the call's prompt was read, or will not be.
+func (l *Lease) readLocked() {
+	l.server.reading -= l.reading
+	l.reading = 0
+}
--- a/services/dispatch/model.go
+++ b/services/dispatch/model.go
@@ -15,6 +15,9 @@
 	// maxBreaks is how many such pauses a call may be expected to meet where it could
 	// have a server that is free of them in time.
 	maxBreaks = 0.1
+	// minReadingTold is how many tokens of prompts a server has to read for the other
+	// entries to be told: fewer are read before they hear it.
+	minReadingTold = 4000
 	// minReadings is how many prompts have to be known before the time for one is reckoned.
 	minReadings = 10
 )
@@ -77,7 +80,8 @@
 	}
 	slowness := s.slowness(one)
 	reading := perToken * float64(ask.PromptTokens) * slowness
-	return forecast{first: start*slowness + reading, pause: float64(one.steady) + reading}
+	queued := perToken * float64(one.reading+one.othersReading) * slowness
+	return forecast{first: start*slowness + queued + reading, pause: float64(one.steady) + reading}
 }
 
 // fits says whether a call meets its target at a server and keeps the pause of all
@@ -107,3 +111,12 @@
 	tier := queueRank(ask, false)
 	return s.startsIn(tier, s.waitingIn(tier)+1) < ask.Target.Sub(now).Seconds()
 }
+
+// delay is the time to a call's first event as a part of the time to its target.
+func (s *service) delay(now time.Time, one *server, ask *Ask) float64 {
+	left := ask.Target.Sub(now).Seconds()
+	if left <= 0 {
+		return 0
+	}
+	return s.forecast(one, ask).first / left
+}
--- /dev/null
+++ b/services/dispatch/model_test.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
+)
+
+// TestReadings finds the line behind what was seen, and says nothing on too little.
+func TestReadings(t *testing.T) {
+	is := is.New(t)
+	var r readings
+	for i := range 2 * minReadings {
+		_, _, ok := r.line()
+		is.True(!ok || i >= minReadings)
+		tokens := float64(100 * (i + 1))
+		r.add(tokens, 0.05+tokens*0.0001)
+	}
+	start, perToken, ok := r.line()
+	is.True(ok)
+	is.True(math.Abs(start-0.05) < 1e-9)
+	is.True(math.Abs(perToken-0.0001) < 1e-9)
+}
+
+// unlike gives a dispatcher that has seen two servers: s0 takes 20 ms between events, s1
+// four times as long; a prompt takes the fastest 50 ms and 10 ms for 1,000 tokens.
+func unlike() *Dispatcher {
+	d := newDispatcher(9, 9)
+	for i := range 2 * minReadings {
+		for _, one := range []struct {
+			id   string
+			slow int
+		}{{"s0", 1}, {"s1", 4}} {
+			l := &Lease{Instance: runworks.Instance{ID: one.id}, dispatcher: d, server: d.servers[one.id], service: "llm", began: time.Now()}
+			l.Pace(time.Duration(20*one.slow) * time.Millisecond)
+			tokens := 100 * (i + 1)
+			l.began = time.Now().Add(-time.Duration(one.slow) * (50*time.Millisecond + time.Duration(tokens)*10*time.Microsecond))
+			l.FirstEvent(tokens)
+		}
+	}
+	return d
+}
+
+// prompted is a call with a prompt of so many tokens.
+func prompted(id string, tokens int) *Ask {
+	a := ask(id, 0)
+	a.PromptTokens, a.MaxPause = tokens, 250*time.Millisecond
+	return a
+}
+
+// TestLongPromptsKeepOffSlowServers sends a long prompt to the busier fast server, as the
+// slow one would pause for all its streams, and lets it wait for it; a short one it takes.
+func TestLongPromptsKeepOffSlowServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := unlike()
+		var held []*Lease
+		for i := range 9 {
+			l := <-acquired(d, prompted(fmt.Sprint("long", i), 6000))
+			is.Equal(l.Instance.ID, "s0")
+			l.FirstEvent(0)
+			held = append(held, l)
+		}
+		waits := acquired(d, prompted("waits", 6000))
+		is.Equal(len(waits), 0)
+		is.Equal((<-acquired(d, prompted("short", 500))).Instance.ID, "s1")
+		held[0].Release(Served)
+		is.Equal((<-waits).Instance.ID, "s0")
+	})
+}
+
+// TestUnreadPromptsDelay sends a call to another server than the one that reads a long
+// prompt for another entry, until that is read.
+func TestUnreadPromptsDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(9, 9)
+		for i := range 2 * minReadings {
+			l := &Lease{dispatcher: d, server: d.servers["s0"], service: "llm", began: time.Now()}
+			tokens := 100 * (i + 1)
+			l.began = time.Now().Add(-50*time.Millisecond - time.Duration(tokens)*10*time.Microsecond)
+			l.FirstEvent(tokens)
+		}
+		first := <-acquired(d, prompted("first", 500))
+		first.Release(Served)
+		reads := runworks.EntryLoad{Reading: map[string]int{first.Instance.ID: 60000}}
+		d.Report("other", reads)
+		is.True((<-acquired(d, prompted("second", 500))).Instance.ID != first.Instance.ID)
+		d.Report("other", runworks.EntryLoad{})
+		is.Equal((<-acquired(d, prompted("third", 500))).Instance.ID, first.Instance.ID)
+	})
+}
+
+// TestReadingIsTold tells the other entries of a long prompt until it is read.
+func TestReadingIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(9)
+		l := <-acquired(d, prompted("long", minReadingTold))
+		is.Equal(d.Own().Reading, map[string]int{"s0": minReadingTold})
+		l.FirstEvent(minReadingTold)
+		is.Equal(len(d.Own().Reading), 0)
+		l.Release(Served)
+		left := <-acquired(d, prompted("left", minReadingTold))
+		left.Release(Abandoned)
+		is.Equal(len(d.Own().Reading), 0)
+	})
+}
+
+// TestBrokenPausesAreAvoided lets a long answer wait for a server without pauses, where it
+// can, and sends a short one to the server with them.
+func TestBrokenPausesAreAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(1, 9)
+		quick := <-acquired(d, prompted("quick", 500))
+		for quick.Instance.ID != "s0" {
+			quick = <-acquired(d, prompted("again"+quick.Instance.ID, 500))
+		}
+		quick.Length(60, 10)
+		paused := &Lease{dispatcher: d, server: d.servers["s1"], service: "llm"}
+		for range 100 {
+			paused.Pace(400 * time.Millisecond)
+		}
+		long := prompted("long", 500)
+		long.ExpectedTokens = 600
+		waits := acquired(d, long)
+		is.Equal(len(waits), 0)
+		short := prompted("short", 500)
+		is.Equal((<-acquired(d, short)).Instance.ID, "s1")
+		quick.Release(Served)
+		is.Equal((<-waits).Instance.ID, "s0")
+	})
+}
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -32,6 +32,9 @@
 	own int
 	// others is how many calls the other entries said they have there.
 	others int
+	// reading is how many tokens of prompts of this entry's calls it still reads, and
+	// othersReading the same of the other entries.
+	reading, othersReading int
 	// vacated is how many slots calls of this entry left of which the others do not
 	// know yet.
 	vacated int
