An answer that broke off goes on before anything new

Change: such a call asks with the pause that its caller allows as its target, and stands before anything new of its customer's rank; it is not refused for want of hope.

--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -35,6 +35,8 @@
 	MaxTokens    int
 	// ExpectedTokens is the caller's guess of the answer's length; 0 if none.
 	ExpectedTokens int
+	// Resumed says that the call goes on with an answer that broke off.
+	Resumed bool
 	// MaxPause is the longest pause between events that keeps an answer in time; 0 if none.
 	MaxPause time.Duration
 	// Target is when the answer, or the first event, is expected.
--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -408,3 +408,22 @@
 		(<-waits).Release(Served)
 	})
 }
+
+// TestBrokenAnswersGoOnFirst gives the next slot to a call whose answer broke off, before
+// one of a higher rank that came earlier.
+func TestBrokenAnswersGoOnFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(1)
+		first := <-acquired(d, ask("first", 0))
+		fresh := acquired(d, ask("fresh", 1))
+		broken := ask("broken", 2)
+		broken.Resumed = true
+		goes := acquired(d, broken)
+		first.Release(Served)
+		lease := <-goes
+		is.Equal(len(fresh), 0)
+		lease.Release(Served)
+		(<-fresh).Release(Served)
+	})
+}
--- a/services/dispatch/hope.go
+++ b/services/dispatch/hope.go
@@ -24,6 +24,9 @@
 // likely to start by then, as a late one. The error says that it has no hope to be
 // served before its caller leaves: that one is better told at once.
 func (s *service) judge(now time.Time, w *waiter) error {
+	if w.ask.Resumed {
+		return nil
+	}
 	tier := queueRank(w.ask, false)
 	allowed := hopePart * w.ask.Target.Sub(now).Seconds()
 	if s.startsIn(tier, s.waitingIn(tier)) <= allowed {
@@ -35,6 +38,9 @@
 // judgeLate puts a call among the late ones, if it is likely to start before its caller
 // leaves.
 func (s *service) judgeLate(now time.Time, w *waiter) error {
+	if w.ask.Resumed {
+		return nil
+	}
 	tier := queueRank(w.ask, true)
 	ahead := s.waitingIn(tier)
 	left := w.ask.lastStart().Sub(now).Seconds()
--- a/services/dispatch/waiting.go
+++ b/services/dispatch/waiting.go
@@ -93,9 +93,14 @@
 	return nil, err
 }
 
-// queueRank gives the tier in which a call waits.
+// queueRank gives the tier in which a call waits. An answer that broke off goes on before
+// anything new of its customer's rank: what was read and made would be lost, and its
+// caller leaves soon.
 func queueRank(ask *Ask, late bool) int {
 	step := lateSteps * ask.Rank
+	if ask.Resumed {
+		return routeSteps * step
+	}
 	if late {
 		step++
 	}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -118,6 +118,8 @@
 	// time between two of them at one server.
 	events       int
 	longestPause time.Duration
+	// lastEvent is when the last event was passed on; zero before the first.
+	lastEvent time.Time
 }
 
 // Serve gives the answer to a call; the error is a *runworks.Failure. The caller
@@ -257,7 +259,10 @@
 
 func (c *call) ask() *dispatch.Ask {
 	target := c.deadline
-	if c.route.Target > 0 {
+	switch {
+	case !c.lastEvent.IsZero():
+		target = c.lastEvent.Add(c.route.MaxGap)
+	case c.route.Target > 0:
 		target = c.in.Received.Add(c.route.Target)
 	}
 	name := ""
@@ -267,7 +272,7 @@
 	return &dispatch.Ask{
 		ID: c.in.ID, Service: c.service, Rank: c.rank, RouteRank: c.route.Rank, Customer: name,
 		PromptTokens: c.in.PromptTokens, MaxTokens: c.in.MaxTokens, ExpectedTokens: c.in.ExpectedTokens,
-		MaxPause: c.route.MaxGap, Target: target, Patience: c.patience(), Deadline: c.deadline, Avoid: slices.Clone(c.tried),
+		Resumed: !c.lastEvent.IsZero(), MaxPause: c.route.MaxGap, Target: target, Patience: c.patience(), Deadline: c.deadline, Avoid: slices.Clone(c.tried),
 	}
 }
 
@@ -278,6 +283,9 @@
 		return time.Time{}
 	}
 	gap := max(minPatience, targetPatience*c.route.Target, gapPatience*c.route.MaxGap)
+	if !c.lastEvent.IsZero() {
+		return c.lastEvent.Add(gap)
+	}
 	return c.in.Received.Add(gap)
 }
 
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -112,6 +112,7 @@
 		s.call.longestPause = max(s.call.longestPause, pause)
 	}
 	s.call.events++
+	s.call.lastEvent = now
 	s.lastAt = now
 }
 
--- a/services/forward/stream_test.go
+++ b/services/forward/stream_test.go
@@ -5,8 +5,11 @@
 	"io"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
 )
 
 // TestStreamGoesOn breaks a resumable stream inside its third event: the caller
@@ -35,3 +38,20 @@
 		is.Equal(len(s.sends), 1)
 	})
 }
+
+// TestBrokenStreamIsResumed asks for the next server from the last event on: its target is
+// the pause that the caller allows, and its caller's patience begins anew.
+func TestBrokenStreamIsResumed(t *testing.T) {
+	is := is.New(t)
+	in := &runworks.Inbound{Received: time.Now().Add(-time.Minute)}
+	route := &runworks.Route{Kind: runworks.CallStream, Target: time.Second, MaxGap: 300 * time.Millisecond}
+	c := &call{in: in, route: route, deadline: time.Now().Add(time.Minute)}
+	fresh := c.ask()
+	is.True(!fresh.Resumed)
+	is.Equal(fresh.Target, in.Received.Add(route.Target))
+	c.lastEvent = time.Now()
+	broken := c.ask()
+	is.True(broken.Resumed)
+	is.Equal(broken.Target, c.lastEvent.Add(route.MaxGap))
+	is.Equal(broken.Patience, c.lastEvent.Add(targetPatience*route.Target))
+}
