Calls that come before a front has read its state are held a moment

Cause: callers that wait for a front to come back reach it as soon as it listens, some 10 to 30 ms before it has read its state. They were sent back for a second, so that all of them came too late for their targets, after every kill and restart.

Change: such a call is held until the document, the servers and the limits' use are known, for 250 ms at most, and then refused as before.

Ruled out: listening only then; callers' connections would be refused for as long.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -72,6 +72,9 @@
 	work   group.Group
 	red    atomic.Bool
 	listed atomic.Bool
+	// opened is closed once the front has read its state.
+	opened   chan struct{}
+	openOnce sync.Once
 }
 
 // Run runs until stop is closed and the planned stop is over; the end of ctx
@@ -147,8 +150,9 @@
 	d.dispatcher = &dispatch.Dispatcher{Self: self.Incarnation, Hall: s.Hall, OnSuspend: d.onSuspend, OnSilent: d.onSilent, OnDoubt: d.onDoubt}
 	d.quota = &quota.Quota{Self: self.Incarnation, Window: s.QuotaWindow, Started: time.Now()}
 	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack, Started: time.Now(), Window: s.RetryWindow}
+	d.opened = make(chan struct{})
 	d.forwarder = &forward.Forwarder{
-		Dispatcher: d.dispatcher, Quota: d.quota, Budgets: d.budgets, Logger: d.Logger, Metrics: d.metrics, Tracer: tracer,
+		Opened: d.opened, Dispatcher: d.dispatcher, Quota: d.quota, Budgets: d.budgets, Logger: d.Logger, Metrics: d.metrics, Tracer: tracer,
 		Sender: &platform.Sender{Pool: &httpconn.Pool{Dial: dial, Recognise: platform.Recognise}},
 	}
 	d.front = &platform.Front{Forwarder: d.forwarder, Logger: d.Logger, MaxBodyBytes: s.MaxBodyBytes}
@@ -236,6 +240,13 @@
 	return nil
 }
 
+// takeHeld lets the calls go on that were held until the front has read its state.
+func (d *Front) takeHeld() {
+	if d.ready() == nil {
+		d.openOnce.Do(func() { close(d.opened) })
+	}
+}
+
 // FrontStatus is what a front tells operators.
 type FrontStatus struct {
 	RoutingVersion int64           `json:"routing_version"`
--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -30,7 +30,7 @@
 		w.Fronts = func() int { return d.exchange.Live() + 1 }
 	}
 	d.members = &platform.Members{Store: d.store, Self: d.exchange.Self, Logger: d.Logger, OnMembers: d.exchange.SetMembers}
-	d.limits = &platform.Limits{Store: d.store, Quota: d.quota, Logger: d.Logger}
+	d.limits = &platform.Limits{Store: d.store, Quota: d.quota, Logger: d.Logger, OnTold: d.takeHeld}
 }
 
 // follow keeps this front's knowledge up to date.
@@ -115,6 +115,7 @@
 			continue
 		}
 		d.forwarder.Table.Store(route.NewTable(routing))
+		d.takeHeld()
 		d.Logger.Info("routing in force", "routing_version", routing.Version, "routes", len(routing.Routes), "customers", len(routing.Customers))
 	}
 }
@@ -126,8 +127,9 @@
 	if err := take(records); err != nil {
 		d.Logger.Error("the record of a backend server can't be read", "error", err.Error())
 	}
-	d.listed.Store(true)
 	d.putServers()
+	d.listed.Store(true)
+	d.takeHeld()
 }
 
 // putServers puts the list in force, and again when the time of those is over whose
@@ -186,6 +188,7 @@
 	var s runworks.LimitState
 	if d.askState(from, peers.SubjectLimits, &s) && d.quota.TakeState(time.Now(), &s) {
 		d.Logger.Info("limits told by another front", "name", from, "lives", len(s.Lives))
+		d.takeHeld()
 	}
 }
 
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -23,6 +23,10 @@
 
 // When callers are told to come back.
 const (
+	// startHold is how long a call is held that comes before the entry has read its state:
+	// some times what that takes, 10 to 30 ms where the store is well. Callers that wait
+	// for a start reach the entry as soon as it listens; sent back, they come too late.
+	startHold = 250 * time.Millisecond
 	// retryNotReady is about the time that an entry needs to read its state.
 	retryNotReady = time.Second
 	// retryShort and retrySpread bound the wait after a shortage: a burst lasts a
@@ -73,6 +77,8 @@
 	Logger     hclog.Logger
 	Metrics    *metrics.Set
 	Tracer     trace.Tracer
+	// Opened is closed once the entry has read its state; nil if it has.
+	Opened <-chan struct{}
 	// Stopping is set near the end of a planned stop: streams, which may last, are
 	// refused as not run.
 	Stopping atomic.Bool
@@ -129,6 +135,7 @@
 	f.active.Add(1)
 	ctx, span := f.Tracer.Start(ctx, tracing.SpanEntry)
 	defer span.End()
+	f.awaitOpened(ctx)
 	if failure := c.admit(); failure != nil {
 		c.finish(failure.Outcome, 0, failure.Err)
 		return nil, failure
@@ -149,6 +156,25 @@
 	return reply, nil
 }
 
+// awaitOpened holds a call for a moment that comes before the entry knows its state.
+func (f *Forwarder) awaitOpened(ctx context.Context) {
+	if f.Opened == nil {
+		return
+	}
+	select {
+	case <-f.Opened:
+		return
+	default:
+	}
+	limit := time.NewTimer(startHold)
+	defer limit.Stop()
+	select {
+	case <-f.Opened:
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+}
+
 // admit finds route, customer and service, and draws on the customer's limit.
 func (c *call) admit() *runworks.Failure {
 	now := time.Now()
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -382,3 +382,34 @@
 		}
 	})
 }
+
+// TestHeldUntilOpened holds a call that comes before the entry has read its state, serves
+// it once it has, and refuses one after a moment if it has not.
+func TestHeldUntilOpened(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newForwarder(t, &sender{replies: []reply{good, good}}, io.Discard)
+		opened := make(chan struct{})
+		f.Opened = opened
+		table := f.Table.Swap(nil)
+		began := time.Now()
+		_, _, err := serve(context.Background(), f, "once")
+		is.True(errors.Is(err, runworks.ErrNotReady))
+		is.Equal(time.Since(began), startHold)
+		began = time.Now()
+		time.AfterFunc(20*time.Millisecond, func() {
+			f.Table.Store(table)
+			close(opened)
+		})
+		_, _, err = serve(context.Background(), f, "once")
+		is.NoErr(err)
+		is.Equal(time.Since(began), 20*time.Millisecond)
+		ctx, leave := context.WithCancel(context.Background())
+		f.Opened = make(chan struct{})
+		began = time.Now()
+		time.AfterFunc(10*time.Millisecond, leave)
+		_, _, err = serve(ctx, f, "once")
+		is.True(err != nil)
+		is.Equal(time.Since(began), 10*time.Millisecond)
+	})
+}
