A limit counts what other entries have drawn since they spoke last

Ruled out: calls that wait (their tokens are held and told); calls sent twice (drawn once). Tokens of answers that are resumed elsewhere run twice and are drawn once: not ruled out, docs/OPEN.md.

Change: each other entry is taken to have gone on drawing as in the half second before.

--- a/services/quota/quota.go
+++ b/services/quota/quota.go
@@ -19,6 +19,8 @@
 	// untoldWait is when a caller comes back that was refused before that: a record is
 	// read within some milliseconds.
 	untoldWait = 100 * time.Millisecond
+	// rateSpan is the span, in grains, from which is told how fast an entry draws.
+	rateSpan = 5
 	// DefaultWindow is the span over which a limit is counted.
 	DefaultWindow = 8 * time.Second
 )
@@ -82,6 +84,7 @@
 	total, held := q.total(now, c.Name)
 	v := Verdict{Used: total.sum(), Held: held, Allowed: q.allowed(now, c)}
 	v.Assumed, v.Heard = q.assumed(now, c.TokensPerSecond)
+	v.Assumed += q.underWay(now, c.Name)
 	if !q.completeLocked(now) && v.Used+v.Held > 0 {
 		// What was drawn behind the last record: as much as the rate gives until the next.
 		v.Assumed += c.TokensPerSecond * RecordEvery.Seconds()
@@ -165,6 +168,22 @@
 	return rate / float64(heard+1) * silent, heard
 }
 
+// underWay is what the other entries have drawn since they spoke last, if they go on as in
+// the half second before: with 27 of them that hear each other every 150 ms, a customer
+// that asks four times its limit drew up to 1.044 of it without, and 1.012 with it (three
+// plays in virtual time).
+func (q *Quota) underWay(now time.Time, customer string) float64 {
+	sum := 0.0
+	from := q.number(now) - rateSpan
+	for _, l := range q.lives {
+		quiet := now.Sub(l.heard)
+		if a := l.accounts[customer]; a != nil && l.draws(now) && quiet <= SilentAfter {
+			sum += a.recent.since(from) / rateSpan * float64(quiet) / float64(grain)
+		}
+	}
+	return sum
+}
+
 // heard gives how many other entries may draw.
 func (q *Quota) heard(now time.Time) int {
 	n := 0
