A late call that is given up on says why

Cause: a call told as the queue moved was logged as `no room` alone, without the calls ahead, their time and its caller's; and an answer that broke off could be told that there is no hope once its pause was over, though its judging at the start spares it.

Change: one question, hopeless, for a call that comes and for one that waits; the waiter keeps why its wait ended. Ruled out: a log line of its own for each.

--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -121,7 +121,7 @@
 	for {
 		select {
 		case lease := <-w.lease:
-			return granted(lease)
+			return w.granted(lease)
 		case <-target.C:
 			if err := d.demote(w); err != nil {
 				return nil, err
@@ -134,14 +134,6 @@
 	}
 }
 
-// granted gives the lease that a waiter received; a closed channel gives none.
-func granted(lease *Lease) (*Lease, error) {
-	if lease == nil {
-		return nil, runworks.ErrShortage
-	}
-	return lease, nil
-}
-
 // enter takes a free slot at once, or puts the call among those that wait.
 func (d *Dispatcher) enter(ask *Ask) (*waiter, *Lease, error) {
 	d.mu.Lock()
@@ -163,7 +155,7 @@
 	d.pumpLocked(s)
 	select {
 	case lease := <-w.lease:
-		lease, err := granted(lease)
+		lease, err := w.granted(lease)
 		return nil, lease, err
 	default:
 		return w, nil, nil
@@ -225,7 +217,7 @@
 	}
 	for _, w := range passed {
 		if !d.waitLocked(s, w) {
-			close(w.lease)
+			w.giveUp(runworks.ErrShortage)
 		}
 	}
 }
--- a/services/dispatch/hope.go
+++ b/services/dispatch/hope.go
@@ -32,18 +32,23 @@
 }
 
 // judgeLate says whether a late call has no hope to start before its caller leaves: that
-// one is better told at once.
+// one is better told at once. An answer that broke off is let wait in any case.
 func (s *service) judgeLate(now time.Time, w *waiter) error {
+	return s.hopeless(now, w, s.waitingIn(queueRank(w.ask, true)))
+}
+
+// hopeless gives an error if a late call that has so many ahead is not likely to start
+// before its caller leaves.
+func (s *service) hopeless(now time.Time, w *waiter, ahead int) error {
 	if w.ask.Resumed {
 		return nil
 	}
-	tier := queueRank(w.ask, true)
-	ahead := s.waitingIn(tier)
 	left := w.ask.lastStart().Sub(now).Seconds()
-	if in := s.startsIn(tier, ahead); in > left {
-		return errorx.Decorate(runworks.ErrShortage, "%d late calls wait ahead for some %.0f ms, the caller leaves in %.0f ms", ahead, in*1000, left*1000)
+	in := s.startsIn(queueRank(w.ask, true), ahead)
+	if in <= left {
+		return nil
 	}
-	return nil
+	return errorx.Decorate(runworks.ErrShortage, "%d late calls wait ahead for some %.0f ms, the caller leaves in %.0f ms", ahead, in*1000, left*1000)
 }
 
 // prune tells the late calls that have no hope any more, as the queue moves: calls held
@@ -59,9 +64,9 @@
 	ahead := make(map[int]int)
 	for _, w := range waiting {
 		tier := queueRank(w.ask, true)
-		if s.startsIn(tier, ahead[tier]) > w.ask.lastStart().Sub(now).Seconds() {
+		if err := s.hopeless(now, w, ahead[tier]); err != nil {
 			s.queue.Remove(w.ask.ID)
-			s.drop(w.ask.ID)
+			s.drop(w.ask.ID, err)
 			continue
 		}
 		ahead[tier]++
--- a/services/dispatch/waiting.go
+++ b/services/dispatch/waiting.go
@@ -30,6 +30,8 @@
 	number int
 	// fits says that some server could let it be in time when it came.
 	fits bool
+	// why is set before lease is closed.
+	why error
 }
 
 // waitLocked puts a call in the queue of its service; false if it is full.
@@ -48,7 +50,7 @@
 	}
 	verdict, dropped := s.queue.Offer(time.Now(), t, func(int) int { return 0 })
 	if dropped != nil {
-		s.drop(dropped.ID)
+		s.drop(dropped.ID, runworks.ErrShortage)
 	}
 	if verdict != ticket.Taken {
 		return false
@@ -57,14 +59,28 @@
 	return true
 }
 
-// drop gives up a call whose place went to a higher tier.
-func (s *service) drop(id runworks.RequestID) {
+// drop gives up a call that waits, and says why.
+func (s *service) drop(id runworks.RequestID, why error) {
 	if w := s.asks[id]; w != nil {
 		delete(s.asks, id)
-		close(w.lease)
+		w.giveUp(why)
 	}
 }
 
+// giveUp ends the wait of a call without a server.
+func (w *waiter) giveUp(why error) {
+	w.why = why
+	close(w.lease)
+}
+
+// granted gives the lease that the call received, or why there is none.
+func (w *waiter) granted(lease *Lease) (*Lease, error) {
+	if lease == nil {
+		return nil, w.why
+	}
+	return lease, nil
+}
+
 // demote puts a call that missed its target behind those that can still meet theirs. One
 // that has no hope to be served there before its caller leaves is told so.
 func (d *Dispatcher) demote(w *waiter) error {
@@ -80,7 +96,7 @@
 		return err
 	}
 	if !d.waitLocked(s, w) {
-		close(w.lease)
+		w.giveUp(runworks.ErrShortage)
 	}
 	d.pumpLocked(s) // a late call may have what it had to leave before
 	return nil
@@ -92,7 +108,7 @@
 	defer d.mu.Unlock()
 	select {
 	case lease := <-w.lease:
-		return granted(lease)
+		return w.granted(lease)
 	default:
 	}
 	if s := d.services[w.ask.Service]; s != nil {
