--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -73,6 +73,11 @@
 	return n
 }
 
+// free is how many slots of a server are left for calls of a tier.
+func (s *service) free(one *server, tier int) int {
+	return s.capacity(one) - one.load() - s.reserved(one, tier)
+}
+
 // noteRank records a route's rank.
 func (s *service) noteRank(routeRank int) {
 	if !s.ranked {
@@ -84,9 +89,7 @@
 
 // anyFor says whether one of the open servers has a slot for a tier.
 func (s *service) anyFor(open []*server, tier int) bool {
-	return slices.ContainsFunc(open, func(one *server) bool {
-		return one.load()+s.reserved(one, tier) < s.capacity(one)
-	})
+	return slices.ContainsFunc(open, func(one *server) bool { return s.free(one, tier) > 0 })
 }
 
 // choose gives the open server that suits a call best; nil if none may have it.
@@ -114,7 +117,7 @@
 	canWait := s.canWait(now, ask)
 	var out []*server
 	for _, one := range open {
-		if slices.Contains(ask.Avoid, one.ID) || one.load()+s.reserved(one, tier) >= s.capacity(one) {
+		if slices.Contains(ask.Avoid, one.ID) || s.free(one, tier) <= 0 {
 			continue
 		}
 		if float64(one.pace) > fastest*paceTolerance && s.expected(one, ask) > left {
--- a/services/dispatch/turn.go
+++ b/services/dispatch/turn.go
@@ -29,7 +29,7 @@
 	rivals := d.rivals(s.name, mine.Rank)
 	out := open[:0]
 	for _, one := range open {
-		offered := s.onOffer(now, one, d.turnTime()) - s.reserved(one, mine.Rank)
+		offered := s.free(one, mine.Rank) + one.unused(now, d.turnTime())
 		if one.vacated > 0 || d.ahead(one, rivals, mine) < offered {
 			out = append(out, one)
 		}
@@ -85,11 +85,11 @@
 	return (float64(xxhash.Sum64String(server+string(life))>>11) + 0.5) / (1 << 53)
 }
 
-// onOffer is how many entries in turn may use the server: one for each free slot,
-// and more the longer nobody took them.
-func (s *service) onOffer(now time.Time, one *server, turn time.Duration) int {
-	if load := one.load(); load != one.seen || one.since.IsZero() {
-		one.seen, one.since = load, now
+// unused is how many turns have passed since the server's load changed: so many more
+// entries may use a slot of it, as those before them did not.
+func (s *server) unused(now time.Time, turn time.Duration) int {
+	if load := s.load(); load != s.seen || s.since.IsZero() {
+		s.seen, s.since = load, now
 	}
-	return s.capacity(one) - one.load() + int(now.Sub(one.since)/turn)
+	return int(now.Sub(s.since) / turn)
 }
