Pairs go on with the other versions where one does not build

Cause: a mechanism whose absence did not compile (others-load-unknown) ended a comparison before eight others were played. Change: its error is told at the end; the mutant builds. Ruled out: a check of all before the first play, which would double the builds.

--- a/bench/pairs/play.go
+++ b/bench/pairs/play.go
@@ -111,19 +111,22 @@
 	defer os.RemoveAll(dir)
 	var mu sync.Mutex // one copy into the journal at a time
 	work := pool.New().WithErrors().WithMaxGoroutines(p.Jobs)
+	var failed error
 	for _, v := range p.versions(dir) {
 		missing := p.missing(v, played)
 		if len(missing) == 0 {
 			continue
 		}
+		// The others are played all the same where one does not build.
 		if err := p.prepare(ctx, v); err != nil {
-			return errors.Join(err, work.Wait())
+			failed = errors.Join(failed, fmt.Errorf("%s: %w", v.label, err))
+			continue
 		}
 		for _, one := range missing {
 			work.Go(func() error { return p.one(ctx, &mu, v, one) })
 		}
 	}
-	return work.Wait()
+	return errors.Join(failed, work.Wait())
 }
 
 // versions gives what is compared, the base first.
