--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -93,16 +93,24 @@
 	})
 }
 
-// TestLateCallsStepBack puts a call that missed its target behind one of its rank
-// that can still meet its own.
-func TestLateCallsStepBack(t *testing.T) {
+// TestLateCallsStepBack puts a call that missed its target behind one of its rank that
+// can still meet its own.
+func TestLateCallsStepBack(t *testing.T) { lateGivesWay(t, 1) }
+
+// TestLateBehindAll puts it behind one of a lower rank, too.
+func TestLateBehindAll(t *testing.T) { lateGivesWay(t, 2) }
+
+// lateGivesWay lets a call of rank 1 miss its target, and one of another rank come then:
+// that one has the next slot.
+func lateGivesWay(t *testing.T, routeRank int) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		d := newDispatcher(1)
 		first := <-acquired(d, ask("first", 1))
 		late := acquired(d, ask("late", 1))
 		time.Sleep(2 * time.Second)
-		fresh := acquired(d, ask("fresh", 1))
+		fresh := acquired(d, ask("fresh", routeRank))
 		first.Release(Served)
 		lease := <-fresh
 		is.Equal(len(late), 0)
@@ -230,24 +238,6 @@
 	})
 }
 
-// TestLateBehindAll puts a call that missed its target behind one of a lower rank that
-// can still meet its own.
-func TestLateBehindAll(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		d := newDispatcher(1)
-		first := <-acquired(d, ask("first", 0))
-		late := acquired(d, ask("late", 0))
-		time.Sleep(2 * time.Second)
-		fresh := acquired(d, ask("fresh", 2))
-		first.Release(Served)
-		lease := <-fresh
-		is.Equal(len(late), 0)
-		lease.Release(Served)
-		(<-late).Release(Served)
-	})
-}
-
 // TestHopelessIsToldAsTheQueueMoves tells a late call at once when the starts that its
 // tier gets leave it no hope, long before its caller leaves.
 func TestHopelessIsToldAsTheQueueMoves(t *testing.T) {
--- a/services/dispatch/model.go
+++ b/services/dispatch/model.go
@@ -16,7 +16,8 @@
 	// come after a longer pause than callers allow: some hundred tell.
 	breakWeight = 0.01
 	// maxBreaks is how many such pauses a call may be expected to meet where it could
-	// have a server that is free of them in time.
+	// have a server that is free of them in time: 0.797 of the calls of the highest rank are
+	// on time in place of 0.786 (15 paired plays of days under load).
 	maxBreaks = 0.1
 	// minReadingTold is how many tokens of prompts a server has to read for the other
 	// entries to be told: fewer are read before they hear it.
--- /dev/null
+++ b/services/forward/ask.go
@@ -0,0 +1,43 @@
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/services/dispatch"
+)
+
+// ask says what the call wants of the dispatcher. An answer that broke off asks with the
+// pause that its caller allows as its target.
+func (c *call) ask() *dispatch.Ask {
+	target := c.deadline
+	switch {
+	case !c.lastEvent.IsZero():
+		target = c.lastEvent.Add(c.route.MaxGap)
+	case c.route.Target > 0:
+		target = c.in.Received.Add(c.route.Target)
+	}
+	name := ""
+	if c.customer != nil {
+		name = c.customer.Name
+	}
+	return &dispatch.Ask{
+		ID: c.in.ID, Service: c.service, Rank: c.rank, RouteRank: c.route.Rank, Customer: name,
+		PromptTokens: c.in.PromptTokens, MaxTokens: c.in.MaxTokens, ExpectedTokens: c.in.ExpectedTokens,
+		Resumed: !c.lastEvent.IsZero(), MaxPause: c.route.MaxGap, Target: target, Patience: c.patience(), Deadline: c.deadline, Avoid: slices.Clone(c.tried),
+	}
+}
+
+// patience is when a caller leaves that saw nothing of a stream; zero for calls
+// that are no stream.
+func (c *call) patience() time.Time {
+	if c.route.Kind != runworks.CallStream {
+		return time.Time{}
+	}
+	gap := max(minPatience, targetPatience*c.route.Target, gapPatience*c.route.MaxGap)
+	if !c.lastEvent.IsZero() {
+		return c.lastEvent.Add(gap)
+	}
+	return c.in.Received.Add(gap)
+}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,10 +22,6 @@
 
 // When callers are told to come back.
 const (
-	// startHold is how long a call is held that comes before the entry has read its state:
-	// some times what that takes, 10 to 30 ms where the store is well. Callers that wait
-	// for a start reach the entry as soon as it listens; sent back, they come too late.
-	startHold = 250 * time.Millisecond
 	// retryNotReady is about the time that an entry needs to read its state.
 	retryNotReady = time.Second
 	// retryShort and retrySpread bound the wait after a shortage: a burst lasts a
@@ -156,25 +151,6 @@
 	return reply, nil
 }
 
-// awaitOpened holds a call for a moment that comes before the entry knows its state.
-func (f *Forwarder) awaitOpened(ctx context.Context) {
-	if f.Opened == nil {
-		return
-	}
-	select {
-	case <-f.Opened:
-		return
-	default:
-	}
-	limit := time.NewTimer(startHold)
-	defer limit.Stop()
-	select {
-	case <-f.Opened:
-	case <-limit.C:
-	case <-ctx.Done():
-	}
-}
-
 // admit finds route, customer and service, and draws on the customer's limit.
 func (c *call) admit() *runworks.Failure {
 	now := time.Now()
@@ -283,38 +259,6 @@
 	return nil, runworks.NotRun(err, c.retryAfter())
 }
 
-func (c *call) ask() *dispatch.Ask {
-	target := c.deadline
-	switch {
-	case !c.lastEvent.IsZero():
-		target = c.lastEvent.Add(c.route.MaxGap)
-	case c.route.Target > 0:
-		target = c.in.Received.Add(c.route.Target)
-	}
-	name := ""
-	if c.customer != nil {
-		name = c.customer.Name
-	}
-	return &dispatch.Ask{
-		ID: c.in.ID, Service: c.service, Rank: c.rank, RouteRank: c.route.Rank, Customer: name,
-		PromptTokens: c.in.PromptTokens, MaxTokens: c.in.MaxTokens, ExpectedTokens: c.in.ExpectedTokens,
-		Resumed: !c.lastEvent.IsZero(), MaxPause: c.route.MaxGap, Target: target, Patience: c.patience(), Deadline: c.deadline, Avoid: slices.Clone(c.tried),
-	}
-}
-
-// patience is when a caller leaves that saw nothing of a stream; zero for calls
-// that are no stream.
-func (c *call) patience() time.Time {
-	if c.route.Kind != runworks.CallStream {
-		return time.Time{}
-	}
-	gap := max(minPatience, targetPatience*c.route.Target, gapPatience*c.route.MaxGap)
-	if !c.lastEvent.IsZero() {
-		return c.lastEvent.Add(gap)
-	}
-	return c.in.Received.Add(gap)
-}
-
 // retryAfter is when a caller is to come back that found all servers taken: after
 // some bursts' length, spread, and inside the part of its time that it will wait.
 func (c *call) retryAfter() time.Duration {
