--- a/bench/pairs/journal.go
+++ b/bench/pairs/journal.go
@@ -17,7 +17,6 @@
 type entry struct {
 	Why    string `json:"why"`
 	Site   string `json:"site"`
-	OK     bool   `json:"ok"`
 	Digest string `json:"digest"`
 	Days   []struct {
 		Worth  float64        `json:"G"`
@@ -74,7 +73,6 @@
 	Asked, OnTime, Late, Refused, Failed float64
 	// NotOwed are the calls that nothing was owed for.
 	NotOwed float64
-	Worth   float64
 }
 
 // finished says whether an entry is whole: the bench writes it when a play begins, and
@@ -123,7 +121,7 @@
 }
 
 // kindFields are the columns of the bench's table of kinds that are read.
-const kindFields = 8
+const kindFields = 7
 
 // kinds reads the table of the kinds of calls from a day's text.
 func kinds(digest string) []kind {
@@ -143,7 +141,7 @@
 			v[i], _ = strconv.ParseFloat(fields[i], 64) // "-" is none asked
 		}
 		out = append(out, kind{
-			Name: fields[0], Asked: v[1], OnTime: v[2], Late: v[3], Refused: v[4], Failed: v[5], NotOwed: v[6], Worth: v[7],
+			Name: fields[0], Asked: v[1], OnTime: v[2], Late: v[3], Refused: v[4], Failed: v[5], NotOwed: v[6],
 		})
 	}
 	return out
--- a/bench/pairs/table.go
+++ b/bench/pairs/table.go
@@ -6,7 +6,6 @@
 	"io"
 	"math"
 	"slices"
-	"strings"
 	"text/tabwriter"
 
 	"gonum.org/v1/gonum/stat"
@@ -231,6 +230,5 @@
 	if owed <= 0 {
 		return "none owed"
 	}
-	text := fmt.Sprintf("on time %.3f, late %.3f, refused %.3f, failed %.3f", k.OnTime/owed, k.Late/owed, k.Refused/owed, k.Failed/owed)
-	return strings.TrimSpace(text)
+	return fmt.Sprintf("on time %.3f, late %.3f, refused %.3f, failed %.3f", k.OnTime/owed, k.Late/owed, k.Refused/owed, k.Failed/owed)
 }
--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -113,8 +113,8 @@
 func (s *service) suited(now time.Time, o *outlook, open []*server, w *waiter, fastest float64) []*server {
 	ask, tier := w.ask, queueRank(w.ask, w.late)
 	left := ask.Deadline.Sub(now).Seconds()
-	fitting := !w.late && w.fits || s.fitsAny(now, o, ask)
 	canWait := s.canWait(now, ask)
+	fitting := !w.late && w.fits || s.fitsAny(now, o, ask, canWait)
 	var out []*server
 	for _, one := range open {
 		if slices.Contains(ask.Avoid, one.ID) || s.free(one, tier) <= 0 {
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -145,7 +145,7 @@
 	now := time.Now()
 	s.came++
 	w := &waiter{ask: ask, lease: make(chan *Lease, 1), number: s.came}
-	w.fits = s.fitsAny(now, s.outlook(), ask)
+	w.fits = s.fitsAny(now, s.outlook(), ask, s.canWait(now, ask))
 	if err := s.judge(now, w); err != nil {
 		return nil, nil, err
 	}
@@ -179,9 +179,10 @@
 func (d *Dispatcher) pumpAll() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.watchSilenceLocked(time.Now())
+	now := time.Now()
+	d.watchSilenceLocked(now)
 	for _, s := range d.services {
-		s.prune(time.Now())
+		s.prune(now)
 		d.pumpLocked(s)
 	}
 }
--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -55,6 +55,17 @@
 	return out
 }
 
+// overtakes frees the slot of a call: of two that wait, one goes before the other.
+func overtakes(t *testing.T, first *Lease, goes, waits <-chan *Lease) {
+	t.Helper()
+	is := is.New(t)
+	first.Release(Served)
+	lease := <-goes
+	is.Equal(len(waits), 0)
+	lease.Release(Served)
+	(<-waits).Release(Served)
+}
+
 // TestUrgentFirst frees one slot for which calls of three ranks wait, the lowest
 // first in line: the highest gets it, then the next.
 func TestUrgentFirst(t *testing.T) {
@@ -105,17 +116,12 @@
 func lateGivesWay(t *testing.T, routeRank int) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
 		d := newDispatcher(1)
 		first := <-acquired(d, ask("first", 1))
 		late := acquired(d, ask("late", 1))
 		time.Sleep(2 * time.Second)
 		fresh := acquired(d, ask("fresh", routeRank))
-		first.Release(Served)
-		lease := <-fresh
-		is.Equal(len(late), 0)
-		lease.Release(Served)
-		(<-late).Release(Served)
+		overtakes(t, first, fresh, late)
 	})
 }
 
@@ -381,7 +387,6 @@
 // came earlier.
 func TestShorterGoesFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
 		d := newDispatcher(1)
 		first := <-acquired(d, ask("first", 0))
 		first.Length(60, 10)
@@ -393,11 +398,7 @@
 		short := ask("short", 0)
 		short.ExpectedTokens = 30
 		goes := acquired(d, short)
-		first.Release(Served)
-		lease := <-goes
-		is.Equal(len(waits), 0)
-		lease.Release(Served)
-		(<-waits).Release(Served)
+		overtakes(t, first, goes, waits)
 	})
 }
 
@@ -405,18 +406,13 @@
 // one of a higher rank that came earlier.
 func TestBrokenAnswersGoOnFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
 		d := newDispatcher(1)
 		first := <-acquired(d, ask("first", 0))
 		fresh := acquired(d, ask("fresh", 1))
 		broken := ask("broken", 2)
 		broken.Resumed = true
 		goes := acquired(d, broken)
-		first.Release(Served)
-		lease := <-goes
-		is.Equal(len(fresh), 0)
-		lease.Release(Served)
-		(<-fresh).Release(Served)
+		overtakes(t, first, goes, fresh)
 	})
 }
 
--- a/services/dispatch/health.go
+++ b/services/dispatch/health.go
@@ -100,13 +100,6 @@
 	}
 }
 
-// Heard records that the call's server gave something.
-func (l *Lease) Heard() {
-	l.dispatcher.mu.Lock()
-	defer l.dispatcher.mu.Unlock()
-	l.server.heard = time.Now()
-}
-
 // Responded records that the head of the call's answer came.
 func (l *Lease) Responded() {
 	d := l.dispatcher
--- a/services/dispatch/health_test.go
+++ b/services/dispatch/health_test.go
@@ -40,7 +40,7 @@
 		for i := range 3 {
 			is.Equal(taken(t, d, fmt.Sprint(i)).Instance.ID, "s1")
 		}
-		silent.Heard()
+		silent.FirstEvent(0)
 		d.pumpAll()
 		is.Equal(told, []string{"s0 true", "s0 false"})
 		is.Equal(taken(t, d, "again").Instance.ID, "s0")
@@ -80,7 +80,7 @@
 		}
 		is.Equal(len(d.Own().LeftOut), 0) // hearsay is not passed on
 		time.Sleep(time.Millisecond)
-		before.Heard()
+		before.FirstEvent(0)
 		is.Equal(taken(t, d, "after").Instance.ID, before.Instance.ID)
 		d.Report("other", runworks.EntryLoad{})
 		is.Equal(told, []int{1, 0})
--- a/services/quota/usage.go
+++ b/services/quota/usage.go
@@ -63,5 +63,5 @@
 
 // since gives what was counted behind a grain.
 func (u *usage) since(number int64) float64 {
-	return u.last(int(min(max(u.first+int64(len(u.counts))-1-number, 0), int64(len(u.counts)))))
+	return u.last(int(max(u.first+int64(len(u.counts))-1-number, 0)))
 }
