Two fronts read the store for all and tell the others what changed

Ruled out: one reader alone (its loss would be noticed half a second later, while drains must be known within two), an elected reader (that is agreed on; hashing over who is heard is not), telling large documents (32 KB to a hundred others is a second of a small link).

Change: the first two by a hash of the names, of the fronts that were heard just now and are in touch with the store, wait for changes there; they tell each at once, ahead of their next heartbeat, with where it began. The list of fronts is looked at less often where there are many.

--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -15,6 +15,10 @@
 	"github.com/runworks/runworks/services/route"
 )
 
+// maxToldBytes bounds the changes that a front tells all others: with a hundred of them, on
+// a link of 20 Mbit/s, so much is sent within 1.3 s. What is larger each reads itself.
+const maxToldBytes = 32 << 10
+
 // watch builds what keeps this front's knowledge up to date.
 func (d *Front) watch() {
 	routing := &platform.Watch{Topic: platform.TopicOperators, OnState: d.onRouting, OnChange: d.onRouting}
@@ -27,9 +31,12 @@
 	for subject, w := range d.watches {
 		d.asking[subject] = &atomic.Bool{}
 		w.Store, w.Logger = d.store, d.Logger
-		w.Fronts = func() int { return d.exchange.Live() + 1 }
+		w.Fronts = func() int { return min(d.exchange.Live()+1, peers.Readers) }
+		w.Reads = d.exchange.Reads
+		w.OnRead = func(from int64, page *platform.Page) { d.tell(subject, from, page) }
 	}
 	d.members = &platform.Members{Store: d.store, Self: d.exchange.Self, Logger: d.Logger, OnMembers: d.exchange.SetMembers}
+	d.members.Fronts = func() int { return d.exchange.Live() + 1 }
 	d.limits = &platform.Limits{Store: d.store, Quota: d.quota, Logger: d.Logger, OnTold: d.takeHeld}
 }
 
@@ -56,6 +63,25 @@
 	return w.Snapshot(), nil
 }
 
+// tell tells the other fronts what this one read from the store.
+func (d *Front) tell(subject peers.Subject, from int64, page *platform.Page) {
+	size := 0
+	for _, r := range page.Records {
+		size += len(r.Key) + len(r.Value)
+	}
+	if size > maxToldBytes {
+		return // they read it themselves, as their positions show it
+	}
+	d.exchange.Tell(peers.Change{Subject: subject, From: from, Next: page.Next, Records: page.Records})
+}
+
+// told takes what another front read from the store.
+func (d *Front) told(c *peers.Change) {
+	if w := d.watches[c.Subject]; w != nil {
+		w.Told(c.From, c.Next, c.Records)
+	}
+}
+
 // catchUp learns what another front knows already: from the store, or from that
 // front while the store can't be read.
 func (d *Front) catchUp(from string, subject peers.Subject, position int64) {
@@ -158,6 +184,7 @@
 	b := peers.Beat{Load: d.dispatcher.Own(), Positions: map[peers.Subject]int64{}}
 	for subject, w := range d.watches {
 		b.Positions[subject] = w.Position()
+		b.StoreLost = b.StoreLost || w.Lost()
 	}
 	if table := d.forwarder.Table.Load(); table != nil {
 		b.RoutingVersion = table.Routing.Version
@@ -172,6 +199,9 @@
 		d.ask(peers.SubjectLimits, func() { d.learnLimits(b.From.Name) })
 	}
 	d.budgets.SetEntries(d.exchange.Live() + 1)
+	for _, c := range b.Changes {
+		d.told(&c)
+	}
 	for subject, position := range b.Positions {
 		d.catchUp(b.From.Name, subject, position)
 	}
--- a/log_service.go
+++ b/log_service.go
@@ -24,3 +24,10 @@
 	// Read gives records from an offset on; ErrTruncated if the log has dropped it.
 	Read(ctx context.Context, from int64) (*LogPage, error)
 }
+
+// Record is one record of what entries follow on a platform's store; an empty value says
+// that the key is gone.
+type Record struct {
+	Key   string
+	Value []byte
+}
--- a/services/peers/frame.go
+++ b/services/peers/frame.go
@@ -33,6 +33,24 @@
 	LeftOut        []int
 	Waiting        []frameWaiting
 	Limits         frameLimits
+	StoreLost      bool
+	Changes        []frameChange
+}
+
+// frameChange is a Change.
+type frameChange struct {
+	_       struct{} `cbor:",toarray"`
+	Subject int
+	From    int64
+	Next    int64
+	Records []frameRecord
+}
+
+// frameRecord is a record of a Change; its key is told once as a rule, so it has no number.
+type frameRecord struct {
+	_     struct{} `cbor:",toarray"`
+	Key   string
+	Value []byte
 }
 
 // frameCount is a count or position of what a name stands for.
@@ -82,7 +100,7 @@
 	if e.numbers == nil || len(e.names) > maxNames {
 		e.numbers, e.names, e.told = make(map[string]int), nil, 0
 	}
-	f := &frame{First: e.told, RoutingVersion: b.RoutingVersion}
+	f := &frame{First: e.told, RoutingVersion: b.RoutingVersion, StoreLost: b.StoreLost, Changes: e.changes(b.Changes)}
 	for subject, n := range b.Positions {
 		f.Positions = append(f.Positions, frameCount{Name: e.number(string(subject)), N: n})
 	}
@@ -110,6 +128,18 @@
 	return data, len(f.Names) > 0, nil
 }
 
+func (e *encoder) changes(list []Change) []frameChange {
+	var out []frameChange
+	for _, c := range list {
+		one := frameChange{Subject: e.number(string(c.Subject)), From: c.From, Next: c.Next}
+		for _, r := range c.Records {
+			one.Records = append(one.Records, frameRecord{Key: r.Key, Value: r.Value})
+		}
+		out = append(out, one)
+	}
+	return out
+}
+
 func (e *encoder) counts(list map[string]int) []frameCount {
 	out := make([]frameCount, 0, len(list))
 	for name, n := range list {
@@ -160,7 +190,7 @@
 // beat gives the numbers of a frame their names back.
 func (c *decoder) beat(f *frame) (*Beat, error) {
 	r := &namer{names: c.names}
-	b := &Beat{From: c.from, RoutingVersion: f.RoutingVersion, Positions: make(map[Subject]int64, len(f.Positions))}
+	b := &Beat{From: c.from, RoutingVersion: f.RoutingVersion, StoreLost: f.StoreLost, Changes: r.changes(f.Changes), Positions: make(map[Subject]int64, len(f.Positions))}
 	for _, p := range f.Positions {
 		b.Positions[Subject(r.name(p.Name))] = p.N
 	}
@@ -197,6 +227,18 @@
 	return r.names[n]
 }
 
+func (r *namer) changes(list []frameChange) []Change {
+	var out []Change
+	for _, c := range list {
+		one := Change{Subject: Subject(r.name(c.Subject)), From: c.From, Next: c.Next}
+		for _, record := range c.Records {
+			one.Records = append(one.Records, runworks.Record{Key: record.Key, Value: record.Value})
+		}
+		out = append(out, one)
+	}
+	return out
+}
+
 func (r *namer) counts(list []frameCount) map[string]int {
 	out := make(map[string]int, len(list))
 	for _, c := range list {
--- a/services/peers/frame_test.go
+++ b/services/peers/frame_test.go
@@ -24,6 +24,8 @@
 	b.Load.Failed = map[string]int{"i-failed": 3}
 	b.Load.Reading = map[string]int{"i-reading": 5000}
 	b.Load.LeftOut = []string{"i-left-out", "i-failed"}
+	b.StoreLost = true
+	b.Changes = []Change{{Subject: SubjectServers, From: 3, Next: 5, Records: []runworks.Record{{Key: "i-new", Value: []byte("{}")}, {Key: "i-gone", Value: []byte{}}}}}
 	b.Limits.Records, b.Limits.Complete = 4, true
 	b.Limits.Customers["fraction"] = runworks.CustomerUse{Drawn: 0.25, Used: 1e9, Held: -1}
 	return b
@@ -96,6 +98,9 @@
 		a.tell(5)
 		time.Sleep(2 * DefaultEvery)
 		is.Equal(late.runsAt("a"), 5)
+		late.mu.Lock()
+		is.Equal(late.greetings, 1) // by its heartbeat, not as the connection began anew
+		late.mu.Unlock()
 		late.cancel()
 		_ = late.server.Close()
 	})
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -80,6 +80,11 @@
 	RoutingVersion int64 `json:"routing_version,omitempty"`
 	// Positions tell how far the entry has followed each subject.
 	Positions map[Subject]int64 `json:"positions,omitempty"`
+	// StoreLost says that the entry could not read the store of late.
+	StoreLost bool `json:"store_lost,omitempty"`
+	// Changes are what the entry read from the store since its last heartbeat; only frames
+	// tell them.
+	Changes []Change `json:"-"`
 	// Names are those of the frames that follow a greeting, by their numbers.
 	Names []string `json:"names,omitempty"`
 }
@@ -119,12 +124,17 @@
 	heard map[runworks.Incarnation]*life
 	// lives holds the newest life of each entry, by its name.
 	lives map[string]runworks.Incarnation
+	// changes are not told yet; wake has them told at once.
+	changes []Change
+	wake    chan struct{}
 }
 
 // life is what is known of another entry's incarnation.
 type life struct {
 	name string
 	last time.Time
+	// storeLost is its word that it could not read the store of late.
+	storeLost bool
 }
 
 // Run sends heartbeats until ctx ends.
@@ -137,7 +147,7 @@
 		if data := x.tell(ctx, last, now.Sub(sent) >= quietEvery); data != nil {
 			last, sent = data, now
 		}
-		pause.For(ctx, x.every())
+		pause.Until(ctx, x.every(), x.waking())
 	}
 	x.mu.Lock()
 	x.ctxLocked()
@@ -152,7 +162,7 @@
 	x.telling.Lock()
 	defer x.telling.Unlock()
 	beat := x.Beat()
-	beat.From, beat.Limits = x.Self, x.News()
+	beat.From, beat.Limits, beat.Changes = x.Self, x.News(), x.takeChanges()
 	data, names, err := x.encoder.encode(&beat)
 	if err != nil {
 		x.Logger.Error("the heartbeat can't be sent", "error", err.Error())
@@ -173,12 +183,19 @@
 	return x.ctx
 }
 
+// every is the time between heartbeats.
 func (x *Exchange) every() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.everyLocked()
+}
+
+func (x *Exchange) everyLocked() time.Duration {
 	every := x.Every
 	if every == 0 {
 		every = DefaultEvery
 	}
-	return max(every, time.Duration(x.Live())*everyPerPeer)
+	return max(every, time.Duration(len(x.heard))*everyPerPeer)
 }
 
 // send gives a heartbeat to every entry that is connected: a frame to those that read
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -29,9 +29,14 @@
 	gone  []runworks.Incarnation
 	// greeted is when each life of another entry told what it counts.
 	greeted map[runworks.Incarnation]time.Time
+	// greetings is how many greetings it heard.
+	greetings int
 	// replaced are the lives that were over as a new one of their name was heard.
 	replaced []runworks.Incarnation
 	tells    int
+	// storeLost is what the entry tells of the store, and changes what it was told of it.
+	storeLost bool
+	changes   []Change
 }
 
 // startEntry starts an entry on the network; its name is its host.
@@ -62,18 +67,20 @@
 		Beat: func() Beat {
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			return Beat{Load: runworks.EntryLoad{Running: runworks.RunningCalls{"s": e.tells}}}
+			return Beat{StoreLost: e.storeLost, Load: runworks.EntryLoad{Running: runworks.RunningCalls{"s": e.tells}}}
 		},
 		OnBeat: func(_ time.Time, b *Beat) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			e.heard[b.From.Incarnation] = *b
+			e.changes = append(e.changes, b.Changes...)
 		},
 		News:   func() runworks.LimitUse { return runworks.LimitUse{Version: 1} },
 		Limits: func() runworks.LimitUse { return runworks.LimitUse{Version: 7} },
 		OnGreeting: func(now time.Time, b *Beat) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
+			e.greetings++
 			if _, early := e.heard[b.From.Incarnation]; b.Limits.Version == 7 && !early {
 				e.greeted[b.From.Incarnation] = now
 			}
--- /dev/null
+++ b/services/peers/readers.go
@@ -0,0 +1,85 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/runworks/runworks"
+)
+
+// Readers is how many entries of all read the store for changes: one, and one for the time
+// in which nobody knows yet that the first is gone.
+const Readers = 2
+
+// Change is what an entry read of a subject on the store, for those that do not read it.
+type Change struct {
+	Subject Subject
+	// From is the position before the change, and Next the one behind it.
+	From, Next int64
+	Records    []runworks.Record
+}
+
+// Tell has a change told to all others at once.
+func (x *Exchange) Tell(c Change) {
+	x.mu.Lock()
+	x.changes = append(x.changes, c)
+	x.mu.Unlock()
+	select {
+	case x.waking() <- struct{}{}:
+	default:
+	}
+}
+
+// takeChanges gives the changes that were not told yet.
+func (x *Exchange) takeChanges() []Change {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := x.changes
+	x.changes = nil
+	return out
+}
+
+// waking gives the channel that ends the pause before the next heartbeat.
+func (x *Exchange) waking() chan struct{} {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.wake == nil {
+		x.wake = make(chan struct{}, 1)
+	}
+	return x.wake
+}
+
+// Reads says whether this entry is one of those that read the store for all: the first by
+// a hash of their names, among those that were heard just now and are in touch with the
+// store. Where entries hear different ones, more of them read. If all lost the store, some
+// still try. Of a hundred entries that all read each change 6,000 calls came in a minute,
+// the dearest of all that is priced there.
+func (x *Exchange) Reads(lost bool) bool {
+	now := time.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	ahead, reading := 0, 0
+	own := xxhash.Sum64String(x.Self.Name)
+	for _, one := range x.heard {
+		if now.Sub(one.last) > x.freshLocked() || one.storeLost && !lost {
+			continue
+		}
+		if !one.storeLost {
+			reading++
+		}
+		if xxhash.Sum64String(one.name) < own {
+			ahead++
+		}
+	}
+	if lost && reading > 0 {
+		return false
+	}
+	return ahead < Readers
+}
+
+// freshLocked is within which time an entry that reads the store must have been heard. A
+// live one has sent a heartbeat by then.
+func (x *Exchange) freshLocked() time.Duration {
+	return quietEvery + 2*x.everyLocked()
+}
--- /dev/null
+++ b/services/peers/readers_test.go
@@ -0,0 +1,110 @@
+package peers
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/standin/memnet"
+)
+
+// readersOf gives which of the entries read the store.
+func readersOf(list []*entry) []string {
+	var out []string
+	for _, e := range list {
+		if e.Reads(e.lost()) {
+			out = append(out, e.Self.Name)
+		}
+	}
+	return out
+}
+
+// lost is what an entry tells of the store.
+func (e *entry) lost() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.storeLost
+}
+
+func (e *entry) setLost(lost bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.storeLost = lost
+}
+
+// TestFewRead has two entries of seven read the store: others in place of one that is cut
+// off and of those that lost it, and some still where all lost it.
+func TestFewRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := memnet.New(time.Millisecond)
+		var list []*entry
+		for i := range 7 {
+			e := startEntry(t, network, fmt.Sprint("e", i), "key")
+			for _, other := range list {
+				e.SetMembers([]Member{other.Self})
+			}
+			list = append(list, e)
+		}
+		time.Sleep(2 * time.Second)
+		first := readersOf(list)
+		is.Equal(len(first), Readers)
+		var rest []*entry
+		for _, e := range list {
+			if e.Self.Name == first[0] {
+				for _, other := range list {
+					if other != e {
+						network.Cut(e.Self.Name, other.Self.Name)
+					}
+				}
+				continue
+			}
+			rest = append(rest, e)
+		}
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(len(readersOf(rest)), Readers)
+		is.Equal(len(readersOf(list)), Readers+1) // the one that is cut off reads for itself
+		for _, e := range rest {
+			e.setLost(e.Self.Name == first[1])
+		}
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(len(readersOf(rest)), Readers)
+		is.True(readersOf(rest)[0] != first[1] && readersOf(rest)[1] != first[1])
+		for _, e := range rest {
+			e.setLost(true)
+		}
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(len(readersOf(rest)), Readers)
+		for _, e := range list {
+			e.cancel()
+			_ = e.server.Close()
+		}
+		network.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+// told gives the changes that an entry was told.
+func (e *entry) told() []Change {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.changes)
+}
+
+// TestChangesAreTold passes what one entry read to all others at once, and once.
+func TestChangesAreTold(t *testing.T) {
+	inNetwork(t, "key-of-the-fleet", func(is *is.I, _ *memnet.Network, a, b *entry) {
+		time.Sleep(DefaultEvery / 2) // in the middle between two heartbeats
+		c := Change{Subject: SubjectServers, From: 4, Next: 6, Records: []runworks.Record{{Key: "i-1", Value: []byte("x")}}}
+		a.Tell(c)
+		time.Sleep(5 * time.Millisecond)
+		is.Equal(b.told(), []Change{c})
+		time.Sleep(time.Second)
+		is.Equal(b.told(), []Change{c})
+	})
+}
