In large fleets: own hall first, no turns for short calls, several fronts must doubt a server

For streams, entries of all halls chose the same servers by what was known 0.2 s ago.

Change: calls that are over before others hear of them take no turns; five answers tell that calls are short; one more entry has to doubt a server for each fifty; above 48 entries another hall costs half of a server's load.

--- a/limits.go
+++ b/limits.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// ManyEntries is from how many other entries on an entry hears those of other halls less
+// often, and rather uses the backend servers of its own hall, whose load it knows better.
+const ManyEntries = 48
+
 // LimitUse is what one life of an entry used of the customers' limits, as it tells the
 // others in each heartbeat.
 type LimitUse struct {
--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -3,12 +3,17 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/runworks/runworks"
 )
 
 const (
 	// hallCost is what another hall adds to a server's score, as a part of its
 	// load: it decides between equals.
 	hallCost = 0.05
+	// farCost is the same where there are many entries: what is known of the load there is
+	// some times as old.
+	farCost = 0.5
 	// reservedSlots of each server are kept from the lowest rank of routes, where
 	// it has minSlotsToReserve.
 	reservedSlots     = 1
@@ -29,7 +34,7 @@
 	lengthMargin = 1.5
 	// minServed is how many answers have to be there before their mean duration tells
 	// that calls are short.
-	minServed = 20
+	minServed = 5
 	// lengthWeight is the weight of the newest answer in the average length.
 	lengthWeight = 0.05
 )
@@ -53,8 +58,17 @@
 	if s.served < minServed {
 		return one.Slots
 	}
-	soon := max(freeSoon, time.Duration(s.entries)*freeSoonPerPeer)
-	return one.Slots + int(float64(one.Slots)*soon.Seconds()/float64(s.duration))
+	return one.Slots + int(float64(one.Slots)*s.soon()/float64(s.duration))
+}
+
+// soon is within how many seconds a slot has to become free to count as free now.
+func (s *service) soon() float64 {
+	return max(freeSoon, time.Duration(s.entries)*freeSoonPerPeer).Seconds()
+}
+
+// outpaced says whether calls are over before the other entries hear of them.
+func (s *service) outpaced() bool {
+	return s.served >= minServed && float64(s.duration) < s.soon()
 }
 
 // reserved is how many slots of each server are kept from calls of a tier: the lowest
@@ -149,7 +163,11 @@
 		score *= float64(s.pace) / typical
 	}
 	score *= 1 + taste*draw(s.ID, d.Self)
-	if s.Hall != d.Hall {
+	switch {
+	case s.Hall == d.Hall:
+	case len(d.peers) > runworks.ManyEntries:
+		score += farCost
+	default:
 		score += hallCost
 	}
 	return score
--- a/services/dispatch/health.go
+++ b/services/dispatch/health.go
@@ -19,6 +19,10 @@
 	minFailed        = 5
 	failedFactor     = 3
 	failedSuspension = time.Second
+	// entriesPerDoubt is for how many other entries one more of them has to leave a server
+	// out before all do: a call or two broken by chance are met by some entry of a hundred
+	// all the time, and what is really lost is met by several.
+	entriesPerDoubt = 50
 )
 
 // healthy says whether calls may be sent to a server as long as others can do the
@@ -66,7 +70,7 @@
 func (d *Dispatcher) noteDoubtsLocked(now time.Time, s *server) {
 	before := s.doubted
 	switch {
-	case s.doubts == 0:
+	case s.doubts <= len(d.peers)/entriesPerDoubt:
 		s.doubted = time.Time{}
 	case s.doubted.IsZero():
 		s.doubted = now
--- a/services/dispatch/load_test.go
+++ b/services/dispatch/load_test.go
@@ -116,6 +116,8 @@
 
 const (
 	loadBeat     = 50 * time.Millisecond
+	loadPerFront = 2 * time.Millisecond
+	loadPerFar   = 5 * time.Millisecond
 	loadPause    = 250 * time.Millisecond
 	loadPatience = 2 * time.Second
 	loadDeadline = 12 * time.Second
@@ -152,18 +154,32 @@
 	l.work.Wait()
 }
 
-// tell lets all fronts hear what the others have, as heartbeats do, until ctx ends.
+// tell lets all fronts hear what the others have, as heartbeats do, until ctx ends: where
+// there are many, those of other halls less often.
 func (l *load) tell(ctx context.Context) {
-	for ctx.Err() == nil {
-		for _, from := range l.fronts {
+	halls := map[string]int{}
+	for _, front := range l.fronts {
+		halls[front.Hall]++
+	}
+	n, largest := len(l.fronts), 0
+	for _, count := range halls {
+		largest = max(largest, count)
+	}
+	far := 1
+	if n > runworks.ManyEntries && len(halls) > 1 {
+		far = max(1, int(time.Duration(n-largest)*loadPerFar/loadBeat))
+		n = largest
+	}
+	for i := 0; ctx.Err() == nil; i++ {
+		for j, from := range l.fronts {
 			load := from.Own()
 			for _, to := range l.fronts {
-				if to != from {
+				if to != from && (to.Hall == from.Hall || (i+j)%far == 0) {
 					to.Report(from.Self, load)
 				}
 			}
 		}
-		time.Sleep(loadBeat)
+		time.Sleep(max(loadBeat, time.Duration(n)*loadPerFront))
 	}
 }
 
@@ -220,6 +236,8 @@
 	datadriven.RunTest(t, "testdata/load", func(t *testing.T, d *datadriven.TestData) string {
 		l := &load{engines: map[string]*loadEngine{}}
 		var fronts, fast, slow, slots, seconds int
+		halls := 1
+		d.MaybeScanArgs(t, "halls", &halls)
 		d.ScanArgs(t, "fronts", &fronts)
 		d.ScanArgs(t, "fast", &fast)
 		d.ScanArgs(t, "slow", &slow)
@@ -228,7 +246,7 @@
 		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 			l.kinds = append(l.kinds, kindOf(t, d, line, uint64(len(l.kinds))))
 		}
-		synctest.Test(t, func(*testing.T) { l.simulate(fronts, fast, slow, slots, time.Duration(seconds)*time.Second) })
+		synctest.Test(t, func(*testing.T) { l.simulate(halls, fronts, fast, slow, slots, time.Duration(seconds)*time.Second) })
 		var out strings.Builder
 		for _, k := range l.kinds {
 			t.Logf("%s: %s", d.Cmd, k)
@@ -264,7 +282,7 @@
 }
 
 // simulate plays the load on so many engines.
-func (l *load) simulate(fronts, fast, slow, slots int, span time.Duration) {
+func (l *load) simulate(halls, fronts, fast, slow, slots int, span time.Duration) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var list []runworks.Instance
 	var running sync.WaitGroup
@@ -275,11 +293,11 @@
 		}
 		id := fmt.Sprint("s", i)
 		l.engines[id] = e
-		list = append(list, runworks.Instance{ID: id, Service: "llm", Hall: "a", Slots: slots})
+		list = append(list, runworks.Instance{ID: id, Service: "llm", Hall: fmt.Sprint(i % halls), Slots: slots})
 		running.Go(func() { e.run(ctx) })
 	}
 	for i := range fronts {
-		d := &Dispatcher{Hall: "a", Self: runworks.Incarnation(fmt.Sprint("front-", i))}
+		d := &Dispatcher{Hall: fmt.Sprint(i % halls), Self: runworks.Incarnation(fmt.Sprint("front-", i))}
 		d.Replace(list)
 		l.fronts = append(l.fronts, d)
 		running.Go(func() { d.Run(ctx) })
--- a/services/dispatch/scale_test.go
+++ b/services/dispatch/scale_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/uuid"
@@ -126,3 +127,45 @@
 	}
 	return out
 }
+
+// TestShortCallsTakeNoTurns sends a call that is over before others hear of it to a free
+// slot at once, whoever else said to wait for it.
+func TestShortCallsTakeNoTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(6)
+		for i := range minServed {
+			lease := taken(t, d, fmt.Sprint("short", i))
+			time.Sleep(25 * time.Millisecond)
+			lease.Release(Served)
+		}
+		for i := range 20 {
+			d.Report(runworks.Incarnation(fmt.Sprint("rival-", i)), runworks.EntryLoad{Waiting: runworks.WaitingCalls{"llm": {Rank: 0, Calls: 1000}}})
+		}
+		d.Report("busy", runs(runworks.RunningCalls{"s0": 5}))
+		d.Own() // the others know by now of the slots that calls left here
+		is.Equal(len(acquired(d, ask("short", 0))), 1)
+	})
+}
+
+// TestManyEntriesDoubtTogether leaves a server out for the word of one other entry where
+// there are few, and of some where there are many.
+func TestManyEntriesDoubtTogether(t *testing.T) {
+	for _, c := range []struct{ entries, needed int }{{4, 1}, {29, 1}, {102, 3}, {360, 8}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			d := newDispatcher(9, 9)
+			life := func(i int) runworks.Incarnation { return runworks.Incarnation(fmt.Sprint("life-", i)) }
+			for i := range c.entries {
+				d.Report(life(i), runworks.EntryLoad{})
+			}
+			for i := range c.needed {
+				is.True(d.servers["s0"].doubted.IsZero())
+				d.Report(life(i), runworks.EntryLoad{LeftOut: []string{"s0"}})
+			}
+			is.True(!d.servers["s0"].doubted.IsZero())
+			d.Report(life(0), runworks.EntryLoad{})
+			is.True(d.servers["s0"].doubted.IsZero())
+		})
+	}
+}
--- a/services/dispatch/turn.go
+++ b/services/dispatch/turn.go
@@ -24,6 +24,9 @@
 // number of calls that wait. A slot that the entry's own call left is its own until
 // the others are told.
 func (d *Dispatcher) turns(now time.Time, s *service, open []*server) []*server {
+	if s.outpaced() {
+		return open
+	}
 	var mine runworks.WaitingCall
 	mine.Rank, mine.Calls = s.queue.First()
 	rivals := d.rivals(s.name, mine.Rank)
