Fronts of other halls hear less often where there are many

Cause: what is known of slots grows old with the number of fronts: 0.2 s with 103 that all hear all.

Ruled out: all twice as often (processor time and bytes between halls as much more).

Change: above 48 others a front's heartbeats go to those of its own hall as if there were no others, every 2 ms for each, and to the rest every 5 ms for each of those. What near fronts were told of customers' limits in between goes with the next heartbeat to all. Frames that tell names or changes go to all at once. Whole numbers of tokens take 3 or 5 bytes.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -146,7 +146,7 @@
 		return nil, err
 	}
 	dial := tcp.Options{Silence: s.Silence}.Dial
-	self := peers.Member{Name: s.Name, Address: address, Incarnation: runworks.NewIncarnation()}
+	self := peers.Member{Name: s.Name, Address: address, Hall: s.Hall, Incarnation: runworks.NewIncarnation()}
 	d.dispatcher = &dispatch.Dispatcher{Self: self.Incarnation, Hall: s.Hall, OnSuspend: d.onSuspend, OnSilent: d.onSilent, OnDoubt: d.onDoubt}
 	d.quota = &quota.Quota{Self: self.Incarnation, Window: s.QuotaWindow, Started: time.Now()}
 	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack, Started: time.Now(), Window: s.RetryWindow}
--- /dev/null
+++ b/services/peers/far_test.go
@@ -0,0 +1,80 @@
+package peers
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/rpc"
+	"github.com/runworks/runworks/standin/memnet"
+)
+
+// pretendMany makes an entry believe that it hears so many others of a hall, for a while.
+func (e *entry) pretendMany(n int, hall string) {
+	e.Exchange.mu.Lock()
+	defer e.Exchange.mu.Unlock()
+	for i := range n {
+		id := runworks.Incarnation(fmt.Sprint("pretended-", i))
+		e.Exchange.heard[id] = &life{name: string(id), hall: hall, last: time.Now().Add(time.Hour)}
+	}
+}
+
+// TestFarEntriesHearLessOften tells an entry of the same hall each change within a
+// heartbeat, and one of another hall some later, where there are many. What a heartbeat
+// told of the limits to near entries alone reaches the far ones with their next.
+func TestFarEntriesHearLessOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := memnet.New(time.Millisecond)
+		var mu sync.Mutex
+		var news runworks.LimitUse
+		list := map[string]*entry{}
+		for name, hall := range map[string]string{"a": "here", "near": "here", "far": "there"} {
+			x := &Exchange{
+				Self: Member{Name: name, Address: name + ":1", Hall: hall, Incarnation: runworks.Incarnation(name + "-life")},
+				Dial: network.Dialer(name), Keys: rpc.FleetKeys{"key"},
+			}
+			if name == "a" {
+				x.News = func() runworks.LimitUse {
+					mu.Lock()
+					defer mu.Unlock()
+					out := news
+					news = runworks.LimitUse{Version: news.Version}
+					return out
+				}
+			}
+			list[name] = startWith(t, network, x)
+		}
+		a := list["a"]
+		a.SetMembers([]Member{list["near"].Self, list["far"].Self})
+		time.Sleep(time.Second)
+		a.pretendMany(runworks.ManyEntries+12, "there")
+		time.Sleep(time.Second)
+		for n := 1; n <= 20; n++ {
+			mu.Lock()
+			news = runworks.LimitUse{Version: int64(n), Customers: map[string]runworks.CustomerUse{"c": {Drawn: float64(n)}, fmt.Sprint("c", n%3): {Drawn: float64(n)}}}
+			mu.Unlock()
+			a.tell(n)
+			time.Sleep(DefaultEvery + 5*time.Millisecond)
+			is.Equal(list["near"].runsAt("a"), n)
+			is.True(list["far"].runsAt("a") >= n-7) // 61 entries there, 5 ms each
+			time.Sleep(DefaultEvery / 3)
+		}
+		is.True(list["far"].beats < list["near"].beats/2)
+		time.Sleep(time.Second)
+		is.Equal(list["far"].runsAt("a"), 20)
+		is.Equal(list["far"].limits, map[string]float64{"c": 20, "c0": 18, "c1": 19, "c2": 20})
+		is.Equal(list["near"].limits, list["far"].limits)
+		for _, e := range list {
+			e.cancel()
+			_ = e.server.Close()
+		}
+		network.Close()
+		time.Sleep(time.Minute)
+	})
+}
--- a/services/peers/frame.go
+++ b/services/peers/frame.go
@@ -94,9 +94,29 @@
 	told  int
 }
 
-// encode gives the frame of a heartbeat, and whether it tells names, so that it must be
-// sent.
-func (e *encoder) encode(b *Beat) (data []byte, names bool, err error) {
+// shortly encodes whole numbers of tokens in 3 or 5 bytes in place of 9.
+var shortly = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16}.EncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
+// encode gives the frame of a heartbeat on the wire.
+func (e *encoder) encode(b *Beat) ([]byte, error) { return e.frame(b).encode() }
+
+// encode gives the frame on the wire.
+func (f *frame) encode() ([]byte, error) {
+	data, err := shortly.Marshal(f)
+	if err != nil {
+		return nil, errorx.Decorate(err, "encode the heartbeat")
+	}
+	return data, nil
+}
+
+// frame gives the frame of a heartbeat; if it tells names, all have to get it.
+func (e *encoder) frame(b *Beat) *frame {
 	if e.numbers == nil || len(e.names) > maxNames {
 		e.numbers, e.names, e.told = make(map[string]int), nil, 0
 	}
@@ -105,27 +125,34 @@
 		f.Positions = append(f.Positions, frameCount{Name: e.number(string(subject)), N: n})
 	}
 	slices.SortFunc(f.Positions, byName)
-	f.Running = e.counts(b.Load.Running)
-	f.Failed = e.counts(b.Load.Failed)
-	f.Reading = e.counts(b.Load.Reading)
-	for _, id := range b.Load.LeftOut {
+	e.load(f, &b.Load)
+	f.Limits = frameLimits{Version: b.Limits.Version, Records: b.Limits.Records, Complete: b.Limits.Complete, Customers: e.uses(b.Limits.Customers)}
+	f.Names = e.names[e.told:]
+	e.told = len(e.names)
+	return f
+}
+
+// load puts what an entry runs, and what waits there, into a frame.
+func (e *encoder) load(f *frame, load *runworks.EntryLoad) {
+	f.Running = e.counts(load.Running)
+	f.Failed = e.counts(load.Failed)
+	f.Reading = e.counts(load.Reading)
+	for _, id := range load.LeftOut {
 		f.LeftOut = append(f.LeftOut, e.number(id))
 	}
-	for service, w := range b.Load.Waiting {
+	for service, w := range load.Waiting {
 		f.Waiting = append(f.Waiting, frameWaiting{Service: e.number(service), Rank: w.Rank, Calls: w.Calls})
 	}
 	slices.SortFunc(f.Waiting, func(a, b frameWaiting) int { return a.Service - b.Service })
-	f.Limits = frameLimits{Version: b.Limits.Version, Records: b.Limits.Records, Complete: b.Limits.Complete}
-	for customer, u := range b.Limits.Customers {
-		f.Limits.Customers = append(f.Limits.Customers, frameUse{Customer: e.number(customer), Drawn: u.Drawn, Used: u.Used, Held: u.Held})
-	}
-	slices.SortFunc(f.Limits.Customers, func(a, b frameUse) int { return a.Customer - b.Customer })
-	f.Names = e.names[e.told:]
-	e.told = len(e.names)
-	if data, err = cbor.Marshal(f); err != nil {
-		return nil, false, errorx.Decorate(err, "encode the heartbeat")
+}
+
+func (e *encoder) uses(list map[string]runworks.CustomerUse) []frameUse {
+	out := make([]frameUse, 0, len(list))
+	for customer, u := range list {
+		out = append(out, frameUse{Customer: e.number(customer), Drawn: u.Drawn, Used: u.Used, Held: u.Held})
 	}
-	return data, len(f.Names) > 0, nil
+	slices.SortFunc(out, func(a, b frameUse) int { return a.Customer - b.Customer })
+	return out
 }
 
 func (e *encoder) changes(list []Change) []frameChange {
@@ -194,14 +221,7 @@
 	for _, p := range f.Positions {
 		b.Positions[Subject(r.name(p.Name))] = p.N
 	}
-	b.Load = runworks.EntryLoad{Running: r.counts(f.Running), Failed: r.counts(f.Failed), Reading: r.counts(f.Reading)}
-	for _, n := range f.LeftOut {
-		b.Load.LeftOut = append(b.Load.LeftOut, r.name(n))
-	}
-	b.Load.Waiting = make(runworks.WaitingCalls, len(f.Waiting))
-	for _, w := range f.Waiting {
-		b.Load.Waiting[r.name(w.Service)] = runworks.WaitingCall{Rank: w.Rank, Calls: w.Calls}
-	}
+	r.load(&b.Load, f)
 	b.Limits = runworks.LimitUse{Version: f.Limits.Version, Records: f.Limits.Records, Complete: f.Limits.Complete}
 	b.Limits.Customers = make(map[string]runworks.CustomerUse, len(f.Limits.Customers))
 	for _, u := range f.Limits.Customers {
@@ -227,6 +247,18 @@
 	return r.names[n]
 }
 
+// load takes what an entry runs, and what waits there, from a frame.
+func (r *namer) load(load *runworks.EntryLoad, f *frame) {
+	*load = runworks.EntryLoad{Running: r.counts(f.Running), Failed: r.counts(f.Failed), Reading: r.counts(f.Reading)}
+	for _, n := range f.LeftOut {
+		load.LeftOut = append(load.LeftOut, r.name(n))
+	}
+	load.Waiting = make(runworks.WaitingCalls, len(f.Waiting))
+	for _, w := range f.Waiting {
+		load.Waiting[r.name(w.Service)] = runworks.WaitingCall{Rank: w.Rank, Calls: w.Calls}
+	}
+}
+
 func (r *namer) changes(list []frameChange) []Change {
 	var out []Change
 	for _, c := range list {
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -48,6 +49,10 @@
 	// entries, so that their cost to an entry stays bounded: it hears five hundred a
 	// second at most.
 	everyPerPeer = 2 * time.Millisecond
+	// farPerPeer is the same for each entry of another hall where there are many
+	// (runworks.ManyEntries): most calls stay in their hall, so what is known there may be
+	// older.
+	farPerPeer = 5 * time.Millisecond
 	// quietEvery is the time between heartbeats with nothing new, well below what
 	// counts as silence.
 	quietEvery = 250 * time.Millisecond
@@ -64,7 +69,9 @@
 type Member struct {
 	Name string `json:"name"`
 	// Address is host:port for the other entries.
-	Address     string               `json:"address"`
+	Address string `json:"address"`
+	// Hall is where it stands; empty from versions that do not tell it.
+	Hall        string               `json:"hall,omitempty"`
 	Incarnation runworks.Incarnation `json:"incarnation"`
 }
 
@@ -116,6 +123,10 @@
 	// it guards encoder.
 	telling sync.Mutex
 	encoder encoder
+	// untold is what far entries were not told yet of the customers' limits, and farTold when
+	// they were told last.
+	untold  map[string]runworks.CustomerUse
+	farTold time.Time
 	mu      sync.Mutex
 	// ctx ends with Run; connections may be asked for before it.
 	ctx   context.Context
@@ -132,6 +143,7 @@
 // life is what is known of another entry's incarnation.
 type life struct {
 	name string
+	hall string
 	last time.Time
 	// storeLost is its word that it could not read the store of late.
 	storeLost bool
@@ -157,24 +169,54 @@
 }
 
 // tell sends a heartbeat, unless it says the same as the last one and need not be sent;
-// it gives the frame that it sent.
+// it gives the frame that it sent. Far entries get every some only, with all that is new
+// since.
 func (x *Exchange) tell(ctx context.Context, last []byte, needed bool) []byte {
 	x.telling.Lock()
 	defer x.telling.Unlock()
+	now := time.Now()
 	beat := x.Beat()
 	beat.From, beat.Limits, beat.Changes = x.Self, x.News(), x.takeChanges()
-	data, names, err := x.encoder.encode(&beat)
+	near, far := x.conns()
+	f := x.encoder.frame(&beat)
+	all := len(far) == 0 || now.Sub(x.farTold) >= x.farEvery() || len(f.Changes)+len(f.Names) > 0
+	if x.keepUntold(&beat, all) {
+		f.Limits.Customers = x.encoder.uses(beat.Limits.Customers)
+		needed = true
+	}
+	data, err := f.encode()
 	if err != nil {
 		x.Logger.Error("the heartbeat can't be sent", "error", err.Error())
 		return nil
 	}
-	if bytes.Equal(data, last) && !needed && !names {
+	if bytes.Equal(data, last) && !needed {
 		return nil
 	}
-	x.send(ctx, data, &beat)
+	if all {
+		near = append(near, far...)
+		x.farTold = now
+	}
+	x.send(ctx, near, data, &beat)
 	return data
 }
 
+// keepUntold keeps what a heartbeat tells near entries alone. Where it goes to all, it is
+// given what the far ones were not told; the result says whether there was anything.
+func (x *Exchange) keepUntold(beat *Beat, all bool) bool {
+	if all && len(x.untold) == 0 {
+		return false
+	}
+	if x.untold == nil {
+		x.untold = make(map[string]runworks.CustomerUse)
+	}
+	maps.Copy(x.untold, beat.Limits.Customers)
+	if !all {
+		return false
+	}
+	beat.Limits.Customers, x.untold = x.untold, nil
+	return true
+}
+
 // ctxLocked gives the context of all connections.
 func (x *Exchange) ctxLocked() context.Context {
 	if x.ctx == nil {
@@ -183,34 +225,70 @@
 	return x.ctx
 }
 
-// every is the time between heartbeats.
+// every is the time between heartbeats to near entries.
 func (x *Exchange) every() time.Duration {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.everyLocked()
+	near, _ := x.countsLocked()
+	return x.everyLocked(near)
 }
 
-func (x *Exchange) everyLocked() time.Duration {
+func (x *Exchange) everyLocked(near int) time.Duration {
 	every := x.Every
 	if every == 0 {
 		every = DefaultEvery
 	}
-	return max(every, time.Duration(len(x.heard))*everyPerPeer)
+	return max(every, time.Duration(near)*everyPerPeer)
 }
 
-// send gives a heartbeat to every entry that is connected: a frame to those that read
-// them.
-func (x *Exchange) send(ctx context.Context, data []byte, beat *Beat) {
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
-	defer cancel()
+// farEvery is the time between heartbeats to far entries.
+func (x *Exchange) farEvery() time.Duration {
 	x.mu.Lock()
-	conns := make([]*rpc.Conn, 0, len(x.links))
+	defer x.mu.Unlock()
+	return x.farEveryLocked()
+}
+
+func (x *Exchange) farEveryLocked() time.Duration {
+	near, far := x.countsLocked()
+	return max(x.everyLocked(near), time.Duration(far)*farPerPeer)
+}
+
+// countsLocked gives how many entries are near and how many far.
+func (x *Exchange) countsLocked() (near, far int) {
+	for _, one := range x.heard {
+		if x.nearLocked(one.hall) {
+			near++
+		}
+	}
+	return near, len(x.heard) - near
+}
+
+// nearLocked says whether entries of a hall get every heartbeat: all do as long as there
+// are not many.
+func (x *Exchange) nearLocked(hall string) bool {
+	return hall == x.Self.Hall || len(x.heard) <= runworks.ManyEntries
+}
+
+// conns gives the connections to near entries and to far ones.
+func (x *Exchange) conns() (near, far []*rpc.Conn) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	for _, l := range x.links {
-		if l.conn != nil {
-			conns = append(conns, l.conn)
+		switch {
+		case l.conn == nil:
+		case x.nearLocked(l.member.Hall):
+			near = append(near, l.conn)
+		default:
+			far = append(far, l.conn)
 		}
 	}
-	x.mu.Unlock()
+	return near, far
+}
+
+// send gives a heartbeat to entries that are connected: a frame to those that read them.
+func (x *Exchange) send(ctx context.Context, conns []*rpc.Conn, data []byte, beat *Beat) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
 	for _, conn := range conns {
 		var err error
 		if conn.Frames {
--- a/services/peers/readers.go
+++ b/services/peers/readers.go
@@ -81,5 +81,5 @@
 // freshLocked is within which time an entry that reads the store must have been heard. A
 // live one has sent a heartbeat by then.
 func (x *Exchange) freshLocked() time.Duration {
-	return quietEvery + 2*x.everyLocked()
+	return quietEvery + 2*x.farEveryLocked()
 }
