--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -76,9 +76,9 @@
 }
 
 // told takes what another front read from the store.
-func (d *Front) told(c *peers.Change) {
-	if w := d.watches[c.Subject]; w != nil {
-		w.Told(c.From, c.Next, c.Records)
+func (d *Front) told(from string, c *peers.Change) {
+	if w := d.watches[c.Subject]; w != nil && w.Told(c.From, c.Next, c.Records) {
+		d.Logger.Info("changes told by another front", "name", from, "subject", c.Subject, "from_offset", c.From, "offset", c.Next, "records", len(c.Records))
 	}
 }
 
@@ -200,7 +200,7 @@
 	}
 	d.budgets.SetEntries(d.exchange.Live() + 1)
 	for _, c := range b.Changes {
-		d.told(&c)
+		d.told(b.From.Name, &c)
 	}
 	for subject, position := range b.Positions {
 		d.catchUp(b.From.Name, subject, position)
