A peer that reads nothing holds up no heartbeats to others

Cause: heartbeats are written to one entry after the other; found on reading that a frozen host whose window is full would hold up those behind it until its connection is given up, contactMs later, and so make this entry look silent to all.

Ruled out: a goroutine for each connection (a hundred of them, for what takes microseconds).

--- a/modules/rpc/frames.go
+++ b/modules/rpc/frames.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/sourcegraph/jsonrpc2"
@@ -25,6 +26,9 @@
 	// maxMessage bounds what a peer may have this process hold for one message, in
 	// bytes: many times a whole state of the largest fleet.
 	maxMessage = 32 << 20
+	// frameTimeout bounds the writing of a frame, many times what it takes: a peer that does
+	// not read must not hold up those that are written to behind it.
+	frameTimeout = 300 * time.Millisecond
 )
 
 // FrameFunc takes one frame; an error closes the connection.
@@ -47,9 +51,9 @@
 	return &Conn{Conn: newConn(ctx, o, handle), objects: o, Frames: stream.frames}
 }
 
-// SendFrame writes a frame.
+// SendFrame writes a frame. After an error the connection is of no use.
 func (c *Conn) SendFrame(data []byte) error {
-	return c.objects.write(append([]byte{frameMark}, data...))
+	return c.objects.write(append([]byte{frameMark}, data...), time.Now().Add(frameTimeout))
 }
 
 // objects writes and reads messages, each behind its length: JSON texts for JSON-RPC,
@@ -68,14 +72,18 @@
 	if err != nil {
 		return errorx.Decorate(err, "encode a message")
 	}
-	return o.write(data)
+	return o.write(data, time.Time{})
 }
 
-func (o *objects) write(data []byte) error {
+// write writes a message whole, or fails; a zero deadline is none.
+func (o *objects) write(data []byte, deadline time.Time) error {
 	message := binary.AppendUvarint(make([]byte, 0, binary.MaxVarintLen64+len(data)), uint64(len(data)))
 	message = append(message, data...)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if err := o.stream.SetWriteDeadline(deadline); err != nil {
+		return err
+	}
 	_, err := o.stream.Write(message)
 	return err
 }
