--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -32,6 +32,7 @@
 		d.asking[subject] = &atomic.Bool{}
 		w.Store, w.Logger = d.store, d.Logger
 		w.Fronts = func() int { return min(d.exchange.Live()+1, peers.Readers) }
+		w.Listeners = d.exchange.Live
 		w.Reads = d.exchange.Reads
 		w.OnRead = func(from int64, page *platform.Page) { d.tell(subject, from, page) }
 	}
