Entries that tell seldom do not count as gone between two heartbeats

Cause: found while working out docs/CAPACITY.md: with 360 entries in five halls those of other halls speak every 1.4 s, and an entry counts as gone after 1.5 s. In a test of two that believe in 330 others each lost the other 11 times in 20 s.

Ruled out: a longer silence for all fleets (a lost front's calls would count longer).

Change: an entry is gone after 1.5 s, or three heartbeats that are due if that is longer: from 125 entries of other halls on.

--- a/services/peers/far_test.go
+++ b/services/peers/far_test.go
@@ -90,3 +90,32 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestFarEntriesStayHeard lets entries of a fleet of the size designed for, of which those of
+// another hall tell each other seldom, have nothing new to tell: none counts as gone.
+func TestFarEntriesStayHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := memnet.New(time.Millisecond)
+		var list []*entry
+		for _, name := range []string{"a", "b"} {
+			list = append(list, startWith(t, network, &Exchange{
+				Self: Member{Name: name, Address: name + ":1", Hall: "hall-of-" + name, Incarnation: runworks.Incarnation(name + "-life")},
+				Dial: network.Dialer(name), Keys: rpc.FleetKeys{"key"},
+			}))
+		}
+		list[0].SetMembers([]Member{list[1].Self})
+		time.Sleep(time.Second)
+		for _, e := range list {
+			e.pretendMany(330, "elsewhere")
+		}
+		time.Sleep(20 * time.Second)
+		for _, e := range list {
+			is.Equal(len(e.gone), 0)
+			e.cancel()
+			_ = e.server.Close()
+		}
+		network.Close()
+		time.Sleep(time.Minute)
+	})
+}
--- a/services/peers/hear.go
+++ b/services/peers/hear.go
@@ -111,12 +111,18 @@
 	x.OnBeat(now, b)
 }
 
+// silentLocked is when an entry that sent no heartbeat counts as gone: some that are due
+// must have been missed, also where they come seldom.
+func (x *Exchange) silentLocked() time.Duration {
+	return max(silentAfter, missedBeats*x.farEveryLocked())
+}
+
 // forgetSilent counts entries as gone that sent nothing for a while.
 func (x *Exchange) forgetSilent(now time.Time) {
 	x.mu.Lock()
 	var gone []runworks.Incarnation
 	for id, one := range x.heard {
-		if now.Sub(one.last) > silentAfter {
+		if now.Sub(one.last) > x.silentLocked() {
 			gone = append(gone, id)
 			x.Logger.Warn("entry fell silent", "name", one.name, "incarnation", id, "silent_ms", now.Sub(one.last).Milliseconds())
 			delete(x.heard, id)
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -59,6 +59,9 @@
 	// silentAfter is when an entry that sent no heartbeat counts as gone, and
 	// what it ran as ended or cut off.
 	silentAfter = 1500 * time.Millisecond
+	// missedBeats is how many heartbeats must have been missed at least: with 360 entries
+	// those of other halls come every 1.4 s, and each would count as gone again and again.
+	missedBeats = 3
 	// firstRedial and lastRedial are the waits between attempts to reach an entry.
 	firstRedial = 100 * time.Millisecond
 	lastRedial  = 2 * time.Second
