Fronts that start together do not ask the first that is complete for its count

Change: an entry asks only while a quarter of the window, two seconds at most, or more is missing.

TestStartedTogetherAskNobody fails without it.

--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -196,7 +196,7 @@
 func (d *Front) onBeat(now time.Time, b *peers.Beat) {
 	d.dispatcher.Report(b.From.Incarnation, b.Load)
 	d.quota.Report(now, b.From.Incarnation, b.Limits)
-	if b.Limits.Complete && !d.quota.Complete(now) && d.exchange.Connected(b.From.Name) {
+	if b.Limits.Complete && d.quota.Asks(now) && d.exchange.Connected(b.From.Name) {
 		d.ask(peers.SubjectLimits, func() { d.learnLimits(b.From.Name) })
 	}
 	d.budgets.SetEntries(d.exchange.Live() + 1)
--- a/services/quota/quota.go
+++ b/services/quota/quota.go
@@ -19,6 +19,11 @@
 	// untoldWait is when a caller comes back that was refused before that: a record is
 	// read within some milliseconds.
 	untoldWait = 100 * time.Millisecond
+	// minMissing is how much of the window must be missing for another entry's count to be
+	// worth asking for. Where all entries start at once, the first that has counted a whole
+	// window would be asked by all others, which have counted theirs a moment later: a
+	// hundred states of some MB kept a small host from its calls for more than three seconds.
+	minMissing = 2 * time.Second
 	// rateSpan is the span, in grains, from which is told how fast an entry draws.
 	rateSpan = 5
 	// DefaultWindow is the span over which a limit is counted.
--- a/services/quota/tell.go
+++ b/services/quota/tell.go
@@ -184,11 +184,12 @@
 	return true
 }
 
-// Complete says whether nothing of the window is missing here.
-func (q *Quota) Complete(now time.Time) bool {
+// Asks says whether so much of the window is missing here that another entry's count of it
+// is worth asking for.
+func (q *Quota) Asks(now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.completeLocked(now)
+	return !q.completeLocked(now) && q.window()-now.Sub(q.Started) >= min(minMissing, q.window()/4)
 }
 
 // takeLives takes the use of each life that is told newer than it is known.
--- a/services/quota/tell_test.go
+++ b/services/quota/tell_test.go
@@ -141,3 +141,17 @@
 	is.True(told) // that nothing is held any more
 	is.Equal(use.Held, 0.0)
 }
+
+// TestStartedTogetherAskNobody lets a new entry ask the others for what they counted, but
+// not shortly before it has counted a whole window itself, nor when it was told.
+func TestStartedTogetherAskNobody(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	q := &Quota{Self: "new", Started: start}
+	is.True(q.Asks(start))
+	is.True(q.Asks(start.Add(DefaultWindow - minMissing)))
+	is.True(!q.Asks(start.Add(DefaultWindow - minMissing + time.Millisecond)))
+	is.True(!q.Asks(start.Add(DefaultWindow)))
+	is.True(q.TakeState(start.Add(time.Second), &runworks.LimitState{Complete: true}))
+	is.True(!q.Asks(start.Add(time.Second)))
+}
