A server's life is its id and its start; records of other writers name no engine

Cause: an engine may start again under its id, and an entry on the store may come from another writer. All that a front believes hung on the id: slots, paces, what is unread, failures, doubts, silence, the servers that had a call; calls of a life that was over waited for a silence. A record without service or address counted as a server, and one that broke left the last good one in use.

Ruled out: lives told apart by seq (it begins anew, and a late record of the old life has the higher one); by offset (the late record is the newer one). A field of its own in heartbeats would break frames of the last version; the life is the name under which loads are told, and a bare id from an older version stands for the newest life.

Change: Instance.Born and Life; the list keeps the newest start of each id also when its record goes; a new life has a new server, calls of the old one are told 100 ms later, its idle connections are closed. Records are checked field by field; what fails is logged and counted, takes its own server out of use and no other. Servers of services that no route names wait for one that does.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -61,6 +61,10 @@
 	serversMu sync.Mutex
 	servers   platform.Servers
 	lapses    dispatch.Lapses
+	// unnamed are the lives of servers whose services no route names, as they were told of.
+	unnamed map[string]bool
+	// pool keeps the connections to backend servers.
+	pool *httpconn.Pool
 	// ctx ends with Run.
 	ctx     context.Context
 	store   *platform.Store
@@ -151,9 +155,10 @@
 	d.quota = &quota.Quota{Self: self.Incarnation, Window: s.QuotaWindow, Started: time.Now()}
 	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack, Started: time.Now(), Window: s.RetryWindow}
 	d.opened = make(chan struct{})
+	d.pool = &httpconn.Pool{Dial: dial, Recognise: platform.Recognise}
 	d.forwarder = &forward.Forwarder{
 		Opened: d.opened, Dispatcher: d.dispatcher, Quota: d.quota, Budgets: d.budgets, Logger: d.Logger, Metrics: d.metrics, Tracer: tracer,
-		Sender: &platform.Sender{Pool: &httpconn.Pool{Dial: dial, Recognise: platform.Recognise}},
+		Sender: &platform.Sender{Pool: d.pool},
 	}
 	d.front = &platform.Front{Forwarder: d.forwarder, Logger: d.Logger, MaxBodyBytes: s.MaxBodyBytes}
 	d.store = &platform.Store{Address: s.Store, Client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}}}
--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/metrics"
 	"github.com/runworks/runworks/modules/pause"
 	"github.com/runworks/runworks/platform"
 	"github.com/runworks/runworks/services/peers"
@@ -143,27 +144,66 @@
 		}
 		d.forwarder.Table.Store(route.NewTable(routing))
 		d.takeHeld()
+		d.servicesChanged()
 		d.Logger.Info("routing in force", "routing_version", routing.Version, "routes", len(routing.Routes), "customers", len(routing.Customers))
 	}
 }
 
 // onServers puts the list of backend servers in force.
-func (d *Front) onServers(records []platform.Record, take func([]platform.Record) error) {
+func (d *Front) onServers(records []platform.Record, take func([]platform.Record) []platform.BadRecord) {
 	d.serversMu.Lock()
 	defer d.serversMu.Unlock()
-	if err := take(records); err != nil {
-		d.Logger.Error("the record of a backend server can't be read", "error", err.Error())
+	for _, bad := range take(records) {
+		d.noteBadRecord(bad)
 	}
 	d.putServers()
 	d.listed.Store(true)
 	d.takeHeld()
 }
 
+// noteBadRecord counts and logs a record that names no backend server to use.
+func (d *Front) noteBadRecord(bad platform.BadRecord) {
+	metrics.Count(d.metrics.BadRecords)
+	d.Logger.Error("record names no backend server to use", "key", bad.Key, "error", bad.Err.Error())
+}
+
+// servicesChanged looks again for servers whose services are routed to.
+func (d *Front) servicesChanged() {
+	d.serversMu.Lock()
+	defer d.serversMu.Unlock()
+	if d.listed.Load() {
+		d.putServers()
+	}
+}
+
+// named gives the servers of the services that the routing names. The others are told of
+// once, and kept for a routing that names theirs.
+func (d *Front) named(list []runworks.Instance) []runworks.Instance {
+	table := d.forwarder.Table.Load()
+	if table == nil {
+		return list
+	}
+	unnamed := make(map[string]bool)
+	out := list[:0]
+	for _, one := range list {
+		if table.Serves(one.Service) {
+			out = append(out, one)
+			continue
+		}
+		unnamed[one.Life()] = true
+		if !d.unnamed[one.Life()] {
+			d.noteBadRecord(platform.BadRecord{Key: one.ID, Err: errorx.Decorate(runworks.ErrUnknownService, "%.100s", one.Service)})
+		}
+	}
+	d.unnamed = unnamed
+	return out
+}
+
 // putServers puts the list in force, and again when the time of those is over whose
 // records the store may have lost.
 func (d *Front) putServers() {
-	list, again := d.lapses.Merge(time.Now(), d.servers.List())
-	added, left := d.dispatcher.Replace(list)
+	list, again := d.lapses.Merge(time.Now(), d.named(d.servers.List()))
+	change := d.dispatcher.Replace(list)
 	if again > 0 {
 		d.Logger.Warn("records of many backend servers went at once, kept for a while", "known", len(list), "for_ms", again.Milliseconds())
 		d.work.Go(func() {
@@ -173,11 +213,15 @@
 			d.putServers()
 		})
 	}
-	for _, one := range added {
-		d.Logger.Info("backend server known", "server", one.ID, "service", one.Service, "address", one.Address, "hall", one.Hall, "leaving", one.Leaving)
+	for _, one := range change.Added {
+		d.Logger.Info("backend server known", "server", one.ID, "born", one.Born, "service", one.Service, "address", one.Address, "hall", one.Hall, "leaving", one.Leaving)
+	}
+	for _, one := range change.Left {
+		d.Logger.Info("backend server leaves", "server", one.ID, "born", one.Born, "service", one.Service, "address", one.Address)
 	}
-	for _, one := range left {
-		d.Logger.Info("backend server leaves", "server", one.ID, "service", one.Service, "address", one.Address)
+	for _, one := range change.Ended {
+		d.pool.Forget(one.Address)
+		d.Logger.Warn("backend server started again, its calls are lost", "server", one.ID, "born", one.Born, "service", one.Service, "address", one.Address)
 	}
 }
 
--- a/modules/httpconn/pool.go
+++ b/modules/httpconn/pool.go
@@ -122,9 +122,23 @@
 	p.idle = nil
 	p.mu.Unlock()
 	for _, list := range idle {
-		for _, c := range list {
-			_ = c.Close()
-		}
+		closeAll(list)
+	}
+}
+
+// Forget closes the unused connections to an address: the server behind them is gone, and
+// a request that is sent on one of them would be lost.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	closeAll(list)
+}
+
+func closeAll(list []*conn) {
+	for _, c := range list {
+		_ = c.Close()
 	}
 }
 
--- a/modules/httpconn/pool_test.go
+++ b/modules/httpconn/pool_test.go
@@ -306,3 +306,26 @@
 	is.Equal(arrivals.Load(), int32(1))
 	is.Equal(s.conns.Load(), int32(1))
 }
+
+// TestForget closes the unused connections to an address: the next request opens one.
+func TestForget(t *testing.T) {
+	is := is.New(t)
+	s := serveConns(t, func(c net.Conn, br *bufio.Reader, _ int32) {
+		for readRequest(br) {
+			_, _ = io.WriteString(c, whole)
+		}
+	})
+	p := newPool()
+	defer p.Close()
+	for range 2 {
+		_, err := get(t, p, s)
+		is.NoErr(err)
+	}
+	is.Equal(s.conns.Load(), int32(1))
+	p.Forget("127.0.0.1:1")
+	p.Forget(s.address)
+	<-s.closed
+	_, err := get(t, p, s)
+	is.NoErr(err)
+	is.Equal(s.conns.Load(), int32(2))
+}
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -45,6 +45,8 @@
 	Dropped metric.Int64Counter
 	// ControlBytes counts bytes on control connections, by direction.
 	ControlBytes metric.Int64Counter
+	// BadRecords counts records on the store that name no backend server to use.
+	BadRecords metric.Int64Counter
 	// Keys counts claims of idempotency keys by verdict.
 	Keys metric.Int64Counter
 }
@@ -74,6 +76,7 @@
 		WastedTokens:     b.counter("runworks.wasted_prompt_tokens", "prompt tokens given to an engine and thrown away"),
 		Dropped:          b.counter("runworks.answers_dropped", "answers that nobody waited for"),
 		ControlBytes:     b.counter("runworks.control_bytes", "bytes on control connections, by direction"),
+		BadRecords:       b.counter("runworks.records_refused", "records on the store that name no backend server to use"),
 		Keys:             b.counter("runworks.keys", "claims of idempotency keys, by verdict"),
 	}
 	return s, b.err
--- a/route.go
+++ b/route.go
@@ -1,6 +1,7 @@
 package runworks
 
 import (
+	"strconv"
 	"time"
 )
 
@@ -95,8 +96,10 @@
 
 // Instance is one life of a discovered backend server.
 type Instance struct {
-	// ID is the incarnation, new at every start.
+	// ID names the server; a start may keep it.
 	ID string
+	// Born tells lives of one ID apart, the newest being the highest; 0 is not told.
+	Born int64
 	// Service is the service it belongs to.
 	Service string
 	// Address is host:port.
@@ -108,3 +111,12 @@
 	// Leaving says that it gets no new calls.
 	Leaving bool
 }
+
+// Life names this life of the backend server among all entries: what one learned of a life
+// must not count for the next.
+func (i *Instance) Life() string {
+	if i.Born == 0 {
+		return i.ID
+	}
+	return i.ID + "/" + strconv.FormatInt(i.Born, 10)
+}
--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -132,7 +132,7 @@
 	fitting := !w.late && w.fits || s.fitsAny(now, o, ask, canWait)
 	var out []*server
 	for _, one := range open {
-		if slices.Contains(ask.Avoid, one.ID) || s.free(one, tier) <= 0 {
+		if slices.Contains(ask.Avoid, one.life) || s.free(one, tier) <= 0 {
 			continue
 		}
 		if float64(one.pace) > fastest*paceTolerance && s.expected(one, ask) > left {
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -46,7 +46,7 @@
 	Patience time.Time
 	// Deadline is when the call is given up.
 	Deadline time.Time
-	// Avoid are the ids of the servers that had the call already.
+	// Avoid are the lives of the servers that had the call already.
 	Avoid []string
 }
 
@@ -68,8 +68,10 @@
 	// and when none does any more; nil tells nobody. It must not wait.
 	OnDoubt func(server runworks.Instance, entries int)
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// servers holds the servers by their lives, and newest by their ids.
 	servers  map[string]*server
+	newest   map[string]*server
 	services map[string]*service
 	peers    map[runworks.Incarnation]runworks.EntryLoad
 }
@@ -216,7 +218,9 @@
 		to.take(now)
 		to.reading += w.ask.PromptTokens
 		s.noteStart(t.Tier)
-		w.lease <- &Lease{Instance: to.Instance, dispatcher: d, server: to, service: s.name, routeRank: routeRank(t.Tier), began: now, reading: w.ask.PromptTokens}
+		lease := &Lease{Instance: to.Instance, dispatcher: d, server: to, service: s.name, routeRank: routeRank(t.Tier), began: now, reading: w.ask.PromptTokens}
+		to.leases[lease] = struct{}{}
+		w.lease <- lease
 	}
 	for _, w := range passed {
 		if !d.waitLocked(s, w) {
@@ -228,7 +232,7 @@
 // any says whether a backend server is known that the call may go to.
 func (s *service) any(ask *Ask) bool {
 	for _, one := range s.servers {
-		if !one.Leaving && !slices.Contains(ask.Avoid, one.ID) {
+		if !one.Leaving && !slices.Contains(ask.Avoid, one.life) {
 			return true
 		}
 	}
--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -171,7 +171,7 @@
 		d := newDispatcher(4, 4)
 		list := instances(4, 4)
 		list[0].Leaving = true
-		_, left := d.Replace(list)
+		left := d.Replace(list).Left
 		is.Equal(len(left), 1)
 		for i := range 4 {
 			is.Equal((<-acquired(d, ask(fmt.Sprint(i), 0))).Instance.ID, "s1")
@@ -186,7 +186,7 @@
 			is.Equal(lease.Instance.ID, "p1")
 			lease.Release(Unreachable)
 		}
-		_, left = d.Replace(list[:1])
+		left = d.Replace(list[:1]).Left
 		ids := []string{left[0].ID, left[1].ID}
 		slices.Sort(ids)
 		is.Equal(ids, []string{"p1", "s1"})
--- a/services/dispatch/fleet.go
+++ b/services/dispatch/fleet.go
@@ -8,37 +8,62 @@
 	"github.com/runworks/runworks/services/ticket"
 )
 
+// FleetChange tells what a new list of backend servers changed.
+type FleetChange struct {
+	// Added are the servers that are new, and Left those that leave or are gone.
+	Added, Left []runworks.Instance
+	// Ended are the lives that are over, as their servers started again.
+	Ended []runworks.Instance
+}
+
 // Replace puts the list of backend servers in force. A server that is on it no
-// more is leaving: what it runs goes on, and it gets nothing new. The result
-// holds the instances that are new, and those that left.
-func (d *Dispatcher) Replace(list []runworks.Instance) (added, left []runworks.Instance) {
+// more is leaving: what it runs goes on, and it gets nothing new. Of one that started
+// again nothing is known, and the calls that its last life had are told so.
+func (d *Dispatcher) Replace(list []runworks.Instance) FleetChange {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	var out FleetChange
 	old := d.servers
 	d.servers = make(map[string]*server, len(list))
+	d.newest = make(map[string]*server, len(list))
 	for _, one := range list {
-		s := old[one.ID]
+		life := one.Life()
+		s := old[life]
 		if s == nil {
-			s = &server{}
-			added = append(added, one)
+			s = &server{life: life}
+			out.Added = append(out.Added, one)
 		} else if one.Leaving && !s.Leaving {
-			left = append(left, one)
+			out.Left = append(out.Left, one)
 		}
 		s.Instance = one
-		d.servers[one.ID] = s
-	}
-	for id, s := range old {
-		if d.servers[id] == nil {
-			if !s.Leaving {
-				left = append(left, s.Instance)
-			}
-			s.Leaving = true
+		d.servers[life] = s
+		d.newest[one.ID] = s
+	}
+	for life, s := range old {
+		if d.servers[life] != nil {
+			continue
+		}
+		if d.newest[s.ID] != nil {
+			out.Ended = append(out.Ended, s.Instance)
+			s.end()
+		} else if !s.Leaving {
+			out.Left = append(out.Left, s.Instance)
 		}
+		s.Leaving = true
 	}
 	d.regroupLocked()
 	// What the others run counts before any call is placed.
 	d.shareLocked()
-	return added, left
+	return out
+}
+
+// find gives the server that another entry names: a life, or of entries of older versions
+// an id, which stands for the newest life.
+func (d *Dispatcher) find(name string) *server {
+	if s := d.servers[name]; s != nil {
+		return s
+	}
+	return d.newest[name]
 }
 
 // regroupLocked deals the servers out to their services again.
@@ -77,19 +102,19 @@
 	defer d.mu.Unlock()
 	out := runworks.EntryLoad{Running: make(runworks.RunningCalls), Waiting: make(runworks.WaitingCalls), Failed: map[string]int{}, Reading: map[string]int{}}
 	now := time.Now()
-	for id, s := range d.servers {
+	for life, s := range d.servers {
 		s.vacated = 0
 		if s.failing(now, d.services[s.Service]) {
-			out.LeftOut = append(out.LeftOut, id)
+			out.LeftOut = append(out.LeftOut, life)
 		}
 		if s.own > 0 {
-			out.Running[id] = s.own
+			out.Running[life] = s.own
 		}
 		if s.reading >= minReadingTold {
-			out.Reading[id] = s.reading
+			out.Reading[life] = s.reading
 		}
 		if s.failed > 0 {
-			out.Failed[id] = s.failed
+			out.Failed[life] = s.failed
 		}
 	}
 	slices.Sort(out.LeftOut)
@@ -131,7 +156,7 @@
 	d.addLocked(load, 1)
 	now := time.Now()
 	for _, id := range slices.Concat(old.LeftOut, load.LeftOut) {
-		if s := d.servers[id]; s != nil {
+		if s := d.find(id); s != nil {
 			d.noteDoubtsLocked(now, s)
 		}
 	}
@@ -169,22 +194,22 @@
 // times says: -1 takes it back.
 func (d *Dispatcher) addLocked(load *runworks.EntryLoad, times int) {
 	for id, n := range load.Running {
-		if s := d.servers[id]; s != nil {
+		if s := d.find(id); s != nil {
 			s.others += times * n
 		}
 	}
 	for id, n := range load.Reading {
-		if s := d.servers[id]; s != nil {
+		if s := d.find(id); s != nil {
 			s.othersReading += times * n
 		}
 	}
 	for id, n := range load.Failed {
-		if s := d.servers[id]; s != nil {
+		if s := d.find(id); s != nil {
 			s.othersFailed += times * n
 		}
 	}
 	for _, id := range load.LeftOut {
-		if s := d.servers[id]; s != nil {
+		if s := d.find(id); s != nil {
 			s.doubts += times
 		}
 	}
@@ -193,6 +218,7 @@
 // Load is the state of one backend server for operators.
 type Load struct {
 	ID        string    `json:"id"`
+	Born      int64     `json:"born,omitempty"`
 	Service   string    `json:"service"`
 	Hall      string    `json:"hall"`
 	Slots     int       `json:"slots"`
@@ -209,7 +235,7 @@
 	out := make([]Load, 0, len(d.servers))
 	for _, s := range d.servers {
 		out = append(out, Load{
-			ID: s.ID, Service: s.Service, Hall: s.Hall, Slots: s.Slots, Own: s.own, Others: s.others,
+			ID: s.ID, Born: s.Born, Service: s.Service, Hall: s.Hall, Slots: s.Slots, Own: s.own, Others: s.others,
 			Leaving: s.Leaving, Suspended: s.suspended,
 		})
 	}
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -19,6 +19,29 @@
 	// reading is how many tokens of the call's prompt the server has still to read.
 	reading int
 	once    sync.Once
+	// onEnd is called once the server has started again.
+	onEnd func()
+}
+
+// lateAnswers is how long a call waits for what a server's last life sent, once it is known
+// to be over: some times the way within a region, so that an answer that was ready comes.
+const lateAnswers = 100 * time.Millisecond
+
+// OnEnd has f called a moment after it is known that the server started again: what it had
+// of the call is lost, and no answer comes any more. A silence tells it seconds later.
+func (l *Lease) OnEnd(f func()) {
+	l.dispatcher.mu.Lock()
+	defer l.dispatcher.mu.Unlock()
+	l.onEnd = f
+	if l.server.ended {
+		l.tellEnd()
+	}
+}
+
+func (l *Lease) tellEnd() {
+	if l.onEnd != nil {
+		time.AfterFunc(lateAnswers, l.onEnd)
+	}
 }
 
 // Release gives the slot back and says how the call ended.
@@ -28,6 +51,7 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		l.server.vacate()
+		delete(l.server.leases, l)
 		l.readLocked()
 		now := time.Now()
 		if wait := l.server.note(now, r); wait > 0 && d.OnSuspend != nil {
--- /dev/null
+++ b/services/dispatch/life_test.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
+)
+
+// bornAt gives the life of the server s0 that began at a time.
+func bornAt(born int64) runworks.Instance {
+	return runworks.Instance{ID: "s0", Born: born, Service: "llm", Hall: "a", Slots: 4}
+}
+
+// TestNewLifeBeginsAnew starts a server again under its id: nothing that was known of its
+// last life counts any more, nor what other entries still say of it.
+func TestNewLifeBeginsAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &Dispatcher{Hall: "a"}
+		d.Replace([]runworks.Instance{bornAt(100)})
+		lease := taken(t, d, "call")
+		lease.Responded()
+		lease.Pace(time.Second)
+		lost := taken(t, d, "lost")
+		lost.Release(Unreachable)
+		d.Report("other", runworks.EntryLoad{
+			Running: runworks.RunningCalls{"s0/100": 3}, Reading: map[string]int{"s0/100": 9000}, Failed: map[string]int{"s0/100": 9}, LeftOut: []string{"s0/100"},
+		})
+		old := d.servers["s0/100"]
+		is.True(!d.services["llm"].healthy(time.Now(), old))
+		is.Equal(d.Own().Running, runworks.RunningCalls{"s0/100": 1})
+		is.Equal(old.load(), 4)
+
+		change := d.Replace([]runworks.Instance{bornAt(200)})
+		is.Equal(len(change.Ended), 1)
+		is.Equal(change.Ended[0].Born, int64(100))
+		is.Equal(len(change.Added), 1)
+		is.Equal(len(change.Left), 0)
+		now := d.servers["s0/200"]
+		is.True(d.services["llm"].healthy(time.Now(), now))
+		is.Equal(now.load(), 0)
+		is.Equal(now.othersReading+now.othersFailed+now.doubts, 0)
+		is.Equal(float64(now.pace), 0.0)
+		is.Equal(len(d.Own().Running), 0) // the call of the last life is not told
+
+		d.Report("behind", runs(runworks.RunningCalls{"s0/100": 4}))
+		is.Equal(now.load(), 0)
+		d.Report("other", runs(runworks.RunningCalls{"s0/200": 2}))
+		is.Equal(now.load(), 2)
+		d.Report("older version", runs(runworks.RunningCalls{"s0": 1}))
+		is.Equal(now.load(), 3)
+		d.Forget("older version")
+		is.Equal(now.load(), 2)
+
+		again := ask("again", 0)
+		again.Avoid = []string{"s0/100"} // it had the call before it started again
+		second := <-acquired(d, again)
+		is.Equal(second.Instance.Born, int64(200))
+		lease.Release(Broken) // tells nothing of the new life
+		is.Equal(now.failures, 0)
+		is.Equal(now.own, 1)
+		second.Release(Served)
+	})
+}
+
+// TestCallsOfALifeThatEnded tells each call that a server had when it started again, a
+// moment later, for an answer that is on its way; and none that has ended.
+func TestCallsOfALifeThatEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &Dispatcher{Hall: "a"}
+		d.Replace([]runworks.Instance{bornAt(100)})
+		before, after, over := taken(t, d, "before"), taken(t, d, "after"), taken(t, d, "over")
+		var mu sync.Mutex
+		told := map[string]time.Duration{}
+		began := time.Now()
+		note := func(name string) func() {
+			return func() {
+				mu.Lock()
+				defer mu.Unlock()
+				told[name] = time.Since(began)
+			}
+		}
+		all := func() map[string]time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
+			return maps.Clone(told)
+		}
+		before.OnEnd(note("before"))
+		over.OnEnd(note("over"))
+		over.Release(Served)
+		d.Replace([]runworks.Instance{bornAt(100)})
+		time.Sleep(time.Second)
+		is.Equal(len(all()), 0)
+		began = time.Now()
+		d.Replace([]runworks.Instance{bornAt(200)})
+		after.OnEnd(note("after")) // it had not begun to listen
+		time.Sleep(time.Second)
+		is.Equal(all(), map[string]time.Duration{"before": lateAnswers, "after": lateAnswers})
+		// One that only leaves the list goes on with what it has.
+		lease := taken(t, d, "goes on")
+		lease.OnEnd(note("goes on"))
+		d.Replace(nil)
+		time.Sleep(time.Second)
+		is.Equal(len(all()), 2)
+	})
+}
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -30,6 +30,12 @@
 // server is a backend server as this entry knows it.
 type server struct {
 	runworks.Instance
+	// life is Instance.Life.
+	life string
+	// leases are those that calls of this entry hold, and ended says that the server
+	// started again since.
+	leases map[*Lease]struct{}
+	ended  bool
 	// own is how many calls of this entry it has now.
 	own int
 	// others is how many calls the other entries said they have there.
@@ -80,6 +86,9 @@
 	}
 	s.own++
 	s.vacated = max(s.vacated-1, 0)
+	if s.leases == nil {
+		s.leases = make(map[*Lease]struct{})
+	}
 }
 
 // vacate takes the slot of a call of this entry back.
@@ -88,6 +97,15 @@
 	s.vacated++
 }
 
+// end tells the calls of this entry that the server started again and knows nothing of
+// them.
+func (s *server) end() {
+	s.ended = true
+	for lease := range s.leases {
+		lease.tellEnd()
+	}
+}
+
 // room says whether the server has a free slot, as far as is known.
 func (s *server) room(now time.Time, of *service) bool {
 	return !s.Leaving && !s.moved && !now.Before(s.full) && s.load() < of.capacity(s)
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -16,9 +16,12 @@
 // attempt sends the call to one backend server. After a failure the lease is
 // given back; the failure says whether the call may have run.
 func (c *call) attempt(ctx context.Context, lease *dispatch.Lease, lastEvent string) (*runworks.ServerReply, *runworks.Failure) {
-	c.tried = append(c.tried, lease.Instance.ID)
+	c.tried = append(c.tried, lease.Instance.Life())
 	c.sends++
-	spanCtx, span := c.f.Tracer.Start(ctx, tracing.SpanBackend)
+	var cancel context.CancelCauseFunc
+	c.sending, cancel = context.WithCancelCause(ctx)
+	lease.OnEnd(func() { cancel(errStartedAgain) })
+	spanCtx, span := c.f.Tracer.Start(c.sending, tracing.SpanBackend)
 	defer span.End()
 	send := &runworks.Send{Inbound: c.in, To: lease.Instance, Left: time.Until(c.deadline), LastEvent: lastEvent, Wanted: c.wanted}
 	if c.customer != nil {
@@ -106,6 +109,8 @@
 func (c *call) broken(ctx context.Context, err error) *runworks.Failure {
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
+	} else if cause := context.Cause(c.sending); cause != nil {
+		err = errorx.Decorate(runworks.ErrBackend, "%s: %v", c.tried[len(c.tried)-1], cause)
 	}
 	return &runworks.Failure{Err: err, Outcome: runworks.OutcomeUnknown}
 }
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -58,8 +58,12 @@
 	maxTries = 12
 )
 
-// errSilent says that a server gave no answer in time.
-var errSilent = errors.New("the backend server stays silent")
+var (
+	// errSilent says that a server gave no answer in time.
+	errSilent = errors.New("the backend server stays silent")
+	// errStartedAgain says that a server's life is over, and what it had of a call lost.
+	errStartedAgain = errors.New("the backend server started again")
+)
 
 // Forwarder owns the calls of one entry; set the exported fields before use.
 type Forwarder struct {
@@ -101,10 +105,12 @@
 	deadline time.Time
 	rank     int
 
-	// tried are the servers that had the call, and ran counts those of them that
-	// may have run it.
+	// tried are the lives of the servers that had the call, and ran counts those of them
+	// that may have run it.
 	tried []string
 	ran   int
+	// sending is the context of the last attempt and its answer.
+	sending context.Context
 	// sends counts those that a byte of the call was sent to.
 	sends int
 	// verdict is what the customer's limit let the call through on, with its draw.
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -440,3 +440,34 @@
 		})
 	}
 }
+
+// TestServerThatStartedAgain ends the calls that a server had in its last life at once: one
+// that may run again goes on elsewhere, the other is told that its fate is unknown.
+func TestServerThatStartedAgain(t *testing.T) {
+	for _, name := range []string{"safe", "once", "resumable"} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := &sender{replies: []reply{{hang: true}, good}}
+			f := newForwarder(t, s, io.Discard)
+			lives := func(born int64) []runworks.Instance {
+				return []runworks.Instance{{ID: "i", Born: born, Service: "app", Slots: 4}}
+			}
+			f.Dispatcher.Replace(lives(100))
+			began := time.Now()
+			time.AfterFunc(300*time.Millisecond, func() { f.Dispatcher.Replace(lives(200)) })
+			_, text, err := serve(t.Context(), f, name)
+			is.True(time.Since(began) < 500*time.Millisecond)
+			if name != "once" {
+				is.NoErr(err)
+				is.Equal(text, "good")
+				is.Equal(s.sends[1].To.Born, int64(200)) // the new life had nothing of it
+				return
+			}
+			var failure *runworks.Failure
+			is.True(errors.As(err, &failure))
+			is.Equal(failure.Outcome, runworks.OutcomeUnknown)
+			is.True(strings.Contains(failure.Error(), errStartedAgain.Error()))
+			is.Equal(len(s.sends), 1)
+		})
+	}
+}
--- a/services/route/table.go
+++ b/services/route/table.go
@@ -17,13 +17,17 @@
 	// hosts holds the routes of each host, the longest path prefix first.
 	hosts     map[string][]*runworks.Route
 	customers map[string]*runworks.RoutedCustomer
+	services  map[string]bool
 }
 
 // NewTable builds the look-ups of a routing.
 func NewTable(r *runworks.Routing) *Table {
 	t := &Table{
 		Routing: r, hosts: map[string][]*runworks.Route{},
-		customers: map[string]*runworks.RoutedCustomer{},
+		customers: map[string]*runworks.RoutedCustomer{}, services: map[string]bool{},
+	}
+	for i := range r.Services {
+		t.services[r.Services[i].Name] = true
 	}
 	for i := range r.Routes {
 		one := &r.Routes[i]
@@ -40,6 +44,9 @@
 	return t
 }
 
+// Serves says whether the routing holds a service.
+func (t *Table) Serves(service string) bool { return t.services[service] }
+
 // Route gives the route with the longest path prefix; ErrNoRoute if there is none.
 func (t *Table) Route(host, path string) (*runworks.Route, error) {
 	for _, one := range t.hosts[host] {
--- /dev/null
+++ b/tests/platform_record_test.go
@@ -0,0 +1,146 @@
+package tests
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/runworks/runworks/standin"
+)
+
+// serverRecord is the record of a backend server of the site; a start of 0 is not told.
+func (p *platformSite) serverRecord(name string, born int64) []byte {
+	service, _, _ := strings.Cut(name, "-")
+	record := fmt.Sprintf(`{"service": %q, "address": %q, "zone": "a", "slots": 8, "state": "ready", "seq": 1, "version": "v1", "coldRemainingMs": 0`,
+		service, p.backend[name].address("standin"))
+	if born > 0 {
+		record += fmt.Sprintf(`, "born": %d`, born)
+	}
+	return []byte(record + "}")
+}
+
+// logs gives how many lines of a front's log hold all texts.
+func (p *platformSite) logs(front string, texts ...string) int {
+	n := 0
+	for line := range strings.Lines(p.fronts[front].text()) {
+		holds := true
+		for _, text := range texts {
+			holds = holds && strings.Contains(line, text)
+		}
+		if holds {
+			n++
+		}
+	}
+	return n
+}
+
+// TestPlatformForeignRecords puts records on the store that no backend server wrote: they
+// name none to use, each is logged and counted, and the others serve on.
+func TestPlatformForeignRecords(t *testing.T) {
+	is := is.New(t)
+	p := newPlatformSite(t, "front-1", "front-2")
+	good := string(p.serverRecord("app-2", 0))
+	p.backend["trap"] = start(t, "trap", "standin", "routed", "--instance", "trap")
+	trap := strings.Replace(good, p.backend["app-2"].address("standin"), p.backend["trap"].address("standin"), 1)
+	foreign := []struct{ key, value string }{
+		{"trap-1", strings.Replace(trap, `"slots": 8`, `"slots": "8"`, 1)},
+		{"trap-2", strings.Replace(trap, `"state": "ready"`, `"state": "fine"`, 1)},
+		{"trap-3", strings.Replace(trap, `"seq": 1, `, "", 1)},
+		{"trap-4", strings.Replace(trap, `"service": "app"`, `"service": "nowhere"`, 1)},
+		{"trap 5", trap},
+		{"trap-6", "\xff\xfe\x00"},
+		{"trap-7", strings.Replace(trap, `"slots": 8`, `"slots": 8, "born": "now"`, 1)},
+		{"app-1", "{"}, // in the place of one that served
+	}
+	for _, one := range foreign {
+		p.put("keyed.servers", one.key, []byte(one.value))
+	}
+	for _, front := range []string{"front-1", "front-2"} {
+		for _, one := range foreign {
+			p.until(front+" tells of "+one.key, func() bool {
+				return p.logs(front, "record names no backend server to use", fmt.Sprintf("%q", one.key)) == 1
+			})
+		}
+		p.until(front+" has dropped app-1", func() bool { return p.logs(front, "backend server leaves", `"app-1"`) == 1 })
+	}
+	before := len(p.calls("app-1"))
+	for i := range 20 {
+		c := platformCall{id: fmt.Sprintf("held-%d", i), method: http.MethodGet, target: "/safe/1", key: "yard-key"}
+		res, _, err := p.do([]string{"front-1", "front-2"}[i%2], c)
+		is.NoErr(err)
+		is.Equal(res.StatusCode, http.StatusOK)
+	}
+	is.Equal(len(p.calls("app-1")), before)
+	is.Equal(len(p.calls("trap")), 0)
+	res, err := http.Get("http://" + p.fronts["front-1"].address("operators") + "/metrics")
+	is.NoErr(err)
+	text, err := io.ReadAll(res.Body)
+	is.NoErr(err)
+	is.NoErr(res.Body.Close())
+	is.True(strings.Contains(string(text), fmt.Sprintf("\nrunworks_records_refused_total %d\n", len(foreign))))
+	p.listServer("app-2", "draining") // the only other one
+	p.until("front-1 drops app-2", func() bool { return p.logs("front-1", "backend server leaves", `"app-2"`) == 1 })
+	c := platformCall{id: "nowhere", method: http.MethodGet, target: "/safe/1", key: "yard-key"}
+	answer, _, err := p.do("front-1", c)
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusServiceUnavailable)
+	p.listServer("app-1", "ready") // it writes again
+	c.id = "again"
+	p.until("app-1 is used again", func() bool {
+		answer, _, err := p.do("front-1", c)
+		return err == nil && answer.StatusCode == http.StatusOK
+	})
+	is.Equal(len(p.calls("app-1")), before+1)
+}
+
+// TestPlatformServerStartsAgain starts a backend server again under its id while calls run
+// there: each front tells its callers at once, and calls go to the new life, whatever a
+// late record of the old one says.
+func TestPlatformServerStartsAgain(t *testing.T) {
+	is := is.New(t)
+	p := newBarePlatformSite(t)
+	p.putDocument()
+	p.backend["app-1"] = start(t, "app-1", "standin", "routed", "--instance", "app-1", "--delay", "1h")
+	old := p.serverRecord("app-1", 1000)
+	p.put("keyed.servers", "app-1", old)
+	p.startFront("front-1")
+	p.startFront("front-2")
+	p.waitReady("front-1", 2)
+	p.waitReady("front-2", 2)
+	ended := make(chan int, 2)
+	for _, front := range []string{"front-1", "front-2"} {
+		go func() {
+			res, _, err := p.do(front, platformCall{id: "lost at " + front, method: http.MethodPost, target: "/once/1", key: "yard-key"})
+			if err != nil {
+				ended <- 0
+				return
+			}
+			ended <- res.StatusCode
+		}()
+	}
+	p.until("both calls run", func() bool { return len(p.calls("app-1")) == 2 })
+	silent := p.backend["app-1"] // it goes dark: its connections stay open
+	p.backend["app-1"] = start(t, "app-1", "standin", "routed", "--instance", "app-1")
+	began := time.Now()
+	p.put("keyed.servers", "app-1", p.serverRecord("app-1", 2000))
+	for range 2 {
+		is.Equal(<-ended, http.StatusBadGateway) // nobody can tell whether they ran whole
+	}
+	is.True(time.Since(began) < 3*time.Second) // the calls have five
+	p.put("keyed.servers", "app-1", old)
+	for _, front := range []string{"front-1", "front-2"} {
+		p.until("the late record is told of", func() bool { return p.logs(front, "record names no backend server to use", "late") == 1 })
+		res, _, err := p.do(front, platformCall{id: "new at " + front, method: http.MethodPost, target: "/once/2", key: "yard-key"})
+		is.NoErr(err)
+		is.Equal(res.StatusCode, http.StatusOK)
+	}
+	is.Equal(len(p.calls("app-1")), 2)
+	var calls []standin.RoutedCall
+	is.True(getJSON("http://"+silent.address("standin")+"/calls", &calls))
+	is.Equal(len(calls), 2)
+}
--- a/tests/soak_faults_test.go
+++ b/tests/soak_faults_test.go
@@ -43,6 +43,9 @@
 			steps = append(steps, soakStep{at: at + lasts, name: fault.name + " is over", do: fault.end})
 		}
 	}
+	if s.tellsStarts() {
+		steps = append(steps, s.recordFaults()...)
+	}
 	sort.SliceStable(steps, func(i, j int) bool { return steps[i].at < steps[j].at })
 	return steps
 }
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -80,6 +80,8 @@
 	servers []*soakServer
 	clients soakClients
 	began   time.Time
+	// trap is a server that foreign records alone name; nil if there are none.
+	trap *process
 
 	mu sync.Mutex
 	// version is the newest document's, and keys those that some document held.
@@ -116,6 +118,8 @@
 type soakLife struct {
 	*process
 	id string
+	// born is when it began, as its record tells; 0 if that is not told.
+	born int64
 	// left is when it said that it leaves; zero if it did not. ranThen is how many
 	// calls it had run when the time for that was over; negative before.
 	left    time.Time
@@ -133,6 +137,9 @@
 		s.servers = append(s.servers, server)
 		s.startServer(server)
 	}
+	if s.tellsStarts() {
+		s.trap = start(t, "trap", "standin", "routed", "--instance", "trap", "--tell")
+	}
 	for i := range 3 {
 		f := &soakFront{name: fmt.Sprint("front-", i), store: newProxy(t, s.store.address("standin"))}
 		s.fronts = append(s.fronts, f)
@@ -164,22 +171,38 @@
 
 // startServer begins a new life of a backend server at its address.
 func (s *soak) startServer(server *soakServer) {
-	id := fmt.Sprintf("%s-%s-%d", server.service, server.proxy.address(), len(server.lives))
+	s.startLife(server, fmt.Sprintf("%s-%s-%d", server.service, server.proxy.address(), len(server.lives)))
+}
+
+// startLife begins a new life of a backend server under an id.
+func (s *soak) startLife(server *soakServer, id string) {
 	p := start(s.t, id, "standin", "routed", "--instance", id, "--delay", "5ms", "--tell")
 	server.proxy.aim(p.address("standin"))
-	server.lives = append(server.lives, &soakLife{process: p, id: id, ranThen: -1})
+	life := &soakLife{process: p, id: id, ranThen: -1}
+	if s.tellsStarts() {
+		life.born = int64(len(server.lives) + 1)
+	}
+	server.lives = append(server.lives, life)
 	s.list(server, "ready")
 }
 
 // list puts the record of a server's newest life on the store; an empty state drops it.
 func (s *soak) list(server *soakServer, state string) {
-	life := server.life()
 	var record []byte
 	if state != "" {
-		record = fmt.Appendf(nil, `{"service": %q, "address": %q, "zone": "a", "slots": 8, "state": %q, "seq": 1}`,
-			server.service, server.proxy.address(), state)
+		record = s.record(server, state)
+	}
+	s.put("keyed.servers", server.life().id, record)
+}
+
+// record is what a server's newest life tells of itself.
+func (s *soak) record(server *soakServer, state string) []byte {
+	record := fmt.Appendf(nil, `{"service": %q, "address": %q, "zone": "a", "slots": 8, "state": %q, "seq": 1, "version": "v1", "coldRemainingMs": 0`,
+		server.service, server.proxy.address(), state)
+	if born := server.life().born; born > 0 {
+		record = fmt.Appendf(record, `, "born": %d`, born)
 	}
-	s.put("keyed.servers", life.id, record)
+	return append(record, '}')
 }
 
 // startFront begins a new life of a front.
