--- a/tests/platform_test.go
+++ b/tests/platform_test.go
@@ -299,3 +299,34 @@
 	})
 	is.True(time.Since(left) < 5*time.Second)
 }
+
+// TestPlatformStopTakesNoLateStreams stops a front with the settings' defaults: it takes
+// streams until a balancer that asks each second has had two misses, and none that is sent
+// three seconds after the signal, as those would have to be over before its end.
+func TestPlatformStopTakesNoLateStreams(t *testing.T) {
+	is := is.New(t)
+	p := newBarePlatformSite(t)
+	p.putDocument()
+	p.addServer("app-1")
+	p.addServer("llm-1", "--delay", "10ms")
+	text := strings.Replace(p.frontSettings("front-1"), "stop_notice: 1s\n", "", 1)
+	p.fronts["front-1"] = start(t, "front-1", "runworks", "front", "--settings", p.settings("front-1", text))
+	p.waitReady("front-1", 1)
+	p.fronts["front-1"].signal(syscall.SIGTERM)
+	signalled := time.Now()
+	var last time.Duration
+	for n := 0; ; n++ {
+		sent := time.Since(signalled)
+		res, _, err := p.do("front-1", platformCall{id: fmt.Sprint("late-", n), method: http.MethodPost, target: "/chat/1?events=2", key: "yard-key"})
+		is.NoErr(err)
+		if res.StatusCode == http.StatusServiceUnavailable {
+			is.True(res.Header.Get("Retry-After") != "")
+			break
+		}
+		is.Equal(res.StatusCode, http.StatusOK)
+		last = sent
+	}
+	is.True(last > 2*time.Second)
+	is.True(last < 2800*time.Millisecond)
+	p.fronts["front-1"].waitEnd()
+}
