--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -33,9 +33,12 @@
 	lease *dispatch.Lease
 	body  io.ReadCloser
 
+	// chunk is what is read into. It and the two below are used again: an event leaves 208
+	// bytes of garbage in place of 4,435 (BenchmarkEvent of package platform).
+	chunk []byte
 	// ready are whole events that were not given to Read yet; part is the begin
 	// of the next one.
-	ready []byte
+	ready bytes.Buffer
 	part  []byte
 	// lastEvent is the id of the last whole event.
 	lastEvent string
@@ -49,26 +52,26 @@
 
 // Read implements io.Reader; io.EOF is only given behind a whole answer.
 func (s *stream) Read(p []byte) (int, error) {
-	for len(s.ready) == 0 {
+	for s.ready.Len() == 0 {
 		if s.end != nil {
 			return 0, s.end
 		}
 		s.fill()
 	}
-	n := copy(p, s.ready)
-	s.ready = s.ready[n:]
-	return n, nil
+	return s.ready.Read(p)
 }
 
 // fill reads from the server until an event is whole or the stream ends.
 func (s *stream) fill() {
-	chunk := make([]byte, streamChunk)
-	n, err := s.body.Read(chunk)
-	s.take(chunk[:n])
+	if s.chunk == nil {
+		s.chunk = make([]byte, streamChunk)
+	}
+	n, err := s.body.Read(s.chunk)
+	s.take(s.chunk[:n])
 	switch {
 	case errors.Is(err, io.EOF):
 		// What stands behind the last event is part of a whole answer.
-		s.ready = append(s.ready, s.part...)
+		s.ready.Write(s.part)
 		s.part = nil
 		s.end = io.EOF
 	case err != nil:
@@ -92,8 +95,8 @@
 			s.note(event)
 		}
 	}
-	s.ready = append(s.ready, whole...)
-	s.part = append([]byte(nil), s.part[i+len(eventEnd):]...)
+	s.ready.Write(whole)
+	s.part = append(s.part[:0], s.part[i+len(eventEnd):]...)
 }
 
 // note keeps an event's id and the time since the one before.
