Callers that come before a limit is known are told when it opens at the latest

All fronts ended at 34.1 s while the store refused the topic of the limits' record (and it alone) from 32.7 to 36.5 s. Calls were held for 250 ms, then refused with 100 ms to come back, and refused for good: 1,438 of them; 2 of 667 served in the worst two seconds.

Ruled out: the routing and the servers (read 20 ms after the start); opening the limit at once (a customer at its limit would draw once more what it drew before the end: the rule goes first).

Change: such a refusal tells when the limit opens by itself, spread by 0.3 s.

TestUntold fails without it (mutant come-back-before-the-limit-opens).

--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -24,6 +24,8 @@
 const (
 	// retryNotReady is about the time that an entry needs to read its state.
 	retryNotReady = time.Second
+	// retryNotReadySpread keeps those who came too early from coming back all at once.
+	retryNotReadySpread = 300 * time.Millisecond
 	// retryShort and retrySpread bound the wait after a shortage: a burst lasts a
 	// few seconds, and those who come back must not make the next one.
 	retryShort  = 1500 * time.Millisecond
@@ -194,7 +196,7 @@
 	v := c.f.Quota.Take(now, c.customer, tokens)
 	switch {
 	case v.Untold:
-		return runworks.NotRun(errorx.Decorate(runworks.ErrNotReady, "what the customer drew before the start is not known yet"), v.Wait)
+		return runworks.NotRun(errorx.Decorate(runworks.ErrNotReady, "what the customer drew before the start is not known yet"), v.Wait+rand.N(retryNotReadySpread))
 	case v.Wait > 0:
 		return runworks.NotRun(errorx.Decorate(runworks.ErrLimit, "%.0f tokens asked, %.0f used, %.0f held and %.0f assumed of %.0f, %d other entries counted",
 			tokens, v.Used, v.Held, v.Assumed, v.Allowed, v.Heard), v.Wait)
--- a/services/quota/quota.go
+++ b/services/quota/quota.go
@@ -16,8 +16,7 @@
 	// TellTimeout is how long a new entry waits to be told what was drawn before its
 	// start: some times what a record or another entry takes to be reached.
 	TellTimeout = 2 * time.Second
-	// untoldWait is when a caller comes back that was refused before that: a record is
-	// read within some milliseconds.
+	// untoldWait is when a caller comes back at the soonest that was refused before that.
 	untoldWait = 100 * time.Millisecond
 	// minMissing is how much of the window must be missing for another entry's count to be
 	// worth asking for. Where all entries start at once, the first that has counted a whole
@@ -84,7 +83,11 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if !q.toldLocked(now) {
-		return Verdict{Untold: true, Wait: untoldWait}
+		// A record that can be read was read while the call was held: what lasts longer
+		// lasts until the limit opens by itself. Callers told to come back in 100 ms were
+		// refused for good in 1,400 of 1,500 cases (all entries killed as the store refused
+		// the record).
+		return Verdict{Untold: true, Wait: max(untoldWait, q.Started.Add(TellTimeout).Sub(now))}
 	}
 	total, held := q.total(now, c.Name)
 	v := Verdict{Used: total.sum(), Held: held, Allowed: q.allowed(now, c)}
--- a/services/quota/quota_test.go
+++ b/services/quota/quota_test.go
@@ -99,6 +99,8 @@
 	is := is.New(t)
 	q := starting(begin, "self")
 	is.True(send(q, begin, 1).Untold)
+	is.Equal(send(q, begin.Add(TellTimeout/4), 1).Wait, 3*TellTimeout/4) // when it opens at the latest
+	is.Equal(send(q, begin.Add(TellTimeout-time.Millisecond), 1).Wait, untoldWait)
 	is.True(!q.Told(begin))
 	late := begin.Add(TellTimeout)
 	is.True(q.Told(late))
