--- a/services/quota/record_test.go
+++ b/services/quota/record_test.go
@@ -108,7 +108,7 @@
 	is.True(b.RecordDue(now.Add(recordTurn)))
 	a.Record(now)
 	a.Recorded(false) // the store is not pressed
-	is.True(!a.RecordDue(now.Add(RecordEvery-time.Millisecond)))
+	is.True(!a.RecordDue(now.Add(RecordEvery - time.Millisecond)))
 	is.True(a.RecordDue(now.Add(RecordEvery)))
 }
 
