--- a/tests/platform_test.go
+++ b/tests/platform_test.go
@@ -312,6 +312,13 @@
 	text := strings.Replace(p.frontSettings("front-1"), "stop_notice: 1s\n", "", 1)
 	p.fronts["front-1"] = start(t, "front-1", "runworks", "front", "--settings", p.settings("front-1", text))
 	p.waitReady("front-1", 1)
+	// A front with nothing under way ends at once: one long stream keeps it answering.
+	held := make(chan struct{})
+	go func() {
+		defer close(held)
+		_, _, _ = p.do("front-1", platformCall{id: "held", method: http.MethodPost, target: "/chat/held?events=380", key: "yard-key"})
+	}()
+	p.until("the long stream runs", func() bool { return len(p.calls("llm-1")) == 1 })
 	p.fronts["front-1"].signal(syscall.SIGTERM)
 	signalled := time.Now()
 	var last time.Duration
@@ -328,5 +335,6 @@
 	}
 	is.True(last > 2*time.Second)
 	is.True(last < 2800*time.Millisecond)
+	<-held
 	p.fronts["front-1"].waitEnd()
 }
