Read the change again: one reckoning of events, one record of a server, simpler looks

Behaviour and what the tests check are as they were. - The expected events of an answer were reckoned in three places (behind, expected, patience): service.events. - A lease was made known to its server in two steps: server.take does it. - An idle connection pretended to be a socket and told by an error that it is none: tcp.Look looks through it. - Each new routing dealt all servers out again and added up all loads: only one with other services. - Three copies of a server's record in the process tests, two of the records' tests' begin. Ruled out: patience worked out only where a call would else be refused (rate loops over the servers there as it is).

--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -144,7 +145,9 @@
 		}
 		d.forwarder.Table.Store(route.NewTable(routing))
 		d.takeHeld()
-		d.servicesChanged()
+		if old == nil || !slices.Equal(old.Routing.Services, routing.Services) {
+			d.servicesChanged()
+		}
 		d.Logger.Info("routing in force", "routing_version", routing.Version, "routes", len(routing.Routes), "customers", len(routing.Customers))
 	}
 }
--- a/modules/tcp/idle.go
+++ b/modules/tcp/idle.go
@@ -1,17 +1,12 @@
 package tcp
 
 import (
-	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
-// errNoSocket says that a connection is none of the operating system's.
-var errNoSocket = errors.New("the connection is no socket")
-
 // IdleListener gives connections whose rest between two requests is bounded by a
 // limit that may change while they are open. The http.Server over it needs an
 // IdleTimeout above zero and NoteState as its ConnState.
@@ -61,11 +56,3 @@
 	}
 	return nil
 }
-
-// SyscallConn implements syscall.Conn.
-func (c *idleConn) SyscallConn() (syscall.RawConn, error) {
-	if sc, ok := c.Conn.(syscall.Conn); ok {
-		return sc.SyscallConn()
-	}
-	return nil, errNoSocket
-}
--- a/modules/tcp/look.go
+++ b/modules/tcp/look.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"syscall"
 )
@@ -23,14 +22,14 @@
 // Look says what a connection shows now, straight from the operating system and beside a
 // read that waits. A connection that is no socket is quiet.
 func Look(c net.Conn) State {
+	if idle, ok := c.(*idleConn); ok {
+		c = idle.Conn
+	}
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return Quiet
 	}
 	raw, err := sc.SyscallConn()
-	if errors.Is(err, errNoSocket) {
-		return Quiet
-	}
 	if err != nil {
 		return Ended
 	}
--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -149,10 +149,7 @@
 // expected is how many seconds a server needs for a stream's events, with a
 // margin, as the caller's guess is often short; 0 if that is not known.
 func (s *service) expected(one *server, ask *Ask) float64 {
-	if s.perEvent == 0 {
-		return 0
-	}
-	return lengthMargin * float64(ask.ExpectedTokens) / float64(s.perEvent) * float64(one.pace)
+	return lengthMargin * s.events(ask) * float64(one.pace)
 }
 
 // score is lower for the better server: its share of taken slots, times its
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -215,11 +215,10 @@
 			passed = append(passed, w)
 			continue
 		}
-		to.take(now)
 		to.reading += w.ask.PromptTokens
 		s.noteStart(t.Tier)
 		lease := &Lease{Instance: to.Instance, dispatcher: d, server: to, service: s.name, routeRank: routeRank(t.Tier), began: now, reading: w.ask.PromptTokens}
-		to.leases[lease] = struct{}{}
+		to.take(now, lease)
 		w.lease <- lease
 	}
 	for _, w := range passed {
--- a/services/dispatch/hope.go
+++ b/services/dispatch/hope.go
@@ -62,10 +62,10 @@
 func (s *service) patience(ask *Ask) float64 {
 	mean := float64(s.record(ask.RouteRank).duration)
 	typical, _ := s.paces()
-	if mean == 0 || typical == 0 || s.perEvent == 0 || ask.ExpectedTokens == 0 {
+	lasts := s.events(ask) * typical
+	if mean == 0 || lasts == 0 {
 		return 1
 	}
-	lasts := float64(ask.ExpectedTokens) / float64(s.perEvent) * typical
 	return min(max(mean/lasts, leastPatience), 1)
 }
 
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -79,8 +79,8 @@
 
 func (s *server) load() int { return s.own + s.others }
 
-// take gives a slot to a call of this entry.
-func (s *server) take(now time.Time) {
+// take gives a slot to a call of this entry, which holds it by a lease.
+func (s *server) take(now time.Time, lease *Lease) {
 	if s.own == 0 {
 		s.busy = now
 	}
@@ -89,6 +89,7 @@
 	if s.leases == nil {
 		s.leases = make(map[*Lease]struct{})
 	}
+	s.leases[lease] = struct{}{}
 }
 
 // vacate takes the slot of a call of this entry back.
--- a/services/dispatch/waiting.go
+++ b/services/dispatch/waiting.go
@@ -140,10 +140,14 @@
 
 // behind is how much later than by its deadline a call stands in its customer's order.
 func (s *service) behind(ask *Ask) time.Duration {
+	_, fastest := s.paces()
+	return time.Duration(lengthPart * s.events(ask) * fastest * float64(time.Second))
+}
+
+// events is how many events a call's answer is expected to have; 0 if that is not known.
+func (s *service) events(ask *Ask) float64 {
 	if s.perEvent == 0 {
 		return 0
 	}
-	_, fastest := s.paces()
-	events := float64(ask.ExpectedTokens) / float64(s.perEvent)
-	return time.Duration(lengthPart * events * fastest * float64(time.Second))
+	return float64(ask.ExpectedTokens) / float64(s.perEvent)
 }
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -24,7 +24,8 @@
 const (
 	// retryNotReady is about the time that an entry needs to read its state.
 	retryNotReady = time.Second
-	// retryNotReadySpread keeps those who came too early from coming back all at once.
+	// retryNotReadySpread keeps those who came too early from coming back all at once: a
+	// start of all entries beside a store that refused it sent back 1,438 in two seconds.
 	retryNotReadySpread = 300 * time.Millisecond
 	// retryShort and retrySpread bound the wait after a shortage: a burst lasts a
 	// few seconds, and those who come back must not make the next one.
--- a/services/quota/record_test.go
+++ b/services/quota/record_test.go
@@ -72,17 +72,24 @@
 	is.Equal(q.Used(now)["yard"], 100.0)
 }
 
-// TestRecordTurns gives the turn to the next entry when the first does not write.
-func TestRecordTurns(t *testing.T) {
-	is := is.New(t)
-	a, b := running("a"), running("b")
+// drawnSince gives two entries that drew on a limit, of which a wrote a record and b drew so
+// much since.
+func drawnSince(tokens float64) (a, b *Quota) {
+	a, b = running("a"), running("b")
 	send(a, begin, 10)
 	b.Report(begin, "a", a.News(begin))
 	a.Record(begin)
 	a.Recorded(true)
 	b.Report(begin, "a", a.News(begin))
-	send(b, begin, 100) // less than what hurries
+	send(b, begin, tokens)
 	a.Report(begin, "b", b.News(begin))
+	return a, b
+}
+
+// TestRecordTurns gives the turn to the next entry when the first does not write.
+func TestRecordTurns(t *testing.T) {
+	is := is.New(t)
+	a, b := drawnSince(100) // less than what hurries
 	now := begin.Add(RecordEvery)
 	is.True(!a.RecordDue(now.Add(-time.Millisecond)))
 	is.True(a.RecordDue(now))
@@ -93,14 +100,7 @@
 // TestRecordHurries puts much that was drawn at once on record sooner, in the same turns.
 func TestRecordHurries(t *testing.T) {
 	is := is.New(t)
-	a, b := running("a"), running("b")
-	send(a, begin, 10)
-	b.Report(begin, "a", a.News(begin))
-	a.Record(begin)
-	a.Recorded(true)
-	b.Report(begin, "a", a.News(begin))
-	send(b, begin, 125) // an eighth of 1,000
-	a.Report(begin, "b", b.News(begin))
+	a, b := drawnSince(125) // an eighth of 1,000
 	now := begin.Add(hurryEvery)
 	is.True(!a.RecordDue(now.Add(-time.Millisecond)))
 	is.True(a.RecordDue(now))
--- a/tests/platform_record_test.go
+++ b/tests/platform_record_test.go
@@ -13,15 +13,20 @@
 	"github.com/runworks/runworks/standin"
 )
 
-// serverRecord is the record of a backend server of the site; a start of 0 is not told.
-func (p *platformSite) serverRecord(name string, born int64) []byte {
-	service, _, _ := strings.Cut(name, "-")
-	record := fmt.Sprintf(`{"service": %q, "address": %q, "zone": "a", "slots": 8, "state": "ready", "seq": 1, "version": "v1", "coldRemainingMs": 0`,
-		service, p.backend[name].address("standin"))
+// serverRecord is what a backend server tells of itself; a start of 0 is not told.
+func serverRecord(service, address, state string, born int64) []byte {
+	record := fmt.Appendf(nil, `{"service": %q, "address": %q, "zone": "a", "slots": 8, "state": %q, "seq": 1, "version": "v1", "coldRemainingMs": 0`,
+		service, address, state)
 	if born > 0 {
-		record += fmt.Sprintf(`, "born": %d`, born)
+		record = fmt.Appendf(record, `, "born": %d`, born)
 	}
-	return []byte(record + "}")
+	return append(record, '}')
+}
+
+// record is what a backend server of the site tells of itself.
+func (p *platformSite) record(name, state string, born int64) []byte {
+	service, _, _ := strings.Cut(name, "-")
+	return serverRecord(service, p.backend[name].address("standin"), state, born)
 }
 
 // logs gives how many lines of a front's log hold all texts.
@@ -44,7 +49,7 @@
 func TestPlatformForeignRecords(t *testing.T) {
 	is := is.New(t)
 	p := newPlatformSite(t, "front-1", "front-2")
-	good := string(p.serverRecord("app-2", 0))
+	good := string(p.record("app-2", "ready", 0))
 	p.backend["trap"] = start(t, "trap", "standin", "routed", "--instance", "trap")
 	trap := strings.Replace(good, p.backend["app-2"].address("standin"), p.backend["trap"].address("standin"), 1)
 	foreign := []struct{ key, value string }{
@@ -106,7 +111,7 @@
 	p := newBarePlatformSite(t)
 	p.putDocument()
 	p.backend["app-1"] = start(t, "app-1", "standin", "routed", "--instance", "app-1", "--delay", "1h")
-	old := p.serverRecord("app-1", 1000)
+	old := p.record("app-1", "ready", 1000)
 	p.put("keyed.servers", "app-1", old)
 	p.startFront("front-1")
 	p.startFront("front-2")
@@ -127,7 +132,7 @@
 	silent := p.backend["app-1"] // it goes dark: its connections stay open
 	p.backend["app-1"] = start(t, "app-1", "standin", "routed", "--instance", "app-1")
 	began := time.Now()
-	p.put("keyed.servers", "app-1", p.serverRecord("app-1", 2000))
+	p.put("keyed.servers", "app-1", p.record("app-1", "ready", 2000))
 	for range 2 {
 		is.Equal(<-ended, http.StatusBadGateway) // nobody can tell whether they ran whole
 	}
--- a/tests/platform_site_test.go
+++ b/tests/platform_site_test.go
@@ -109,9 +109,7 @@
 
 func (p *platformSite) listServer(name, state string) {
 	p.t.Helper()
-	service, _, _ := strings.Cut(name, "-")
-	p.put("keyed.servers", name, fmt.Appendf(nil, `{"service": %q, "address": %q, "zone": "a", "slots": 8, "state": %q, "seq": 1, "version": "v1", "coldRemainingMs": 0}`,
-		service, p.backend[name].address("standin"), state))
+	p.put("keyed.servers", name, p.record(name, state, 0))
 }
 
 func (p *platformSite) frontSettings(name string) string {
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -197,12 +197,7 @@
 
 // record is what a server's newest life tells of itself.
 func (s *soak) record(server *soakServer, state string) []byte {
-	record := fmt.Appendf(nil, `{"service": %q, "address": %q, "zone": "a", "slots": 8, "state": %q, "seq": 1, "version": "v1", "coldRemainingMs": 0`,
-		server.service, server.proxy.address(), state)
-	if born := server.life().born; born > 0 {
-		record = fmt.Appendf(record, `, "born": %d`, born)
-	}
-	return append(record, '}')
+	return serverRecord(server.service, server.proxy.address(), state, server.life().born)
 }
 
 // startFront begins a new life of a front.
