Calls tell that their backend server ended under them, and which request they are

Cause: lines could not tell whether two calls are the same request, as each attempt has an id of its own, nor that a server had ended: each broken call stood alone. Change: a fingerprint of what a call asks for and who asks; a server that broke an answer off is asked for a connection, and a refusal proves its end; one line and a counter for each such call. No decision depends on it yet.

--- a/inbound.go
+++ b/inbound.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
 	"net/http"
 	"time"
 )
@@ -37,6 +40,26 @@
 	Left func() bool
 }
 
+// Fingerprint names what a call asks for and who asks: a call that comes again, at any
+// entry and under a new id, has the same.
+type Fingerprint string
+
+// fingerprintBytes of a SHA-256 hash are enough that nobody finds two calls with the same.
+const fingerprintBytes = 16
+
+// Fingerprint gives the call's; customer is who asks, empty if nobody is known. The key is
+// no part of it: a customer may have several.
+func (in *Inbound) Fingerprint(customer string) Fingerprint {
+	h := sha256.New()
+	for _, part := range []string{customer, in.Method, in.Host, in.Target} {
+		// Lengths keep the end of a part from counting as the begin of the next.
+		_, _ = h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(part))))
+		_, _ = h.Write([]byte(part))
+	}
+	_, _ = h.Write(in.Body)
+	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
+}
+
 // Tokens is what the call costs of a customer's limit; plain is the cost of a
 // call that states no tokens.
 func (in *Inbound) Tokens(plain float64) float64 {
@@ -70,10 +93,13 @@
 	Gone bool
 }
 
-// Sender sends one call to a backend server, at most once. The error is that of
-// Send.Wanted, or ErrNotDispatched, only if the call provably never left, else ErrBackend.
+// Sender sends calls to backend servers.
 type Sender interface {
+	// Send sends one call, at most once. The error is that of Send.Wanted, or
+	// ErrNotDispatched, only if the call provably never left, else ErrBackend.
 	Send(ctx context.Context, s *Send) (*ServerReply, error)
+	// Ended says whether a backend server's process is proved to be gone.
+	Ended(ctx context.Context, server Instance) bool
 }
 
 // RunningCalls is how many calls an entry has at each backend server, by its id.
--- /dev/null
+++ b/inbound_test.go
@@ -0,0 +1,32 @@
+package runworks
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestFingerprint knows a call again that comes under another id, key and time, and tells
+// calls apart that differ in anything they ask for.
+func TestFingerprint(t *testing.T) {
+	is := is.New(t)
+	base := Inbound{ID: "1", Method: "POST", Host: "h", Target: "/a/b?c", Path: "/a/b", Body: []byte("body"), Key: "k"}
+	again := base
+	again.ID, again.Key, again.PromptTokens = "2", "l", 7
+	is.Equal(base.Fingerprint("yard"), again.Fingerprint("yard"))
+	seen := map[Fingerprint]bool{base.Fingerprint("yard"): true, base.Fingerprint(""): true}
+	for _, change := range []func(in *Inbound){
+		func(in *Inbound) { in.Method = "PUT" },
+		func(in *Inbound) { in.Host = "i" },
+		func(in *Inbound) { in.Target = "/a/b?d" },
+		func(in *Inbound) { in.Body = []byte("bodz") },
+		func(in *Inbound) { in.Body = nil },
+		func(in *Inbound) { in.Host, in.Target = "h/a", "/b?c" },
+		func(in *Inbound) { in.Target, in.Body = "/a/b?cb", []byte("ody") },
+	} {
+		other := base
+		change(&other)
+		is.True(!seen[other.Fingerprint("yard")])
+		seen[other.Fingerprint("yard")] = true
+	}
+}
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -47,6 +47,8 @@
 	ControlBytes metric.Int64Counter
 	// BadRecords counts records on the store that name no backend server to use.
 	BadRecords metric.Int64Counter
+	// ServerEnds counts calls whose backend server ended under them, by rank.
+	ServerEnds metric.Int64Counter
 	// Keys counts claims of idempotency keys by verdict.
 	Keys metric.Int64Counter
 }
@@ -77,6 +79,7 @@
 		Dropped:          b.counter("runworks.answers_dropped", "answers that nobody waited for"),
 		ControlBytes:     b.counter("runworks.control_bytes", "bytes on control connections, by direction"),
 		BadRecords:       b.counter("runworks.records_refused", "records on the store that name no backend server to use"),
+		ServerEnds:       b.counter("runworks.calls_ended_with_server", "calls whose backend server ended under them, by rank"),
 		Keys:             b.counter("runworks.keys", "claims of idempotency keys, by verdict"),
 	}
 	return s, b.err
--- a/services/forward/ask.go
+++ b/services/forward/ask.go
@@ -18,12 +18,8 @@
 	case c.route.Target > 0:
 		target = c.in.Received.Add(c.route.Target)
 	}
-	name := ""
-	if c.customer != nil {
-		name = c.customer.Name
-	}
 	return &dispatch.Ask{
-		ID: c.in.ID, Service: c.service, Rank: c.rank, RouteRank: c.route.Rank, Customer: name,
+		ID: c.in.ID, Service: c.service, Rank: c.rank, RouteRank: c.route.Rank, Customer: c.customerName(),
 		PromptTokens: c.in.PromptTokens, MaxTokens: c.in.MaxTokens, ExpectedTokens: c.in.ExpectedTokens,
 		Resumed: !c.lastEvent.IsZero(), MaxPause: c.route.MaxGap, Target: target, Patience: c.patience(), Deadline: c.deadline, Avoid: slices.Clone(c.tried),
 	}
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -23,10 +23,7 @@
 	lease.OnEnd(func() { cancel(errStartedAgain) })
 	spanCtx, span := c.f.Tracer.Start(c.sending, tracing.SpanBackend)
 	defer span.End()
-	send := &runworks.Send{Inbound: c.in, To: lease.Instance, Left: time.Until(c.deadline), LastEvent: lastEvent, Wanted: c.wanted}
-	if c.customer != nil {
-		send.Customer = c.customer.Name
-	}
+	send := &runworks.Send{Inbound: c.in, To: lease.Instance, Left: time.Until(c.deadline), LastEvent: lastEvent, Wanted: c.wanted, Customer: c.customerName()}
 	metrics.Count(c.f.Metrics.Dispatches, metrics.Rank(c.rank))
 	c.sent = time.Now()
 	c.verdict.Draw.Spend(c.sent)
@@ -43,6 +40,7 @@
 	case err != nil:
 		c.ran++
 		lease.Release(c.endOf(ctx, c.sent, dispatch.Broken))
+		c.noteEnd(ctx, lease.Instance, time.Time{})
 		return nil, c.broken(ctx, err)
 	case reply.Gone:
 		_ = reply.Body.Close()
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -108,6 +108,8 @@
 	deadline time.Time
 	rank     int
 
+	// print is what fingerprint gives, once it was asked for.
+	print runworks.Fingerprint
 	// tried are the lives of the servers that had the call, and ran counts those of them
 	// that may have run it.
 	tried []string
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -36,6 +36,8 @@
 	broken error
 	// hang waits for the end of the call.
 	hang bool
+	// ended says that the server's process is gone afterwards.
+	ended bool
 }
 
 // sender is a fake that answers the sends in turn.
@@ -71,6 +73,11 @@
 	return &runworks.ServerReply{Reply: runworks.Reply{Status: status, Header: http.Header{}, Body: body}, NotRun: r.notRun, Gone: r.gone}, nil
 }
 
+// Ended implements runworks.Sender for the server that was sent to last.
+func (s *sender) Ended(context.Context, runworks.Instance) bool {
+	return s.replies[min(len(s.sends), len(s.replies))-1].ended
+}
+
 // failing ends a body with an error.
 type failing struct{ err error }
 
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -42,8 +42,9 @@
 	part  []byte
 	// lastEvent is the id of the last whole event.
 	lastEvent string
-	// lastAt is when this server gave its last event; zero before its first.
-	lastAt time.Time
+	// firstAt and lastAt are when this server gave its first and its last event; zero before
+	// its first.
+	firstAt, lastAt time.Time
 	// begun is when this server began to answer.
 	begun  time.Time
 	end    error
@@ -108,6 +109,7 @@
 	}
 	now := time.Now()
 	if s.lastAt.IsZero() {
+		s.firstAt = now
 		s.lease.FirstEvent(s.call.in.PromptTokens)
 	} else {
 		pause := now.Sub(s.lastAt)
@@ -133,6 +135,7 @@
 	c := s.call
 	_ = s.body.Close()
 	s.lease.Release(c.endOf(s.ctx, s.lastHeard(), dispatch.Broken))
+	c.noteEnd(s.ctx, s.lease.Instance, s.firstAt)
 	for {
 		if !c.route.Resumable || !c.mayTryAgain(s.ctx, broke) {
 			return c.broken(s.ctx, broke)
@@ -149,7 +152,8 @@
 		}
 		s.lease = lease
 		if reply.Status < 300 {
-			s.body, s.begun, s.lastAt = reply.Body, time.Now(), time.Time{}
+			s.body, s.begun = reply.Body, time.Now()
+			s.firstAt, s.lastAt = time.Time{}, time.Time{}
 			return nil
 		}
 		_ = reply.Body.Close()
