--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"fmt"
@@ -87,11 +88,15 @@
 	tell := cmd.Flag("tell", "Print a line for each call before it runs, as the process may be killed.").Bool()
 	cmd.Flag("instance", "The id of its life.").Required().StringVar(&b.Instance)
 	cmd.Flag("delay", "How long a call runs, and the time between events.").Default("0s").DurationVar(&b.Delay)
+	endOn := cmd.Flag("end-on", "End the process as it begins to run a call with this text in its body.").String()
 	cmd.Action(func(*kingpin.ParseContext) error {
-		if *tell {
-			b.OnCall = func(c standin.RoutedCall) {
+		b.OnCall = func(c standin.RoutedCall) {
+			if *tell {
 				fmt.Printf("ran %s %s %s %q %x\n", c.ID, c.Method, c.Target, c.Customer, sha256.Sum256(c.Body))
 			}
+			if *endOn != "" && bytes.Contains(c.Body, []byte(*endOn)) {
+				os.Exit(1)
+			}
 		}
 		return serve(*listen, b.Handler())
 	})
--- /dev/null
+++ b/tests/platform_crash_test.go
@@ -0,0 +1,194 @@
+package tests
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/runworks/runworks/standin"
+)
+
+// endingText, in a call's body, ends each server that begins to run it.
+const endingText = "ends servers"
+
+// TestPlatformRequestThatEndsServers bounds how many servers one request ends that its
+// caller sends again and again, and serves the others.
+//
+// What users saw: within a quarter of a minute sixteen of nine servers' lives ended, one
+// each second, and with each the five to seven streams that ran there. A minute later it
+// began again, with twenty.
+//
+// The order of events: a customer sent a request that ends the process of each server that
+// begins to run it. Its answer broke off; the customer sent it again under a new id, to
+// whichever front. That front had never seen it, and gave it to the next server.
+//
+// The cause: what a request had done was known by its id alone, for the time of one attempt
+// and at one front. Nothing knew it again when it came back.
+//
+// The evidence: of the calls that had no event yet as their server ended, one customer's,
+// of one size and with one last prompt part, is there each time, and is never answered; each
+// of its ids names one server that ran it.
+func TestPlatformRequestThatEndsServers(t *testing.T) {
+	var p *crashSite
+	datadriven.RunTest(t, "testdata/platform/crashes", func(t *testing.T, d *datadriven.TestData) string {
+		var fronts []string
+		d.MaybeScanArgs(t, "fronts", &fronts)
+		var servers, calls int
+		d.MaybeScanArgs(t, "servers", &servers)
+		d.MaybeScanArgs(t, "calls", &calls)
+		var target, method string
+		d.MaybeScanArgs(t, "method", &method)
+		d.MaybeScanArgs(t, "target", &target)
+		switch d.Cmd {
+		case "site":
+			p = newCrashSite(t, servers)
+			out := p.startAll(fronts)
+			for _, name := range fronts {
+				p.waitReady(name, len(fronts))
+			}
+			return out
+		case "start":
+			return p.startAll(fronts)
+		case "kill":
+			return p.killAll(fronts)
+		case "store":
+			p.storeDown = d.HasArg("down")
+			p.setFaults(p.store, standin.StoreFaults{Down: p.storeDown})
+			return "done\n"
+		case "send":
+			return p.send(fronts, method, target, endingText, calls)
+		case "others":
+			for i := range calls {
+				if out := p.send(fronts[i%len(fronts):][:1], method, target, fmt.Sprint("other ", i), 1); out != "answered=1 refused=0 broken=0 ended=0\n" {
+					return out
+				}
+			}
+			return "all answered\n"
+		}
+		t.Fatalf("no command %s", d.Cmd)
+		return ""
+	})
+}
+
+// crashSite is a site with servers that a request can end.
+type crashSite struct {
+	*platformSite
+	started, calls int
+	storeDown      bool
+}
+
+func newCrashSite(t *testing.T, servers int) *crashSite {
+	t.Helper()
+	p := &crashSite{platformSite: newBarePlatformSite(t)}
+	p.putDocument()
+	for range servers {
+		p.addBoth()
+	}
+	return p
+}
+
+// addBoth adds a server for each service.
+func (p *crashSite) addBoth() {
+	p.t.Helper()
+	p.add("app")
+	p.add("llm")
+}
+
+// add adds a server of a service.
+func (p *crashSite) add(service string) {
+	p.t.Helper()
+	p.started++
+	p.addServer(fmt.Sprintf("%s-%d", service, p.started), "--end-on", endingText)
+}
+
+// send sends a request so many times, each under an id of its own, to the fronts in turn,
+// and tells how it was answered and how many servers ended. Each of these is replaced by a
+// new one, unless the store is down.
+func (p *crashSite) send(fronts []string, method, target, body string, calls int) string {
+	p.t.Helper()
+	var answered, refused, broken, ended int
+	for i := range calls {
+		p.calls++
+		res, _, err := p.do(fronts[i%len(fronts)], platformCall{
+			id: fmt.Sprint("call-", p.calls), method: method, target: target, key: "yard-key", body: []byte(body),
+		})
+		switch {
+		case err != nil || res.StatusCode == http.StatusBadGateway:
+			broken++
+		case res.StatusCode == http.StatusServiceUnavailable && res.Header.Get("Retry-After") != "":
+			refused++
+		case res.StatusCode == http.StatusOK:
+			answered++
+		default:
+			p.t.Fatal(errors.New(res.Status))
+		}
+		ended += p.replaceEnded()
+	}
+	return fmt.Sprintf("answered=%d refused=%d broken=%d ended=%d\n", answered, refused, broken, ended)
+}
+
+// replaceEnded takes the servers that ended off the list and starts new ones; it says how
+// many ended.
+func (p *crashSite) replaceEnded() int {
+	p.t.Helper()
+	n := 0
+	for name, one := range p.backend {
+		c, err := net.Dial("tcp", one.address("standin"))
+		if err == nil {
+			_ = c.Close()
+			continue
+		}
+		one.waitEnd()
+		n++
+		delete(p.backend, name)
+		if !p.storeDown {
+			p.put("keyed.servers", name, nil)
+			p.add(name[:len("app")])
+		}
+	}
+	if n > 0 && !p.storeDown {
+		p.waitServers()
+	}
+	return n
+}
+
+// waitServers waits until all fronts know just the servers that there are.
+func (p *crashSite) waitServers() {
+	p.t.Helper()
+	for name, one := range p.fronts {
+		select {
+		case <-one.done:
+			continue
+		default:
+		}
+		p.until(name+" knows the servers", func() bool { return p.knowsServers(one) })
+	}
+}
+
+// knowsServers says whether a front gives calls to just the servers that there are.
+func (p *crashSite) knowsServers(front *process) bool {
+	var status struct {
+		Servers []struct {
+			ID      string `json:"id"`
+			Leaving bool   `json:"leaving"`
+		} `json:"servers"`
+	}
+	if !getJSON("http://"+front.address("operators")+"/status", &status) {
+		return false
+	}
+	n := 0
+	for _, one := range status.Servers {
+		if one.Leaving {
+			continue
+		}
+		if p.backend[one.ID] == nil {
+			return false
+		}
+		n++
+	}
+	return n == len(p.backend)
+}
--- a/tests/platform_limit_test.go
+++ b/tests/platform_limit_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"syscall"
 	"testing"
 	"time"
 
@@ -84,30 +83,6 @@
 	return p
 }
 
-// startAll starts fronts at once and waits until the balancer would send callers.
-func (p *limitSite) startAll(names []string) string {
-	p.t.Helper()
-	for _, name := range names {
-		p.startFront(name)
-	}
-	for _, name := range names {
-		p.until(name+" is ready", func() bool { return p.ready(name) == http.StatusOK })
-	}
-	return "ready\n"
-}
-
-// killAll ends fronts without a word, at once.
-func (p *limitSite) killAll(names []string) string {
-	p.t.Helper()
-	for _, name := range names {
-		p.fronts[name].signal(syscall.SIGKILL)
-	}
-	for _, name := range names {
-		p.fronts[name].waitEnd()
-	}
-	return "ended\n"
-}
-
 // draw has the first of some fronts serve one large call, and waits until all of them
 // count it.
 func (p *limitSite) draw(fronts []string, tokens int) string {
--- a/tests/platform_site_test.go
+++ b/tests/platform_site_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -133,6 +134,30 @@
 	p.fronts[name] = start(p.t, name, "runworks", "front", "--settings", p.settings(name, p.frontSettings(name)))
 }
 
+// startAll starts fronts at once and waits until the balancer would send callers.
+func (p *platformSite) startAll(names []string) string {
+	p.t.Helper()
+	for _, name := range names {
+		p.startFront(name)
+	}
+	for _, name := range names {
+		p.until(name+" is ready", func() bool { return p.ready(name) == http.StatusOK })
+	}
+	return "ready\n"
+}
+
+// killAll ends fronts without a word, at once.
+func (p *platformSite) killAll(names []string) string {
+	p.t.Helper()
+	for _, name := range names {
+		p.fronts[name].signal(syscall.SIGKILL)
+	}
+	for _, name := range names {
+		p.fronts[name].waitEnd()
+	}
+	return "ended\n"
+}
+
 // ready asks a front as the balancer does.
 func (p *platformSite) ready(name string) int {
 	return readyStatus(p.fronts[name])
