A request that ended three servers is held in quarantine by all fronts

Cause: a request was known by the id of one attempt, at one front. Sent again, it was new to every front and ended the next server. Ruled out: own retries (each id ran at one server), servers that end by themselves after a start. Change: services/quarantine knows requests by a fingerprint of what they ask and who asks, and under which servers' lives they were fresh as these ended. Fronts tell each other, greet with it and keep it on the store; calls are looked at on arrival and just before they are sent. Tried and changed on the way: a front asked a server that broke off for one connection and took a connection for life; the kernel closes what a process had open in any order, so one in thirty ends was missed beside load.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -31,12 +31,23 @@
 	}
 }
 
+// listening is what the process listens on.
+var listening net.Listener
+
+// end ends the process. It refuses connections first: the kernel closes what a process has
+// open in any order.
+func end() {
+	_ = listening.Close()
+	os.Exit(1)
+}
+
 // serve prints the address and serves until the process ends.
 func serve(listen string, handler http.Handler) error {
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", listen)
 	if err != nil {
 		return err
 	}
+	listening = listener
 	fmt.Println("listening on", listener.Addr())
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
 	return server.Serve(listener)
@@ -95,7 +106,7 @@
 				fmt.Printf("ran %s %s %s %q %x\n", c.ID, c.Method, c.Target, c.Customer, sha256.Sum256(c.Body))
 			}
 			if *endOn != "" && bytes.Contains(c.Body, []byte(*endOn)) {
-				os.Exit(1)
+				end()
 			}
 		}
 		return serve(*listen, b.Handler())
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -26,6 +26,7 @@
 	"github.com/runworks/runworks/services/dispatch"
 	"github.com/runworks/runworks/services/forward"
 	"github.com/runworks/runworks/services/peers"
+	"github.com/runworks/runworks/services/quarantine"
 	"github.com/runworks/runworks/services/quota"
 )
 
@@ -54,6 +55,7 @@
 	forwarder  *forward.Forwarder
 	dispatcher *dispatch.Dispatcher
 	quota      *quota.Quota
+	quarantine *quarantine.Quarantine
 	budgets    *forward.Budgets
 	exchange   *peers.Exchange
 	front      *platform.Front
@@ -71,6 +73,8 @@
 	watches map[peers.Subject]*platform.Watch
 	members *platform.Members
 	limits  *platform.Limits
+	// suspects keeps the quarantine's record.
+	suspects *platform.Suspects
 	// asking holds the subjects that another front is being asked for.
 	asking map[peers.Subject]*atomic.Bool
 	work   group.Group
@@ -154,10 +158,11 @@
 	d.dispatcher = &dispatch.Dispatcher{Self: self.Incarnation, Hall: s.Hall, OnSuspend: d.onSuspend, OnSilent: d.onSilent, OnDoubt: d.onDoubt}
 	d.quota = &quota.Quota{Self: self.Incarnation, Window: s.QuotaWindow, Started: time.Now()}
 	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack, Started: time.Now(), Window: s.RetryWindow}
+	d.quarantine = &quarantine.Quarantine{After: s.QuarantineAfter, For: s.QuarantineFor, OnNews: d.onSuspect, OnHeld: d.onHeld, OnLifted: d.onLifted}
 	d.opened = make(chan struct{})
 	d.pool = &httpconn.Pool{Dial: dial, Recognise: platform.Recognise}
 	d.forwarder = &forward.Forwarder{
-		Opened: d.opened, Dispatcher: d.dispatcher, Quota: d.quota, Budgets: d.budgets, Logger: d.Logger, Metrics: d.metrics, Tracer: tracer,
+		Opened: d.opened, Dispatcher: d.dispatcher, Quota: d.quota, Budgets: d.budgets, Quarantine: d.quarantine, Logger: d.Logger, Metrics: d.metrics, Tracer: tracer,
 		Sender: &platform.Sender{Pool: d.pool},
 	}
 	d.front = &platform.Front{Forwarder: d.forwarder, Logger: d.Logger, MaxBodyBytes: s.MaxBodyBytes}
@@ -169,7 +174,10 @@
 		News:       func() runworks.LimitUse { return d.quota.News(time.Now()) },
 		Limits:     func() runworks.LimitUse { return d.quota.Own(time.Now()) },
 		OnGreeting: d.onGreeting,
+		Suspects:   func() []runworks.Suspect { return d.quarantine.List(time.Now()) },
+		OnSuspects: func(_ string, list []runworks.Suspect) { d.quarantine.Take(time.Now(), list) },
 	}
+	d.suspects = &platform.Suspects{Store: d.store, Quarantine: d.quarantine, Front: s.Name, Logger: d.Logger, OnTried: d.takeHeld}
 	d.watch()
 	return flushSpans, nil
 }
@@ -208,7 +216,7 @@
 
 // open builds the servers of the listeners.
 func (d *Front) open(listeners []net.Listener) []*http.Server {
-	operatorRoutes := &operators.Routes{Ready: d.ready, Metrics: d.metrics, Status: func() any { return d.status() }}
+	operatorRoutes := &operators.Routes{Ready: d.ready, Metrics: d.metrics, Status: func() any { return d.status() }, Lift: d.lift}
 	handlers := []http.Handler{
 		forCallers: d.front, forBalancer: platform.ReadyHandler(d.ready), forFronts: d.exchange, forOperators: operatorRoutes.Handler(),
 	}
@@ -239,6 +247,8 @@
 		return runworks.ErrNotReady
 	case !d.quota.Told(time.Now()):
 		return errorx.Decorate(runworks.ErrNotReady, "what customers drew before the start is not known")
+	case !d.suspects.Tried():
+		return errorx.Decorate(runworks.ErrNotReady, "the requests that end backend servers are not known")
 	case !d.listed.Load():
 		return errorx.Decorate(runworks.ErrNotReady, "no list of backend servers was read")
 	}
@@ -261,10 +271,13 @@
 	// LimitsUsed is what this front counts as drawn in the window, in tokens, by
 	// customer; fronts in touch agree on it.
 	LimitsUsed map[string]float64 `json:"limits_used"`
+	// Suspects are the requests under which backend servers ended, and whether they are held.
+	Suspects []quarantine.Report `json:"suspects"`
 }
 
 func (d *Front) status() FrontStatus {
 	out := FrontStatus{Fronts: d.exchange.Live() + 1, Servers: d.dispatcher.Loads(), Waiting: d.dispatcher.Waiting(), LimitsUsed: d.quota.Used(time.Now())}
+	out.Suspects = d.quarantine.Reports(time.Now())
 	if table := d.forwarder.Table.Load(); table != nil {
 		out.RoutingVersion = table.Routing.Version
 	}
--- /dev/null
+++ b/daemon/front_quarantine.go
@@ -0,0 +1,30 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/runworks/runworks"
+)
+
+// onSuspect tells the other fronts what this one saw of a request, and puts it on record.
+func (d *Front) onSuspect(s runworks.Suspect) {
+	d.exchange.TellSuspects(s)
+	d.suspects.Note(s.Fingerprint)
+}
+
+func (d *Front) onHeld(s runworks.Suspect, wait time.Duration) {
+	servers := make([]string, 0, len(s.Ends))
+	for _, e := range s.Ends {
+		servers = append(servers, e.Server)
+	}
+	d.Logger.Warn("request held in quarantine", "fingerprint", s.Fingerprint, "servers", servers, "first_end", s.Ends[0].At, "for_ms", wait.Milliseconds())
+}
+
+func (d *Front) onLifted(f runworks.Fingerprint) {
+	d.Logger.Info("request is no suspect any more", "fingerprint", f)
+}
+
+// lift lets a request go to the servers again, at all fronts; it says whether it was known.
+func (d *Front) lift(fingerprint string) bool {
+	return d.quarantine.Lift(time.Now(), runworks.Fingerprint(fingerprint))
+}
--- a/errors.go
+++ b/errors.go
@@ -31,6 +31,8 @@
 	ErrTurnedAway = plain("turned_away", "the backend servers turned the call away")
 	// ErrLimit says that a limit of the customer is reached.
 	ErrLimit = plain("customer_limit", "a limit of the customer is reached")
+	// ErrQuarantined says that backend servers ended as they began to run the same request.
+	ErrQuarantined = plain("quarantined", "backend servers ended as they began to run the same request")
 	// ErrShortage says that every eligible backend server refused the request.
 	ErrShortage = plain("shortage", "no backend server has room for the request")
 	// ErrTimeLimit says that the time limit passed, or can't be met any more.
--- a/inbound.go
+++ b/inbound.go
@@ -98,8 +98,9 @@
 	// Send sends one call, at most once. The error is that of Send.Wanted, or
 	// ErrNotDispatched, only if the call provably never left, else ErrBackend.
 	Send(ctx context.Context, s *Send) (*ServerReply, error)
-	// Ended says whether a backend server's process is proved to be gone.
-	Ended(ctx context.Context, server Instance) bool
+	// WatchEnd calls ended if a backend server's process is proved to be gone, before it
+	// returns or a moment later.
+	WatchEnd(ctx context.Context, server Instance, ended func())
 }
 
 // RunningCalls is how many calls an entry has at each backend server, by its id.
--- /dev/null
+++ b/modules/httpconn/end_test.go
@@ -0,0 +1,77 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// ends says whether WatchEnd tells of an end, within a time that is long enough.
+func ends(t *testing.T, p *Pool, address string) bool {
+	t.Helper()
+	told := make(chan struct{}, 1)
+	p.WatchEnd(t.Context(), address, func() { told <- struct{}{} })
+	select {
+	case <-told:
+		return true
+	case <-time.After(2*refusalTimeout + endWatch):
+		return false
+	}
+}
+
+// TestWatchEnd tells a server whose process has ended from one that still listens; the
+// connection that this took is used by the next request.
+func TestWatchEnd(t *testing.T) {
+	is := is.New(t)
+	s := serveConns(t, func(c net.Conn, br *bufio.Reader, _ int32) {
+		for readRequest(br) {
+			_, _ = io.WriteString(c, whole)
+		}
+	})
+	p := newPool()
+	defer p.Close()
+	is.True(!ends(t, p, s.address))
+	_, err := get(t, p, s)
+	is.NoErr(err)
+	is.Equal(s.conns.Load(), int32(1))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(l.Close())
+	is.True(ends(t, p, l.Addr().String()))
+	p.Dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	is.True(!ends(t, p, s.address)) // silence is no proof
+}
+
+// TestWatchEndInItsLastMoment takes a connection before the listener is gone, and resets it:
+// the refusal of the next one proves the end. A server that resets what it has too much of
+// goes on listening.
+func TestWatchEndInItsLastMoment(t *testing.T) {
+	for _, last := range []bool{true, false} {
+		is := is.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				if last {
+					_ = l.Close()
+				}
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			}
+		}()
+		is.Equal(ends(t, newPool(), l.Addr().String()), last)
+	}
+}
--- a/modules/httpconn/pool.go
+++ b/modules/httpconn/pool.go
@@ -3,13 +3,11 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -27,9 +25,6 @@
 	DefaultIdle = 10 * time.Second
 	// DefaultMaxIdle bounds the unused connections to one address.
 	DefaultMaxIdle = 32
-	// refusalTimeout bounds the wait for a refusal, which a host that lives gives within a
-	// few ms.
-	refusalTimeout = 200 * time.Millisecond
 	// idleMargin is how much earlier than the server an unused connection is
 	// let go, for the way there.
 	idleMargin = 500 * time.Millisecond
@@ -81,19 +76,6 @@
 	return &conn{Conn: raw, address: address, br: bufio.NewReader(raw)}, nil
 }
 
-// Refuses says whether an address refuses a new connection: nothing listens there any
-// more. A connection that is opened is kept for the next request.
-func (p *Pool) Refuses(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
-	defer cancel()
-	raw, err := p.Dial(ctx, "tcp", address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	p.put(&conn{Conn: raw, address: address, br: bufio.NewReader(raw)})
-	return false
-}
-
 func (p *Pool) takeIdle(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -49,6 +49,9 @@
 	BadRecords metric.Int64Counter
 	// ServerEnds counts calls whose backend server ended under them, by rank.
 	ServerEnds metric.Int64Counter
+	// Quarantined counts calls that were refused as their request ended backend servers, by
+	// rank.
+	Quarantined metric.Int64Counter
 	// Keys counts claims of idempotency keys by verdict.
 	Keys metric.Int64Counter
 }
@@ -80,6 +83,7 @@
 		ControlBytes:     b.counter("runworks.control_bytes", "bytes on control connections, by direction"),
 		BadRecords:       b.counter("runworks.records_refused", "records on the store that name no backend server to use"),
 		ServerEnds:       b.counter("runworks.calls_ended_with_server", "calls whose backend server ended under them, by rank"),
+		Quarantined:      b.counter("runworks.quarantined", "calls refused as their request ended backend servers, by rank"),
 		Keys:             b.counter("runworks.keys", "claims of idempotency keys, by verdict"),
 	}
 	return s, b.err
--- a/modules/setting/front.go
+++ b/modules/setting/front.go
@@ -26,6 +26,11 @@
 	DefaultRetryWindow = 10 * time.Second
 	// DefaultQuotaWindow is the span over which the customers' limits are counted.
 	DefaultQuotaWindow = 8 * time.Second
+	// DefaultQuarantineAfter is under how many ends of backend servers a request is held: one
+	// or two may be those of servers that it only shared with the request that ended them.
+	DefaultQuarantineAfter = 3
+	// DefaultQuarantineFor is for how long: one that is never mended ends a server an hour.
+	DefaultQuarantineFor = time.Hour
 	// DefaultLogLines bounds the log lines of a second.
 	DefaultLogLines = 300
 )
@@ -64,6 +69,11 @@
 	RetryWindow time.Duration `yaml:"retry_window"`
 	// QuotaWindow is the span over which the customers' limits are counted.
 	QuotaWindow time.Duration `yaml:"quota_window"`
+	// QuarantineAfter is how many backend servers must have ended under a request before it
+	// is held.
+	QuarantineAfter int `yaml:"quarantine_after"`
+	// QuarantineFor is for how long it is held after the last of them.
+	QuarantineFor time.Duration `yaml:"quarantine_for"`
 	// MaxBodyBytes bounds a call's body as long as no routing is in force.
 	MaxBodyBytes int64 `yaml:"max_body_bytes"`
 	// Cores is how many processors the process may use; 0 is all.
@@ -82,7 +92,7 @@
 func LoadFront(file string) (*Front, error) {
 	s := &Front{
 		Grace: DefaultGrace, StopNotice: DefaultStopNotice, Silence: DefaultSilence, RetryRatio: DefaultRetryRatio, RetrySlack: DefaultRetrySlack,
-		RetryWindow: DefaultRetryWindow, QuotaWindow: DefaultQuotaWindow,
+		RetryWindow: DefaultRetryWindow, QuotaWindow: DefaultQuotaWindow, QuarantineAfter: DefaultQuarantineAfter, QuarantineFor: DefaultQuarantineFor,
 		MaxBodyBytes: DefaultMaxBodyBytes, LogLines: DefaultLogLines, Log: Log{JSON: true}, Traces: Traces{Sampled: 1},
 	}
 	return s, load(file, s, s.check)
@@ -112,6 +122,10 @@
 	if s.RetrySlack < 0 {
 		m.add("retry_slack", "%g is negative", s.RetrySlack)
 	}
+	m.positive("quarantine_for", s.QuarantineFor)
+	if s.QuarantineAfter < 2 {
+		m.add("quarantine_after", "%d is below 2: one end says nothing of a request", s.QuarantineAfter)
+	}
 	if s.MaxBodyBytes <= 0 {
 		m.add("max_body_bytes", "%d is not above zero", s.MaxBodyBytes)
 	}
--- a/routers/operators/routes.go
+++ b/routers/operators/routes.go
@@ -14,7 +14,10 @@
 	// Ready gives nil when the process takes work.
 	Ready func() error
 	// Status gives what GET /status shows, as JSON.
-	Status  func() any
+	Status func() any
+	// Lift lets a request go that is held in quarantine, and says whether it was known; nil
+	// where no request is held.
+	Lift    func(fingerprint string) bool
 	Metrics *metrics.Set
 }
 
@@ -24,6 +27,9 @@
 	router.GET("/livez", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { writeText(w, http.StatusOK, "ok") })
 	router.GET("/readyz", rt.readyz)
 	router.GET("/status", rt.status)
+	if rt.Lift != nil {
+		router.DELETE("/quarantine/:fingerprint", rt.lift)
+	}
 	router.Handler(http.MethodGet, "/metrics", rt.Metrics.Handler())
 	return router
 }
@@ -41,6 +47,14 @@
 	_ = json.NewEncoder(w).Encode(rt.Status())
 }
 
+func (rt *Routes) lift(w http.ResponseWriter, _ *http.Request, p httprouter.Params) {
+	if !rt.Lift(p.ByName("fingerprint")) {
+		writeText(w, http.StatusNotFound, "no server is known to have ended under this request")
+		return
+	}
+	writeText(w, http.StatusOK, "lifted")
+}
+
 func writeText(w http.ResponseWriter, status int, text string) {
 	w.WriteHeader(status)
 	_, _ = w.Write([]byte(text + "\n"))
--- /dev/null
+++ b/routers/operators/routes_test.go
@@ -0,0 +1,33 @@
+package operators
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/runworks/runworks/modules/metrics"
+)
+
+// TestLift lets a request go that is known, and says so of one that is not; where no request
+// is held there is no such route.
+func TestLift(t *testing.T) {
+	is := is.New(t)
+	set, err := metrics.New()
+	is.NoErr(err)
+	known := &Routes{Metrics: set, Lift: func(f string) bool { return f == "known" }}
+	for _, one := range []struct {
+		routes *Routes
+		target string
+		status int
+	}{
+		{known, "/quarantine/known", http.StatusOK},
+		{known, "/quarantine/other", http.StatusNotFound},
+		{&Routes{Metrics: set}, "/quarantine/known", http.StatusNotFound},
+	} {
+		w := httptest.NewRecorder()
+		one.routes.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodDelete, one.target, nil))
+		is.Equal(w.Code, one.status)
+	}
+}
--- a/services/forward/answer.go
+++ b/services/forward/answer.go
@@ -49,6 +49,7 @@
 	if reply.Status >= 500 {
 		return c.again(ctx, nil, out)
 	}
+	c.noteAnswered()
 	c.finish(runworks.OutcomeDone, reply.Status, nil)
 	return out, nil
 }
@@ -104,6 +105,7 @@
 	_ = t.body.Close()
 	if errors.Is(t.end, io.EOF) {
 		t.lease.Release(dispatch.Served)
+		t.call.noteAnswered()
 		t.call.finish(runworks.OutcomeDone, t.status, nil)
 		return nil
 	}
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -29,7 +29,7 @@
 	c.verdict.Draw.Spend(c.sent)
 	reply, err := c.send(spanCtx, send)
 	switch {
-	case errors.Is(err, runworks.ErrCallerLeft):
+	case errors.Is(err, runworks.ErrCallerLeft), errors.Is(err, runworks.ErrQuarantined):
 		c.sends--
 		lease.Release(dispatch.Abandoned)
 		return nil, c.notRun(err)
@@ -75,12 +75,16 @@
 	return reply, err
 }
 
-// wanted gives an error if the caller has left: what nobody waits for must not run. The
+// wanted gives an error if the call must not be sent after all. If the caller has left: the
 // end of the call's context tells it as a rule, but a host short of its processor may learn
-// it seconds late: four calls went to a server 0.9 s after their callers had left.
+// it seconds late: four calls went to a server 0.9 s after their callers had left. If the
+// request is held by now: it may have waited here while it ended servers elsewhere.
 func (c *call) wanted() error {
-	if c.in.Left != nil && c.in.Left() {
+	switch {
+	case c.in.Left != nil && c.in.Left():
 		return runworks.ErrCallerLeft
+	case c.held(time.Now()) > 0:
+		return runworks.ErrQuarantined
 	}
 	return nil
 }
@@ -100,6 +104,9 @@
 	if c.ran > 0 {
 		return &runworks.Failure{Err: err, Outcome: runworks.OutcomeUnknown}
 	}
+	if errors.Is(err, runworks.ErrQuarantined) {
+		return runworks.NotRun(err, c.held(time.Now()))
+	}
 	return runworks.NotRun(err, retryTurnedAway)
 }
 
@@ -117,7 +124,10 @@
 // after proof that no attempt ran, else only if the call may run again. A send that
 // never left is no repeat and costs no budget.
 func (c *call) mayTryAgain(ctx context.Context, failed error) bool {
-	if ctx.Err() != nil || errors.Is(failed, runworks.ErrCallerLeft) || c.sends >= maxSends || len(c.tried) >= maxTries {
+	if ctx.Err() != nil || c.sends >= maxSends || len(c.tried) >= maxTries {
+		return false
+	}
+	if errors.Is(failed, runworks.ErrCallerLeft) || errors.Is(failed, runworks.ErrQuarantined) {
 		return false
 	}
 	if errors.Is(failed, runworks.ErrNotDispatched) {
--- a/services/forward/blame.go
+++ b/services/forward/blame.go
@@ -14,19 +14,54 @@
 // has run for seconds only shared the server with it.
 const freshRun = 500 * time.Millisecond
 
+// held is for how much longer the call's request is kept from the servers; 0 if it is not.
+// While no request is a suspect, nothing is reckoned.
+func (c *call) held(now time.Time) time.Duration {
+	if c.f.Quarantine.Empty() {
+		return 0
+	}
+	return c.f.Quarantine.Held(now, c.fingerprint())
+}
+
+// noteAnswered records that the call had a whole answer.
+func (c *call) noteAnswered() {
+	c.f.Quarantine.Answered(time.Now(), c.fingerprint())
+}
+
 // noteEnd looks whether the server that a call's answer was broken off by has ended, and
-// tells what the call was. First is when the server gave its first event, zero if none came.
+// puts the blame on the call if its run was fresh. First is when the server gave its first
+// event, zero if none came.
 func (c *call) noteEnd(ctx context.Context, server runworks.Instance, first time.Time) {
 	if ctx.Err() != nil {
 		return // the caller or the clock broke it off
 	}
-	if !errors.Is(context.Cause(c.sending), errStartedAgain) && !c.f.Sender.Ended(ctx, server) {
+	fresh := first.IsZero() || time.Since(first) < freshRun
+	end := &serverEnd{call: c, server: server, events: c.events, fresh: fresh, fingerprint: c.fingerprint()}
+	if errors.Is(context.Cause(c.sending), errStartedAgain) {
+		end.note()
 		return
 	}
+	c.f.Sender.WatchEnd(ctx, server, end.note)
+}
+
+// serverEnd is the end of a backend server under a call, as it was when the answer broke off.
+type serverEnd struct {
+	call        *call
+	server      runworks.Instance
+	events      int
+	fresh       bool
+	fingerprint runworks.Fingerprint
+}
+
+// note tells of the end, and puts the blame on the call.
+func (e *serverEnd) note() {
+	c := e.call
 	metrics.Count(c.f.Metrics.ServerEnds, metrics.Rank(c.rank))
-	fresh := first.IsZero() || time.Since(first) < freshRun
-	c.f.Logger.Warn("backend server ended under a call", "server", server.Life(), "service", c.service, "request", c.in.ID,
-		"fingerprint", c.fingerprint(), "customer", c.customerName(), "events", c.events, "fresh", fresh)
+	c.f.Logger.Warn("backend server ended under a call", "server", e.server.Life(), "service", c.service, "request", c.in.ID,
+		"fingerprint", e.fingerprint, "customer", c.customerName(), "events", e.events, "fresh", e.fresh)
+	if e.fresh {
+		c.f.Quarantine.Blame(time.Now(), e.fingerprint, e.server.Life())
+	}
 }
 
 // fingerprint is the call's, reckoned when it is first asked for.
--- a/services/forward/blame_test.go
+++ b/services/forward/blame_test.go
@@ -3,11 +3,19 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/services/quarantine"
 )
 
 // TestEndIsTold writes a line with the call's fingerprint where its server ended under it,
@@ -40,3 +48,130 @@
 		})
 	}
 }
+
+// ending ends its server before an event.
+var ending = reply{err: lost.err, ended: true}
+
+// holding is a forwarder that holds a request after three ends.
+func holding(t *testing.T, s *sender) *Forwarder {
+	t.Helper()
+	f := newForwarder(t, s, io.Discard)
+	f.Quarantine = &quarantine.Quarantine{After: 3, For: time.Hour}
+	return f
+}
+
+// startAnew puts new servers in the place of those that there are.
+func startAnew(f *Forwarder, n int) {
+	var list []runworks.Instance
+	for i := range 3 {
+		list = append(list, runworks.Instance{ID: fmt.Sprintf("n%d-%d", n, i), Service: "app", Slots: 4})
+	}
+	f.Dispatcher.Replace(list)
+}
+
+// TestRequestIsHeld sends a request that ends servers to three of them, and refuses it from
+// then on as not run, with the time for which it is held; others go on.
+func TestRequestIsHeld(t *testing.T) {
+	for _, one := range []struct {
+		route string
+		// calls are sent before it is held; those that may run again go on by themselves.
+		calls int
+	}{{"once", 3}, {"stream", 3}, {"safe", 2}, {"resumable", 2}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := &sender{replies: []reply{ending}}
+			f := holding(t, s)
+			for n := range one.calls {
+				startAnew(f, n)
+				_, _, err := serve(context.Background(), f, one.route)
+				var failure *runworks.Failure
+				is.True(errors.As(err, &failure))
+				is.Equal(failure.Outcome, runworks.OutcomeUnknown) // it ran
+			}
+			is.Equal(len(s.sends), 3)
+			time.Sleep(time.Minute)
+			_, _, err := serve(context.Background(), f, one.route)
+			var failure *runworks.Failure
+			is.True(errors.As(err, &failure))
+			is.True(errors.Is(err, runworks.ErrQuarantined))
+			is.Equal(failure.Outcome, runworks.OutcomeNotRun)
+			is.Equal(failure.RetryAfter, 59*time.Minute)
+			is.Equal(len(s.sends), 3)
+			s.replies = []reply{good}
+			in := &runworks.Inbound{ID: "2", Method: http.MethodPost, Host: "h", Path: "/safe/y", Target: "/safe/y", Received: time.Now()}
+			_, err = f.Serve(context.Background(), in)
+			is.NoErr(err)
+		})
+	}
+}
+
+// TestHeldWhileItWaits does not send a request that was let in and is held as its turn comes:
+// it has no answer yet, and speaks against no server.
+func TestHeldWhileItWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &sender{replies: []reply{good}}
+		f := holding(t, s)
+		in := &runworks.Inbound{ID: "1", Method: http.MethodPost, Host: "h", Path: "/once/x", Target: "/once/x", Received: time.Now()}
+		in.Left = func() bool {
+			for _, server := range []string{"a", "b", "c"} {
+				f.Quarantine.Blame(time.Now(), in.Fingerprint(""), server)
+			}
+			return false
+		}
+		_, err := f.Serve(context.Background(), in)
+		var failure *runworks.Failure
+		is.True(errors.As(err, &failure))
+		is.True(errors.Is(err, runworks.ErrQuarantined))
+		is.Equal(failure.Outcome, runworks.OutcomeNotRun)
+		is.Equal(failure.RetryAfter, time.Hour)
+		is.Equal(len(s.sends), 0)
+		for _, one := range f.Dispatcher.Loads() {
+			is.Equal(one.Own, 0)
+			is.True(one.Suspended.IsZero())
+		}
+	})
+}
+
+// TestAnswerClears forgets the ends of servers that a request only shared with another, once
+// it has a whole answer; an answer that says that the server failed is none.
+func TestAnswerClears(t *testing.T) {
+	for _, one := range []struct {
+		route string
+		last  reply
+		clear bool
+	}{{"safe", good, true}, {"resumable", rest, true}, {"once", failed, false}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := &sender{replies: []reply{ending}}
+			f := holding(t, s)
+			_, _, err := serve(context.Background(), f, one.route)
+			is.True(err != nil)
+			is.True(len(f.Quarantine.Reports(time.Now())) > 0)
+			s.replies = []reply{one.last}
+			_, _, err = serve(context.Background(), f, one.route)
+			is.NoErr(err)
+			is.Equal(len(f.Quarantine.Reports(time.Now())) == 0, one.clear)
+		})
+	}
+}
+
+// TestOldRunIsNotBlamed puts no blame on an answer that had run for a while as its server
+// ended.
+func TestOldRunIsNotBlamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := holding(t, &sender{replies: []reply{{body: "id: 1\n\n", broken: errReset, ended: true}}})
+		in := &runworks.Inbound{ID: "1", Method: http.MethodPost, Host: "h", Path: "/stream/x", Target: "/stream/x", Received: time.Now()}
+		res, err := f.Serve(context.Background(), in)
+		is.NoErr(err)
+		event := make([]byte, len("id: 1\n\n"))
+		_, err = io.ReadFull(res.Body, event)
+		is.NoErr(err)
+		time.Sleep(freshRun)
+		_, err = res.Body.Read(event)
+		is.True(err != nil)
+		is.NoErr(res.Body.Close())
+		is.Equal(len(f.Quarantine.Reports(time.Now())), 0)
+	})
+}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -16,6 +16,7 @@
 	"github.com/runworks/runworks/modules/metrics"
 	"github.com/runworks/runworks/modules/tracing"
 	"github.com/runworks/runworks/services/dispatch"
+	"github.com/runworks/runworks/services/quarantine"
 	"github.com/runworks/runworks/services/quota"
 	"github.com/runworks/runworks/services/route"
 )
@@ -75,6 +76,8 @@
 	Dispatcher *dispatch.Dispatcher
 	Quota      *quota.Quota
 	Budgets    *Budgets
+	// Quarantine knows the requests that end backend servers.
+	Quarantine *quarantine.Quarantine
 	Sender     runworks.Sender
 	Logger     hclog.Logger
 	Metrics    *metrics.Set
@@ -179,6 +182,10 @@
 		return runworks.NotRun(err, 0)
 	}
 	c.rank = c.route.Rank
+	if wait := c.held(now); wait > 0 {
+		metrics.Count(c.f.Metrics.Quarantined, metrics.Rank(c.rank))
+		return runworks.NotRun(runworks.ErrQuarantined, wait)
+	}
 	if c.customer != nil {
 		if c.customer.Rank != nil {
 			c.rank = *c.customer.Rank
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -172,6 +172,7 @@
 	if errors.Is(s.end, io.EOF) {
 		s.lease.Length(s.call.in.ExpectedTokens, s.call.events)
 		s.lease.Release(dispatch.Served)
+		s.call.noteAnswered()
 		s.call.finish(runworks.OutcomeDone, 0, nil)
 	} else {
 		err := s.end
--- a/services/peers/hear.go
+++ b/services/peers/hear.go
@@ -43,6 +43,8 @@
 		return nil, x.takeBeat(params, false)
 	case MethodGreet:
 		return nil, x.takeBeat(params, true)
+	case MethodSuspects:
+		return nil, x.takeSuspects(params)
 	case MethodState:
 		var c StateCall
 		if err := json.Unmarshal(params, &c); err != nil {
@@ -75,6 +77,7 @@
 	if greeting {
 		x.decoder = decoder{from: b.From, names: b.Names}
 		x.OnGreeting(now, &b)
+		x.hearSuspects(b.From.Name, b.Suspects)
 	}
 	x.hear(now, &b)
 	return nil
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -97,6 +97,9 @@
 	b := x.Beat()
 	b.From, b.Limits = x.Self, x.Limits()
 	b.Names = x.encoder.names[:x.encoder.told]
+	if x.Suspects != nil {
+		b.Suspects = x.Suspects()
+	}
 	if err := conn.Notify(ctx, MethodGreet, b); err != nil {
 		x.Logger.Warn("an entry could not be greeted", "name", l.member.Name, "error", err.Error())
 		_ = conn.Close() // dialled again
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -22,6 +22,9 @@
 	// MethodGreet is the first notification on a connection: a Beat that tells all of
 	// the limits, where others tell what is new.
 	MethodGreet = "entry.greet"
+	// MethodSuspects is the notification of requests under which backend servers ended.
+	// Versions that do not know it pass it over.
+	MethodSuspects = "entry.suspects"
 	// MethodState is the call for what an entry knows of a Subject.
 	MethodState = "entry.state"
 )
@@ -95,6 +98,8 @@
 	// Changes are what the entry read from the store since its last heartbeat; only frames
 	// tell them.
 	Changes []Change `json:"-"`
+	// Suspects are all requests under which backend servers ended; only greetings tell them.
+	Suspects []runworks.Suspect `json:"suspects,omitempty"`
 	// Names are those of the frames that follow a greeting, by their numbers.
 	Names []string `json:"names,omitempty"`
 }
@@ -116,6 +121,10 @@
 	OnGone func(from runworks.Incarnation)
 	// OnGreeting is told, ahead of OnBeat, what another entry says first.
 	OnGreeting func(now time.Time, b *Beat)
+	// Suspects gives the requests that a greeting tells of, and OnSuspects is told what
+	// another entry told of some; nil gives none and tells nobody.
+	Suspects   func() []runworks.Suspect
+	OnSuspects func(from string, list []runworks.Suspect)
 	// OnReplaced is told which life of an entry is over, as a new one was heard.
 	OnReplaced func(old runworks.Incarnation)
 	// State gives what this entry knows of a subject, for others.
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -37,6 +37,9 @@
 	// storeLost is what the entry tells of the store, and changes what it was told of it.
 	storeLost bool
 	changes   []Change
+	// suspects are the requests it was told of, and knows those it tells in a greeting.
+	suspects []runworks.Fingerprint
+	knows    []runworks.Suspect
 	// beats is how many heartbeats it heard, and limits what they told of customers.
 	beats  int
 	limits map[string]float64
@@ -116,6 +119,18 @@
 			e.greeted[b.From.Incarnation] = now
 		}
 	}
+	e.Suspects = func() []runworks.Suspect {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.knows
+	}
+	e.OnSuspects = func(_ string, list []runworks.Suspect) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for _, s := range list {
+			e.suspects = append(e.suspects, s.Fingerprint)
+		}
+	}
 	e.OnGone = func(from runworks.Incarnation) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
