--- a/services/forward/blame_test.go
+++ b/services/forward/blame_test.go
@@ -90,6 +90,7 @@
 			}
 			is.Equal(len(s.sends), 3)
 			time.Sleep(time.Minute)
+			f.Dispatcher.Replace(nil) // it is refused before it asks for a server
 			_, _, err := serve(context.Background(), f, one.route)
 			var failure *runworks.Failure
 			is.True(errors.As(err, &failure))
@@ -98,6 +99,7 @@
 			is.Equal(failure.RetryAfter, 59*time.Minute)
 			is.Equal(len(s.sends), 3)
 			s.replies = []reply{good}
+			startAnew(f, one.calls)
 			in := &runworks.Inbound{ID: "2", Method: http.MethodPost, Host: "h", Path: "/safe/y", Target: "/safe/y", Received: time.Now()}
 			_, err = f.Serve(context.Background(), in)
 			is.NoErr(err)
