A front notices that its host was suspended

Cause: ages, deadlines and timers go by a clock that does not count a suspension. After it a read of the store waits on, other fronts seem just heard, and a server would be given time that its caller lost.

--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -53,6 +53,7 @@
 	work.Go(func() { d.members.Run(ctx) })
 	work.Go(func() { d.limits.Run(ctx) })
 	work.Go(func() { d.suspects.Run(ctx) })
+	work.Go(func() { d.watchSuspensions(ctx) })
 }
 
 // state gives what this front knows of a subject, for other fronts.
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -23,13 +23,13 @@
 	lease.OnEnd(func() { cancel(errStartedAgain) })
 	spanCtx, span := c.f.Tracer.Start(c.sending, tracing.SpanBackend)
 	defer span.End()
-	send := &runworks.Send{Inbound: c.in, To: lease.Instance, Left: time.Until(c.deadline), LastEvent: lastEvent, Wanted: c.wanted, Customer: c.customerName()}
+	send := &runworks.Send{Inbound: c.in, To: lease.Instance, Left: c.left(), LastEvent: lastEvent, Wanted: c.wanted, Customer: c.customerName()}
 	metrics.Count(c.f.Metrics.Dispatches, metrics.Rank(c.rank))
 	c.sent = time.Now()
 	c.verdict.Draw.Spend(c.sent)
 	reply, err := c.send(spanCtx, send)
 	switch {
-	case errors.Is(err, runworks.ErrCallerLeft), errors.Is(err, runworks.ErrQuarantined):
+	case neverSent(err):
 		c.sends--
 		lease.Release(dispatch.Abandoned)
 		return nil, c.notRun(err)
@@ -86,7 +86,12 @@
 	case c.held(time.Now()) > 0:
 		return runworks.ErrQuarantined
 	}
-	return nil
+	return c.late()
+}
+
+// neverSent says whether an attempt ended with one of the errors of wanted.
+func neverSent(err error) bool {
+	return errors.Is(err, runworks.ErrCallerLeft) || errors.Is(err, runworks.ErrQuarantined) || errors.Is(err, runworks.ErrTimeLimit)
 }
 
 // endOf keeps a server's record clean of what the caller or the clock ended, but
@@ -127,7 +132,7 @@
 	if ctx.Err() != nil || c.sends >= maxSends || len(c.tried) >= maxTries {
 		return false
 	}
-	if errors.Is(failed, runworks.ErrCallerLeft) || errors.Is(failed, runworks.ErrQuarantined) {
+	if neverSent(failed) {
 		return false
 	}
 	if errors.Is(failed, runworks.ErrNotDispatched) {
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -89,7 +89,9 @@
 	Stopping atomic.Bool
 
 	active atomic.Int64
-	once   sync.Once
+	// suspended is how long the host was suspended since the start.
+	suspended atomic.Int64
+	once      sync.Once
 	// ending is over when calls without an answer are given up on.
 	ending context.Context
 	end    context.CancelFunc
@@ -109,7 +111,9 @@
 	customer *runworks.RoutedCustomer
 	service  string
 	deadline time.Time
-	rank     int
+	// suspended is how long the host had been suspended as the call came.
+	suspended int64
+	rank      int
 
 	// print is what fingerprint gives, once it was asked for.
 	print runworks.Fingerprint
@@ -140,7 +144,7 @@
 // Serve gives the answer to a call; the error is a *runworks.Failure. The caller
 // of Serve closes the answer's body. The end of ctx gives the call up.
 func (f *Forwarder) Serve(ctx context.Context, in *runworks.Inbound) (*runworks.Reply, error) {
-	c := &call{f: f, in: in}
+	c := &call{f: f, in: in, suspended: f.suspended.Load()}
 	f.active.Add(1)
 	ctx, span := f.Tracer.Start(ctx, tracing.SpanEntry)
 	defer span.End()
--- a/services/peers/hear.go
+++ b/services/peers/hear.go
@@ -120,6 +120,16 @@
 	return max(silentAfter, missedBeats*x.farEveryLocked())
 }
 
+// Lost makes what was heard as much older as this host was suspended: the others may have
+// ended meanwhile, or count this entry as gone.
+func (x *Exchange) Lost(d time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, one := range x.heard {
+		one.last = one.last.Add(-d)
+	}
+}
+
 // forgetSilent counts entries as gone that sent nothing for a while.
 func (x *Exchange) forgetSilent(now time.Time) {
 	x.mu.Lock()
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -322,3 +322,19 @@
 		})
 	}
 }
+
+// TestSuspendedEntry counts the others as gone after a suspension that is longer than a
+// silence, and hears them again with their next heartbeats.
+func TestSuspendedEntry(t *testing.T) {
+	inNetwork(t, "key-of-the-fleet", func(is *is.I, _ *memnet.Network, a, _ *entry) {
+		a.Lost(silentAfter / 2)
+		time.Sleep(DefaultEvery + 10*time.Millisecond) // between two heartbeats
+		is.Equal(a.Live(), 1)
+		a.Lost(silentAfter + time.Second)
+		time.Sleep(2 * quietEvery)
+		is.Equal(a.Live(), 1)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		is.Equal(a.gone, []runworks.Incarnation{"b-life"})
+	})
+}
