A server whose record goes proves its end as well

Cause: a front that is cut off, frozen or slow may not see a server end that broke its calls off, or find it back by then; a request would cost a server more for each such front.

--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -224,6 +224,9 @@
 	for _, one := range change.Left {
 		d.Logger.Info("backend server leaves", "server", one.ID, "born", one.Born, "service", one.Service, "address", one.Address)
 	}
+	for _, one := range change.Gone {
+		d.blameFor(&one)
+	}
 	for _, one := range change.Ended {
 		d.pool.Forget(one.Address)
 		d.Logger.Warn("backend server started again, its calls are lost", "server", one.ID, "born", one.Born, "service", one.Service, "address", one.Address)
--- a/daemon/front_quarantine.go
+++ b/daemon/front_quarantine.go
@@ -28,3 +28,11 @@
 func (d *Front) lift(fingerprint string) bool {
 	return d.quarantine.Lift(time.Now(), runworks.Fingerprint(fingerprint))
 }
+
+// blameFor puts the end of a backend server, which its record tells, on the calls that it
+// had broken off.
+func (d *Front) blameFor(server *runworks.Instance) {
+	for _, f := range d.quarantine.Gone(time.Now(), server.Life()) {
+		d.Logger.Warn("backend server gone that had broken a call off", "server", server.Life(), "service", server.Service, "fingerprint", f)
+	}
+}
--- a/services/dispatch/fleet.go
+++ b/services/dispatch/fleet.go
@@ -12,8 +12,9 @@
 type FleetChange struct {
 	// Added are the servers that are new, and Left those that leave or are gone.
 	Added, Left []runworks.Instance
-	// Ended are the lives that are over, as their servers started again.
-	Ended []runworks.Instance
+	// Ended are the lives that are over, as their servers started again, and Gone those and
+	// the ones that are on the list no more and had not said that they leave.
+	Ended, Gone []runworks.Instance
 }
 
 // Replace puts the list of backend servers in force. A server that is on it no
@@ -43,6 +44,9 @@
 		if d.servers[life] != nil {
 			continue
 		}
+		if !s.Leaving {
+			out.Gone = append(out.Gone, s.Instance)
+		}
 		if d.newest[s.ID] != nil {
 			out.Ended = append(out.Ended, s.Instance)
 			s.end()
--- a/services/dispatch/life_test.go
+++ b/services/dispatch/life_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -111,3 +112,18 @@
 		is.Equal(len(all()), 2)
 	})
 }
+
+// TestGone tells of the lives that are over without having said that they leave: those whose
+// server started again, and those that are on the list no more.
+func TestGone(t *testing.T) {
+	is := is.New(t)
+	d := &Dispatcher{}
+	d.Replace([]runworks.Instance{{ID: "a", Born: 1, Service: "s"}, {ID: "b", Service: "s"}, {ID: "c", Service: "s"}, {ID: "d", Service: "s"}})
+	is.Equal(len(d.Replace([]runworks.Instance{{ID: "a", Born: 1, Service: "s"}, {ID: "b", Service: "s"}, {ID: "c", Service: "s", Leaving: true}, {ID: "d", Service: "s"}}).Gone), 0)
+	var gone []string
+	for _, one := range d.Replace([]runworks.Instance{{ID: "a", Born: 2, Service: "s"}, {ID: "d", Service: "s"}}).Gone {
+		gone = append(gone, one.Life())
+	}
+	slices.Sort(gone)
+	is.Equal(gone, []string{"a/1", "b"})
+}
--- a/services/forward/blame.go
+++ b/services/forward/blame.go
@@ -41,6 +41,9 @@
 		end.note()
 		return
 	}
+	if fresh {
+		c.f.Quarantine.Broken(time.Now(), end.fingerprint, server.Life())
+	}
 	c.f.Sender.WatchEnd(ctx, server, end.note)
 }
 
--- a/services/forward/blame_test.go
+++ b/services/forward/blame_test.go
@@ -177,3 +177,28 @@
 		is.Equal(len(f.Quarantine.Reports(time.Now())), 0)
 	})
 }
+
+// TestRecordTellsTheEnd holds a request that servers broke off without being seen to end,
+// once they are gone; one whose answer had run for a while is not among those.
+func TestRecordTellsTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &sender{replies: []reply{lost}}
+		f := holding(t, s)
+		for n := range 3 {
+			startAnew(f, n)
+			_, _, err := serve(context.Background(), f, "once")
+			is.True(err != nil)
+			is.Equal(len(f.Quarantine.Reports(time.Now())) > 0, n > 0)
+			change := f.Dispatcher.Replace(nil)
+			is.Equal(len(change.Gone), 3)
+			for _, one := range change.Gone {
+				f.Quarantine.Gone(time.Now(), one.Life())
+			}
+		}
+		startAnew(f, 3)
+		_, _, err := serve(context.Background(), f, "once")
+		is.True(errors.Is(err, runworks.ErrQuarantined))
+		is.Equal(len(s.sends), 3)
+	})
+}
--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -40,6 +40,7 @@
 	mu       sync.Mutex
 	suspects map[runworks.Fingerprint]*suspect
 	answered answers
+	broken   breaks
 }
 
 // suspect is a request under which backend servers ended.
@@ -88,6 +89,26 @@
 	}
 }
 
+// Broken records that a life of a backend server broke a request off as it began to run it:
+// Gone within a while proves that the life ended.
+func (q *Quarantine) Broken(now time.Time, f runworks.Fingerprint, server string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.broken.add(now, f, server)
+}
+
+// Gone records that a life of a backend server is over, though it did not say before that it
+// would end; it gives the requests that it had broken off a while ago.
+func (q *Quarantine) Gone(now time.Time, server string) []runworks.Fingerprint {
+	q.mu.Lock()
+	list := q.broken.take(now, server)
+	q.mu.Unlock()
+	for _, f := range list {
+		q.Blame(now, f, server)
+	}
+	return list
+}
+
 // Answered records that a backend server gave a request a whole answer: it ends none.
 func (q *Quarantine) Answered(now time.Time, f runworks.Fingerprint) {
 	q.mu.Lock()
--- a/services/quarantine/quarantine_test.go
+++ b/services/quarantine/quarantine_test.go
@@ -70,6 +70,10 @@
 	switch verb {
 	case "blame":
 		s.Blame(now, what, words[2])
+	case "broken":
+		s.Broken(now, what, words[2])
+	case "gone":
+		fmt.Fprintf(s.out, "gone %v\n", s.Gone(now, words[1]))
 	case "answered":
 		s.Answered(now, what)
 	case "lift":
@@ -137,3 +141,17 @@
 	}
 	is.Equal(q.Held(start, "f"), time.Duration(0))
 }
+
+// TestBreaksAreBounded remembers the last breaks alone.
+func TestBreaksAreBounded(t *testing.T) {
+	is := is.New(t)
+	var b breaks
+	for i := range 2 * maxBreaks {
+		b.add(start, runworks.Fingerprint(fmt.Sprint(i)), fmt.Sprint("s", i))
+	}
+	is.Equal(len(b.list), maxBreaks)
+	is.Equal(len(b.take(start, "s0")), 0)
+	is.Equal(b.take(start, fmt.Sprint("s", 2*maxBreaks-1)), []runworks.Fingerprint{runworks.Fingerprint(fmt.Sprint(2*maxBreaks - 1))})
+	b.add(start.Add(time.Minute), "f", "s")
+	is.Equal(len(b.list), 1)
+}
