--- a/modules/suspend/suspend.go
+++ b/modules/suspend/suspend.go
@@ -1,5 +1,3 @@
-// Package suspend tells how long a host was suspended: time that the clock does not count by
-// which a process measures ages and deadlines.
 package suspend
 
 import (
@@ -22,11 +20,11 @@
 // Clock gives the time since some point, in a clock of the system's.
 type Clock func() (time.Duration, error)
 
-// Boot counts the time since the host's start, Steady the part of it in which the host was
-// not suspended; a process's own ages and timers go by the latter.
+// Boot gives the time since the host's start.
 func Boot() (time.Duration, error) { return read(unix.CLOCK_BOOTTIME) }
 
-// Steady is told of with Boot.
+// Steady gives the part of that time in which the host was not suspended, by which a process's
+// own ages and timers go.
 func Steady() (time.Duration, error) { return read(unix.CLOCK_MONOTONIC) }
 
 func read(clock int32) (time.Duration, error) {
--- a/services/quarantine/suspect.go
+++ b/services/quarantine/suspect.go
@@ -35,10 +35,8 @@
 	if s := q.suspects[f]; s != nil {
 		return s
 	}
-	if len(q.suspects) >= maxSuspects {
-		q.pruneLocked(now)
-		q.dropOldestLocked()
-	}
+	q.pruneLocked(now)
+	q.dropOldestLocked()
 	if q.suspects == nil {
 		q.suspects = make(map[runworks.Fingerprint]*suspect)
 	}
@@ -77,7 +75,7 @@
 // add takes the ends and the clearing of a telling.
 func (s *suspect) add(now time.Time, news *runworks.Suspect) {
 	s.cleared = later(s.cleared, earlier(news.Cleared, now))
-	for _, e := range news.Ends {
+	for _, e := range news.Ends[max(len(news.Ends)-maxEnds, 0):] {
 		if _, known := s.ends[e.Server]; !known {
 			// A writer whose clock is ahead must not hold the request for longer.
 			s.ends[e.Server] = earlier(e.At, now)
