--- a/tests/platform_crash_test.go
+++ b/tests/platform_crash_test.go
@@ -61,6 +61,8 @@
 			p.storeDown = d.HasArg("down")
 			p.setFaults(p.store, standin.StoreFaults{Down: p.storeDown})
 			return "done\n"
+		case "lift":
+			return p.lift(fronts[0])
 		case "recorded":
 			p.until("all ends are on record", func() bool { return p.recordedEnds() == p.ended })
 			return "done\n"
@@ -136,6 +138,35 @@
 	return fmt.Sprintf("answered=%d refused=%d broken=%d ended=%d\n", answered, refused, broken, ended)
 }
 
+// lift has a front let all requests go that are held, and waits until all fronts do.
+func (p *crashSite) lift(front string) string {
+	p.t.Helper()
+	operators := "http://" + p.fronts[front].address("operators")
+	var status struct {
+		Suspects []runworks.Suspect `json:"suspects"`
+	}
+	if !getJSON(operators+"/status", &status) {
+		p.t.Fatalf("%s does not tell its status", front)
+	}
+	for _, s := range status.Suspects {
+		req, err := http.NewRequest(http.MethodDelete, operators+"/quarantine/"+string(s.Fingerprint), nil)
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		_ = res.Body.Close()
+		if res.StatusCode != http.StatusOK {
+			p.t.Fatalf("lift %s: %s", s.Fingerprint, res.Status)
+		}
+	}
+	p.ended = 0
+	p.waitFronts()
+	return "lifted\n"
+}
+
 // replaceEnded takes the servers that ended off the list and starts new ones; it says how
 // many ended.
 func (p *crashSite) replaceEnded() int {
