--- a/daemon/front.go
+++ b/daemon/front.go
@@ -173,7 +173,7 @@
 		Beat: d.beat, OnBeat: d.onBeat, OnGone: d.onGone, OnReplaced: d.onReplaced, State: d.state,
 		News:       func() runworks.LimitUse { return d.quota.News(time.Now()) },
 		Limits:     func() runworks.LimitUse { return d.quota.Own(time.Now()) },
-		OnGreeting: d.onGreeting, OnSettled: d.takeHeld,
+		OnGreeting: d.onGreeting,
 		Suspects:   func() []runworks.Suspect { return d.quarantine.List(time.Now()) },
 		OnSuspects: func(_ string, list []runworks.Suspect) { d.quarantine.Take(time.Now(), list) },
 	}
@@ -247,8 +247,6 @@
 		return runworks.ErrNotReady
 	case !d.quota.Told(time.Now()):
 		return errorx.Decorate(runworks.ErrNotReady, "what customers drew before the start is not known")
-	case !d.exchange.Settled(time.Now()):
-		return errorx.Decorate(runworks.ErrNotReady, "no other front was heard yet")
 	case !d.suspects.Tried():
 		return errorx.Decorate(runworks.ErrNotReady, "the requests that end backend servers are not known")
 	case !d.listed.Load():
--- a/services/quota/quota.go
+++ b/services/quota/quota.go
@@ -56,7 +56,6 @@
 	told, complete bool
 	swept          time.Time
 	recorder       recorder
-	setOff         setOff
 }
 
 // Verdict says whether a call is inside a customer's limit, and why.
--- a/services/quota/tell.go
+++ b/services/quota/tell.go
@@ -155,7 +155,6 @@
 	}
 	if use.Version > l.version {
 		l.update(q.number(now), &use, q.recorder.drew)
-		q.setOff.told(from, l, q.lives[recordLife])
 	}
 }
 
@@ -167,7 +166,6 @@
 	l.heard, l.over = now, false
 	if use.Version >= l.version {
 		q.replace(now, l, &use)
-		q.setOff.told(from, l, q.lives[recordLife])
 	}
 }
 
