--- a/modules/httpconn/end.go
+++ b/modules/httpconn/end.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// refusalTimeout bounds the wait for a refusal, which a host that lives gives within a
-	// few ms.
-	refusalTimeout = 200 * time.Millisecond
+	// DefaultRefusalTimeout bounds the wait for a refusal, which a host that lives gives
+	// within a few ms.
+	DefaultRefusalTimeout = 200 * time.Millisecond
 	// endWatch is how long a connection is watched that a process may have taken in its last
 	// moment: the kernel closes what it had open within a few ms, in any order.
 	endWatch = 100 * time.Millisecond
@@ -65,7 +65,7 @@
 }
 
 func (p *Pool) open(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	ctx, cancel := context.WithTimeout(ctx, orDuration(p.RefusalTimeout, DefaultRefusalTimeout))
 	defer cancel()
 	return p.Dial(ctx, "tcp", address)
 }
--- a/modules/httpconn/pool.go
+++ b/modules/httpconn/pool.go
@@ -38,6 +38,9 @@
 	DialTimeout time.Duration
 	Idle        time.Duration
 	MaxIdle     int
+	// RefusalTimeout bounds each connection that WatchEnd asks for; DefaultRefusalTimeout if
+	// zero.
+	RefusalTimeout time.Duration
 	// Recognise says whether an answer belongs to a request; nil takes any.
 	Recognise func(req *http.Request, res *http.Response) bool
 
