Read the change again: one way to open a connection, files by their topics

A pool opened connections in two places with the same lines: open serves both. The ends of a suspect were sorted once for each that is too many: sortedEnds, once. Behaviour and assertions as they were.

--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -10,8 +10,6 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/runworks/runworks"
-	"github.com/runworks/runworks/modules/metrics"
-	"github.com/runworks/runworks/modules/pause"
 	"github.com/runworks/runworks/platform"
 	"github.com/runworks/runworks/services/peers"
 	"github.com/runworks/runworks/services/route"
@@ -154,85 +152,6 @@
 	}
 }
 
-// onServers puts the list of backend servers in force.
-func (d *Front) onServers(records []platform.Record, take func([]platform.Record) []platform.BadRecord) {
-	d.serversMu.Lock()
-	defer d.serversMu.Unlock()
-	for _, bad := range take(records) {
-		d.noteBadRecord(bad)
-	}
-	d.putServers()
-	d.listed.Store(true)
-	d.takeHeld()
-}
-
-// noteBadRecord counts and logs a record that names no backend server to use.
-func (d *Front) noteBadRecord(bad platform.BadRecord) {
-	metrics.Count(d.metrics.BadRecords)
-	d.Logger.Error("record names no backend server to use", "key", bad.Key, "error", bad.Err.Error())
-}
-
-// servicesChanged looks again for servers whose services are routed to.
-func (d *Front) servicesChanged() {
-	d.serversMu.Lock()
-	defer d.serversMu.Unlock()
-	if d.listed.Load() {
-		d.putServers()
-	}
-}
-
-// named gives the servers of the services that the routing names. The others are told of
-// once, and kept for a routing that names theirs.
-func (d *Front) named(list []runworks.Instance) []runworks.Instance {
-	table := d.forwarder.Table.Load()
-	if table == nil {
-		return list
-	}
-	unnamed := make(map[string]bool)
-	out := list[:0]
-	for _, one := range list {
-		if table.Serves(one.Service) {
-			out = append(out, one)
-			continue
-		}
-		unnamed[one.Life()] = true
-		if !d.unnamed[one.Life()] {
-			d.noteBadRecord(platform.BadRecord{Key: one.ID, Err: errorx.Decorate(runworks.ErrUnknownService, "%.100s", one.Service)})
-		}
-	}
-	d.unnamed = unnamed
-	return out
-}
-
-// putServers puts the list in force, and again when the time of those is over whose
-// records the store may have lost.
-func (d *Front) putServers() {
-	list, again := d.lapses.Merge(time.Now(), d.named(d.servers.List()))
-	change := d.dispatcher.Replace(list)
-	if again > 0 {
-		d.Logger.Warn("records of many backend servers went at once, kept for a while", "known", len(list), "for_ms", again.Milliseconds())
-		d.work.Go(func() {
-			pause.For(d.ctx, again)
-			d.serversMu.Lock()
-			defer d.serversMu.Unlock()
-			d.putServers()
-		})
-	}
-	for _, one := range change.Added {
-		d.Logger.Info("backend server known", "server", one.ID, "born", one.Born, "service", one.Service, "address", one.Address, "hall", one.Hall, "leaving", one.Leaving)
-	}
-	for _, one := range change.Left {
-		d.Logger.Info("backend server leaves", "server", one.ID, "born", one.Born, "service", one.Service, "address", one.Address)
-	}
-	for _, one := range change.Gone {
-		d.blameFor(&one)
-	}
-	for _, one := range change.Ended {
-		d.pool.Forget(one.Address)
-		d.Logger.Warn("backend server started again, its calls are lost", "server", one.ID, "born", one.Born, "service", one.Service, "address", one.Address)
-	}
-}
-
 func (d *Front) beat() peers.Beat {
 	b := peers.Beat{Load: d.dispatcher.Own(), Positions: map[peers.Subject]int64{}}
 	for subject, w := range d.watches {
@@ -283,23 +202,3 @@
 func (d *Front) onGone(from runworks.Incarnation) {
 	d.dispatcher.Forget(from)
 }
-
-func (d *Front) onSuspend(server runworks.Instance, failures int, wait time.Duration) {
-	d.Logger.Warn("backend server left out", "server", server.ID, "service", server.Service, "failures", failures, "for_ms", wait.Milliseconds())
-}
-
-func (d *Front) onSilent(server runworks.Instance, silent bool) {
-	if silent {
-		d.Logger.Warn("backend server silent, left out until it is heard", "server", server.ID, "service", server.Service)
-		return
-	}
-	d.Logger.Info("backend server heard again", "server", server.ID, "service", server.Service)
-}
-
-func (d *Front) onDoubt(server runworks.Instance, entries int) {
-	if entries > 0 {
-		d.Logger.Warn("backend server left out by other fronts", "server", server.ID, "service", server.Service, "fronts", entries)
-		return
-	}
-	d.Logger.Info("backend server left out by no other front any more", "server", server.ID, "service", server.Service)
-}
--- /dev/null
+++ b/daemon/front_status.go
@@ -0,0 +1,30 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/runworks/runworks/services/dispatch"
+	"github.com/runworks/runworks/services/quarantine"
+)
+
+// FrontStatus is what a front tells operators.
+type FrontStatus struct {
+	RoutingVersion int64           `json:"routing_version"`
+	Fronts         int             `json:"fronts"`
+	Servers        []dispatch.Load `json:"servers"`
+	Waiting        map[string]int  `json:"waiting"`
+	// LimitsUsed is what this front counts as drawn in the window, in tokens, by
+	// customer; fronts in touch agree on it.
+	LimitsUsed map[string]float64 `json:"limits_used"`
+	// Suspects are the requests under which backend servers ended, and whether they are held.
+	Suspects []quarantine.Report `json:"suspects"`
+}
+
+func (d *Front) status() FrontStatus {
+	out := FrontStatus{Fronts: d.exchange.Live() + 1, Servers: d.dispatcher.Loads(), Waiting: d.dispatcher.Waiting(), LimitsUsed: d.quota.Used(time.Now())}
+	out.Suspects = d.quarantine.Reports(time.Now())
+	if table := d.forwarder.Table.Load(); table != nil {
+		out.RoutingVersion = table.Routing.Version
+	}
+	return out
+}
--- a/modules/httpconn/end.go
+++ b/modules/httpconn/end.go
@@ -1,10 +1,8 @@
 package httpconn
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"net"
 	"os"
 	"syscall"
 	"time"
@@ -24,22 +22,23 @@
 // connection is taken, it is watched for a moment. A reset alone proves nothing, as a server
 // that has enough connections resets new ones. One that stays open is kept for the next request.
 func (p *Pool) WatchEnd(ctx context.Context, address string, ended func()) {
-	raw, err := p.open(ctx, address)
+	c, err := p.askEnd(ctx, address)
 	switch {
 	case refused(err):
 		ended()
 	case err == nil:
-		go p.watch(raw, address, ended)
+		go p.watch(c, ended)
 	}
 }
 
 // watch keeps a connection that stays open, and asks once more for one if it does not.
-func (p *Pool) watch(raw net.Conn, address string, ended func()) {
-	if p.staysOpen(raw, address) {
+func (p *Pool) watch(c *conn, ended func()) {
+	if c.staysOpen() {
+		p.put(c)
 		return
 	}
-	_ = raw.Close()
-	again, err := p.open(context.Background(), address)
+	_ = c.Close()
+	again, err := p.askEnd(context.Background(), c.address)
 	switch {
 	case refused(err):
 		ended()
@@ -48,26 +47,20 @@
 	}
 }
 
-// staysOpen says whether a connection is still open and silent after a moment; it is kept
-// then.
-func (p *Pool) staysOpen(raw net.Conn, address string) bool {
-	if err := raw.SetReadDeadline(time.Now().Add(endWatch)); err != nil {
-		return false
-	}
-	if _, err := raw.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+// askEnd asks for a connection that an ended process refuses.
+func (p *Pool) askEnd(ctx context.Context, address string) (*conn, error) {
+	return p.open(ctx, address, orDuration(p.RefusalTimeout, DefaultRefusalTimeout))
+}
+
+// staysOpen says whether a new connection is still open and silent after a moment.
+func (c *conn) staysOpen() bool {
+	if err := c.SetReadDeadline(time.Now().Add(endWatch)); err != nil {
 		return false
 	}
-	if err := raw.SetReadDeadline(time.Time{}); err != nil {
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
 		return false
 	}
-	p.put(&conn{Conn: raw, address: address, br: bufio.NewReader(raw)})
-	return true
-}
-
-func (p *Pool) open(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, orDuration(p.RefusalTimeout, DefaultRefusalTimeout))
-	defer cancel()
-	return p.Dial(ctx, "tcp", address)
+	return c.SetReadDeadline(time.Time{}) == nil
 }
 
 func refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/modules/httpconn/end_test.go
+++ b/modules/httpconn/end_test.go
@@ -1,9 +1,7 @@
 package httpconn
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net"
 	"testing"
 	"time"
@@ -35,11 +33,7 @@
 // connection that this took is used by the next request.
 func TestWatchEnd(t *testing.T) {
 	is := is.New(t)
-	s := serveConns(t, func(c net.Conn, br *bufio.Reader, _ int32) {
-		for readRequest(br) {
-			_, _ = io.WriteString(c, whole)
-		}
-	})
+	s := serveConns(t, answerWhole)
 	p := newPool()
 	defer p.Close()
 	is.True(!ends(t, p, s.address, false))
--- a/modules/httpconn/pool.go
+++ b/modules/httpconn/pool.go
@@ -70,11 +70,20 @@
 		}
 		_ = c.Close()
 	}
-	ctx, cancel := context.WithTimeout(ctx, orDuration(p.DialTimeout, DefaultDialTimeout))
+	c, err := p.open(ctx, address, orDuration(p.DialTimeout, DefaultDialTimeout))
+	if err != nil {
+		return nil, errorx.Decorate(runworks.ErrNotDispatched, "reach %s: %v", address, err)
+	}
+	return c, nil
+}
+
+// open opens a connection within a limit; the error is the dialler's.
+func (p *Pool) open(ctx context.Context, address string, limit time.Duration) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	raw, err := p.Dial(ctx, "tcp", address)
 	if err != nil {
-		return nil, errorx.Decorate(runworks.ErrNotDispatched, "reach %s: %v", address, err)
+		return nil, err
 	}
 	return &conn{Conn: raw, address: address, br: bufio.NewReader(raw)}, nil
 }
--- a/modules/httpconn/pool_test.go
+++ b/modules/httpconn/pool_test.go
@@ -61,6 +61,13 @@
 	return err == nil
 }
 
+// answerWhole answers each request of a connection.
+func answerWhole(c net.Conn, br *bufio.Reader, _ int32) {
+	for readRequest(br) {
+		_, _ = io.WriteString(c, whole)
+	}
+}
+
 func newPool() *Pool {
 	return &Pool{
 		Dial:      (&net.Dialer{}).DialContext,
@@ -310,11 +317,7 @@
 // TestForget closes the unused connections to an address: the next request opens one.
 func TestForget(t *testing.T) {
 	is := is.New(t)
-	s := serveConns(t, func(c net.Conn, br *bufio.Reader, _ int32) {
-		for readRequest(br) {
-			_, _ = io.WriteString(c, whole)
-		}
-	})
+	s := serveConns(t, answerWhole)
 	p := newPool()
 	defer p.Close()
 	for range 2 {
--- a/services/forward/blame_test.go
+++ b/services/forward/blame_test.go
@@ -62,11 +62,7 @@
 
 // startAnew puts new servers in the place of those that there are.
 func startAnew(f *Forwarder, n int) {
-	var list []runworks.Instance
-	for i := range 3 {
-		list = append(list, runworks.Instance{ID: fmt.Sprintf("n%d-%d", n, i), Service: "app", Slots: 4})
-	}
-	f.Dispatcher.Replace(list)
+	f.Dispatcher.Replace(threeServers(fmt.Sprintf("n%d-", n)))
 }
 
 // TestRequestIsHeld sends a request that ends servers to three of them, and refuses it from
@@ -84,16 +80,14 @@
 			for n := range one.calls {
 				startAnew(f, n)
 				_, _, err := serve(context.Background(), f, one.route)
-				var failure *runworks.Failure
-				is.True(errors.As(err, &failure))
+				failure := failureOf(is, err)
 				is.Equal(failure.Outcome, runworks.OutcomeUnknown) // it ran
 			}
 			is.Equal(len(s.sends), 3)
 			time.Sleep(time.Minute)
 			f.Dispatcher.Replace(nil) // it is refused before it asks for a server
 			_, _, err := serve(context.Background(), f, one.route)
-			var failure *runworks.Failure
-			is.True(errors.As(err, &failure))
+			failure := failureOf(is, err)
 			is.True(errors.Is(err, runworks.ErrQuarantined))
 			is.Equal(failure.Outcome, runworks.OutcomeNotRun)
 			is.Equal(failure.RetryAfter, 59*time.Minute)
@@ -122,8 +116,7 @@
 			return false
 		}
 		_, err := f.Serve(context.Background(), in)
-		var failure *runworks.Failure
-		is.True(errors.As(err, &failure))
+		failure := failureOf(is, err)
 		is.True(errors.Is(err, runworks.ErrQuarantined))
 		is.Equal(failure.Outcome, runworks.OutcomeNotRun)
 		is.Equal(failure.RetryAfter, time.Hour)
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -108,6 +108,23 @@
 	return r
 }
 
+// threeServers gives servers whose ids begin alike.
+func threeServers(prefix string) []runworks.Instance {
+	var list []runworks.Instance
+	for i := range 3 {
+		list = append(list, runworks.Instance{ID: fmt.Sprint(prefix, i), Service: "app", Slots: 4})
+	}
+	return list
+}
+
+// failureOf gives the failure in an error, which must hold one.
+func failureOf(is *is.I, err error) *runworks.Failure {
+	is.Helper()
+	var failure *runworks.Failure
+	is.True(errors.As(err, &failure))
+	return failure
+}
+
 // newForwarder builds one with three servers and a logger that writes to out.
 func newForwarder(t *testing.T, s *sender, out io.Writer) *Forwarder {
 	t.Helper()
@@ -116,11 +133,7 @@
 		t.Fatal(err)
 	}
 	d := &dispatch.Dispatcher{}
-	var list []runworks.Instance
-	for i := range 3 {
-		list = append(list, runworks.Instance{ID: fmt.Sprint("s", i), Service: "app", Slots: 4})
-	}
-	d.Replace(list)
+	d.Replace(threeServers("s"))
 	go d.Run(t.Context())
 	f := &Forwarder{
 		Dispatcher: d, Quota: &quota.Quota{}, Budgets: &Budgets{Slack: 100}, Quarantine: &quarantine.Quarantine{}, Sender: s, Metrics: set, Tracer: tracing.None(),
@@ -194,8 +207,7 @@
 					is.Equal(body, c.body)
 					return
 				}
-				var failure *runworks.Failure
-				is.True(errors.As(err, &failure))
+				failure := failureOf(is, err)
 				is.Equal(failure.Outcome, c.outcome)
 				is.Equal(failure.RetryAfter > 0, c.outcome == runworks.OutcomeNotRun)
 			})
@@ -297,7 +309,7 @@
 				call := &runworks.Inbound{ID: runworks.RequestID(name), Host: "h", Path: "/once/x", Target: "/once/x", Received: time.Now()}
 				_, err := f.Serve(context.Background(), call)
 				var failure *runworks.Failure
-				is.True(errors.As(err, &failure))
+				is.True(errors.As(err, &failure)) // failureOf is for one goroutine
 				mu.Lock()
 				defer mu.Unlock()
 				failures[name] = failure
@@ -345,8 +357,7 @@
 		f.Table.Store(nil)
 		_, _, err = serve(context.Background(), f, "once")
 		is.True(errors.Is(err, runworks.ErrNotReady))
-		var failure *runworks.Failure
-		is.True(errors.As(err, &failure))
+		failure := failureOf(is, err)
 		is.Equal(failure.Outcome, runworks.OutcomeNotRun)
 		is.True(failure.RetryAfter > 0)
 	})
@@ -439,8 +450,7 @@
 			in.Left = func() bool { return len(s.sends) == sends }
 			_, err := f.Serve(t.Context(), in)
 			is.True(errors.Is(err, runworks.ErrCallerLeft))
-			var failure *runworks.Failure
-			is.True(errors.As(err, &failure))
+			failure := failureOf(is, err)
 			is.Equal(failure.Outcome == runworks.OutcomeNotRun, sends == 0)
 			is.Equal(len(s.sends), sends)
 			for _, one := range f.Dispatcher.Loads() {
@@ -473,8 +483,7 @@
 				is.Equal(s.sends[1].To.Born, int64(200)) // the new life had nothing of it
 				return
 			}
-			var failure *runworks.Failure
-			is.True(errors.As(err, &failure))
+			failure := failureOf(is, err)
 			is.Equal(failure.Outcome, runworks.OutcomeUnknown)
 			is.True(strings.Contains(failure.Error(), errStartedAgain.Error()))
 			is.Equal(len(s.sends), 1)
--- a/services/forward/suspend_test.go
+++ b/services/forward/suspend_test.go
@@ -40,8 +40,7 @@
 				is.Equal(s.sends[0].Left, one.left)
 				return
 			}
-			var failure *runworks.Failure
-			is.True(errors.As(err, &failure))
+			failure := failureOf(is, err)
 			is.True(errors.Is(err, runworks.ErrTimeLimit))
 			is.Equal(failure.Outcome, runworks.OutcomeNotRun)
 			is.Equal(len(s.sends), 0)
--- a/services/quarantine/suspect.go
+++ b/services/quarantine/suspect.go
@@ -89,21 +89,28 @@
 		}
 		s.last = later(s.last, at)
 	}
-	for len(s.ends) > maxEnds {
-		delete(s.ends, s.tell("").Ends[0].Server)
+	if told := s.sortedEnds(); len(told) > maxEnds {
+		for _, e := range told[:len(told)-maxEnds] {
+			delete(s.ends, e.Server)
+		}
 	}
 }
 
-// tell gives what is known of a request, in the form that others are told.
-func (s *suspect) tell(f runworks.Fingerprint) runworks.Suspect {
-	out := runworks.Suspect{Fingerprint: f, Cleared: s.cleared}
+// sortedEnds gives the ends, the oldest first.
+func (s *suspect) sortedEnds() []runworks.ServerEnd {
+	var out []runworks.ServerEnd
 	for server, at := range s.ends {
-		out.Ends = append(out.Ends, runworks.ServerEnd{Server: server, At: at})
+		out = append(out, runworks.ServerEnd{Server: server, At: at})
 	}
-	slices.SortFunc(out.Ends, func(a, b runworks.ServerEnd) int { return a.At.Compare(b.At) })
+	slices.SortFunc(out, func(a, b runworks.ServerEnd) int { return a.At.Compare(b.At) })
 	return out
 }
 
+// tell gives what is known of a request, in the form that others are told.
+func (s *suspect) tell(f runworks.Fingerprint) runworks.Suspect {
+	return runworks.Suspect{Fingerprint: f, Ends: s.sortedEnds(), Cleared: s.cleared}
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
