Callers whom a limit refused come back spread over half a second

A burst leaves the window at once, and 161 calls came to 28 fronts within 50 ms of it, about one heartbeat: 492,000 tokens where 250,000 were left. Change: the time to come back is up to half a second later, drawn for each. Test and mutant.

--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -28,6 +28,11 @@
 	// retryNotReadySpread keeps those who came too early from coming back all at once: a
 	// start of all entries beside a store that refused it sent back 1,438 in two seconds.
 	retryNotReadySpread = 300 * time.Millisecond
+	// retryLimitSpread keeps those whom a limit refused from coming back all in the moment in
+	// which it opens: what was drawn in a burst leaves the window at once, and 161 calls came
+	// to 28 entries within 50 ms of it, which is what they need to hear of each other. They
+	// let 492,000 tokens through where 250,000 were left. Ten times that.
+	retryLimitSpread = 500 * time.Millisecond
 	// retryShort and retrySpread bound the wait after a shortage: a burst lasts a
 	// few seconds, and those who come back must not make the next one.
 	retryShort  = 1500 * time.Millisecond
@@ -213,7 +218,7 @@
 		return runworks.NotRun(errorx.Decorate(runworks.ErrNotReady, "what the customer drew before the start is not known yet"), v.Wait+rand.N(retryNotReadySpread))
 	case v.Wait > 0:
 		return runworks.NotRun(errorx.Decorate(runworks.ErrLimit, "%.0f tokens asked, %.0f used, %.0f held and %.0f assumed of %.0f, %d other entries counted",
-			tokens, v.Used, v.Held, v.Assumed, v.Allowed, v.Heard), v.Wait)
+			tokens, v.Used, v.Held, v.Assumed, v.Allowed, v.Heard), v.Wait+rand.N(retryLimitSpread))
 	}
 	c.verdict = v
 	return nil
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -389,6 +389,36 @@
 	})
 }
 
+// TestReturnToALimitIsSpread tells those whom a limit refused to come back after it opens, and
+// not all in the same moment.
+func TestReturnToALimitIsSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newForwarder(t, &sender{replies: []reply{good}}, io.Discard)
+		routing := testRouting()
+		routing.Customers = []runworks.RoutedCustomer{{Name: "yard", KeySHA256: []string{runworks.HashKey("k")}, TokensPerSecond: 10, TokenBurst: 20, TokensPerCall: 100}}
+		f.Table.Store(route.NewTable(routing))
+		in := runworks.Inbound{ID: "1", Host: "h", Path: "/once/x", Target: "/once/x", Key: "k", Received: time.Now()}
+		_, err := f.Serve(context.Background(), &in)
+		is.NoErr(err)
+		opens := f.Quota.Take(time.Now(), &routing.Customers[0], 100).Wait
+		is.True(opens > 0)
+		const calls = 100
+		parts := [5]int{}
+		for range calls {
+			again := in
+			_, err := f.Serve(context.Background(), &again)
+			is.True(errors.Is(err, runworks.ErrLimit))
+			late := failureOf(is, err).RetryAfter - opens
+			is.True(late >= 0 && late < retryLimitSpread)
+			parts[late*time.Duration(len(parts))/retryLimitSpread]++
+		}
+		for _, n := range parts {
+			is.True(n < calls/2)
+		}
+	})
+}
+
 // TestOneLineForEachCall writes one line with what decided the call.
 func TestOneLineForEachCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
