A front tells what backend servers say of the requests that they take

What was missing: the lines did not tell whether a front was told of a server's limit, which, and when it ended. Nothing is decided by it yet.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -155,7 +155,7 @@
 	}
 	dial := tcp.Options{Silence: s.Silence}.Dial
 	self := peers.Member{Name: s.Name, Address: address, Hall: s.Hall, Incarnation: runworks.NewIncarnation()}
-	d.dispatcher = &dispatch.Dispatcher{Self: self.Incarnation, Hall: s.Hall, OnSuspend: d.onSuspend, OnSilent: d.onSilent, OnDoubt: d.onDoubt}
+	d.dispatcher = &dispatch.Dispatcher{Self: self.Incarnation, Hall: s.Hall, OnSuspend: d.onSuspend, OnSilent: d.onSilent, OnDoubt: d.onDoubt, OnLimit: d.onLimit}
 	d.quota = &quota.Quota{Self: self.Incarnation, Window: s.QuotaWindow, Started: time.Now()}
 	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack, Started: time.Now(), Window: s.RetryWindow}
 	d.quarantine = &quarantine.Quarantine{After: s.QuarantineAfter, For: s.QuarantineFor, OnNews: d.onSuspect, OnHeld: d.onHeld, OnLifted: d.onLifted}
--- a/daemon/front_servers.go
+++ b/daemon/front_servers.go
@@ -109,3 +109,11 @@
 	}
 	d.Logger.Info("backend server left out by no other front any more", "server", server.ID, "service", server.Service)
 }
+
+func (d *Front) onLimit(server runworks.Instance, limit runworks.RateLimit) {
+	if limit.Named {
+		d.Logger.Warn("backend server limits its requests", "server", server.Life(), "service", server.Service, "per_second", limit.PerSecond)
+		return
+	}
+	d.Logger.Info("backend server limits its requests no more", "server", server.Life(), "service", server.Service)
+}
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -67,6 +67,9 @@
 	// OnDoubt is told how many other entries leave a server out, when the first does
 	// and when none does any more; nil tells nobody. It must not wait.
 	OnDoubt func(server runworks.Instance, entries int)
+	// OnLimit is told what a server says of the requests that it takes, when that changes;
+	// nil tells nobody. It must not wait.
+	OnLimit func(server runworks.Instance, limit runworks.RateLimit)
 
 	mu sync.Mutex
 	// servers holds the servers by their lives, and newest by their ids.
--- a/services/dispatch/fleet.go
+++ b/services/dispatch/fleet.go
@@ -230,6 +230,8 @@
 	Others    int       `json:"others"`
 	Leaving   bool      `json:"leaving,omitempty"`
 	Suspended time.Time `json:"suspended_until,omitzero"`
+	// Limit is what the server said last of the requests that it takes.
+	Limit runworks.RateLimit `json:"limit,omitzero"`
 }
 
 // Loads gives the state of all backend servers.
@@ -240,7 +242,7 @@
 	for _, s := range d.servers {
 		out = append(out, Load{
 			ID: s.ID, Born: s.Born, Service: s.Service, Hall: s.Hall, Slots: s.Slots, Own: s.own, Others: s.others,
-			Leaving: s.Leaving, Suspended: s.suspended,
+			Leaving: s.Leaving, Suspended: s.suspended, Limit: s.limit,
 		})
 	}
 	return out
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -75,6 +75,8 @@
 	steady average
 	// breaks is the part of its events that come after a longer pause than callers allow.
 	breaks float64
+	// limit is what it said last of the requests that it takes.
+	limit runworks.RateLimit
 }
 
 func (s *server) load() int { return s.own + s.others }
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -46,7 +46,9 @@
 		_ = reply.Body.Close()
 		lease.Release(dispatch.Moved)
 		return nil, c.notRun(errorx.Decorate(runworks.ErrTurnedAway, "another server has the address of %s", lease.Instance.ID))
-	case reply.NotRun:
+	}
+	c.noteLimit(lease, reply)
+	if reply.NotRun {
 		_ = reply.Body.Close()
 		lease.Release(dispatch.TurnedAway)
 		return nil, c.notRun(errorx.Decorate(runworks.ErrTurnedAway, "%s answered %d", lease.Instance.ID, reply.Status))
@@ -56,6 +58,16 @@
 	return reply, nil
 }
 
+// noteLimit records what the server says of the requests that it takes.
+func (c *call) noteLimit(lease *dispatch.Lease, reply *runworks.ServerReply) {
+	if reply.LimitErr != nil {
+		c.f.Logger.Warn("limit of a backend server can't be read, what was known of it stays", "server", lease.Instance.Life(), "service", c.service,
+			"request", c.in.ID, "error", reply.LimitErr.Error())
+		return
+	}
+	lease.NoteLimit(reply.Limit)
+}
+
 // send sends the call. A server that stays silent loses a call that another may
 // still have.
 func (c *call) send(ctx context.Context, send *runworks.Send) (*runworks.ServerReply, error) {
