Failing test: a server that names a limit gets what it had before

Three fronts as separate processes; all were told, and the server gets 179 calls in four seconds at a limit of one a second, where the users' rule allows 11.

--- a/standin/routed.go
+++ b/standin/routed.go
@@ -24,10 +24,11 @@
 	routedNotRun    = "X-Not-Executed"
 	routedCustomer  = "X-Tenant-Id"
 	routedTimeout   = "X-Timeout-Ms"
+	routedLimit     = "Server-Limit"
 )
 
-// RoutedFaults are the settable faults of a Routed server; each is used up by the
-// calls that it hits.
+// RoutedFaults are the settable faults of a Routed server; each but Limit is used up by
+// the calls that it hits.
 type RoutedFaults struct {
 	// TurnAway answers that many calls with the word that they were not run.
 	TurnAway int `json:"turn_away"`
@@ -44,6 +45,9 @@
 	BreakAt int `json:"break_at"`
 	// Breaks bounds how many streams BreakAt hits.
 	Breaks int `json:"breaks"`
+	// Limit, unless empty, is what each answer names as its limit, in requests a second from
+	// all fronts together. Nothing is turned away for it.
+	Limit string `json:"limit"`
 }
 
 // RoutedCall is a call that a Routed server ran.
@@ -68,8 +72,10 @@
 	mu     sync.Mutex
 	faults RoutedFaults
 	calls  []RoutedCall
-	active int
-	most   int
+	// arrivals are the times of all calls that came, also of those that did not run.
+	arrivals []time.Time
+	active   int
+	most     int
 }
 
 // SetFaults sets the faults from now on.
@@ -86,6 +92,13 @@
 	return append([]RoutedCall(nil), b.calls...)
 }
 
+// Arrivals gives when calls came, also those that did not run, in their order.
+func (b *Routed) Arrivals() []time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]time.Time(nil), b.arrivals...)
+}
+
 // Most gives the most calls that ran at once.
 func (b *Routed) Most() int {
 	b.mu.Lock()
@@ -121,12 +134,15 @@
 	return true
 }
 
-// Handler serves calls, the ones that ran at GET /calls, and faults at POST /control.
+// Handler serves calls, the ones that ran at GET /calls, when calls came at GET /arrivals,
+// and faults at POST /control.
 func (b *Routed) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.Method + " " + r.URL.Path {
 		case "GET /calls":
 			writeJSON(w, b.Calls())
+		case "GET /arrivals":
+			writeJSON(w, b.Arrivals())
 		case "POST /control":
 			var f RoutedFaults
 			if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
@@ -148,6 +164,7 @@
 		return
 	}
 	w.Header().Set(RoutedID, r.Header.Get(RoutedID))
+	b.arrive(w)
 	if want := r.Header.Get(routedInstance); want != "" && want != b.Instance {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -185,6 +202,16 @@
 	b.answer(w, r, body)
 }
 
+// arrive notes that a call came, and names the limit in its answer.
+func (b *Routed) arrive(w http.ResponseWriter) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.arrivals = append(b.arrivals, time.Now())
+	if b.faults.Limit != "" {
+		w.Header().Set(routedLimit, b.faults.Limit)
+	}
+}
+
 // answer gives the answer to a call, with the faults that hit it.
 func (b *Routed) answer(w http.ResponseWriter, r *http.Request, body []byte) {
 	if n, err := strconv.Atoi(r.URL.Query().Get("events")); err == nil {
