Backend servers' limits are kept over all fronts together

What callers and operators saw: servers in need named a limit and got what they had before, 20 calls in four seconds where 8.8 were named. Cause: no front read the limit; none alone could keep it, as it is one for all of them. Change: fronts tell each other of limits, and each has a fixed part; as many fronts have one as the limit has requests at hand. A server at its limit counts as taken, not as failed. No message stands between a call and its server. Ruled out: repeats (none of 80), calls on their way.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -156,6 +156,7 @@
 	dial := tcp.Options{Silence: s.Silence}.Dial
 	self := peers.Member{Name: s.Name, Address: address, Hall: s.Hall, Incarnation: runworks.NewIncarnation()}
 	d.dispatcher = &dispatch.Dispatcher{Self: self.Incarnation, Hall: s.Hall, OnSuspend: d.onSuspend, OnSilent: d.onSilent, OnDoubt: d.onDoubt, OnLimit: d.onLimit}
+	d.dispatcher.TellLimit = func(limit runworks.ServerLimit) { d.exchange.TellServerLimits(limit) }
 	d.quota = &quota.Quota{Self: self.Incarnation, Window: s.QuotaWindow, Started: time.Now()}
 	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack, Started: time.Now(), Window: s.RetryWindow}
 	d.quarantine = &quarantine.Quarantine{After: s.QuarantineAfter, For: s.QuarantineFor, OnNews: d.onSuspect, OnHeld: d.onHeld, OnLifted: d.onLifted}
@@ -171,11 +172,12 @@
 		Self: self,
 		Dial: dial, Keys: rpc.FleetKeys(s.FleetKeys), Logger: d.Logger,
 		Beat: d.beat, OnBeat: d.onBeat, OnGone: d.onGone, OnReplaced: d.onReplaced, State: d.state,
-		News:       func() runworks.LimitUse { return d.quota.News(time.Now()) },
-		Limits:     func() runworks.LimitUse { return d.quota.Own(time.Now()) },
-		OnGreeting: d.onGreeting,
-		Suspects:   func() []runworks.Suspect { return d.quarantine.List(time.Now()) },
-		OnSuspects: func(_ string, list []runworks.Suspect) { d.quarantine.Take(time.Now(), list) },
+		News:         func() runworks.LimitUse { return d.quota.News(time.Now()) },
+		Limits:       func() runworks.LimitUse { return d.quota.Own(time.Now()) },
+		OnGreeting:   d.onGreeting,
+		Suspects:     func() []runworks.Suspect { return d.quarantine.List(time.Now()) },
+		OnSuspects:   func(_ string, list []runworks.Suspect) { d.quarantine.Take(time.Now(), list) },
+		ServerLimits: d.dispatcher.Limits, OnServerLimits: d.dispatcher.TakeLimits,
 	}
 	d.suspects = &platform.Suspects{Store: d.store, Quarantine: d.quarantine, Front: s.Name, Logger: d.Logger, OnTried: d.takeHeld}
 	d.watch()
--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -200,5 +200,5 @@
 }
 
 func (d *Front) onGone(from runworks.Incarnation) {
-	d.dispatcher.Forget(from)
+	d.dispatcher.Lose(from)
 }
--- a/daemon/front_servers.go
+++ b/daemon/front_servers.go
@@ -9,6 +9,7 @@
 	"github.com/runworks/runworks/modules/metrics"
 	"github.com/runworks/runworks/modules/pause"
 	"github.com/runworks/runworks/platform"
+	"github.com/runworks/runworks/services/dispatch"
 )
 
 // onServers puts the list of backend servers in force.
@@ -110,10 +111,11 @@
 	d.Logger.Info("backend server left out by no other front any more", "server", server.ID, "service", server.Service)
 }
 
-func (d *Front) onLimit(server runworks.Instance, limit runworks.RateLimit) {
-	if limit.Named {
-		d.Logger.Warn("backend server limits its requests", "server", server.Life(), "service", server.Service, "per_second", limit.PerSecond)
+func (d *Front) onLimit(server runworks.Instance, c dispatch.LimitChange) {
+	if !c.Word.Named {
+		d.Logger.Info("backend server limits its requests no more", "server", server.Life(), "service", server.Service, "told_by", c.From)
 		return
 	}
-	d.Logger.Info("backend server limits its requests no more", "server", server.Life(), "service", server.Service)
+	d.Logger.Warn("backend server limits its requests", "server", server.Life(), "service", server.Service, "per_second", c.Word.PerSecond, "told_by", c.From,
+		"part_per_second", c.Part.PerSecond, "part_at_once", c.Part.AtOnce, "entries", c.Entries)
 }
--- a/limits.go
+++ b/limits.go
@@ -6,6 +6,10 @@
 // often, and rather uses the backend servers of its own hall, whose load it knows better.
 const ManyEntries = 48
 
+// ForgetEntryAfter is when a silent entry counts as gone: until then it may draw on the
+// limits and send to backend servers, only out of touch with this one.
+const ForgetEntryAfter = 10 * time.Second
+
 // LimitUse is what one life of an entry used of the customers' limits, as it tells the
 // others in each heartbeat.
 type LimitUse struct {
--- a/server_limit.go
+++ b/server_limit.go
@@ -7,3 +7,12 @@
 	// PerSecond is what it takes from all entries together, in requests a second.
 	PerSecond float64 `json:"per_second,omitempty"`
 }
+
+// ServerLimit is what an entry tells the others of a backend server's limit.
+type ServerLimit struct {
+	RateLimit
+	// Server is Instance.Life.
+	Server string `json:"server"`
+	// AgeMs is how long ago the server gave its word, in milliseconds.
+	AgeMs int64 `json:"age_ms,omitempty"`
+}
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -37,6 +37,8 @@
 	ExpectedTokens int
 	// Resumed says that the call goes on with an answer that broke off.
 	Resumed bool
+	// Ran says that it ran at a server, which failed it.
+	Ran bool
 	// MaxPause is the longest pause between events that keeps an answer in time; 0 if none.
 	MaxPause time.Duration
 	// Target is when the answer, or the first event, is expected.
@@ -67,9 +69,10 @@
 	// OnDoubt is told how many other entries leave a server out, when the first does
 	// and when none does any more; nil tells nobody. It must not wait.
 	OnDoubt func(server runworks.Instance, entries int)
-	// OnLimit is told what a server says of the requests that it takes, when that changes;
-	// nil tells nobody. It must not wait.
-	OnLimit func(server runworks.Instance, limit runworks.RateLimit)
+	// OnLimit is told what changed of a server's limit, and TellLimit what the other entries
+	// are to be told of it; nil tells nobody. They must not wait.
+	OnLimit   func(server runworks.Instance, change LimitChange)
+	TellLimit func(limit runworks.ServerLimit)
 
 	mu sync.Mutex
 	// servers holds the servers by their lives, and newest by their ids.
@@ -77,6 +80,10 @@
 	newest   map[string]*server
 	services map[string]*service
 	peers    map[runworks.Incarnation]runworks.EntryLoad
+	// absent are since when other entries are silent that do not count as gone yet.
+	absent map[runworks.Incarnation]time.Time
+	// early are limits of servers that are not known yet.
+	early map[string]earlyLimit
 }
 
 // service holds the backend servers of a service and the calls that wait.
@@ -146,10 +153,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.services[ask.Service]
-	if s == nil || !s.any(ask) {
+	now := time.Now()
+	if s == nil || !s.any(now, ask) {
 		return nil, nil, runworks.ErrNoServer
 	}
-	now := time.Now()
 	s.came++
 	w := &waiter{ask: ask, lease: make(chan *Lease, 1), number: s.came}
 	w.fits = s.fitsAny(now, s.outlook(), ask, s.canWait(now, ask))
@@ -188,6 +195,7 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	d.watchSilenceLocked(now)
+	d.tendLimitsLocked(now)
 	for _, s := range d.services {
 		s.prune(now)
 		d.pumpLocked(s)
@@ -231,10 +239,12 @@
 	}
 }
 
-// any says whether a backend server is known that the call may go to.
-func (s *service) any(ask *Ask) bool {
+// any says whether a backend server is known that the call may go to. One that a server
+// failed does not wait for what the limit of another gives: it has an answer, and what the
+// limit gives is of more use to a call that has none. A stream that goes on does wait.
+func (s *service) any(now time.Time, ask *Ask) bool {
 	for _, one := range s.servers {
-		if !one.Leaving && !slices.Contains(ask.Avoid, one.life) {
+		if !one.Leaving && !slices.Contains(ask.Avoid, one.life) && (!ask.Ran || ask.Resumed || one.limit.Admits(now)) {
 			return true
 		}
 	}
--- a/services/dispatch/fleet.go
+++ b/services/dispatch/fleet.go
@@ -56,6 +56,7 @@
 		s.Leaving = true
 	}
 	d.regroupLocked()
+	d.takeEarlyLocked(time.Now())
 	// What the others run counts before any call is placed.
 	d.shareLocked()
 	return out
@@ -139,8 +140,12 @@
 	if d.peers == nil {
 		d.peers = make(map[runworks.Incarnation]runworks.EntryLoad)
 	}
-	old := d.peers[from]
+	old, known := d.peers[from]
 	d.peers[from] = load
+	if !known {
+		delete(d.absent, from)
+		d.partLimitsLocked(time.Now())
+	}
 	d.exchangeLocked(&old, &load)
 }
 
@@ -150,6 +155,8 @@
 	defer d.mu.Unlock()
 	old := d.peers[from]
 	delete(d.peers, from)
+	delete(d.absent, from)
+	d.partLimitsLocked(time.Now())
 	d.exchangeLocked(&old, &runworks.EntryLoad{})
 }
 
@@ -230,8 +237,10 @@
 	Others    int       `json:"others"`
 	Leaving   bool      `json:"leaving,omitempty"`
 	Suspended time.Time `json:"suspended_until,omitzero"`
-	// Limit is what the server said last of the requests that it takes.
-	Limit runworks.RateLimit `json:"limit,omitzero"`
+	// Limit is what the server said last of the requests that it takes, and LimitPart this
+	// entry's part of it in requests a second.
+	Limit     runworks.RateLimit `json:"limit,omitzero"`
+	LimitPart float64            `json:"limit_part,omitempty"`
 }
 
 // Loads gives the state of all backend servers.
@@ -240,9 +249,10 @@
 	defer d.mu.Unlock()
 	out := make([]Load, 0, len(d.servers))
 	for _, s := range d.servers {
+		limit, _ := s.limit.Word()
 		out = append(out, Load{
 			ID: s.ID, Born: s.Born, Service: s.Service, Hall: s.Hall, Slots: s.Slots, Own: s.own, Others: s.others,
-			Leaving: s.Leaving, Suspended: s.suspended, Limit: s.limit,
+			Leaving: s.Leaving, Suspended: s.suspended, Limit: limit, LimitPart: s.limit.Part().PerSecond,
 		})
 	}
 	return out
--- a/services/dispatch/hope.go
+++ b/services/dispatch/hope.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -30,7 +31,7 @@
 		return nil
 	}
 	tier := queueRank(w.ask, false)
-	if s.startsIn(tier, s.waitingIn(tier)) <= w.ask.Target.Sub(now).Seconds() {
+	if s.startsIn(now, tier, s.waitingIn(tier)) <= w.ask.Target.Sub(now).Seconds() {
 		return nil
 	}
 	w.late = true
@@ -50,10 +51,13 @@
 		return nil
 	}
 	left := w.ask.lastStart().Sub(now).Seconds()
-	in := s.startsIn(queueRank(w.ask, true), ahead)
+	in := s.startsIn(now, queueRank(w.ask, true), ahead)
 	if in <= left*s.patience(w.ask) {
 		return nil
 	}
+	if math.IsInf(in, 1) {
+		return errorx.Decorate(runworks.ErrShortage, "all servers limit their requests, and no part is this entry's")
+	}
 	return errorx.Decorate(runworks.ErrShortage, "%d late calls wait ahead for some %.0f ms, the caller leaves in %.0f ms", ahead, in*1000, left*1000)
 }
 
@@ -97,8 +101,11 @@
 }
 
 // startsIn is in how many seconds a call of a tier starts that has so many ahead; 0 for
-// the first, and as long as nothing is known.
-func (s *service) startsIn(tier, ahead int) float64 {
+// the first where a slot is all that it needs, and as long as nothing is known.
+func (s *service) startsIn(now time.Time, tier, ahead int) float64 {
+	if s.limited(now) {
+		return s.limitedStart(now, s.share(tier), ahead)
+	}
 	rate := s.rate() * s.share(tier)
 	if ahead == 0 || rate == 0 {
 		return 0
--- a/services/dispatch/model.go
+++ b/services/dispatch/model.go
@@ -143,12 +143,12 @@
 // fitsAny says whether some server lets a call be in time.
 func (s *service) fitsAny(now time.Time, o *outlook, ask *Ask, canWait bool) bool {
 	return slices.ContainsFunc(s.servers, func(one *server) bool {
-		return s.healthy(now, one) && !slices.Contains(ask.Avoid, one.life) && o.fits(now, one, ask, canWait)
+		return s.healthy(now, one) && one.limit.Admits(now) && !slices.Contains(ask.Avoid, one.life) && o.fits(now, one, ask, canWait)
 	})
 }
 
 // canWait says whether a call may let a slot go and still start in time.
 func (s *service) canWait(now time.Time, ask *Ask) bool {
 	tier := queueRank(ask, false)
-	return s.startsIn(tier, s.waitingIn(tier)+1) < ask.Target.Sub(now).Seconds()
+	return s.startsIn(now, tier, s.waitingIn(tier)+1) < ask.Target.Sub(now).Seconds()
 }
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/services/serverlimit"
 )
 
 const (
@@ -75,8 +76,8 @@
 	steady average
 	// breaks is the part of its events that come after a longer pause than callers allow.
 	breaks float64
-	// limit is what it said last of the requests that it takes.
-	limit runworks.RateLimit
+	// limit is how many requests it takes, if it says so.
+	limit serverlimit.Limit
 }
 
 func (s *server) load() int { return s.own + s.others }
@@ -87,6 +88,7 @@
 		s.busy = now
 	}
 	s.own++
+	s.limit.Spend(now)
 	s.vacated = max(s.vacated-1, 0)
 	if s.leases == nil {
 		s.leases = make(map[*Lease]struct{})
@@ -109,9 +111,9 @@
 	}
 }
 
-// room says whether the server has a free slot, as far as is known.
+// room says whether the server has a free slot, as far as is known, and takes a request.
 func (s *server) room(now time.Time, of *service) bool {
-	return !s.Leaving && !s.moved && !now.Before(s.full) && s.load() < of.capacity(s)
+	return !s.Leaving && !s.moved && !now.Before(s.full) && s.load() < of.capacity(s) && s.limit.Admits(now)
 }
 
 // note records how a call ended; it gives how long the server is left out for it.
--- a/services/dispatch/turn.go
+++ b/services/dispatch/turn.go
@@ -32,6 +32,10 @@
 	rivals := d.rivals(s.name, mine.Rank)
 	out := open[:0]
 	for _, one := range open {
+		if one.limit.InForce(now) {
+			out = append(out, one) // each entry has a part of its own
+			continue
+		}
 		offered := s.free(one, mine.Rank) + one.unused(now, d.turnTime())
 		if one.vacated > 0 || d.inTurn(one, rivals, mine, offered) {
 			out = append(out, one)
--- a/services/forward/ask.go
+++ b/services/forward/ask.go
@@ -21,7 +21,7 @@
 	return &dispatch.Ask{
 		ID: c.in.ID, Service: c.service, Rank: c.rank, RouteRank: c.route.Rank, Customer: c.customerName(),
 		PromptTokens: c.in.PromptTokens, MaxTokens: c.in.MaxTokens, ExpectedTokens: c.in.ExpectedTokens,
-		Resumed: !c.lastEvent.IsZero(), MaxPause: c.route.MaxGap, Target: target, Patience: c.patience(), Deadline: c.deadline, Avoid: slices.Clone(c.tried),
+		Resumed: !c.lastEvent.IsZero(), Ran: c.ran > 0, MaxPause: c.route.MaxGap, Target: target, Patience: c.patience(), Deadline: c.deadline, Avoid: slices.Clone(c.tried),
 	}
 }
 
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -65,7 +65,7 @@
 			"request", c.in.ID, "error", reply.LimitErr.Error())
 		return
 	}
-	lease.NoteLimit(reply.Limit)
+	lease.NoteLimit(reply.Limit, c.sent)
 }
 
 // send sends the call. A server that stays silent loses a call that another may
--- a/services/peers/hear.go
+++ b/services/peers/hear.go
@@ -45,6 +45,8 @@
 		return nil, x.takeBeat(params, true)
 	case MethodSuspects:
 		return nil, x.takeSuspects(params)
+	case MethodServerLimits:
+		return nil, x.takeServerLimits(params)
 	case MethodState:
 		var c StateCall
 		if err := json.Unmarshal(params, &c); err != nil {
@@ -78,6 +80,7 @@
 		x.decoder = decoder{from: b.From, names: b.Names}
 		x.OnGreeting(now, &b)
 		x.hearSuspects(b.From.Name, b.Suspects)
+		x.hearServerLimits(b.From.Name, b.ServerLimits)
 	}
 	x.hear(now, &b)
 	return nil
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -100,6 +100,9 @@
 	if x.Suspects != nil {
 		b.Suspects = x.Suspects()
 	}
+	if x.ServerLimits != nil {
+		b.ServerLimits = x.ServerLimits()
+	}
 	if err := conn.Notify(ctx, MethodGreet, b); err != nil {
 		x.Logger.Warn("an entry could not be greeted", "name", l.member.Name, "error", err.Error())
 		_ = conn.Close() // dialled again
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -25,6 +25,9 @@
 	// MethodSuspects is the notification of requests under which backend servers ended.
 	// Versions that do not know it pass it over.
 	MethodSuspects = "entry.suspects"
+	// MethodServerLimits is the notification of limits that backend servers name. Versions
+	// that do not know it pass it over.
+	MethodServerLimits = "entry.server_limits"
 	// MethodState is the call for what an entry knows of a Subject.
 	MethodState = "entry.state"
 )
@@ -100,6 +103,8 @@
 	Changes []Change `json:"-"`
 	// Suspects are all requests under which backend servers ended; only greetings tell them.
 	Suspects []runworks.Suspect `json:"suspects,omitempty"`
+	// ServerLimits are all limits that backend servers name; only greetings tell them.
+	ServerLimits []runworks.ServerLimit `json:"server_limits,omitempty"`
 	// Names are those of the frames that follow a greeting, by their numbers.
 	Names []string `json:"names,omitempty"`
 }
@@ -125,6 +130,10 @@
 	// another entry told of some; nil gives none and tells nobody.
 	Suspects   func() []runworks.Suspect
 	OnSuspects func(from string, list []runworks.Suspect)
+	// ServerLimits gives the backend servers' limits that a greeting tells of, and
+	// OnServerLimits is told what another entry told of some; nil gives none and tells nobody.
+	ServerLimits   func() []runworks.ServerLimit
+	OnServerLimits func(from string, list []runworks.ServerLimit)
 	// OnReplaced is told which life of an entry is over, as a new one was heard.
 	OnReplaced func(old runworks.Incarnation)
 	// State gives what this entry knows of a subject, for others.
--- a/services/peers/suspects.go
+++ b/services/peers/suspects.go
@@ -1,13 +1,11 @@
 package peers
 
 import (
-	"context"
 	"encoding/json"
 
 	"github.com/joomcode/errorx"
 
 	"github.com/runworks/runworks"
-	"github.com/runworks/runworks/modules/rpc"
 )
 
 // Suspects tells of requests under which backend servers ended.
@@ -18,29 +16,9 @@
 }
 
 // TellSuspects tells all entries that are connected at once: each server that the request
-// meets before they know it ends as well. An entry that can't be told is greeted with all
-// that is known once it is reached again.
+// meets before they know it ends as well.
 func (x *Exchange) TellSuspects(list ...runworks.Suspect) {
-	message := &Suspects{From: x.Self.Name, List: list}
-	x.work.Go(func() {
-		// A greeting on its way may not tell of them, and its connection is not known yet.
-		x.telling.Lock()
-		near, far := x.conns()
-		x.telling.Unlock()
-		for _, conn := range append(near, far...) {
-			x.work.Go(func() { x.notify(conn, message) })
-		}
-	})
-}
-
-// notify sends suspects on one connection.
-func (x *Exchange) notify(conn *rpc.Conn, message *Suspects) {
-	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
-	defer cancel()
-	if err := conn.Notify(ctx, MethodSuspects, message); err != nil {
-		// The link's own loop dials again and logs the loss.
-		_ = conn.Close()
-	}
+	x.notifyAll(MethodSuspects, &Suspects{From: x.Self.Name, List: list})
 }
 
 // takeSuspects takes what another entry told.
--- a/services/quota/life.go
+++ b/services/quota/life.go
@@ -50,7 +50,7 @@
 // draws says whether another entry's life may go on drawing; this entry's own is never
 // heard.
 func (l *life) draws(now time.Time) bool {
-	return !l.over && !l.heard.IsZero() && now.Sub(l.heard) <= ForgetAfter
+	return !l.over && !l.heard.IsZero() && now.Sub(l.heard) <= runworks.ForgetEntryAfter
 }
 
 // spendHeld counts as drawn what of the held tokens the life may have drawn unheard, and
--- a/services/quota/quota.go
+++ b/services/quota/quota.go
@@ -11,8 +11,6 @@
 	// SilentAfter is when an entry that said nothing counts as out of touch: some
 	// reports must have been missed.
 	SilentAfter = time.Second
-	// ForgetAfter is when a silent entry counts as gone.
-	ForgetAfter = 10 * time.Second
 	// TellTimeout is how long a new entry waits to be told what was drawn before its
 	// start: some times what a record or another entry takes to be reached.
 	TellTimeout = 2 * time.Second
--- a/services/quota/tell.go
+++ b/services/quota/tell.go
@@ -88,7 +88,7 @@
 			l.spendHeld(q.number(now), silentSpan)
 		}
 		empty := l.sweep(oldest)
-		if empty && (l.over || now.Sub(l.heard) > ForgetAfter) {
+		if empty && (l.over || now.Sub(l.heard) > runworks.ForgetEntryAfter) {
 			delete(q.lives, id)
 		}
 	}
--- a/services/quota/tell_test.go
+++ b/services/quota/tell_test.go
@@ -50,7 +50,7 @@
 	is.Equal(v.Assumed, 200.0)
 	is.Equal(v.Used, 60.0)
 	is.Equal(v.Held, 1.0) // the call before
-	is.Equal(q.Take(begin.Add(ForgetAfter+time.Second), customer(), 1).Assumed, 0.0)
+	is.Equal(q.Take(begin.Add(runworks.ForgetEntryAfter+time.Second), customer(), 1).Assumed, 0.0)
 }
 
 // TestNewLife assumes nothing more of an entry's life that is over: a new one of the
--- /dev/null
+++ b/services/serverlimit/part.go
@@ -0,0 +1,36 @@
+package serverlimit
+
+const (
+	// Extra is how many requests more than a second's worth all entries together may send at
+	// once. It lets some entries have a whole request at hand each, where the limit is low.
+	Extra = 3
+	// leastRate is the lowest rate in requests a second: a server that takes none is still
+	// asked now and then, as nothing else tells that it takes some again.
+	leastRate = 0.25
+)
+
+// Part is what one entry may send to a server.
+type Part struct {
+	// PerSecond is in requests a second.
+	PerSecond float64
+	// AtOnce is how many requests may be sent at once after a pause.
+	AtOnce float64
+}
+
+// PartOf gives the part of an entry in a limit, in requests a second, where so many entries
+// come before it in the server's order of all of them.
+//
+// Every entry that may send has to have at least one request at hand, and all of these may
+// be sent in one moment: with a hundred entries and a limit of one a second that alone would
+// be a hundred. So only the first of them have a part, as many as the limit has requests at
+// hand. All together send, in any span, what the rate gives in it, a second's worth more,
+// and Extra.
+func PartOf(perSecond float64, ahead, entries int) Part {
+	perSecond = max(perSecond, leastRate)
+	atOnce := perSecond + Extra
+	owners := min(entries, int(atOnce))
+	if ahead >= owners {
+		return Part{}
+	}
+	return Part{PerSecond: perSecond / float64(owners), AtOnce: atOnce / float64(owners)}
+}
