A front that starts among young ones counts draws once, and hears one before it serves

What callers saw: a customer with half of its limit left was refused for a window after a front's start, or a front let more through than was left. Cause: the record adds up what all lives drew, and the young fronts tell it once more; and a front was ready by an empty record before it heard another at which the customer had drawn all.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -172,9 +172,9 @@
 		Self: self,
 		Dial: dial, Keys: rpc.FleetKeys(s.FleetKeys), Logger: d.Logger,
 		Beat: d.beat, OnBeat: d.onBeat, OnGone: d.onGone, OnReplaced: d.onReplaced, State: d.state,
-		News:         func() runworks.LimitUse { return d.quota.News(time.Now()) },
-		Limits:       func() runworks.LimitUse { return d.quota.Own(time.Now()) },
-		OnGreeting:   d.onGreeting,
+		News:       func() runworks.LimitUse { return d.quota.News(time.Now()) },
+		Limits:     func() runworks.LimitUse { return d.quota.Own(time.Now()) },
+		OnGreeting: d.onGreeting, OnSettled: d.takeHeld,
 		Suspects:     func() []runworks.Suspect { return d.quarantine.List(time.Now()) },
 		OnSuspects:   func(_ string, list []runworks.Suspect) { d.quarantine.Take(time.Now(), list) },
 		ServerLimits: d.dispatcher.Limits, OnServerLimits: d.dispatcher.TakeLimits,
@@ -249,6 +249,8 @@
 		return runworks.ErrNotReady
 	case !d.quota.Told(time.Now()):
 		return errorx.Decorate(runworks.ErrNotReady, "what customers drew before the start is not known")
+	case !d.exchange.Settled(time.Now()):
+		return errorx.Decorate(runworks.ErrNotReady, "no other front was heard yet")
 	case !d.suspects.Tried():
 		return errorx.Decorate(runworks.ErrNotReady, "the requests that end backend servers are not known")
 	case !d.listed.Load():
--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -36,7 +36,7 @@
 		w.Reads = d.exchange.Reads
 		w.OnRead = func(from int64, page *platform.Page) { d.tell(subject, from, page) }
 	}
-	d.members = &platform.Members{Store: d.store, Self: d.exchange.Self, Logger: d.Logger, OnMembers: d.exchange.SetMembers}
+	d.members = &platform.Members{Store: d.store, Self: d.exchange.Self, Logger: d.Logger, OnMembers: d.onMembers}
 	d.members.Fronts = func() int { return d.exchange.Live() + 1 }
 	d.limits = &platform.Limits{Store: d.store, Quota: d.quota, Logger: d.Logger, OnTold: d.takeHeld}
 }
@@ -171,6 +171,7 @@
 		d.ask(peers.SubjectLimits, func() { d.learnLimits(b.From.Name) })
 	}
 	d.budgets.SetEntries(d.exchange.Live() + 1)
+	d.takeHeld()
 	for _, c := range b.Changes {
 		d.told(b.From.Name, &c)
 	}
@@ -179,6 +180,11 @@
 	}
 }
 
+func (d *Front) onMembers(list []peers.Member) {
+	d.exchange.SetMembers(list)
+	d.takeHeld()
+}
+
 // onGreeting takes what another front used of the customers' limits.
 func (d *Front) onGreeting(now time.Time, b *peers.Beat) {
 	d.quota.Greet(now, b.From.Incarnation, b.Limits)
--- a/limits.go
+++ b/limits.go
@@ -61,4 +61,7 @@
 	At time.Time `json:"at"`
 	// Use adds up all lives.
 	Use LimitUse `json:"use"`
+	// Drawn is each life's part of it, in tokens by customer; told only while no entry has
+	// counted a whole window. What a life tells itself counts in its place.
+	Drawn map[Incarnation]map[string]float64 `json:"drawn,omitempty"`
 }
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -37,6 +37,7 @@
 func (x *Exchange) SetMembers(members []Member) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.listed = true
 	for _, m := range members {
 		x.linkLocked(m)
 	}
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -68,6 +68,11 @@
 	// missedBeats is how many heartbeats must have been missed at least: with 360 entries
 	// those of other halls come every 1.4 s, and each would count as gone again and again.
 	missedBeats = 3
+	// SettleWait bounds how long an entry that starts waits to hear one of those that are
+	// listed: some times what a connection takes to open. What they drew of the customers'
+	// limits since the last record it learns from them alone: one that served 16 ms before
+	// it heard another let a customer through that had just drawn all of its limit there.
+	SettleWait = 150 * time.Millisecond
 	// firstRedial and lastRedial are the waits between attempts to reach an entry.
 	firstRedial = 100 * time.Millisecond
 	lastRedial  = 2 * time.Second
@@ -134,6 +139,9 @@
 	// OnServerLimits is told what another entry told of some; nil gives none and tells nobody.
 	ServerLimits   func() []runworks.ServerLimit
 	OnServerLimits func(from string, list []runworks.ServerLimit)
+	// OnSettled is told that this entry has waited long enough to hear another; nil tells
+	// nobody.
+	OnSettled func()
 	// OnReplaced is told which life of an entry is over, as a new one was heard.
 	OnReplaced func(old runworks.Incarnation)
 	// State gives what this entry knows of a subject, for others.
@@ -154,6 +162,9 @@
 	end   context.CancelFunc
 	links map[string]*link
 	heard map[runworks.Incarnation]*life
+	// began is when Run did, and listed says that the list of entries was read.
+	began  time.Time
+	listed bool
 	// lives holds the newest life of each entry, by its name.
 	lives map[string]runworks.Incarnation
 	// changes are not told yet; wake has them told at once.
@@ -172,6 +183,13 @@
 
 // Run sends heartbeats until ctx ends.
 func (x *Exchange) Run(ctx context.Context) {
+	x.mu.Lock()
+	x.began = time.Now()
+	x.mu.Unlock()
+	if x.OnSettled != nil {
+		settled := time.AfterFunc(SettleWait, x.OnSettled)
+		defer settled.Stop()
+	}
 	var last []byte
 	var sent time.Time
 	for ctx.Err() == nil {
@@ -280,6 +298,18 @@
 	}
 }
 
+// Settled says whether this entry has heard another since its start, or there is none to
+// hear, as far as it can know by now.
+func (x *Exchange) Settled(now time.Time) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.began.IsZero() {
+		return false
+	}
+	alone := x.listed && len(x.links) == 0
+	return alone || len(x.heard) > 0 || now.Sub(x.began) >= SettleWait
+}
+
 // Live gives how many other entries sent a heartbeat of late.
 func (x *Exchange) Live() int {
 	x.mu.Lock()
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -291,6 +291,38 @@
 	})
 }
 
+// TestSettled waits at the start for the greeting of another entry, for none if none is
+// listed, and not for long if none answers.
+func TestSettled(t *testing.T) {
+	for _, one := range []struct {
+		name   string
+		listed []Member
+		answer bool
+		from   time.Duration
+	}{
+		{"another answers", []Member{{Name: "c", Address: "c:1"}, {Name: "a", Address: "a:1"}}, true, 4 * time.Millisecond},
+		{"none is listed", []Member{{Name: "c", Address: "c:1"}}, true, 0},
+		{"none answers", []Member{{Name: "d", Address: "d:1"}}, false, SettleWait},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			inNetwork(t, "key-of-the-fleet", func(is *is.I, network *memnet.Network, _, _ *entry) {
+				c := startEntry(t, network, "c", "key-of-the-fleet")
+				synctest.Wait()
+				is.True(!c.Settled(time.Now())) // the list is not known
+				c.SetMembers(one.listed)
+				if one.from > 0 {
+					time.Sleep(one.from - time.Millisecond)
+					is.True(!c.Settled(time.Now()))
+					time.Sleep(10 * time.Millisecond)
+				}
+				is.True(c.Settled(time.Now()))
+				c.cancel()
+				_ = c.server.Close()
+			})
+		})
+	}
+}
+
 // TestSuspendedEntry counts the others as gone after a suspension that is longer than a
 // silence, and hears them again with their next heartbeats.
 func TestSuspendedEntry(t *testing.T) {
--- a/services/quota/quota.go
+++ b/services/quota/quota.go
@@ -54,6 +54,7 @@
 	told, complete bool
 	swept          time.Time
 	recorder       recorder
+	setOff         setOff
 }
 
 // Verdict says whether a call is inside a customer's limit, and why.
--- a/services/quota/record.go
+++ b/services/quota/record.go
@@ -123,7 +123,31 @@
 			q.addUp(now, customer, all)
 		}
 	}
-	return runworks.LimitRecord{At: now, Use: q.whole(now, all)}
+	out := runworks.LimitRecord{At: now, Use: q.whole(now, all)}
+	if !q.completeLocked(now) {
+		out.Drawn = q.drawn(now, &out.Use)
+	}
+	return out
+}
+
+// drawn gives what each life drew since its start, as far as the window still counts it, of
+// the customers of a use.
+func (q *Quota) drawn(now time.Time, use *runworks.LimitUse) map[runworks.Incarnation]map[string]float64 {
+	out := make(map[runworks.Incarnation]map[string]float64)
+	for id, l := range q.lives {
+		for customer, a := range l.accounts {
+			a.recent.trim(q.oldest(now))
+			tokens := min(a.drawn, a.recent.sum())
+			if _, counts := use.Customers[customer]; !counts || tokens <= 0 {
+				continue
+			}
+			if out[id] == nil {
+				out[id] = make(map[string]float64)
+			}
+			out[id][customer] = tokens
+		}
+	}
+	return out
 }
 
 // addUp puts what all lives used of a customer's limit in one, unless it is there or far
@@ -169,4 +193,8 @@
 	l := q.of(recordLife)
 	q.replace(now, l, &r.Use)
 	l.spendHeld(q.number(now), recordSpan)
+	q.setOff.take(r.Drawn)
+	for id, known := range q.lives {
+		q.setOff.told(id, known, l)
+	}
 }
--- a/services/quota/tell.go
+++ b/services/quota/tell.go
@@ -155,6 +155,7 @@
 	}
 	if use.Version > l.version {
 		l.update(q.number(now), &use, q.recorder.drew)
+		q.setOff.told(from, l, q.lives[recordLife])
 	}
 }
 
@@ -166,6 +167,7 @@
 	l.heard, l.over = now, false
 	if use.Version >= l.version {
 		q.replace(now, l, &use)
+		q.setOff.told(from, l, q.lives[recordLife])
 	}
 }
 
