--- /dev/null
+++ b/services/dispatch/limited_test.go
@@ -0,0 +1,205 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
+)
+
+// limitOf has a server name a limit to a dispatcher, in the answer to a call.
+func limitOf(d *Dispatcher, id string, perSecond float64) {
+	lease := &Lease{dispatcher: d, server: d.servers[id], Instance: d.servers[id].Instance}
+	lease.NoteLimit(runworks.RateLimit{Named: true, PerSecond: perSecond}, time.Now())
+}
+
+// served takes slots one after the other, as long as there are any at once, and counts
+// those of each server.
+func served(t *testing.T, d *Dispatcher) map[string]int {
+	t.Helper()
+	out := map[string]int{}
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		lease, err := d.Acquire(ctx, ask("c", 0))
+		cancel()
+		if err != nil {
+			return out
+		}
+		out[lease.Instance.ID]++
+	}
+}
+
+// TestServerAtItsLimitHasNotFailed leaves a server alone that is at its limit, and holds
+// nothing against it: nobody is told that it is left out, and it has calls again as soon as
+// its limit allows.
+func TestServerAtItsLimitHasNotFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(4, 4)
+		d.OnSuspend = func(runworks.Instance, int, time.Duration) { t.Error("left out") }
+		limitOf(d, "s0", 2)
+		is.Equal(served(t, d), map[string]int{"s1": 4})
+		is.Equal(len(d.Own().LeftOut), 0)
+		time.Sleep(time.Second)
+		is.Equal(served(t, d), map[string]int{"s0": 2})
+	})
+}
+
+// TestFailedCallDoesNotWaitForALimit tells a call at once that failed at one server and would
+// have to wait for what the limit of the other gives, and lets one wait that did not run, or
+// whose stream goes on.
+func TestFailedCallDoesNotWaitForALimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(4, 4)
+		limitOf(d, "s1", 1)
+		failed := ask("failed", 0)
+		failed.Avoid, failed.Ran = []string{"s0"}, true
+		_, err := d.Acquire(context.Background(), failed)
+		is.True(errors.Is(err, runworks.ErrNoServer))
+		fresh := ask("fresh", 0)
+		fresh.Avoid = []string{"s0"}
+		go d.Run(t.Context())
+		lease := <-acquired(d, fresh)
+		is.Equal(lease.Instance.ID, "s1")
+		lease.Release(Served)
+		resumed := ask("resumed", 0)
+		resumed.Avoid, resumed.Ran, resumed.Resumed = []string{"s0"}, true, true
+		lease = <-acquired(d, resumed)
+		is.Equal(lease.Instance.ID, "s1")
+		lease.Release(Served)
+		time.Sleep(1100 * time.Millisecond)
+		lease, err = d.Acquire(context.Background(), failed)
+		is.NoErr(err)
+		is.Equal(lease.Instance.ID, "s1")
+	})
+}
+
+// TestNoHopeWithinTheLimits tells calls at once that the servers' limits leave no hope to
+// start before their callers leave, and says why; the first of them wait.
+func TestNoHopeWithinTheLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(8, 8)
+		limitOf(d, "s0", 1)
+		limitOf(d, "s1", 1)
+		go d.Run(t.Context())
+		began := time.Now()
+		var waiting []<-chan *Lease
+		for told := false; !told; {
+			a := ask(fmt.Sprint("c", len(waiting)), 0)
+			a.Target, a.Patience = began.Add(500*time.Millisecond), began.Add(3*time.Second)
+			out := acquired(d, a)
+			select {
+			case <-out: // closed at once
+				told = true
+			default:
+				waiting = append(waiting, out)
+			}
+		}
+		is.Equal(time.Since(began), time.Duration(0))
+		// Two a second start, the first after a second; callers leave after 2.7 s.
+		is.True(len(waiting) >= 3)
+		is.True(len(waiting) <= 6)
+		for _, out := range waiting {
+			<-out
+		}
+	})
+}
+
+// TestNoPartOfAnyLimit tells calls at once where the limits leave this entry no part.
+func TestNoPartOfAnyLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(8)
+		d.Self = "me"
+		limitOf(d, "s0", 0)
+		for i := range 100 {
+			d.Report(runworks.Incarnation(strings.Repeat("x", i+1)), runworks.EntryLoad{})
+		}
+		_, err := d.Acquire(context.Background(), ask("c", 0))
+		is.True(errors.Is(err, runworks.ErrShortage))
+		is.True(strings.Contains(err.Error(), "no part"))
+	})
+}
+
+// TestSilentEntryKeepsItsPart counts an entry that fell silent among those that share a limit
+// until it counts as gone: it may only be out of touch.
+func TestSilentEntryKeepsItsPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(8)
+		go d.Run(t.Context())
+		d.Report("other", runworks.EntryLoad{})
+		limitOf(d, "s0", 4)
+		part := func() float64 { return d.Loads()[0].LimitPart }
+		is.Equal(part(), 2.0)
+		d.Lose("other")
+		is.Equal(part(), 2.0)
+		time.Sleep(runworks.ForgetEntryAfter - time.Second)
+		is.Equal(part(), 2.0)
+		time.Sleep(2 * time.Second)
+		is.Equal(part(), 4.0)
+		d.Report("other", runworks.EntryLoad{})
+		is.Equal(part(), 2.0)
+		d.Forget("other") // its next life was heard
+		is.Equal(part(), 4.0)
+	})
+}
+
+// TestLimitsOfOthers takes what other entries tell: of a server that is not known yet once it
+// is, an older word not at all; a limit that the server named again since, the others are
+// told anew.
+func TestLimitsOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &Dispatcher{Hall: "a"}
+		var told []runworks.ServerLimit
+		d.TellLimit = func(l runworks.ServerLimit) { told = append(told, l) }
+		word := func(server string, perSecond float64, age time.Duration) runworks.ServerLimit {
+			return runworks.ServerLimit{Server: server, RateLimit: runworks.RateLimit{Named: perSecond > 0, PerSecond: perSecond}, AgeMs: age.Milliseconds()}
+		}
+		d.TakeLimits("other", []runworks.ServerLimit{word("s0", 3, time.Minute)})
+		d.Replace(instances(4))
+		limits := d.Limits()
+		is.Equal(len(limits), 1)
+		is.Equal(limits[0].PerSecond, 3.0)
+		is.Equal(limits[0].AgeMs, time.Minute.Milliseconds())
+		is.Equal(len(told), 0) // it is the other's to tell
+
+		limitOf(d, "s0", 5)
+		is.Equal(told, []runworks.ServerLimit{word("s0", 5, 0)})
+		time.Sleep(100 * time.Millisecond)
+		d.TakeLimits("other", []runworks.ServerLimit{word("s0", 0, time.Second)}) // it ended a second ago
+		is.Equal(told[1:], []runworks.ServerLimit{word("s0", 5, 100*time.Millisecond)})
+		is.Equal(d.Loads()[0].Limit.PerSecond, 5.0)
+
+		d.TakeLimits("other", []runworks.ServerLimit{word("s0", 0, 0)})
+		is.Equal(len(d.Limits()), 0)
+		d.Replace(nil)
+		d.Replace(instances(4))
+		is.Equal(d.Loads()[0].Limit, runworks.RateLimit{})
+	})
+}
+
+// TestLimitsOfUnknownServersAreBounded keeps no more of them than maxEarly, and none for long.
+func TestLimitsOfUnknownServersAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &Dispatcher{}
+		for i := range 2 * maxEarly {
+			d.TakeLimits("other", []runworks.ServerLimit{{Server: strings.Repeat("x", i%97) + time.Duration(i).String()}})
+		}
+		is.Equal(len(d.early), maxEarly)
+		time.Sleep(runworks.ForgetEntryAfter + time.Second)
+		d.Replace(nil)
+		is.Equal(len(d.early), 0)
+	})
+}
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -39,6 +39,10 @@
 	hang bool
 	// ended says that the server's process is gone afterwards.
 	ended bool
+	// limit is what the server says of the requests that it takes, and limitErr why that
+	// can't be read.
+	limit    runworks.RateLimit
+	limitErr error
 }
 
 // sender is a fake that answers the sends in turn.
@@ -71,7 +75,7 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
-	return &runworks.ServerReply{Reply: runworks.Reply{Status: status, Header: http.Header{}, Body: body}, NotRun: r.notRun, Gone: r.gone}, nil
+	return &runworks.ServerReply{Reply: runworks.Reply{Status: status, Header: http.Header{}, Body: body}, NotRun: r.notRun, Gone: r.gone, Limit: r.limit, LimitErr: r.limitErr}, nil
 }
 
 // WatchEnd implements runworks.Sender for the server that was sent to last.
--- /dev/null
+++ b/services/forward/limit_test.go
@@ -0,0 +1,56 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
+)
+
+// TestServersLimit takes a server's limit from any answer of its own: one that it gave, a
+// failure, and its word that it did not run the call. What can't be read leaves the limit as
+// it was and is logged, and the answer of another server at its address says nothing of it.
+func TestServersLimit(t *testing.T) {
+	two := runworks.RateLimit{Named: true, PerSecond: 2}
+	unreadable := errors.New("no number")
+	for _, c := range []struct {
+		name    string
+		replies []reply
+		limited bool
+		logged  bool
+	}{
+		{"a whole answer", []reply{{body: "good", limit: two}}, true, false},
+		{"a failure", []reply{{status: http.StatusInternalServerError, limit: two}}, true, false},
+		{"not run", []reply{{status: http.StatusServiceUnavailable, notRun: true, limit: two}, good}, true, false},
+		{"none", []reply{good}, false, false},
+		{"unreadable", []reply{{body: "good", limitErr: unreadable}}, false, true},
+		{"another server's", []reply{{status: http.StatusMisdirectedRequest, gone: true, limit: two}, good}, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var out bytes.Buffer
+				s := &sender{replies: c.replies}
+				f := newForwarder(t, s, &out)
+				_, _, err := serve(context.Background(), f, "once")
+				is.NoErr(err)
+				limited := 0
+				for _, one := range f.Dispatcher.Loads() {
+					if one.Limit == two {
+						is.Equal(one.ID, s.sends[0].To.ID)
+						limited++
+					}
+				}
+				is.Equal(limited == 1, c.limited)
+				is.Equal(strings.Contains(out.String(), "limit of a backend server can't be read"), c.logged)
+			})
+		})
+	}
+}
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -167,6 +167,10 @@
 	listed bool
 	// lives holds the newest life of each entry, by its name.
 	lives map[string]runworks.Incarnation
+	// limitNews is what is to be told of backend servers' limits, by server, and tellingLimits
+	// says that somebody does.
+	limitNews     map[string]limitNews
+	tellingLimits bool
 	// changes are not told yet; wake has them told at once.
 	changes []Change
 	wake    chan struct{}
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -40,6 +40,10 @@
 	// suspects are the requests it was told of, and knows those it tells in a greeting.
 	suspects []runworks.Fingerprint
 	knows    []runworks.Suspect
+	// serverLimits are the tellings of servers' limits that it heard, and knowsLimits those
+	// it tells in a greeting.
+	serverLimits [][]runworks.ServerLimit
+	knowsLimits  []runworks.ServerLimit
 	// beats is how many heartbeats it heard, and limits what they told of customers.
 	beats  int
 	limits map[string]float64
@@ -141,6 +145,16 @@
 		defer e.mu.Unlock()
 		e.replaced = append(e.replaced, old)
 	}
+	e.ServerLimits = func() []runworks.ServerLimit {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.knowsLimits
+	}
+	e.OnServerLimits = func(_ string, list []runworks.ServerLimit) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.serverLimits = append(e.serverLimits, list)
+	}
 	e.State = func(Subject) (any, error) { return e.Self.Name + " knows", nil }
 }
 
