An entry borrows what others have at hand of a server's limit

What callers saw (in virtual time): where all servers of a service have limits, calls were refused at one entry while another had requests at hand that it did not use, most of all where few calls come to many entries. Cause: parts are fixed, so that no message stands between a call and its server; who has more calls than its part can't use what is left elsewhere. Change: an entry whose calls wait for a limit alone asks one that has a part, one question at a time, and pauses where nobody gives any. What is lent is counted at the lender as sent and is sent at once or lost, so what all have at hand stays what it was, and the bound holds whatever becomes of the answer. Ruled out: parts by demand, which need all entries to tell their calls all the time.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -156,6 +156,7 @@
 	dial := tcp.Options{Silence: s.Silence}.Dial
 	self := peers.Member{Name: s.Name, Address: address, Hall: s.Hall, Incarnation: runworks.NewIncarnation()}
 	d.dispatcher = &dispatch.Dispatcher{Self: self.Incarnation, Hall: s.Hall, OnSuspend: d.onSuspend, OnSilent: d.onSilent, OnDoubt: d.onDoubt, OnLimit: d.onLimit}
+	d.dispatcher.OnWant = d.onWant
 	d.dispatcher.TellLimit = func(limit runworks.ServerLimit) { d.exchange.TellServerLimit(limit) }
 	d.quota = &quota.Quota{Self: self.Incarnation, Window: s.QuotaWindow, Started: time.Now()}
 	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack, Started: time.Now(), Window: s.RetryWindow}
@@ -177,7 +178,7 @@
 		OnGreeting: d.onGreeting, OnSettled: d.takeHeld,
 		Suspects:     func() []runworks.Suspect { return d.quarantine.List(time.Now()) },
 		OnSuspects:   func(_ string, list []runworks.Suspect) { d.quarantine.Take(time.Now(), list) },
-		ServerLimits: d.dispatcher.Limits, OnServerLimits: d.dispatcher.TakeLimits,
+		ServerLimits: d.dispatcher.Limits, OnServerLimits: d.dispatcher.TakeLimits, Lend: d.dispatcher.Lend,
 	}
 	d.suspects = &platform.Suspects{Store: d.store, Quarantine: d.quarantine, Front: s.Name, Logger: d.Logger, OnTried: d.takeHeld}
 	d.watch()
--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -11,6 +11,7 @@
 
 	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/platform"
+	"github.com/runworks/runworks/services/dispatch"
 	"github.com/runworks/runworks/services/peers"
 	"github.com/runworks/runworks/services/route"
 )
@@ -208,3 +209,17 @@
 func (d *Front) onGone(from runworks.Incarnation) {
 	d.dispatcher.Lose(from)
 }
+
+// onWant asks another front for what it has at hand of a backend server's limit.
+func (d *Front) onWant(loan *dispatch.Loan) {
+	asked := d.work.Go(func() {
+		n, err := d.exchange.Borrow(d.ctx, loan.Lender, peers.LendCall{Server: loan.Server, Requests: loan.Requests})
+		if err != nil {
+			d.Logger.Warn("another front could not be asked for a loan", "incarnation", loan.Lender, "server", loan.Server, "error", err.Error())
+		}
+		d.dispatcher.Borrowed(loan, n)
+	})
+	if !asked {
+		d.Logger.Info("no loan is asked for, the front stops", "server", loan.Server)
+	}
+}
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -73,6 +73,9 @@
 	// are to be told of it; nil tells nobody. They must not wait.
 	OnLimit   func(server runworks.Instance, change LimitChange)
 	TellLimit func(limit runworks.ServerLimit)
+	// OnWant is told what another entry is to be asked for, whose answer goes to Borrowed; nil
+	// asks nobody. It must not wait.
+	OnWant func(loan *Loan)
 
 	mu sync.Mutex
 	// servers holds the servers by their lives, and newest by their ids.
@@ -117,7 +120,8 @@
 	maxPause time.Duration
 	// perEvent is how many of the tokens that callers expect an event stands for,
 	// on average; 0 is not known.
-	perEvent average
+	perEvent  average
+	borrowing borrowing
 }
 
 // Acquire waits until a backend server is free for the call. The errors are
@@ -237,6 +241,7 @@
 			w.giveUp(runworks.ErrShortage)
 		}
 	}
+	d.borrowLocked(now, s)
 }
 
 // any says whether a backend server is known that the call may go to. One that a server
--- a/services/dispatch/fleet.go
+++ b/services/dispatch/fleet.go
@@ -96,7 +96,7 @@
 	}
 	return &service{
 		name: name, asks: make(map[runworks.RequestID]*waiter),
-		queue: ticket.Queue{MaxWaiting: maxWaiting},
+		queue: ticket.Queue{MaxWaiting: maxWaiting}, borrowing: borrowing{on: d.OnWant != nil},
 	}
 }
 
--- a/services/dispatch/limit.go
+++ b/services/dispatch/limit.go
@@ -222,8 +222,12 @@
 }
 
 // limitedStart is in how many seconds a call starts here that has so many ahead, where all
-// servers have limits; infinite if this entry has no part of any.
+// servers have limits; infinite if this entry has no part of any and is not likely to be lent
+// one.
 func (s *service) limitedStart(now time.Time, share float64, ahead int) float64 {
+	if s.borrowing.likely(now, ahead) {
+		return 0
+	}
 	soonest, rate := math.Inf(1), 0.0
 	for _, one := range s.servers {
 		if !one.Leaving {
--- a/services/dispatch/limit_test.go
+++ b/services/dispatch/limit_test.go
@@ -43,6 +43,8 @@
 	asked, served, refused, gaveUp int
 	work                           sync.WaitGroup
 	ctx                            context.Context
+	// alone keeps entries from asking each other for loans.
+	alone bool
 }
 
 // pressEntry is an entry, and what the others may know of it.
@@ -75,6 +77,9 @@
 	e := &pressEntry{name: name, weight: weight, end: end, heard: map[runworks.Incarnation]time.Time{}}
 	e.Dispatcher = &Dispatcher{Hall: "a", Self: runworks.Incarnation(fmt.Sprint(name, "#", p.lives))}
 	e.TellLimit = func(limit runworks.ServerLimit) { p.work.Go(func() { p.tellLimit(e, limit) }) }
+	if !p.alone {
+		e.OnWant = func(loan *Loan) { p.work.Go(func() { e.Borrowed(loan, p.lend(e, loan)) }) }
+	}
 	var list []runworks.Instance
 	for _, id := range p.servers {
 		list = append(list, runworks.Instance{ID: id, Service: "llm", Hall: "a", Slots: 7})
@@ -95,6 +100,25 @@
 	}
 }
 
+// lend asks another entry for a loan; the question and the answer take a way each.
+func (p *press) lend(from *pressEntry, loan *Loan) int {
+	time.Sleep(pressWay)
+	p.mu.Lock()
+	var lender *pressEntry
+	for _, to := range p.entries {
+		if to.Self == loan.Lender && from.reaches(to) {
+			lender = to
+		}
+	}
+	p.mu.Unlock()
+	n := 0
+	if lender != nil {
+		n = lender.Lend(loan.Server, loan.Requests)
+	}
+	time.Sleep(pressWay)
+	return n
+}
+
 func (e *pressEntry) reaches(to *pressEntry) bool {
 	return !e.frozen && !to.frozen && !e.cut && !to.cut
 }
@@ -263,6 +287,7 @@
 	entries, servers, limited, seconds int
 	perSecond, limit, skew             float64
 	names                              string
+	alone                              bool
 }
 
 func readPressArgs(t *testing.T, d *datadriven.TestData) pressArgs {
@@ -280,6 +305,7 @@
 			d.Fatalf(t, "%s: %v", text, err)
 		}
 	}
+	a.alone = d.HasArg("alone")
 	return a
 }
 
@@ -317,6 +343,7 @@
 
 // site starts the entries and lets them hear each other.
 func (p *press) site(a *pressArgs) {
+	p.alone = a.alone
 	for i := range a.servers {
 		p.servers = append(p.servers, fmt.Sprint("s", i))
 	}
--- a/services/dispatch/limited_test.go
+++ b/services/dispatch/limited_test.go
@@ -203,3 +203,81 @@
 		is.Equal(len(d.early), 0)
 	})
 }
+
+// TestLoan asks another entry as a call waits for what a limit gives: the call is sent with
+// what is lent, and what it has no use for is lost.
+func TestLoan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &Dispatcher{Hall: "a", Self: "me"}
+		var loans []*Loan
+		d.OnWant = func(l *Loan) { loans = append(loans, l) }
+		d.Replace(instances(8))
+		d.Report("other", runworks.EntryLoad{})
+		limitOf(d, "s0", 1)
+		out := acquired(d, ask("c", 0))
+		is.Equal(len(out), 0)
+		is.Equal(len(loans), 1) // one question at a time
+		is.Equal(*loans[0], Loan{Server: "s0", Lender: "other", Requests: 1, service: "llm"})
+		d.Borrowed(loans[0], 3)
+		lease := <-out
+		is.Equal(lease.Instance.ID, "s0")
+		waits := acquired(d, ask("d", 0))
+		is.Equal(len(waits), 0) // two of the three are lost
+		is.Equal(len(loans), 2)
+		d.Borrowed(loans[1], 1)
+		<-waits
+	})
+}
+
+// TestNoLoan asks some entries one after the other, and then pauses, longer each time; a
+// call that comes meanwhile is told at once that it has no hope, and so is one whose target
+// has passed.
+func TestNoLoan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &Dispatcher{Hall: "a", Self: "me"}
+		var asked []time.Duration
+		began := time.Now()
+		d.OnWant = func(l *Loan) {
+			asked = append(asked, time.Since(began))
+			time.AfterFunc(time.Millisecond, func() { d.Borrowed(l, 0) })
+		}
+		d.Replace(instances(8))
+		for i := range 50 {
+			d.Report(runworks.Incarnation(strings.Repeat("x", i+1)), runworks.EntryLoad{})
+		}
+		limitOf(d, "s0", 1)
+		is.Equal(d.Loads()[0].LimitPart, 0.0) // as the hash says
+		go d.Run(t.Context())
+		out := acquired(d, ask("c", 0))
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(len(asked), borrowTries)
+		_, err := d.Acquire(context.Background(), ask("d", 0))
+		is.True(errors.Is(err, runworks.ErrShortage))
+		is.True(time.Since(began) < 20*time.Millisecond)
+		_, given := <-out
+		is.True(!given)
+		is.Equal(time.Since(began), time.Second)
+		is.True(len(asked) > 2*borrowTries)
+		is.True(len(asked) < 6*borrowTries)
+	})
+}
+
+// TestLend gives what is at hand away, but not while own calls wait for it.
+func TestLend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(8)
+		is.Equal(d.Lend("s0", 9), 0) // no limit: nothing to count
+		is.Equal(d.Lend("nobody", 9), 0)
+		limitOf(d, "s0", 2)
+		time.Sleep(2 * time.Second)
+		is.Equal(d.Lend("s0", 3), 3)
+		is.Equal(d.Lend("s0", 3), 1)
+		out := acquired(d, ask("c", 0))
+		go d.Run(t.Context())
+		is.Equal(d.Lend("s0", 3), 0)
+		<-out
+	})
+}
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -111,9 +111,14 @@
 	}
 }
 
-// room says whether the server has a free slot, as far as is known, and takes a request.
+// room says whether the server has a free slot and its limit leaves room for a request.
 func (s *server) room(now time.Time, of *service) bool {
-	return !s.Leaving && !s.moved && !now.Before(s.full) && s.load() < of.capacity(s) && s.limit.Admits(now)
+	return s.hasSlot(now, of) && s.limit.Admits(now)
+}
+
+// hasSlot says whether the server has a free slot, as far as is known.
+func (s *server) hasSlot(now time.Time, of *service) bool {
+	return !s.Leaving && !s.moved && !now.Before(s.full) && s.load() < of.capacity(s)
 }
 
 // note records how a call ended; it gives how long the server is left out for it.
--- a/services/peers/hear.go
+++ b/services/peers/hear.go
@@ -47,6 +47,8 @@
 		return nil, x.takeSuspects(params)
 	case MethodServerLimits:
 		return nil, x.takeServerLimits(params)
+	case MethodLend:
+		return x.lend(params)
 	case MethodState:
 		var c StateCall
 		if err := json.Unmarshal(params, &c); err != nil {
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -28,6 +28,8 @@
 	// MethodServerLimits is the notification of limits that backend servers name. Versions
 	// that do not know it pass it over.
 	MethodServerLimits = "entry.server_limits"
+	// MethodLend is the call for what an entry has at hand of a backend server's limit.
+	MethodLend = "entry.lend"
 	// MethodState is the call for what an entry knows of a Subject.
 	MethodState = "entry.state"
 )
@@ -139,6 +141,9 @@
 	// OnServerLimits is told what another entry told of some; nil gives none and tells nobody.
 	ServerLimits   func() []runworks.ServerLimit
 	OnServerLimits func(from string, list []runworks.ServerLimit)
+	// Lend gives away requests that this entry has at hand of a backend server's limit, as far
+	// as it has no use for them; nil gives none.
+	Lend func(server string, requests int) int
 	// OnSettled is told that this entry has waited long enough to hear another; nil tells
 	// nobody.
 	OnSettled func()
--- a/services/peers/server_limits_test.go
+++ b/services/peers/server_limits_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -55,3 +56,26 @@
 		is.Equal(b.limitsOf()[3:], [][]runworks.ServerLimit{{serverLimit("s", 3), serverLimit("t", 4)}})
 	})
 }
+
+// TestLend asks another entry for requests that it has at hand of a server's limit: no more
+// than were asked for are taken, and none from an entry that can't be reached.
+func TestLend(t *testing.T) {
+	inNetwork(t, "key-of-the-fleet", func(is *is.I, network *memnet.Network, a, b *entry) {
+		var server string
+		b.Lend = func(s string, requests int) int {
+			server = s
+			return requests + 1
+		}
+		n, err := a.Borrow(context.Background(), b.Self.Incarnation, LendCall{Server: "s", Requests: 2})
+		is.NoErr(err)
+		is.Equal(n, 2)
+		is.Equal(server, "s")
+		_, err = a.Borrow(context.Background(), "nobody", LendCall{Server: "s", Requests: 2})
+		is.True(err != nil)
+		network.Cut("a", "b")
+		began := time.Now()
+		_, err = a.Borrow(context.Background(), b.Self.Incarnation, LendCall{Server: "s", Requests: 2})
+		is.True(err != nil)
+		is.Equal(time.Since(began), lendTimeout)
+	})
+}
--- a/services/serverlimit/limit.go
+++ b/services/serverlimit/limit.go
@@ -25,6 +25,8 @@
 	// level is how many requests were at hand at the time at.
 	level float64
 	at    time.Time
+	// borrowed is how many more another entry gave.
+	borrowed int
 }
 
 // Name takes a server's word that it has a limit, given at a time, and says whether anything
@@ -96,7 +98,7 @@
 	}
 	l.fill(now)
 	switch {
-	case l.level >= 1:
+	case l.level >= 1 || l.borrowed > 0:
 		return 0
 	case l.part.PerSecond == 0:
 		return math.Inf(1)
@@ -110,9 +112,32 @@
 		return
 	}
 	l.fill(now)
+	if l.borrowed > 0 {
+		l.borrowed--
+		return
+	}
 	l.level--
 }
 
+// Lend gives requests at hand away, so many at most, and says how many: who takes them sends
+// them in this entry's place.
+func (l *Limit) Lend(now time.Time, requests int) int {
+	if !l.InForce(now) {
+		return 0
+	}
+	l.fill(now)
+	n := min(max(requests, 0), max(int(l.level), 0))
+	l.level -= float64(n)
+	return n
+}
+
+// Borrow takes requests that another entry gave away. They are to be sent now: what is not
+// is lost with Drop, so that what all have at hand stays what it was.
+func (l *Limit) Borrow(requests int) { l.borrowed += requests }
+
+// Drop forgets borrowed requests that were not sent.
+func (l *Limit) Drop() { l.borrowed = 0 }
+
 // fill counts what the rate gave since the last look.
 func (l *Limit) fill(now time.Time) {
 	if since := now.Sub(l.at); since > 0 {
--- a/services/serverlimit/limit_test.go
+++ b/services/serverlimit/limit_test.go
@@ -52,6 +52,17 @@
 					}
 				}
 				fmt.Fprintf(&out, "%d sent=%d next=%.2f\n", ms, sent, l.Wait(now))
+			case "lend": // asks for so many
+				_, err = fmt.Sscan(rest, &n)
+				fmt.Fprintf(&out, "%d lent=%d next=%.2f\n", ms, l.Lend(now, n), l.Wait(now))
+			case "borrow": // so many, of which some are sent
+				_, err = fmt.Sscan(rest, &n, &other)
+				l.Borrow(n)
+				for range other {
+					l.Spend(now)
+				}
+				fmt.Fprintf(&out, "%d next=%.2f\n", ms, l.Wait(now))
+				l.Drop()
 			case "state":
 				word, given := l.Word()
 				fmt.Fprintf(&out, "%d in-force=%t over=%t word=%+v of %d\n", ms, l.InForce(now), l.Over(now), word, max(given.Sub(start), 0).Milliseconds())
--- a/services/serverlimit/part.go
+++ b/services/serverlimit/part.go
@@ -26,11 +26,15 @@
 // hand. All together send, in any span, what the rate gives in it, a second's worth more,
 // and Extra.
 func PartOf(perSecond float64, ahead, entries int) Part {
-	perSecond = max(perSecond, leastRate)
-	atOnce := perSecond + Extra
-	owners := min(entries, int(atOnce))
+	owners := Owners(perSecond, entries)
 	if ahead >= owners {
 		return Part{}
 	}
-	return Part{PerSecond: perSecond / float64(owners), AtOnce: atOnce / float64(owners)}
+	perSecond = max(perSecond, leastRate)
+	return Part{PerSecond: perSecond / float64(owners), AtOnce: (perSecond + Extra) / float64(owners)}
+}
+
+// Owners gives how many of the entries have a part in a limit, in requests a second.
+func Owners(perSecond float64, entries int) int {
+	return min(entries, int(max(perSecond, leastRate)+Extra))
 }
