The first requests within a limit come one behind the other; a soak in which servers name limits

Cause: all parts of a limit began with nothing at hand, so that a limit of one a second gave nothing for some four seconds and then a request from each entry at once, and the end of a limit was noticed as late. Change: as a limit is named first, what is at hand follows the order of the entries. A silent entry's part is kept without being given away for a moment.

--- a/services/dispatch/fleet.go
+++ b/services/dispatch/fleet.go
@@ -153,10 +153,27 @@
 func (d *Dispatcher) Forget(from runworks.Incarnation) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	old := d.peers[from]
-	delete(d.peers, from)
 	delete(d.absent, from)
+	d.dropLocked(from)
 	d.partLimitsLocked(time.Now())
+}
+
+// Lose counts the calls of another entry as ended that fell silent. It may still send, only
+// out of touch: it keeps its part of the servers' limits until it counts as gone.
+func (d *Dispatcher) Lose(from runworks.Incarnation) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.absent == nil {
+		d.absent = make(map[runworks.Incarnation]time.Time)
+	}
+	d.absent[from] = time.Now()
+	d.dropLocked(from)
+}
+
+// dropLocked counts what another entry had as over.
+func (d *Dispatcher) dropLocked(from runworks.Incarnation) {
+	old := d.peers[from]
+	delete(d.peers, from)
 	d.exchangeLocked(&old, &runworks.EntryLoad{})
 }
 
--- a/services/dispatch/limit.go
+++ b/services/dispatch/limit.go
@@ -168,20 +168,6 @@
 	}
 }
 
-// Lose takes another entry that fell silent for one that may still send: it keeps its part
-// of the servers' limits until it counts as gone. What it ran counts as ended.
-func (d *Dispatcher) Lose(from runworks.Incarnation) {
-	d.Forget(from)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.absent == nil {
-		d.absent = make(map[runworks.Incarnation]time.Time)
-	}
-	now := time.Now()
-	d.absent[from] = now
-	d.partLimitsLocked(now)
-}
-
 // tendLimitsLocked ends limits that servers name no more, and the parts of entries that are
 // gone.
 func (d *Dispatcher) tendLimitsLocked(now time.Time) {
--- a/services/dispatch/limit_test.go
+++ b/services/dispatch/limit_test.go
@@ -4,373 +4,292 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
 
 	"github.com/runworks/runworks"
 )
 
-// A server may get limitSlack times what its limit allows in limitSpan, and limitExtra
-// requests more, from all entries together, once they were told toldBefore before.
-const (
-	limitSlack = 1.5
-	limitExtra = 5
-	limitSpan  = 4 * time.Second
-	toldBefore = 500 * time.Millisecond
-)
-
-// press is callers that press on servers of which some have limits, in virtual time.
-type press struct {
-	mu      sync.Mutex
-	rng     *rand.Rand
-	entries []*pressEntry
-	lives   int
-	servers []string
-	// limits are what servers name; told is since when each entry's life was told by the
-	// server itself, by life and server.
-	limits map[string]float64
-	told   map[string]time.Time
-	// counted are the requests that count: from lives that the server had told.
-	counted map[string][]time.Time
-	// first is when a server named its limit first.
-	first                          map[string]time.Time
-	asked, served, refused, gaveUp int
-	work                           sync.WaitGroup
-	ctx                            context.Context
-	// alone keeps entries from asking each other for loans.
-	alone bool
-}
-
-// pressEntry is an entry, and what the others may know of it.
-type pressEntry struct {
-	*Dispatcher
-	name   string
-	frozen bool
-	// cut says that no other entry is reached.
-	cut bool
-	// weight is its part of the calls.
-	weight float64
-	end    context.CancelFunc
-	heard  map[runworks.Incarnation]time.Time
+// limitOf has a server name a limit to a dispatcher, in the answer to a call.
+func limitOf(d *Dispatcher, id string, perSecond float64) {
+	lease := &Lease{dispatcher: d, server: d.servers[id], Instance: d.servers[id].Instance}
+	lease.NoteLimit(runworks.RateLimit{Named: true, PerSecond: perSecond}, time.Now())
 }
 
-// The figures of the calls of a press.
-const (
-	pressBeat    = 50 * time.Millisecond
-	pressPerPeer = 2 * time.Millisecond
-	pressRuns    = 200 * time.Millisecond
-	pressTarget  = 600 * time.Millisecond
-	pressLimit   = 4 * time.Second
-	pressSilent  = 1500 * time.Millisecond
-	pressWay     = time.Millisecond
-)
-
-func (p *press) start(name string, weight float64) *pressEntry {
-	p.lives++
-	ctx, end := context.WithCancel(p.ctx)
-	e := &pressEntry{name: name, weight: weight, end: end, heard: map[runworks.Incarnation]time.Time{}}
-	e.Dispatcher = &Dispatcher{Hall: "a", Self: runworks.Incarnation(fmt.Sprint(name, "#", p.lives))}
-	e.TellLimit = func(limit runworks.ServerLimit) { p.work.Go(func() { p.tellLimit(e, limit) }) }
-	if !p.alone {
-		e.OnWant = func(loan *Loan) { p.work.Go(func() { e.Borrowed(loan, p.lend(e, loan)) }) }
-	}
-	var list []runworks.Instance
-	for _, id := range p.servers {
-		list = append(list, runworks.Instance{ID: id, Service: "llm", Hall: "a", Slots: 7})
-	}
-	e.Replace(list)
-	p.work.Go(func() { e.Run(ctx) })
-	return e
-}
-
-func (p *press) tellLimit(from *pressEntry, limit runworks.ServerLimit) {
-	time.Sleep(pressWay)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, to := range p.entries {
-		if to != from && from.reaches(to) {
-			to.TakeLimits(from.name, []runworks.ServerLimit{limit})
+// served takes slots one after the other, as long as there are any at once, and counts
+// those of each server.
+func served(t *testing.T, d *Dispatcher) map[string]int {
+	t.Helper()
+	out := map[string]int{}
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		lease, err := d.Acquire(ctx, ask("c", 0))
+		cancel()
+		if err != nil {
+			return out
 		}
+		out[lease.Instance.ID]++
 	}
 }
 
-// lend asks another entry for a loan; the question and the answer take a way each.
-func (p *press) lend(from *pressEntry, loan *Loan) int {
-	time.Sleep(pressWay)
-	p.mu.Lock()
-	var lender *pressEntry
-	for _, to := range p.entries {
-		if to.Self == loan.Lender && from.reaches(to) {
-			lender = to
-		}
-	}
-	p.mu.Unlock()
-	n := 0
-	if lender != nil {
-		n = lender.Lend(loan.Server, loan.Requests)
-	}
-	time.Sleep(pressWay)
-	return n
+// TestServerAtItsLimitHasNotFailed leaves a server alone that is at its limit, and holds
+// nothing against it: nobody is told that it is left out, and it has calls again as soon as
+// its limit allows.
+func TestServerAtItsLimitHasNotFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(4, 4)
+		d.OnSuspend = func(runworks.Instance, int, time.Duration) { t.Error("left out") }
+		limitOf(d, "s0", 2)
+		is.Equal(served(t, d), map[string]int{"s1": 4})
+		is.Equal(len(d.Own().LeftOut), 0)
+		time.Sleep(time.Second)
+		is.Equal(served(t, d), map[string]int{"s0": 2})
+	})
 }
 
-func (e *pressEntry) reaches(to *pressEntry) bool {
-	return !e.frozen && !to.frozen && !e.cut && !to.cut
+// TestFailedCallDoesNotWaitForALimit tells a call at once that failed at one server and would
+// have to wait for what the limit of the other gives, and lets one wait that did not run, or
+// whose stream goes on.
+func TestFailedCallDoesNotWaitForALimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(4, 4)
+		limitOf(d, "s1", 1)
+		failed := ask("failed", 0)
+		failed.Avoid, failed.Ran = []string{"s0"}, true
+		_, err := d.Acquire(context.Background(), failed)
+		is.True(errors.Is(err, runworks.ErrNoServer))
+		fresh := ask("fresh", 0)
+		fresh.Avoid = []string{"s0"}
+		go d.Run(t.Context())
+		lease := <-acquired(d, fresh)
+		is.Equal(lease.Instance.ID, "s1")
+		lease.Release(Served)
+		resumed := ask("resumed", 0)
+		resumed.Avoid, resumed.Ran, resumed.Resumed = []string{"s0"}, true, true
+		lease = <-acquired(d, resumed)
+		is.Equal(lease.Instance.ID, "s1")
+		lease.Release(Served)
+		time.Sleep(1100 * time.Millisecond)
+		lease, err = d.Acquire(context.Background(), failed)
+		is.NoErr(err)
+		is.Equal(lease.Instance.ID, "s1")
+	})
 }
 
-// beat has all entries hear each other, and notice who fell silent.
-func (p *press) beat() {
-	for p.ctx.Err() == nil {
-		p.mu.Lock()
-		now := time.Now()
-		for _, from := range p.entries {
-			load := from.Own()
-			for _, to := range p.entries {
-				if to == from || !from.reaches(to) {
-					continue
-				}
-				if to.heard[from.Self].IsZero() {
-					to.TakeLimits(from.name, from.Limits())
-				}
-				to.heard[from.Self] = now
-				to.Report(from.Self, load)
+// TestNoHopeWithinTheLimits tells calls at once that the servers' limits leave no hope to
+// start before their callers leave, and says why; the first of them wait.
+func TestNoHopeWithinTheLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(8, 8)
+		limitOf(d, "s0", 1)
+		limitOf(d, "s1", 1)
+		go d.Run(t.Context())
+		began := time.Now()
+		var waiting []<-chan *Lease
+		for told := false; !told; {
+			a := ask(fmt.Sprint("c", len(waiting)), 0)
+			a.Target, a.Patience = began.Add(500*time.Millisecond), began.Add(3*time.Second)
+			out := acquired(d, a)
+			select {
+			case <-out: // closed at once
+				told = true
+			default:
+				waiting = append(waiting, out)
 			}
 		}
-		for _, e := range p.entries {
-			for id, last := range e.heard {
-				if !e.frozen && now.Sub(last) > pressSilent {
-					e.Lose(id)
-					delete(e.heard, id)
-				}
-			}
+		is.Equal(time.Since(began), time.Duration(0))
+		// Two a second start, the first after a second; callers leave after 2.7 s.
+		is.True(len(waiting) >= 3)
+		is.True(len(waiting) <= 6)
+		for _, out := range waiting {
+			<-out
 		}
-		wait := max(pressBeat, time.Duration(len(p.entries))*pressPerPeer)
-		p.mu.Unlock()
-		time.Sleep(wait)
-	}
+	})
 }
 
-// pick gives an entry by the weights; nil while it stands still.
-func (p *press) pick() *pressEntry {
-	sum := 0.0
-	for _, e := range p.entries {
-		sum += e.weight
-	}
-	at := p.rng.Float64() * sum
-	for _, e := range p.entries {
-		if at -= e.weight; at < 0 {
-			if e.frozen {
-				return nil
-			}
-			return e
+// TestNoPartOfAnyLimit tells calls at once where the limits leave this entry no part.
+func TestNoPartOfAnyLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(8)
+		d.Self = "me"
+		limitOf(d, "s0", 0)
+		for i := range 100 {
+			d.Report(runworks.Incarnation(strings.Repeat("x", i+1)), runworks.EntryLoad{})
 		}
-	}
-	return nil
+		_, err := d.Acquire(context.Background(), ask("c", 0))
+		is.True(errors.Is(err, runworks.ErrShortage))
+		is.True(strings.Contains(err.Error(), "no part"))
+	})
 }
 
-// load has calls come to the entries for a while, so many a second.
-func (p *press) load(span time.Duration, perSecond float64) {
-	for end := time.Now().Add(span); time.Now().Before(end); {
-		p.mu.Lock()
-		e := p.pick()
-		p.mu.Unlock()
-		if e != nil {
-			p.work.Go(func() { p.call(e) })
-		}
-		time.Sleep(time.Duration(p.rng.ExpFloat64() / perSecond * float64(time.Second)))
-	}
+// TestSilentEntryKeepsItsPart counts an entry that fell silent among those that share a limit
+// until it counts as gone: it may only be out of touch.
+func TestSilentEntryKeepsItsPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(8)
+		go d.Run(t.Context())
+		d.Report("other", runworks.EntryLoad{})
+		limitOf(d, "s0", 4)
+		part := func() float64 { return d.Loads()[0].LimitPart }
+		is.Equal(part(), 2.0)
+		d.Lose("other")
+		is.Equal(part(), 2.0)
+		time.Sleep(runworks.ForgetEntryAfter - time.Second)
+		is.Equal(part(), 2.0)
+		time.Sleep(2 * time.Second)
+		is.Equal(part(), 4.0)
+		d.Report("other", runworks.EntryLoad{})
+		is.Equal(part(), 2.0)
+		d.Forget("other") // its next life was heard
+		is.Equal(part(), 4.0)
+	})
 }
 
-func (p *press) call(e *pressEntry) {
-	p.mu.Lock()
-	p.asked++
-	id := fmt.Sprint("c", p.asked)
-	p.mu.Unlock()
-	now := time.Now()
-	lease, err := e.Acquire(p.ctx, &Ask{ID: runworks.RequestID(id), Service: "llm", Target: now.Add(pressTarget), Deadline: now.Add(pressLimit)})
-	p.mu.Lock()
-	if err != nil {
-		if errors.Is(err, runworks.ErrShortage) {
-			p.refused++
-		} else {
-			p.gaveUp++
-		}
-		p.mu.Unlock()
-		return
-	}
-	sent := time.Now()
-	server := lease.Instance.ID
-	key := string(e.Self) + server
-	if at := p.told[key]; !at.IsZero() && sent.Sub(at) >= toldBefore {
-		p.counted[server] = append(p.counted[server], sent)
-	}
-	p.mu.Unlock()
-	time.Sleep(pressRuns)
-	p.mu.Lock()
-	limit, named := p.limits[server]
-	if named && p.told[key].IsZero() {
-		p.told[key] = time.Now()
-		if p.first[server].IsZero() {
-			p.first[server] = time.Now()
+// TestLimitsOfOthers takes what other entries tell: of a server that is not known yet once it
+// is, an older word not at all; a limit that the server named again since, the others are
+// told anew.
+func TestLimitsOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &Dispatcher{Hall: "a"}
+		var told []runworks.ServerLimit
+		d.TellLimit = func(l runworks.ServerLimit) { told = append(told, l) }
+		word := func(server string, perSecond float64, age time.Duration) runworks.ServerLimit {
+			return runworks.ServerLimit{Server: server, RateLimit: runworks.RateLimit{Named: perSecond > 0, PerSecond: perSecond}, AgeMs: age.Milliseconds()}
 		}
-	}
-	p.served++
-	p.mu.Unlock()
-	lease.NoteLimit(runworks.RateLimit{Named: named, PerSecond: limit}, sent)
-	lease.Release(Served)
-}
+		d.TakeLimits("other", []runworks.ServerLimit{word("s0", 3, time.Minute)})
+		d.Replace(instances(4))
+		limits := d.Limits()
+		is.Equal(len(limits), 1)
+		is.Equal(limits[0].PerSecond, 3.0)
+		is.Equal(limits[0].AgeMs, time.Minute.Milliseconds())
+		is.Equal(len(told), 0) // it is the other's to tell
 
-// most gives the most requests that counted in the span of a limit.
-func (p *press) most(server string) int {
-	most, first := 0, 0
-	list := p.counted[server]
-	for i, at := range list {
-		for at.Sub(list[first]) > limitSpan {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
+		limitOf(d, "s0", 5)
+		is.Equal(told, []runworks.ServerLimit{word("s0", 5, 0)})
+		time.Sleep(100 * time.Millisecond)
+		d.TakeLimits("other", []runworks.ServerLimit{word("s0", 0, time.Second)}) // it ended a second ago
+		is.Equal(told[1:], []runworks.ServerLimit{word("s0", 5, 100*time.Millisecond)})
+		is.Equal(d.Loads()[0].Limit.PerSecond, 5.0)
 
-// verdict says whether all limits were kept, what was used of them in the time, and how
-// callers were answered.
-func (p *press) verdict(t *testing.T, span time.Duration) string {
-	t.Helper()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	kept := true
-	used, sum := 0, 0.0
-	worst := ""
-	for server, limit := range p.limits {
-		most := p.most(server)
-		allowed := limitSlack*limitSpan.Seconds()*limit + limitExtra
-		if float64(most) > allowed {
-			kept = false
-			worst = fmt.Sprintf(", %s got %d of %.1f", server, most, allowed)
-		}
-		used += len(p.counted[server])
-		sum += limit * span.Seconds()
-	}
-	t.Logf("asked=%d served=%.3f refused=%.3f gave-up=%.3f used=%.3f%s", p.asked, part(p.served, p.asked), part(p.refused, p.asked), part(p.gaveUp, p.asked),
-		float64(used)/max(sum, 1), worst)
-	out := fmt.Sprintf("kept=%t\n", kept)
-	p.asked, p.served, p.refused, p.gaveUp = 0, 0, 0, 0
-	p.counted = map[string][]time.Time{}
-	return out
+		d.TakeLimits("other", []runworks.ServerLimit{word("s0", 0, 0)})
+		is.Equal(len(d.Limits()), 0)
+		d.Replace(nil)
+		d.Replace(instances(4))
+		is.Equal(d.Loads()[0].Limit, runworks.RateLimit{})
+	})
 }
 
-func part(n, of int) float64 { return float64(n) / float64(max(of, 1)) }
-
-// TestServerLimits presses on servers with limits in virtual time, through entries that
-// start, end, stand still and are cut off.
-func TestServerLimits(t *testing.T) {
-	datadriven.Walk(t, "testdata/limits", func(t *testing.T, path string) {
-		synctest.Test(t, func(t *testing.T) {
-			ctx, cancel := context.WithCancel(context.Background())
-			p := &press{ctx: ctx, rng: rand.New(rand.NewPCG(1, 2)), limits: map[string]float64{}, told: map[string]time.Time{},
-				counted: map[string][]time.Time{}, first: map[string]time.Time{}}
-			defer p.work.Wait()
-			defer cancel()
-			datadriven.RunTest(t, path, p.step)
-		})
+// TestLimitsOfUnknownServersAreBounded keeps no more of them than maxEarly, and none for long.
+func TestLimitsOfUnknownServersAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &Dispatcher{}
+		for i := range 2 * maxEarly {
+			d.TakeLimits("other", []runworks.ServerLimit{{Server: strings.Repeat("x", i%97) + time.Duration(i).String()}})
+		}
+		is.Equal(len(d.early), maxEarly)
+		time.Sleep(runworks.ForgetEntryAfter + time.Second)
+		d.Replace(nil)
+		is.Equal(len(d.early), 0)
 	})
 }
 
-// pressArgs are the arguments of a script's line.
-type pressArgs struct {
-	entries, servers, limited, seconds int
-	perSecond, limit, skew             float64
-	names                              string
-	alone                              bool
+// TestLoan asks another entry as a call waits for what a limit gives: the call is sent with
+// what is lent, and what it has no use for is lost.
+func TestLoan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &Dispatcher{Hall: "a", Self: "me"}
+		var loans []*Loan
+		d.OnWant = func(l *Loan) { loans = append(loans, l) }
+		d.Replace(instances(8))
+		d.Report("other", runworks.EntryLoad{})
+		limitOf(d, "s0", 1)
+		out := acquired(d, ask("c", 0))
+		is.Equal(len(out), 0)
+		is.Equal(len(loans), 1) // one question at a time
+		is.Equal(*loans[0], Loan{Server: "s0", Lender: "other", Requests: 1, service: "llm"})
+		d.Borrowed(loans[0], 3)
+		lease := <-out
+		is.Equal(lease.Instance.ID, "s0")
+		waits := acquired(d, ask("d", 0))
+		is.Equal(len(waits), 0) // two of the three are lost
+		is.Equal(len(loans), 2)
+		d.Borrowed(loans[1], 1)
+		<-waits
+	})
 }
 
-func readPressArgs(t *testing.T, d *datadriven.TestData) pressArgs {
-	t.Helper()
-	var a pressArgs
-	for key, to := range map[string]any{"entries": &a.entries, "servers": &a.servers, "limited": &a.limited, "seconds": &a.seconds, "names": &a.names} {
-		d.MaybeScanArgs(t, key, to)
-	}
-	for key, to := range map[string]*float64{"a-second": &a.perSecond, "limit": &a.limit, "skew": &a.skew} {
-		var text string
-		if !d.MaybeScanArgs(t, key, &text) {
-			continue
+// TestNoLoan asks some entries one after the other, and then pauses, longer each time; a
+// call that comes meanwhile is told at once that it has no hope, and so is one whose target
+// has passed.
+func TestNoLoan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &Dispatcher{Hall: "a", Self: "me"}
+		var asked []time.Duration
+		began := time.Now()
+		d.OnWant = func(l *Loan) {
+			asked = append(asked, time.Since(began))
+			time.AfterFunc(time.Millisecond, func() { d.Borrowed(l, 0) })
 		}
-		if _, err := fmt.Sscan(text, to); err != nil {
-			d.Fatalf(t, "%s: %v", text, err)
+		d.Replace(instances(8))
+		for i := range 50 {
+			d.Report(runworks.Incarnation(strings.Repeat("x", i+1)), runworks.EntryLoad{})
 		}
-	}
-	a.alone = d.HasArg("alone")
-	return a
-}
-
-// step runs a line of a script.
-func (p *press) step(t *testing.T, d *datadriven.TestData) string {
-	a := readPressArgs(t, d)
-	switch d.Cmd {
-	case "site":
-		p.site(&a)
-	case "limit":
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		for i := range a.limited {
-			p.limits[p.servers[i]] = a.limit
-		}
-	case "end":
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.limits, p.told = map[string]float64{}, map[string]time.Time{}
-	case "load":
-		span := time.Duration(a.seconds) * time.Second
-		p.load(span, a.perSecond)
-		return p.verdict(t, span)
-	case "restart":
-		p.chosen(a.names, p.restart)
-	case "freeze", "wake":
-		p.chosen(a.names, func(_ int, e *pressEntry) { e.frozen = d.Cmd == "freeze" })
-	case "cut", "heal":
-		p.chosen(a.names, func(_ int, e *pressEntry) { e.cut = d.Cmd == "cut" })
-	default:
-		t.Fatalf("no command %s", d.Cmd)
-	}
-	return ""
-}
-
-// site starts the entries and lets them hear each other.
-func (p *press) site(a *pressArgs) {
-	p.alone = a.alone
-	for i := range a.servers {
-		p.servers = append(p.servers, fmt.Sprint("s", i))
-	}
-	for i := range a.entries {
-		p.entries = append(p.entries, p.start(fmt.Sprint("e", i), 1+a.skew*float64(i)))
-	}
-	p.work.Go(p.beat)
-	time.Sleep(time.Second)
+		limitOf(d, "s0", 1)
+		is.Equal(d.Loads()[0].LimitPart, 0.0) // as the hash says
+		go d.Run(t.Context())
+		out := acquired(d, ask("c", 0))
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(len(asked), borrowTries)
+		_, err := d.Acquire(context.Background(), ask("d", 0))
+		is.True(errors.Is(err, runworks.ErrShortage))
+		is.True(time.Since(began) < 20*time.Millisecond)
+		_, given := <-out
+		is.True(!given)
+		is.Equal(time.Since(began), time.Second)
+		is.True(len(asked) > 2*borrowTries)
+		is.True(len(asked) < 6*borrowTries)
+	})
 }
 
-// chosen does something with the entries of some names.
-func (p *press) chosen(names string, do func(i int, e *pressEntry)) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for i, e := range p.entries {
-		if names == "all" || strings.Contains(","+names+",", ","+e.name+",") {
-			do(i, e)
-		}
-	}
+// TestLend gives what is at hand away, but not while own calls wait for it.
+func TestLend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(8)
+		is.Equal(d.Lend("s0", 9), 0) // no limit: nothing to count
+		is.Equal(d.Lend("nobody", 9), 0)
+		limitOf(d, "s0", 2)
+		time.Sleep(2 * time.Second)
+		is.Equal(d.Lend("s0", 3), 3)
+		is.Equal(d.Lend("s0", 3), 1)
+		out := acquired(d, ask("c", 0))
+		time.Sleep(600 * time.Millisecond) // something is at hand again, and the call not looked at yet
+		is.Equal(d.Lend("s0", 3), 0)
+		go d.Run(t.Context())
+		<-out
+	})
 }
 
-// restart begins a new life of an entry, which all others notice at once.
-func (p *press) restart(i int, e *pressEntry) {
-	e.end()
-	p.entries[i] = p.start(e.name, e.weight)
-	for _, other := range p.entries {
-		delete(other.heard, e.Self)
-		other.Forget(e.Self)
-	}
+// TestLimitedServerIsNoReasonToWait gives a call to a server that is too slow for it, where
+// the one that is not has nothing left of its limit: it may be long until it has.
+func TestLimitedServerIsNoReasonToWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := unlike()
+		limitOf(d, "s0", 0)
+		is.Equal((<-acquired(d, prompted("long", 6000))).Instance.ID, "s1")
+	})
 }
--- a/services/serverlimit/limit.go
+++ b/services/serverlimit/limit.go
@@ -27,6 +27,8 @@
 	at    time.Time
 	// borrowed is how many more another entry gave.
 	borrowed int
+	// fresh says that the entry was given no part yet since the limit was named first.
+	fresh bool
 }
 
 // Name takes a server's word that it has a limit, given at a time, and says whether anything
@@ -37,7 +39,7 @@
 		return false
 	}
 	if !inForce {
-		*l = Limit{at: now}
+		*l = Limit{at: now, fresh: true}
 	}
 	news := !inForce || perSecond != l.perSecond || !l.ended.IsZero()
 	l.perSecond, l.named, l.ended = perSecond, at, time.Time{}
@@ -80,10 +82,13 @@
 // Part is this entry's part of the limit.
 func (l *Limit) Part() Part { return l.part }
 
-// Share gives the entry its part from now on. It begins with no request at hand: the entry
-// whose part this was may just have sent its own.
+// Share gives the entry its part from now on. A later one begins with no request at hand: the
+// entry whose part this was may just have sent its own.
 func (l *Limit) Share(now time.Time, part Part) {
 	l.fill(now)
+	if l.fresh {
+		l.level, l.fresh = part.First, false
+	}
 	l.part = part
 	l.level = min(l.level, part.AtOnce)
 }
--- a/services/serverlimit/part.go
+++ b/services/serverlimit/part.go
@@ -15,6 +15,10 @@
 	PerSecond float64
 	// AtOnce is how many requests may be sent at once after a pause.
 	AtOnce float64
+	// First is the part of a request that is at hand as the limit is named first: it puts the
+	// entries' first requests one behind the other, at the limit's rate. Where all began with
+	// nothing, a limit of one a second gave nothing for four seconds, and then four at once.
+	First float64
 }
 
 // PartOf gives the part of an entry in a limit, in requests a second, where so many entries
@@ -31,7 +35,7 @@
 		return Part{}
 	}
 	perSecond = max(perSecond, leastRate)
-	return Part{PerSecond: perSecond / float64(owners), AtOnce: (perSecond + Extra) / float64(owners)}
+	return Part{PerSecond: perSecond / float64(owners), AtOnce: (perSecond + Extra) / float64(owners), First: 1 - float64(ahead+1)/float64(owners)}
 }
 
 // Owners gives how many of the entries have a part in a limit, in requests a second.
--- a/tests/platform_server_limit_test.go
+++ b/tests/platform_server_limit_test.go
@@ -254,17 +254,8 @@
 	if !getJSON("http://"+p.backend[server].address("standin")+"/arrivals", &arrivals) {
 		p.t.Fatalf("%s does not tell its arrivals", server)
 	}
-	first := 0
-	for i, at := range arrivals {
-		if p.from[server].IsZero() || at.Before(p.from[server]) {
-			first = i + 1
-			continue
-		}
-		for at.Sub(arrivals[first]) > limitSpan {
-			first++
-		}
-		most = max(most, i-first+1)
-		all++
+	if p.from[server].IsZero() {
+		return 0, 0
 	}
-	return most, all
+	return mostIn(arrivals, p.from[server], time.Now())
 }
--- a/tests/soak_check_test.go
+++ b/tests/soak_check_test.go
@@ -205,6 +205,7 @@
 	}
 	s.checkCalm(calm, after)
 	s.checkLimit()
+	s.checkServerLimits()
 	s.checkProcesses()
 	s.checkTrap()
 	s.t.Logf("planned %t, %d calls: %v", s.planned, len(s.clients.calls), kinds)
--- a/tests/soak_faults_test.go
+++ b/tests/soak_faults_test.go
@@ -46,6 +46,9 @@
 	if s.tellsStarts() {
 		steps = append(steps, s.recordFaults()...)
 	}
+	if s.namesLimits() {
+		steps = append(steps, s.limitFaults()...)
+	}
 	sort.SliceStable(steps, func(i, j int) bool { return steps[i].at < steps[j].at })
 	return steps
 }
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -94,6 +94,8 @@
 	storeFaults int
 	storeBad    time.Time
 	lostUse     bool
+	// limits are those that servers named.
+	limits []*soakServerLimit
 }
 
 // soakFront is a front of the site, over its lives.
@@ -130,7 +132,7 @@
 	s := &soak{
 		platformSite: newBarePlatformSite(t), seed: seed, rand: rand.New(rand.NewPCG(uint64(seed), 0)), keys: map[string]bool{},
 	}
-	s.planned = s.rand.IntN(3) == 0
+	s.planned = s.rand.IntN(3) == 0 || s.namesLimits()
 	s.publish()
 	for _, service := range []string{"app", "app", "llm", "llm", "llm"} {
 		server := &soakServer{service: service, proxy: newProxy(t, "")}
