A limit that is beyond any number leaves every entry its part; one list of who may send

Cause: a limit too large for a whole number left no entry a part, so a server that named one would have got nothing. Found by reading; the property test over parts draws one now.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -155,9 +155,10 @@
 	}
 	dial := tcp.Options{Silence: s.Silence}.Dial
 	self := peers.Member{Name: s.Name, Address: address, Hall: s.Hall, Incarnation: runworks.NewIncarnation()}
-	d.dispatcher = &dispatch.Dispatcher{Self: self.Incarnation, Hall: s.Hall, OnSuspend: d.onSuspend, OnSilent: d.onSilent, OnDoubt: d.onDoubt, OnLimit: d.onLimit}
-	d.dispatcher.OnWant = d.onWant
-	d.dispatcher.TellLimit = func(limit runworks.ServerLimit) { d.exchange.TellServerLimit(limit) }
+	d.dispatcher = &dispatch.Dispatcher{
+		Self: self.Incarnation, Hall: s.Hall, OnSuspend: d.onSuspend, OnSilent: d.onSilent, OnDoubt: d.onDoubt, OnLimit: d.onLimit, OnWant: d.onWant,
+		TellLimit: func(limit runworks.ServerLimit) { d.exchange.TellServerLimit(limit) },
+	}
 	d.quota = &quota.Quota{Self: self.Incarnation, Window: s.QuotaWindow, Started: time.Now()}
 	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack, Started: time.Now(), Window: s.RetryWindow}
 	d.quarantine = &quarantine.Quarantine{After: s.QuarantineAfter, For: s.QuarantineFor, OnNews: d.onSuspect, OnHeld: d.onHeld, OnLifted: d.onLifted}
--- a/services/dispatch/borrow.go
+++ b/services/dispatch/borrow.go
@@ -21,8 +21,10 @@
 )
 
 // Loan is what an entry asks another for: requests to a server that the other has at hand of
-// its part of the server's limit, and no use for now. Few calls to many entries use little
-// of a limit without it: 0.07 of one a second with a hundred entries.
+// its part of the server's limit, and no use for now. Without it calls that come to an entry
+// with no part are refused while others have some: of a few calls to 28 entries 0.40 were
+// served in place of 0.88, and 0.84 in place of 0.98 where five entries have as many as their
+// three servers take (in virtual time, the scripts of testdata/limits).
 type Loan struct {
 	// Server is Instance.Life.
 	Server string
@@ -134,29 +136,18 @@
 	d.OnWant(&Loan{Server: s.life, Lender: lender, Requests: min(of.queue.Len(), s.Slots), service: of.name})
 }
 
-// lender gives another entry that has a part of a server's limit; none if there is none that
-// can be asked.
+// lender gives another entry that has a part of a server's limit and was heard just now; none
+// if there is none.
 func (d *Dispatcher) lender(s *server) runworks.Incarnation {
-	type claimant struct {
-		id   runworks.Incarnation
-		draw float64
-	}
-	all := make([]claimant, 0, len(d.peers)+len(d.absent)+1)
-	all = append(all, claimant{d.Self, draw(s.life, d.Self)})
-	for id := range d.peers {
-		all = append(all, claimant{id, draw(s.life, id)})
-	}
-	for id := range d.absent {
-		all = append(all, claimant{id, draw(s.life, id)})
-	}
-	slices.SortFunc(all, func(a, b claimant) int { return cmp.Compare(b.draw, a.draw) })
+	all := append(d.others(), d.Self)
+	slices.SortFunc(all, func(a, b runworks.Incarnation) int { return cmp.Compare(draw(s.life, b), draw(s.life, a)) })
 	owners := all[:serverlimit.Owners(s.limit.PerSecond(), len(all))]
-	owners = slices.DeleteFunc(owners, func(c claimant) bool {
-		_, heard := d.peers[c.id]
+	owners = slices.DeleteFunc(owners, func(id runworks.Incarnation) bool {
+		_, heard := d.peers[id]
 		return !heard
 	})
 	if len(owners) == 0 {
 		return ""
 	}
-	return owners[rand.IntN(len(owners))].id
+	return owners[rand.IntN(len(owners))]
 }
--- a/services/dispatch/limit.go
+++ b/services/dispatch/limit.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/runworks/runworks"
@@ -126,7 +128,7 @@
 	d.partLimitLocked(now, s)
 	// One that ends holds for a moment longer: its end is told then.
 	if word, _ := s.limit.Word(); word.Named && d.OnLimit != nil {
-		d.OnLimit(s.Instance, LimitChange{Word: word, From: from, Part: s.limit.Part(), Entries: len(d.peers) + len(d.absent) + 1})
+		d.OnLimit(s.Instance, LimitChange{Word: word, From: from, Part: s.limit.Part(), Entries: len(d.others()) + 1})
 	}
 }
 
@@ -141,22 +143,23 @@
 	Entries int
 }
 
+// others gives the other entries that may send: those that are heard, and those that fell
+// silent and do not count as gone yet.
+func (d *Dispatcher) others() []runworks.Incarnation {
+	return slices.AppendSeq(slices.Collect(maps.Keys(d.peers)), maps.Keys(d.absent))
+}
+
 // partLimitLocked gives this entry its part of a server's limit: which entries have one is
 // told by a hash of the server and the entries, which all have in common.
 func (d *Dispatcher) partLimitLocked(now time.Time, s *server) {
-	ahead := 0
-	own := draw(s.life, d.Self)
-	for id := range d.peers {
-		if draw(s.life, id) > own {
-			ahead++
-		}
-	}
-	for id := range d.absent {
+	others := d.others()
+	own, ahead := draw(s.life, d.Self), 0
+	for _, id := range others {
 		if draw(s.life, id) > own {
 			ahead++
 		}
 	}
-	s.limit.Share(now, serverlimit.PartOf(s.limit.PerSecond(), ahead, len(d.peers)+len(d.absent)+1))
+	s.limit.Share(now, serverlimit.PartOf(s.limit.PerSecond(), ahead, len(others)+1))
 }
 
 // partLimitsLocked gives this entry its parts anew, as the entries changed.
--- a/services/serverlimit/limit_test.go
+++ b/services/serverlimit/limit_test.go
@@ -82,7 +82,7 @@
 // may send a whole request.
 func TestParts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limit := rapid.OneOf(rapid.Float64Range(0, 3), rapid.Float64Range(0, 2000)).Draw(t, "limit")
+		limit := rapid.OneOf(rapid.Float64Range(0, 3), rapid.Float64Range(0, 2000), rapid.Just(1e300)).Draw(t, "limit")
 		entries := rapid.IntRange(1, 400).Draw(t, "entries")
 		var rate, atOnce float64
 		for ahead := range entries {
@@ -94,7 +94,7 @@
 			}
 		}
 		limit = max(limit, leastRate)
-		if math.Abs(rate-limit) > 1e-6 || atOnce > limit+Extra+1e-6 {
+		if math.Abs(rate-limit) > 1e-6*limit || atOnce > (limit+Extra)*(1+1e-6) {
 			t.Fatalf("%g a second and %g at once, of %g", rate, atOnce, limit)
 		}
 	})
--- a/services/serverlimit/part.go
+++ b/services/serverlimit/part.go
@@ -5,7 +5,7 @@
 	// once. It lets some entries have a whole request at hand each, where the limit is low.
 	Extra = 3
 	// leastRate is the lowest rate in requests a second: a server that takes none is still
-	// asked now and then, as nothing else tells that it takes some again.
+	// asked, every four seconds, as nothing else tells that it takes some again.
 	leastRate = 0.25
 )
 
@@ -40,5 +40,5 @@
 
 // Owners gives how many of the entries have a part in a limit, in requests a second.
 func Owners(perSecond float64, entries int) int {
-	return min(entries, int(max(perSecond, leastRate)+Extra))
+	return int(min(float64(entries), max(perSecond, leastRate)+Extra))
 }
