--- a/services/peers/server_limits_test.go
+++ b/services/peers/server_limits_test.go
@@ -48,11 +48,7 @@
 		a.mu.Lock()
 		a.knowsLimits = []runworks.ServerLimit{serverLimit("s", 3), serverLimit("t", 4)}
 		a.mu.Unlock()
-		network.Cut("a", "b")
-		time.Sleep(silentAfter + time.Second)
-		network.Reset("a", "b")
-		network.Mend("a", "b")
-		time.Sleep(2 * lastRedial)
+		cutForLong(network)
 		is.Equal(b.limitsOf()[3:], [][]runworks.ServerLimit{{serverLimit("s", 3), serverLimit("t", 4)}})
 	})
 }
--- a/services/peers/suspects_test.go
+++ b/services/peers/suspects_test.go
@@ -27,11 +27,17 @@
 		a.mu.Lock()
 		a.knows = []runworks.Suspect{{Fingerprint: "f"}, {Fingerprint: "g"}}
 		a.mu.Unlock()
-		network.Cut("a", "b")
-		time.Sleep(silentAfter + time.Second)
-		network.Reset("a", "b")
-		network.Mend("a", "b")
-		time.Sleep(2 * lastRedial)
+		cutForLong(network)
 		is.Equal(b.toldOf(), []runworks.Fingerprint{"f", "f", "g"})
 	})
 }
+
+// cutForLong keeps two entries apart until each counts the other as gone, and lets them find
+// each other again.
+func cutForLong(network *memnet.Network) {
+	network.Cut("a", "b")
+	time.Sleep(silentAfter + time.Second)
+	network.Reset("a", "b")
+	network.Mend("a", "b")
+	time.Sleep(2 * lastRedial)
+}
--- a/tests/platform_crash_test.go
+++ b/tests/platform_crash_test.go
@@ -37,40 +37,27 @@
 func TestPlatformRequestThatEndsServers(t *testing.T) {
 	var p *crashSite
 	datadriven.RunTest(t, "testdata/platform/crashes", func(t *testing.T, d *datadriven.TestData) string {
-		var fronts []string
-		d.MaybeScanArgs(t, "fronts", &fronts)
-		var servers, calls int
-		d.MaybeScanArgs(t, "servers", &servers)
-		d.MaybeScanArgs(t, "calls", &calls)
-		var target, method string
-		d.MaybeScanArgs(t, "method", &method)
-		d.MaybeScanArgs(t, "target", &target)
+		a := scanScript(t, d)
+		if d.Cmd == "site" {
+			p = newCrashSite(t, a.count)
+		}
 		switch d.Cmd {
-		case "site":
-			p = newCrashSite(t, servers)
-			out := p.startAll(fronts)
-			for _, name := range fronts {
-				p.waitReady(name, len(fronts))
-			}
-			return out
-		case "start":
-			return p.startAll(fronts)
-		case "kill":
-			return p.killAll(fronts)
+		case "site", "start", "kill":
+			return p.stepFronts(d.Cmd, a.fronts)
 		case "store":
 			p.storeDown = d.HasArg("down")
 			p.setFaults(p.store, standin.StoreFaults{Down: p.storeDown})
 			return "done\n"
 		case "lift":
-			return p.lift(fronts[0])
+			return p.lift(a.fronts[0])
 		case "recorded":
 			p.until("all ends are on record", func() bool { return p.recordedEnds() == p.ended })
 			return "done\n"
 		case "send":
-			return p.send(fronts, method, target, endingText, calls)
+			return p.send(a.fronts, a.method, a.target, endingText, a.calls)
 		case "others":
-			for i := range calls {
-				if out := p.send(fronts[i%len(fronts):][:1], method, target, fmt.Sprint("other ", i), 1); out != "answered=1 refused=0 broken=0 ended=0\n" {
+			for i := range a.calls {
+				if out := p.send(a.fronts[i%len(a.fronts):][:1], a.method, a.target, fmt.Sprint("other ", i), 1); out != "answered=1 refused=0 broken=0 ended=0\n" {
 					return out
 				}
 			}
--- a/tests/platform_limit_test.go
+++ b/tests/platform_limit_test.go
@@ -38,28 +38,17 @@
 func TestPlatformLimitAcrossStarts(t *testing.T) {
 	var p *limitSite
 	datadriven.RunTest(t, "testdata/platform/limits", func(t *testing.T, d *datadriven.TestData) string {
-		var fronts []string
-		d.MaybeScanArgs(t, "fronts", &fronts)
-		var ms, tokens, calls int
-		d.MaybeScanArgs(t, "ms", &ms)
-		d.MaybeScanArgs(t, "tokens", &tokens)
-		d.MaybeScanArgs(t, "calls", &calls)
-		switch d.Cmd {
-		case "site":
+		a := scanScript(t, d)
+		if d.Cmd == "site" {
 			p = newLimitSite(t)
-			out := p.startAll(fronts)
-			for _, name := range fronts {
-				p.waitReady(name, len(fronts)) // they know each other
-			}
-			return out
-		case "start":
-			return p.startAll(fronts)
-		case "kill":
-			return p.killAll(fronts)
+		}
+		switch d.Cmd {
+		case "site", "start", "kill":
+			return p.stepFronts(d.Cmd, a.fronts)
 		case "draw":
-			return p.draw(fronts, tokens)
+			return p.draw(a.fronts, a.tokens)
 		case "press":
-			return p.press(fronts, time.Duration(ms)*time.Millisecond, calls)
+			return p.press(a.fronts, a.lasts, a.calls)
 		}
 		t.Fatalf("no command %s", d.Cmd)
 		return ""
--- a/tests/platform_server_limit_test.go
+++ b/tests/platform_server_limit_test.go
@@ -46,33 +46,19 @@
 func TestPlatformServerLimit(t *testing.T) {
 	var p *serverLimitSite
 	datadriven.RunTest(t, "testdata/platform/server_limits", func(t *testing.T, d *datadriven.TestData) string {
-		var fronts, servers []string
-		d.MaybeScanArgs(t, "fronts", &fronts)
-		d.MaybeScanArgs(t, "servers", &servers)
-		var limit, target string
-		d.MaybeScanArgs(t, "limit", &limit)
-		d.MaybeScanArgs(t, "target", &target)
-		var ms, callers int
-		d.MaybeScanArgs(t, "ms", &ms)
-		d.MaybeScanArgs(t, "callers", &callers)
+		a := scanScript(t, d)
+		if d.Cmd == "site" {
+			p = newServerLimitSite(t, a.servers)
+		}
 		switch d.Cmd {
-		case "site":
-			p = newServerLimitSite(t, servers)
-			out := p.startAll(fronts)
-			for _, name := range fronts {
-				p.waitReady(name, len(fronts))
-			}
-			return out
-		case "start":
-			return p.startAll(fronts)
-		case "kill":
-			return p.killAll(fronts)
+		case "site", "start", "kill":
+			return p.stepFronts(d.Cmd, a.fronts)
 		case "limit":
-			return p.limit(servers, limit)
+			return p.limit(a.servers, a.limit)
 		case "load":
-			return p.load(fronts, target, callers, time.Duration(ms)*time.Millisecond)
+			return p.load(a.fronts, a.target, a.callers, a.lasts)
 		case "told":
-			return p.told(fronts, servers, target, limit)
+			return p.told(a.fronts, a.servers, a.target, a.limit)
 		case "kept":
 			return p.kept()
 		}
