--- a/tests/soak_server_limit_test.go
+++ b/tests/soak_server_limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,6 +20,9 @@
 	// soakLimitLasts is how long a server names a limit: longer than the span in which its
 	// calls are counted.
 	soakLimitLasts = limitSpan + 2*time.Second
+	// soakBackAfter is how long after its return a front is not held to limits: the users'
+	// rule excuses it as long.
+	soakBackAfter = 3 * time.Second
 )
 
 // soakServerLimit is a limit that a life of a server named for a time.
@@ -28,10 +32,48 @@
 	from, to  time.Time
 }
 
-// namesLimits says whether servers name limits. These schedules hold planned work alone:
-// fronts that are paused or cut off are told late.
+// soakSpan is a time; its end is zero as long as it lasts.
+type soakSpan struct{ from, to time.Time }
+
+// namesLimits says whether servers name limits.
 func (s *soak) namesLimits() bool { return s.seed >= soakNamesLimits }
 
+// besideLimits are the faults beside which servers' limits are kept. A server that is cut off
+// or stands still gets what was sent at different times at once, so there are none of these.
+// What servers get while a front is killed or paused does not count, nor soon after it.
+func (s *soak) besideLimits() []func() soakFault {
+	excused := func(kind func() soakFault) func() soakFault {
+		return func() soakFault { return s.excuse(kind()) }
+	}
+	return []func() soakFault{s.cutStore, s.breakStore, s.pauseStore, excused(s.killFront), excused(s.pauseFront), excused(s.killAllFronts)}
+}
+
+// excuse has what servers get during a fault not count.
+func (s *soak) excuse(f soakFault) soakFault {
+	begin, end := f.begin, f.end
+	span := &soakSpan{}
+	f.begin = func() {
+		span.from = time.Now()
+		s.excused = append(s.excused, span)
+		begin()
+	}
+	f.end = func() {
+		end()
+		span.to = time.Now().Add(soakBackAfter)
+	}
+	return f
+}
+
+// counts says whether what a server gets at a time counts.
+func (s *soak) counts(at time.Time) bool {
+	for _, span := range s.excused {
+		if at.After(span.from) && (span.to.IsZero() || at.Before(span.to)) {
+			return false
+		}
+	}
+	return true
+}
+
 // limitFaults draws the limits that servers name.
 func (s *soak) limitFaults() []soakStep {
 	var steps []soakStep
@@ -75,11 +117,16 @@
 // named limits.
 func (s *soak) checkServerLimits() {
 	for _, limit := range s.limits {
+		if limit.life.ended() {
+			s.t.Logf("%s was killed, and what it got is not known", limit.life.id)
+			continue
+		}
 		var arrivals []time.Time
 		if !getJSON("http://"+limit.life.address("standin")+"/arrivals", &arrivals) {
 			s.t.Errorf("%s does not tell its arrivals", limit.life.id)
 			continue
 		}
+		arrivals = slices.DeleteFunc(arrivals, func(at time.Time) bool { return !s.counts(at) })
 		most, all := mostIn(arrivals, limit.from.Add(soakTold), limit.to)
 		allowed := limitSlack*limitSpan.Seconds()*limit.perSecond + limitExtra
 		s.t.Logf("%s: %d calls at a limit of %g a second, at most %d in %s, %.1f allowed", limit.life.id, all, limit.perSecond, most, limitSpan, allowed)
