A server's limit outlives a lapse of its record

What would be seen: while the store is away records lapse and are back within seconds; each front knew the server as a new one then, without its limit, and filled its slots until an answer named it anew. Nothing changes where no server names a limit.

--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -87,6 +87,8 @@
 	absent map[runworks.Incarnation]time.Time
 	// early are limits of servers that are not known yet.
 	early map[string]earlyLimit
+	// lapsed are limits of servers whose records went of late.
+	lapsed map[string]lapsedLimit
 }
 
 // service holds the backend servers of a service and the calls that wait.
--- a/services/dispatch/fleet.go
+++ b/services/dispatch/fleet.go
@@ -24,6 +24,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out FleetChange
+	now := time.Now()
 	old := d.servers
 	d.servers = make(map[string]*server, len(list))
 	d.newest = make(map[string]*server, len(list))
@@ -31,7 +32,7 @@
 		life := one.Life()
 		s := old[life]
 		if s == nil {
-			s = &server{life: life}
+			s = &server{life: life, limit: d.takeLapsed(life)}
 			out.Added = append(out.Added, one)
 		} else if one.Leaving && !s.Leaving {
 			out.Left = append(out.Left, one)
@@ -54,9 +55,11 @@
 			out.Left = append(out.Left, s.Instance)
 		}
 		s.Leaving = true
+		d.keepLapsed(now, s)
 	}
 	d.regroupLocked()
-	d.takeEarlyLocked(time.Now())
+	d.takeEarlyLocked(now)
+	d.partLimitsLocked(now)
 	// What the others run counts before any call is placed.
 	d.shareLocked()
 	return out
--- a/services/dispatch/limit.go
+++ b/services/dispatch/limit.go
@@ -96,6 +96,32 @@
 	}
 }
 
+// lapsedLimit is the limit of a server whose record went at a time.
+type lapsedLimit struct {
+	limit serverlimit.Limit
+	went  time.Time
+}
+
+// keepLapsed keeps the limit of a server whose record went: that may have lapsed while the
+// store was away, and the server, which goes on, may come back with it. Without its limit all
+// entries would fill its slots until it names it anew.
+func (d *Dispatcher) keepLapsed(now time.Time, s *server) {
+	if !s.limit.InForce(now) {
+		return
+	}
+	if d.lapsed == nil {
+		d.lapsed = make(map[string]lapsedLimit)
+	}
+	d.lapsed[s.life] = lapsedLimit{limit: s.limit, went: now}
+}
+
+// takeLapsed gives the limit back that a server had when its record went.
+func (d *Dispatcher) takeLapsed(life string) serverlimit.Limit {
+	limit := d.lapsed[life].limit
+	delete(d.lapsed, life)
+	return limit
+}
+
 // Limits gives the servers' limits for another entry, which may know none.
 func (d *Dispatcher) Limits() []runworks.ServerLimit {
 	d.mu.Lock()
@@ -182,6 +208,7 @@
 			}
 		}
 	}
+	maps.DeleteFunc(d.lapsed, func(_ string, one lapsedLimit) bool { return now.Sub(one.went) > runworks.ForgetEntryAfter })
 	gone := false
 	for id, since := range d.absent {
 		if now.Sub(since) > runworks.ForgetEntryAfter {
