A front tells what backend servers say of themselves: that they leave, rest, and their load

The adapter now reads all such words in one place, once; a front logs a server's first word that it leaves and each that asks for rest, what can't be read, and has the newest words in /status with each server. Nothing is placed by them yet. The word of a limit takes the same way as before.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -157,6 +157,7 @@
 	self := peers.Member{Name: s.Name, Address: address, Hall: s.Hall, Incarnation: runworks.NewIncarnation()}
 	d.dispatcher = &dispatch.Dispatcher{
 		Self: self.Incarnation, Hall: s.Hall, OnSuspend: d.onSuspend, OnSilent: d.onSilent, OnDoubt: d.onDoubt, OnLimit: d.onLimit, OnWant: d.onWant,
+		OnLeaving: d.onLeaving, OnRest: d.onRest,
 		TellLimit: func(limit runworks.ServerLimit) { d.exchange.TellServerLimit(limit) },
 	}
 	d.quota = &quota.Quota{Self: self.Incarnation, Window: s.QuotaWindow, Started: time.Now()}
--- a/daemon/front_servers.go
+++ b/daemon/front_servers.go
@@ -119,3 +119,11 @@
 	d.Logger.Warn("backend server limits its requests", "server", server.Life(), "service", server.Service, "per_second", c.Word.PerSecond, "told_by", c.From,
 		"part_per_second", c.Part.PerSecond, "part_at_once", c.Part.AtOnce, "entries", c.Entries)
 }
+
+func (d *Front) onLeaving(server runworks.Instance, from string) {
+	d.Logger.Info("backend server says that it leaves", "server", server.Life(), "service", server.Service, "address", server.Address, "told_by", from)
+}
+
+func (d *Front) onRest(server runworks.Instance, lasts time.Duration) {
+	d.Logger.Warn("backend server asks for rest", "server", server.Life(), "service", server.Service, "for_ms", lasts.Milliseconds())
+}
--- a/inbound.go
+++ b/inbound.go
@@ -91,10 +91,10 @@
 	NotRun bool
 	// Gone says that another backend server has this address now.
 	Gone bool
-	// Limit is what it says of the requests that it takes; unknown if LimitErr is set, which
-	// says why that can't be read.
-	Limit    RateLimit
-	LimitErr error
+	// Word is what it says of itself; WordErr says what of it can't be read, which counts as
+	// not told.
+	Word    ServerWord
+	WordErr error
 }
 
 // Sender sends calls to backend servers.
--- /dev/null
+++ b/server_word.go
@@ -0,0 +1,45 @@
+package runworks
+
+import "time"
+
+// ServerWord is what a backend server says of itself in an answer. It is the word of one life,
+// and stands beside what that life's record says: a record comes late, or not at all while the
+// store is away.
+type ServerWord struct {
+	// Limit is what it says of the requests that it takes; nil is not known.
+	Limit *RateLimit
+	// Leaving says that it will end, and is to get nothing more from any entry.
+	Leaving bool
+	// Rest is for how long it wants nothing from the entry that it answers; 0 asks for none.
+	Rest time.Duration
+	// Load is what it has to do; nil is not told.
+	Load *ServerLoad
+}
+
+// ServerLoad is a backend server's own count of what it has to do.
+type ServerLoad struct {
+	// Running and Waiting are the requests that it works on, and those that it queues.
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	// Slots is how many it works on at once.
+	Slots int `json:"slots"`
+	// Slowness is how many times as long as usual its work takes; 0 is not told.
+	Slowness float64 `json:"slowness,omitempty"`
+}
+
+// RateLimit is a backend server's word, in an answer, of how many requests it takes.
+type RateLimit struct {
+	// Named says that it names a limit; else it takes what its slots hold.
+	Named bool `json:"named,omitempty"`
+	// PerSecond is what it takes from all entries together, in requests a second.
+	PerSecond float64 `json:"per_second,omitempty"`
+}
+
+// ServerLimit is what an entry tells the others of a backend server's limit.
+type ServerLimit struct {
+	RateLimit
+	// Server is Instance.Life.
+	Server string `json:"server"`
+	// AgeMs is how long ago the server gave its word, in milliseconds.
+	AgeMs int64 `json:"age_ms,omitempty"`
+}
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -69,6 +69,11 @@
 	// OnDoubt is told how many other entries leave a server out, when the first does
 	// and when none does any more; nil tells nobody. It must not wait.
 	OnDoubt func(server runworks.Instance, entries int)
+	// OnLeaving is told of a server that says that it leaves, from names the entry that told of
+	// it and is empty for the server itself; OnRest of one that wants nothing from this entry
+	// for a time. Nil tells nobody. They must not wait.
+	OnLeaving func(server runworks.Instance, from string)
+	OnRest    func(server runworks.Instance, lasts time.Duration)
 	// OnLimit is told what changed of a server's limit, and TellLimit what the other entries
 	// are to be told of it; nil tells nobody. They must not wait.
 	OnLimit   func(server runworks.Instance, change LimitChange)
--- a/services/dispatch/fleet.go
+++ b/services/dispatch/fleet.go
@@ -32,7 +32,7 @@
 		life := one.Life()
 		s := old[life]
 		if s == nil {
-			s = &server{life: life, limit: d.takeLapsed(life)}
+			s = &server{life: life, words: words{limit: d.takeLapsed(life)}}
 			if s.limit.InForce(now) {
 				d.partLimitLocked(now, s) // the entries may have changed meanwhile
 			}
@@ -263,6 +263,11 @@
 	// entry's part of it in requests a second.
 	Limit     runworks.RateLimit `json:"limit,omitzero"`
 	LimitPart float64            `json:"limit_part,omitempty"`
+	// SaysLeaving is its own word that it leaves, RestsUntil until when it wants nothing from
+	// this entry, and Told what it had to do by its newest answer.
+	SaysLeaving bool                 `json:"says_leaving,omitempty"`
+	RestsUntil  time.Time            `json:"rests_until,omitzero"`
+	Told        *runworks.ServerLoad `json:"told,omitempty"`
 }
 
 // Loads gives the state of all backend servers.
@@ -275,6 +280,7 @@
 		out = append(out, Load{
 			ID: s.ID, Born: s.Born, Service: s.Service, Hall: s.Hall, Slots: s.Slots, Own: s.own, Others: s.others,
 			Leaving: s.Leaving, Suspended: s.suspended, Limit: limit, LimitPart: s.limit.Part().PerSecond,
+			SaysLeaving: s.leaving, RestsUntil: s.rest.until, Told: s.toldLoad,
 		})
 	}
 	return out
--- a/services/dispatch/limit.go
+++ b/services/dispatch/limit.go
@@ -10,17 +10,9 @@
 	"github.com/runworks/runworks/services/serverlimit"
 )
 
-// NoteLimit records what the call's server says of the requests that it takes, in the answer
-// to a request that was sent at that time.
-func (l *Lease) NoteLimit(limit runworks.RateLimit, sent time.Time) {
-	d := l.dispatcher
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	s := l.server
-	if d.servers[s.life] != s {
-		return // a life that is over
-	}
+// hearLimitLocked takes what a server says of the requests that it takes, in the answer to one
+// that was sent at that time.
+func (d *Dispatcher) hearLimitLocked(now time.Time, s *server, limit *runworks.RateLimit, sent time.Time) {
 	var news bool
 	if limit.Named {
 		news = s.limit.Name(now, now, limit.PerSecond)
--- a/services/dispatch/limit_test.go
+++ b/services/dispatch/limit_test.go
@@ -18,7 +18,7 @@
 // limitOf has a server name a limit to a dispatcher, in the answer to a call.
 func limitOf(d *Dispatcher, id string, perSecond float64) {
 	lease := &Lease{dispatcher: d, server: d.servers[id], Instance: d.servers[id].Instance}
-	lease.NoteLimit(runworks.RateLimit{Named: true, PerSecond: perSecond}, time.Now())
+	lease.Hear(&runworks.ServerWord{Limit: &runworks.RateLimit{Named: true, PerSecond: perSecond}}, time.Now())
 }
 
 // served takes slots one after the other, as long as there are any at once, and counts
--- a/services/dispatch/press_test.go
+++ b/services/dispatch/press_test.go
@@ -221,7 +221,7 @@
 	}
 	p.served++
 	p.mu.Unlock()
-	lease.NoteLimit(runworks.RateLimit{Named: named, PerSecond: limit}, sent)
+	lease.Hear(&runworks.ServerWord{Limit: &runworks.RateLimit{Named: named, PerSecond: limit}}, sent)
 	lease.Release(Served)
 }
 
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/runworks/runworks"
-	"github.com/runworks/runworks/services/serverlimit"
 )
 
 const (
@@ -76,8 +75,7 @@
 	steady average
 	// breaks is the part of its events that come after a longer pause than callers allow.
 	breaks float64
-	// limit is how many requests it takes, if it says so.
-	limit serverlimit.Limit
+	words
 }
 
 func (s *server) load() int { return s.own + s.others }
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -47,7 +47,7 @@
 		lease.Release(dispatch.Moved)
 		return nil, c.notRun(errorx.Decorate(runworks.ErrTurnedAway, "another server has the address of %s", lease.Instance.ID))
 	}
-	c.noteLimit(lease, reply)
+	c.hear(lease, reply)
 	if reply.NotRun {
 		_ = reply.Body.Close()
 		lease.Release(dispatch.TurnedAway)
@@ -58,14 +58,13 @@
 	return reply, nil
 }
 
-// noteLimit records what the server says of the requests that it takes.
-func (c *call) noteLimit(lease *dispatch.Lease, reply *runworks.ServerReply) {
-	if reply.LimitErr != nil {
-		c.f.Logger.Warn("limit of a backend server can't be read, what was known of it stays", "server", lease.Instance.Life(), "service", c.service,
-			"request", c.in.ID, "error", reply.LimitErr.Error())
-		return
+// hear takes what the server says of itself.
+func (c *call) hear(lease *dispatch.Lease, reply *runworks.ServerReply) {
+	if reply.WordErr != nil {
+		c.f.Logger.Warn("what a backend server says of itself can't be read, what was known of it stays", "server", lease.Instance.Life(),
+			"service", c.service, "request", c.in.ID, "error", reply.WordErr.Error())
 	}
-	lease.NoteLimit(reply.Limit, c.sent)
+	lease.Hear(&reply.Word, c.sent)
 }
 
 // send sends the call. A server that stays silent loses a call that another may
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -39,10 +39,9 @@
 	hang bool
 	// ended says that the server's process is gone afterwards.
 	ended bool
-	// limit is what the server says of the requests that it takes, and limitErr why that
-	// can't be read.
-	limit    runworks.RateLimit
-	limitErr error
+	// word is what the server says of itself, and wordErr what of it can't be read.
+	word    runworks.ServerWord
+	wordErr error
 }
 
 // sender is a fake that answers the sends in turn.
@@ -75,7 +74,7 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
-	return &runworks.ServerReply{Reply: runworks.Reply{Status: status, Header: http.Header{}, Body: body}, NotRun: r.notRun, Gone: r.gone, Limit: r.limit, LimitErr: r.limitErr}, nil
+	return &runworks.ServerReply{Reply: runworks.Reply{Status: status, Header: http.Header{}, Body: body}, NotRun: r.notRun, Gone: r.gone, Word: r.word, WordErr: r.wordErr}, nil
 }
 
 // WatchEnd implements runworks.Sender for the server that was sent to last.
--- a/services/forward/limit_test.go
+++ b/services/forward/limit_test.go
@@ -18,7 +18,8 @@
 // failure, and its word that it did not run the call. What can't be read leaves the limit as
 // it was and is logged, and the answer of another server at its address says nothing of it.
 func TestServersLimit(t *testing.T) {
-	two := runworks.RateLimit{Named: true, PerSecond: 2}
+	limit := runworks.RateLimit{Named: true, PerSecond: 2}
+	two := runworks.ServerWord{Limit: &limit}
 	unreadable := errors.New("no number")
 	for _, c := range []struct {
 		name    string
@@ -26,12 +27,12 @@
 		limited bool
 		logged  bool
 	}{
-		{"a whole answer", []reply{{body: "good", limit: two}}, true, false},
-		{"a failure", []reply{{status: http.StatusInternalServerError, limit: two}}, true, false},
-		{"not run", []reply{{status: http.StatusServiceUnavailable, notRun: true, limit: two}, good}, true, false},
+		{"a whole answer", []reply{{body: "good", word: two}}, true, false},
+		{"a failure", []reply{{status: http.StatusInternalServerError, word: two}}, true, false},
+		{"not run", []reply{{status: http.StatusServiceUnavailable, notRun: true, word: two}, good}, true, false},
 		{"none", []reply{good}, false, false},
-		{"unreadable", []reply{{body: "good", limitErr: unreadable}}, false, true},
-		{"another server's", []reply{{status: http.StatusMisdirectedRequest, gone: true, limit: two}, good}, false, false},
+		{"unreadable", []reply{{body: "good", wordErr: unreadable}}, false, true},
+		{"another server's", []reply{{status: http.StatusMisdirectedRequest, gone: true, word: two}, good}, false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -43,13 +44,13 @@
 				is.NoErr(err)
 				limited := 0
 				for _, one := range f.Dispatcher.Loads() {
-					if one.Limit == two {
+					if one.Limit == limit {
 						is.Equal(one.ID, s.sends[0].To.ID)
 						limited++
 					}
 				}
 				is.Equal(limited == 1, c.limited)
-				is.Equal(strings.Contains(out.String(), "limit of a backend server can't be read"), c.logged)
+				is.Equal(strings.Contains(out.String(), "what a backend server says of itself can't be read"), c.logged)
 			})
 		})
 	}
