--- a/standin/routed.go
+++ b/standin/routed.go
@@ -23,6 +23,9 @@
 	routedCustomer  = "X-Tenant-Id"
 	routedTimeout   = "X-Timeout-Ms"
 	routedLimit     = "Server-Limit"
+	// RoutedLeaving is 1 in the answers of a server that will end.
+	RoutedLeaving = "Server-Leaving"
+	routedRest    = "Retry-After"
 )
 
 // RoutedCall is a call that a Routed server ran.
@@ -32,6 +35,15 @@
 	Body                                    []byte
 }
 
+// RoutedArrival is a call that came to a Routed server, also one that did not run.
+type RoutedArrival struct {
+	ID string    `json:"id"`
+	At time.Time `json:"at"`
+	// Rest is for how many seconds the call's front was asked to send nothing; 0 if the call
+	// was not turned away so.
+	Rest float64 `json:"rest,omitempty"`
+}
+
 // Routed is a stand-in for a backend server of the users' platform. Set the
 // exported fields before use.
 type Routed struct {
@@ -47,8 +59,8 @@
 	mu     sync.Mutex
 	faults RoutedFaults
 	calls  []RoutedCall
-	// arrivals are the times of all calls that came, also of those that did not run.
-	arrivals []time.Time
+	// arrivals are all calls that came, also those that did not run.
+	arrivals []RoutedArrival
 	active   int
 	most     int
 }
@@ -60,11 +72,11 @@
 	return append([]RoutedCall(nil), b.calls...)
 }
 
-// Arrivals gives when calls came, also those that did not run, in their order.
-func (b *Routed) Arrivals() []time.Time {
+// Arrivals gives the calls that came, also those that did not run, in their order.
+func (b *Routed) Arrivals() []RoutedArrival {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return append([]time.Time(nil), b.arrivals...)
+	return append([]RoutedArrival(nil), b.arrivals...)
 }
 
 // Most gives the most calls that ran at once.
@@ -123,13 +135,13 @@
 		return
 	}
 	w.Header().Set(RoutedID, r.Header.Get(RoutedID))
-	b.arrive(w)
+	rests := b.arrive(w, r)
 	if want := r.Header.Get(routedInstance); want != "" && want != b.Instance {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	b.mu.Lock()
-	if b.spend(&b.faults.TurnAway) {
+	if rests || b.spend(&b.faults.TurnAway) {
 		b.mu.Unlock()
 		w.Header().Set(routedNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -161,14 +173,23 @@
 	b.answer(w, r, body)
 }
 
-// arrive notes that a call came, and names the limit in its answer.
-func (b *Routed) arrive(w http.ResponseWriter) {
+// arrive notes that a call came, and puts what the server says of itself in its answer. The
+// result says that the server rests: it turns the call away.
+func (b *Routed) arrive(w http.ResponseWriter, r *http.Request) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.arrivals = append(b.arrivals, time.Now())
+	one := RoutedArrival{ID: r.Header.Get(RoutedID), At: time.Now(), Rest: b.faults.Rest}
+	b.arrivals = append(b.arrivals, one)
 	if b.faults.Limit != "" {
 		w.Header().Set(routedLimit, b.faults.Limit)
 	}
+	if b.faults.Leaving {
+		w.Header().Set(RoutedLeaving, "1")
+	}
+	if one.Rest > 0 {
+		w.Header().Set(routedRest, strconv.FormatFloat(one.Rest, 'f', -1, 64))
+	}
+	return one.Rest > 0
 }
 
 // answer gives the answer to a call, with the faults that hit it.
--- a/standin/routed_faults.go
+++ b/standin/routed_faults.go
@@ -7,8 +7,8 @@
 	"net/http"
 )
 
-// RoutedFaults are the settable faults of a Routed server; each but Limit is used up by
-// the calls that it hits.
+// RoutedFaults are the settable faults of a Routed server; each but what the server says of
+// itself is used up by the calls that it hits.
 type RoutedFaults struct {
 	// TurnAway answers that many calls with the word that they were not run.
 	TurnAway int `json:"turn_away"`
@@ -28,6 +28,11 @@
 	// Limit, unless empty, is what each answer names as its limit, in requests a second from
 	// all fronts together. Nothing is turned away for it.
 	Limit string `json:"limit"`
+	// Leaving has each answer say that the server will end.
+	Leaving bool `json:"leaving"`
+	// Rest, unless zero, turns each call away, and asks its front to send nothing for so many
+	// seconds.
+	Rest float64 `json:"rest"`
 }
 
 // SetFaults sets the faults from now on.
--- a/tests/platform_server_limit_test.go
+++ b/tests/platform_server_limit_test.go
@@ -1,18 +1,12 @@
 package tests
 
 import (
-	"context"
 	"fmt"
-	"net/http"
 	"slices"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
-	"github.com/cockroachdb/datadriven"
-
-	"github.com/runworks/runworks/modules/pause"
 	"github.com/runworks/runworks/standin"
 )
 
@@ -24,8 +18,6 @@
 	limitExtra = 5
 	limitSpan  = 4 * time.Second
 	toldBefore = 500 * time.Millisecond
-	// callerPause is the time from one call of a caller to its next.
-	callerPause = 25 * time.Millisecond
 )
 
 // TestPlatformServerLimit keeps to the limits that backend servers name, over all fronts
@@ -44,52 +36,11 @@
 // and after; no repeats, none turned away. With a line for each word of a server, each front
 // tells within the second that it was told, and its calls go on.
 func TestPlatformServerLimit(t *testing.T) {
-	var p *serverLimitSite
-	datadriven.RunTest(t, "testdata/platform/server_limits", func(t *testing.T, d *datadriven.TestData) string {
-		a := scanScript(t, d)
-		if d.Cmd == "site" {
-			p = newServerLimitSite(t, a.servers)
-		}
-		switch d.Cmd {
-		case "site", "start", "kill":
-			return p.stepFronts(d.Cmd, a.fronts)
-		case "limit":
-			return p.limit(a.servers, a.limit)
-		case "load":
-			return p.load(a.fronts, a.target, a.callers, a.lasts)
-		case "told":
-			return p.told(a.fronts, a.servers, a.target, a.limit)
-		case "kept":
-			return p.kept()
-		}
-		t.Fatalf("no command %s", d.Cmd)
-		return ""
-	})
-}
-
-// serverLimitSite is a site with servers that name limits.
-type serverLimitSite struct {
-	*platformSite
-	mu    sync.Mutex
-	calls int
-	// limits are the limits that servers name, in requests a second, and from when on they
-	// hold at all fronts.
-	limits map[string]float64
-	from   map[string]time.Time
-}
-
-func newServerLimitSite(t *testing.T, servers []string) *serverLimitSite {
-	t.Helper()
-	p := &serverLimitSite{platformSite: newBarePlatformSite(t), limits: map[string]float64{}, from: map[string]time.Time{}}
-	p.putDocument()
-	for _, name := range servers {
-		p.addServer(name, "--delay", "20ms")
-	}
-	return p
+	playWords(t, "testdata/platform/server_limits")
 }
 
 // limit has servers name a limit from now on, or none.
-func (p *serverLimitSite) limit(servers []string, limit string) string {
+func (p *wordSite) limit(servers []string, limit string) string {
 	p.t.Helper()
 	for _, name := range servers {
 		p.setFaults(p.backend[name], standin.RoutedFaults{Limit: limit})
@@ -105,7 +56,7 @@
 
 // told sends calls until all fronts know what the servers say of the requests that they
 // take. From half a second later on it is looked whether the servers get more.
-func (p *serverLimitSite) told(fronts, servers []string, target, limit string) string {
+func (p *wordSite) told(fronts, servers []string, target, limit string) string {
 	p.t.Helper()
 	for _, front := range fronts {
 		p.until(front+" is told of the limits", func() bool {
@@ -120,7 +71,7 @@
 }
 
 // knows says whether a front knows what servers say of the requests that they take.
-func (p *serverLimitSite) knows(front string, servers []string, limit string) bool {
+func (p *wordSite) knows(front string, servers []string, limit string) bool {
 	var status struct {
 		Servers []struct {
 			ID    string `json:"id"`
@@ -140,82 +91,8 @@
 	return true
 }
 
-// callResult says how a caller was answered.
-type callResult struct {
-	status     int
-	retryAfter bool
-	took       time.Duration
-}
-
-// call sends one call.
-func (p *serverLimitSite) call(front, target string) callResult {
-	p.t.Helper()
-	p.mu.Lock()
-	p.calls++
-	id := fmt.Sprint("limited-", p.calls)
-	p.mu.Unlock()
-	method := http.MethodPost
-	if strings.HasPrefix(target, "/safe/") {
-		method = http.MethodGet
-	}
-	began := time.Now()
-	res, _, err := p.do(front, platformCall{id: id, method: method, target: target, key: "yard-key"})
-	if err != nil {
-		p.t.Error(err)
-		return callResult{}
-	}
-	return callResult{status: res.StatusCode, retryAfter: res.Header.Get("Retry-After") != "", took: time.Since(began)}
-}
-
-// callAtOnce sends some calls for each server at once: a front prefers one server for calls
-// that come one after the other.
-func (p *serverLimitSite) callAtOnce(front, target string) {
-	var wg sync.WaitGroup
-	for range 2 * len(p.backend) {
-		wg.Go(func() { p.call(front, target) })
-	}
-	wg.Wait()
-}
-
-// load has callers at each of the fronts call for a while, and tells how they were answered.
-func (p *serverLimitSite) load(fronts []string, target string, callers int, lasts time.Duration) string {
-	p.t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), lasts)
-	defer cancel()
-	var mu sync.Mutex
-	var results []callResult
-	var wg sync.WaitGroup
-	for _, front := range fronts {
-		for range callers {
-			wg.Go(func() {
-				for ctx.Err() == nil {
-					r := p.call(front, target)
-					mu.Lock()
-					results = append(results, r)
-					mu.Unlock()
-					pause.For(ctx, callerPause)
-				}
-			})
-		}
-	}
-	wg.Wait()
-	served, refused, other := 0, 0, 0
-	for _, r := range results {
-		switch {
-		case r.status == http.StatusOK:
-			served++
-		case r.status == http.StatusServiceUnavailable && r.retryAfter:
-			refused++
-		default:
-			other++
-		}
-	}
-	p.t.Logf("%d served, %d refused, %d answered in other ways", served, refused, other)
-	return fmt.Sprintf("served=%t refused=%t other=%d\n", served > 0, refused > 0, other)
-}
-
 // kept says of each server that names a limit whether it got more than it takes.
-func (p *serverLimitSite) kept() string {
+func (p *wordSite) kept() string {
 	p.t.Helper()
 	names := make([]string, 0, len(p.limits))
 	for name := range p.limits {
@@ -234,14 +111,14 @@
 
 // most gives the most calls that a server got in the span of its limit since all fronts were
 // told, and how many in all.
-func (p *serverLimitSite) most(server string) (most, all int) {
+func (p *wordSite) most(server string) (most, all int) {
 	p.t.Helper()
-	var arrivals []time.Time
-	if !getJSON("http://"+p.backend[server].address("standin")+"/arrivals", &arrivals) {
-		p.t.Fatalf("%s does not tell its arrivals", server)
-	}
 	if p.from[server].IsZero() {
 		return 0, 0
 	}
+	var arrivals []time.Time
+	for _, one := range p.arrivals(server) {
+		arrivals = append(arrivals, one.At)
+	}
 	return mostIn(arrivals, p.from[server], time.Now())
 }
--- a/tests/soak_server_limit_test.go
+++ b/tests/soak_server_limit_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -121,15 +120,20 @@
 			s.t.Logf("%s was killed, and what it got is not known", limit.life.id)
 			continue
 		}
-		var arrivals []time.Time
-		if !getJSON("http://"+limit.life.address("standin")+"/arrivals", &arrivals) {
+		var all []standin.RoutedArrival
+		if !getJSON("http://"+limit.life.address("standin")+"/arrivals", &all) {
 			s.t.Errorf("%s does not tell its arrivals", limit.life.id)
 			continue
 		}
-		arrivals = slices.DeleteFunc(arrivals, func(at time.Time) bool { return !s.counts(at) })
-		most, all := mostIn(arrivals, limit.from.Add(soakTold), limit.to)
+		var arrivals []time.Time
+		for _, one := range all {
+			if s.counts(one.At) {
+				arrivals = append(arrivals, one.At)
+			}
+		}
+		most, n := mostIn(arrivals, limit.from.Add(soakTold), limit.to)
 		allowed := limitSlack*limitSpan.Seconds()*limit.perSecond + limitExtra
-		s.t.Logf("%s: %d calls at a limit of %g a second, at most %d in %s, %.1f allowed", limit.life.id, all, limit.perSecond, most, limitSpan, allowed)
+		s.t.Logf("%s: %d calls at a limit of %g a second, at most %d in %s, %.1f allowed", limit.life.id, n, limit.perSecond, most, limitSpan, allowed)
 		if float64(most) > allowed {
 			s.t.Errorf("%s got %d calls in %s at a limit of %g a second, %.1f are allowed", limit.life.id, most, limitSpan, limit.perSecond, allowed)
 		}
