A server that says in an answer that it leaves gets nothing more, from any front

Callers' calls reached servers 2 to 7 s after an answer had told the front that they leave, and would have ended with them.

Cause: that a server leaves was known from the store's list alone; while the store is away, or the server's record late, all fronts went on. What servers say of themselves was known for a limit only, and each such word would have had a way of its own.

Change: one place for all words of a server's life, beside its record. That it leaves holds as long as that life, outlasts a lapse of its record for a minute, is told to the other fronts at once and in greetings (entry.server_words, which also carries the limits), and is looked at once more just before the first byte of a call leaves: a call that waits for a connection goes to another server, at no cost to the budget. An answer whose server's record is away counts too.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -158,7 +158,7 @@
 	d.dispatcher = &dispatch.Dispatcher{
 		Self: self.Incarnation, Hall: s.Hall, OnSuspend: d.onSuspend, OnSilent: d.onSilent, OnDoubt: d.onDoubt, OnLimit: d.onLimit, OnWant: d.onWant,
 		OnLeaving: d.onLeaving, OnRest: d.onRest,
-		TellLimit: func(limit runworks.ServerLimit) { d.exchange.TellServerLimit(limit) },
+		TellWord: func(notice runworks.ServerNotice) { d.exchange.TellServerWord(notice) },
 	}
 	d.quota = &quota.Quota{Self: self.Incarnation, Window: s.QuotaWindow, Started: time.Now()}
 	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack, Started: time.Now(), Window: s.RetryWindow}
@@ -178,9 +178,9 @@
 		News:       func() runworks.LimitUse { return d.quota.News(time.Now()) },
 		Limits:     func() runworks.LimitUse { return d.quota.Own(time.Now()) },
 		OnGreeting: d.onGreeting, OnSettled: d.takeHeld,
-		Suspects:     func() []runworks.Suspect { return d.quarantine.List(time.Now()) },
-		OnSuspects:   func(_ string, list []runworks.Suspect) { d.quarantine.Take(time.Now(), list) },
-		ServerLimits: d.dispatcher.Limits, OnServerLimits: d.dispatcher.TakeLimits, Lend: d.dispatcher.Lend,
+		Suspects:    func() []runworks.Suspect { return d.quarantine.List(time.Now()) },
+		OnSuspects:  func(_ string, list []runworks.Suspect) { d.quarantine.Take(time.Now(), list) },
+		ServerWords: d.dispatcher.Words, OnServerWords: d.dispatcher.TakeWords, Lend: d.dispatcher.Lend,
 	}
 	d.suspects = &platform.Suspects{Store: d.store, Quarantine: d.quarantine, Front: s.Name, Logger: d.Logger, OnTried: d.takeHeld}
 	d.watch()
--- a/errors.go
+++ b/errors.go
@@ -49,6 +49,9 @@
 	ErrTooLarge = plain("too_large", "the body is too large")
 	// ErrNotDispatched says that a call provably never left for the backend server.
 	ErrNotDispatched = plain("not_dispatched", "the call did not leave for the backend server")
+	// ErrWithdrawn says that a call did not leave, as its backend server said meanwhile that
+	// it takes nothing more.
+	ErrWithdrawn = plain("withdrawn", "the backend server takes nothing more")
 	// ErrBackend says that the backend server failed after the call had left.
 	ErrBackend = plain("backend", "the backend server failed")
 	// ErrUnknownFate says that nobody can tell whether the request ran.
--- a/server_word.go
+++ b/server_word.go
@@ -35,11 +35,15 @@
 	PerSecond float64 `json:"per_second,omitempty"`
 }
 
-// ServerLimit is what an entry tells the others of a backend server's limit.
-type ServerLimit struct {
-	RateLimit
+// ServerNotice is what an entry tells the others of a backend server's words to all of them.
+// A rest is asked of one entry, and is none of them.
+type ServerNotice struct {
 	// Server is Instance.Life.
 	Server string `json:"server"`
-	// AgeMs is how long ago the server gave its word, in milliseconds.
-	AgeMs int64 `json:"age_ms,omitempty"`
+	// Leaving says that it will end; that holds as long as it lives.
+	Leaving bool `json:"leaving,omitempty"`
+	// Limit is its newest word of the requests that it takes, and LimitAgeMs how many
+	// milliseconds ago it gave that; nil tells nothing.
+	Limit      *RateLimit `json:"limit,omitempty"`
+	LimitAgeMs int64      `json:"limit_age_ms,omitempty"`
 }
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -74,10 +74,11 @@
 	// for a time. Nil tells nobody. They must not wait.
 	OnLeaving func(server runworks.Instance, from string)
 	OnRest    func(server runworks.Instance, lasts time.Duration)
-	// OnLimit is told what changed of a server's limit, and TellLimit what the other entries
-	// are to be told of it; nil tells nobody. They must not wait.
-	OnLimit   func(server runworks.Instance, change LimitChange)
-	TellLimit func(limit runworks.ServerLimit)
+	// OnLimit is told what changed of a server's limit; nil tells nobody. It must not wait.
+	OnLimit func(server runworks.Instance, change LimitChange)
+	// TellWord is told what the other entries are to be told of a server's words; nil tells
+	// nobody. It must not wait.
+	TellWord func(notice runworks.ServerNotice)
 	// OnWant is told what another entry is to be asked for, whose answer goes to Borrowed; nil
 	// asks nobody. It must not wait.
 	OnWant func(loan *Loan)
@@ -90,10 +91,10 @@
 	peers    map[runworks.Incarnation]runworks.EntryLoad
 	// absent are since when other entries are silent that do not count as gone yet.
 	absent map[runworks.Incarnation]time.Time
-	// early are limits of servers that are not known yet.
-	early map[string]earlyLimit
-	// lapsed are limits of servers whose records went of late.
-	lapsed map[string]lapsedLimit
+	// early are words of servers that are not known yet.
+	early map[string]earlyWord
+	// lapsed are words of servers whose records went of late.
+	lapsed map[string]lapsedWords
 }
 
 // service holds the backend servers of a service and the calls that wait.
@@ -207,6 +208,7 @@
 	now := time.Now()
 	d.watchSilenceLocked(now)
 	d.tendLimitsLocked(now)
+	d.tendLapsedLocked(now)
 	for _, s := range d.services {
 		s.prune(now)
 		d.pumpLocked(s)
--- a/services/dispatch/fleet.go
+++ b/services/dispatch/fleet.go
@@ -32,7 +32,7 @@
 		life := one.Life()
 		s := old[life]
 		if s == nil {
-			s = &server{life: life, words: words{limit: d.takeLapsed(life)}}
+			s = &server{life: life, words: d.takeLapsed(life)}
 			if s.limit.InForce(now) {
 				d.partLimitLocked(now, s) // the entries may have changed meanwhile
 			}
@@ -41,6 +41,7 @@
 			out.Left = append(out.Left, one)
 		}
 		s.Instance = one
+		s.Leaving = one.Leaving || s.leaving
 		d.servers[life] = s
 		d.newest[one.ID] = s
 	}
--- a/services/dispatch/limit.go
+++ b/services/dispatch/limit.go
@@ -25,118 +25,28 @@
 	}
 }
 
-// TakeLimits takes what another entry tells of the servers' limits.
-func (d *Dispatcher) TakeLimits(from string, list []runworks.ServerLimit) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	for _, one := range list {
-		e := earlyLimit{ServerLimit: one, from: from, told: now, at: now.Add(-time.Duration(one.AgeMs) * time.Millisecond)}
-		if s := d.servers[one.Server]; s != nil {
-			d.takeLimitLocked(now, s, &e)
-			continue
-		}
-		if d.early == nil {
-			d.early = make(map[string]earlyLimit)
-		}
-		if len(d.early) < maxEarly {
-			d.early[one.Server] = e
-		}
-	}
-}
-
-// earlyLimit is what another entry told of a server's limit at a time; of a server whose
-// record is not known yet it is kept until it is: an entry that starts is greeted before it
-// has read any.
-type earlyLimit struct {
-	runworks.ServerLimit
-	from string
-	// at is when the server gave its word, and told when this entry was told it.
-	at, told time.Time
-}
-
-// maxEarly bounds the limits that are kept for servers that are not known: all servers of
-// the largest fleet. An entry that has no more room learns them from its own answers.
-const maxEarly = 4096
-
-// takeLimitLocked takes what another entry told of a server's limit.
-func (d *Dispatcher) takeLimitLocked(now time.Time, s *server, e *earlyLimit) {
+// takeLimitLocked takes what another entry told of the requests that a server takes, as it
+// said at a time.
+func (d *Dispatcher) takeLimitLocked(now time.Time, s *server, limit *runworks.RateLimit, at time.Time, from string) {
 	var news bool
-	if e.Named {
-		news = s.limit.Name(now, e.at, e.PerSecond)
+	if limit.Named {
+		news = s.limit.Name(now, at, limit.PerSecond)
 	} else {
-		news = s.limit.End(now, e.at, e.at)
+		news = s.limit.End(now, at, at)
 		if word, _ := s.limit.Word(); word.Named {
 			d.tellLimitLocked(now, s) // the server named it again since
 		}
 	}
 	if news {
-		d.limitChangedLocked(now, s, e.from)
-	}
-}
-
-// takeEarlyLocked takes what was told of the limits of servers that are known now, and
-// forgets what was told of those that did not come.
-func (d *Dispatcher) takeEarlyLocked(now time.Time) {
-	for life, e := range d.early {
-		if s := d.servers[life]; s != nil {
-			d.takeLimitLocked(now, s, &e)
-			delete(d.early, life)
-		} else if now.Sub(e.told) > runworks.ForgetEntryAfter {
-			delete(d.early, life)
-		}
+		d.limitChangedLocked(now, s, from)
 	}
 }
 
-// lapsedLimit is the limit of a server whose record went at a time.
-type lapsedLimit struct {
-	limit serverlimit.Limit
-	went  time.Time
-}
-
-// keepLapsed keeps the limit of a server whose record went: that may have lapsed while the
-// store was away, and the server, which goes on, may come back with it. Without its limit all
-// entries would fill its slots until it names it anew.
-func (d *Dispatcher) keepLapsed(now time.Time, s *server) {
-	if !s.limit.InForce(now) {
-		return
-	}
-	if d.lapsed == nil {
-		d.lapsed = make(map[string]lapsedLimit)
-	}
-	d.lapsed[s.life] = lapsedLimit{limit: s.limit, went: now}
-}
-
-// takeLapsed gives the limit back that a server had when its record went.
-func (d *Dispatcher) takeLapsed(life string) serverlimit.Limit {
-	limit := d.lapsed[life].limit
-	delete(d.lapsed, life)
-	return limit
-}
-
-// Limits gives the servers' limits for another entry, which may know none.
-func (d *Dispatcher) Limits() []runworks.ServerLimit {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	var out []runworks.ServerLimit
-	for _, s := range d.servers {
-		if word, _ := s.limit.Word(); word.Named {
-			out = append(out, s.tellLimit(now))
-		}
-	}
-	return out
-}
-
-// tellLimit gives the server's newest word for the other entries.
-func (s *server) tellLimit(now time.Time) runworks.ServerLimit {
-	word, at := s.limit.Word()
-	return runworks.ServerLimit{RateLimit: word, Server: s.life, AgeMs: now.Sub(at).Milliseconds()}
-}
-
+// tellLimitLocked tells the others the server's newest word of the requests that it takes.
 func (d *Dispatcher) tellLimitLocked(now time.Time, s *server) {
-	if d.TellLimit != nil {
-		d.TellLimit(s.tellLimit(now))
+	if d.TellWord != nil {
+		word, at := s.limit.Word()
+		d.TellWord(runworks.ServerNotice{Server: s.life, Limit: &word, LimitAgeMs: now.Sub(at).Milliseconds()})
 	}
 }
 
@@ -200,7 +110,6 @@
 			}
 		}
 	}
-	maps.DeleteFunc(d.lapsed, func(_ string, one lapsedLimit) bool { return now.Sub(one.went) > runworks.ForgetEntryAfter })
 	gone := false
 	for id, since := range d.absent {
 		if now.Sub(since) > runworks.ForgetEntryAfter {
--- a/services/dispatch/limit_test.go
+++ b/services/dispatch/limit_test.go
@@ -162,28 +162,28 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		d := &Dispatcher{Hall: "a"}
-		var told []runworks.ServerLimit
-		d.TellLimit = func(l runworks.ServerLimit) { told = append(told, l) }
-		word := func(server string, perSecond float64, age time.Duration) runworks.ServerLimit {
-			return runworks.ServerLimit{Server: server, RateLimit: runworks.RateLimit{Named: perSecond > 0, PerSecond: perSecond}, AgeMs: age.Milliseconds()}
+		var told []runworks.ServerNotice
+		d.TellWord = func(l runworks.ServerNotice) { told = append(told, l) }
+		word := func(server string, perSecond float64, age time.Duration) runworks.ServerNotice {
+			return runworks.ServerNotice{Server: server, Limit: &runworks.RateLimit{Named: perSecond > 0, PerSecond: perSecond}, LimitAgeMs: age.Milliseconds()}
 		}
-		d.TakeLimits("other", []runworks.ServerLimit{word("s0", 3, time.Minute)})
+		d.TakeWords("other", []runworks.ServerNotice{word("s0", 3, time.Minute)})
 		d.Replace(instances(4))
-		limits := d.Limits()
+		limits := d.Words()
 		is.Equal(len(limits), 1)
-		is.Equal(limits[0].PerSecond, 3.0)
-		is.Equal(limits[0].AgeMs, time.Minute.Milliseconds())
+		is.Equal(limits[0].Limit.PerSecond, 3.0)
+		is.Equal(limits[0].LimitAgeMs, time.Minute.Milliseconds())
 		is.Equal(len(told), 0) // it is the other's to tell
 
 		limitOf(d, "s0", 5)
-		is.Equal(told, []runworks.ServerLimit{word("s0", 5, 0)})
+		is.Equal(told, []runworks.ServerNotice{word("s0", 5, 0)})
 		time.Sleep(100 * time.Millisecond)
-		d.TakeLimits("other", []runworks.ServerLimit{word("s0", 0, time.Second)}) // it ended a second ago
-		is.Equal(told[1:], []runworks.ServerLimit{word("s0", 5, 100*time.Millisecond)})
+		d.TakeWords("other", []runworks.ServerNotice{word("s0", 0, time.Second)}) // it ended a second ago
+		is.Equal(told[1:], []runworks.ServerNotice{word("s0", 5, 100*time.Millisecond)})
 		is.Equal(d.Loads()[0].Limit.PerSecond, 5.0)
 
-		d.TakeLimits("other", []runworks.ServerLimit{word("s0", 0, 0)})
-		is.Equal(len(d.Limits()), 0)
+		d.TakeWords("other", []runworks.ServerNotice{word("s0", 0, 0)})
+		is.Equal(len(d.Words()), 0)
 	})
 }
 
@@ -219,7 +219,7 @@
 		is := is.New(t)
 		d := &Dispatcher{}
 		for i := range 2 * maxEarly {
-			d.TakeLimits("other", []runworks.ServerLimit{{Server: strings.Repeat("x", i%97) + time.Duration(i).String()}})
+			d.TakeWords("other", []runworks.ServerNotice{{Server: strings.Repeat("x", i%97) + time.Duration(i).String()}})
 		}
 		is.Equal(len(d.early), maxEarly)
 		time.Sleep(runworks.ForgetEntryAfter + time.Second)
--- a/services/dispatch/press_test.go
+++ b/services/dispatch/press_test.go
@@ -76,7 +76,7 @@
 	ctx, end := context.WithCancel(p.ctx)
 	e := &pressEntry{name: name, weight: weight, end: end, heard: map[runworks.Incarnation]time.Time{}}
 	e.Dispatcher = &Dispatcher{Hall: "a", Self: runworks.Incarnation(fmt.Sprint(name, "#", p.lives))}
-	e.TellLimit = func(limit runworks.ServerLimit) { p.work.Go(func() { p.tellLimit(e, limit) }) }
+	e.TellWord = func(notice runworks.ServerNotice) { p.work.Go(func() { p.tellWord(e, notice) }) }
 	if !p.alone {
 		e.OnWant = func(loan *Loan) { p.work.Go(func() { e.Borrowed(loan, p.lend(e, loan)) }) }
 	}
@@ -89,13 +89,13 @@
 	return e
 }
 
-func (p *press) tellLimit(from *pressEntry, limit runworks.ServerLimit) {
+func (p *press) tellWord(from *pressEntry, notice runworks.ServerNotice) {
 	time.Sleep(pressWay)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, to := range p.entries {
 		if to != from && from.reaches(to) {
-			to.TakeLimits(from.name, []runworks.ServerLimit{limit})
+			to.TakeWords(from.name, []runworks.ServerNotice{notice})
 		}
 	}
 }
@@ -135,7 +135,7 @@
 					continue
 				}
 				if to.heard[from.Self].IsZero() {
-					to.TakeLimits(from.name, from.Limits())
+					to.TakeWords(from.name, from.Words())
 				}
 				to.heard[from.Self] = now
 				to.Report(from.Self, load)
--- a/services/dispatch/rest.go
+++ b/services/dispatch/rest.go
@@ -21,3 +21,6 @@
 	r.until = until
 	return true
 }
+
+// asked says whether the server wants nothing now.
+func (r *rest) asked(now time.Time) bool { return now.Before(r.until) }
--- a/services/dispatch/words.go
+++ b/services/dispatch/words.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"github.com/runworks/runworks"
@@ -28,11 +29,14 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	s := l.server
-	if d.servers[s.life] != s {
+	if back := d.servers[s.life]; back != nil {
+		s = back // its record may have lapsed meanwhile
+	}
+	if s.ended {
 		return // a life that is over
 	}
-	if word.Leaving {
-		d.hearLeavingLocked(s, "")
+	if word.Leaving && d.hearLeavingLocked(s, "") && d.TellWord != nil {
+		d.TellWord(runworks.ServerNotice{Server: s.life, Leaving: true})
 	}
 	if word.Rest > 0 {
 		d.hearRestLocked(now, s, word.Rest)
@@ -43,18 +47,32 @@
 	if word.Load != nil {
 		s.toldLoad = word.Load
 	}
+	if d.servers[s.life] == nil {
+		d.keepLapsed(now, s)
+	}
 }
 
-// hearLeavingLocked takes a server's word that it will end; from names the entry that told of
-// it, empty for the server itself.
-func (d *Dispatcher) hearLeavingLocked(s *server, from string) {
+// Withdrawn says whether the call's server takes nothing more by now: a call that got its slot
+// before may still wait for a connection.
+func (l *Lease) Withdrawn() bool {
+	l.dispatcher.mu.Lock()
+	defer l.dispatcher.mu.Unlock()
+	return l.server.Leaving
+}
+
+// hearLeavingLocked takes a server's word that it will end, and says whether that is news; from
+// names the entry that told of it, empty for the server itself. What the server runs goes on,
+// and it gets nothing new, whatever its record says: that may come late by all the time that
+// the store is away, and calls that were sent meanwhile would end with the server.
+func (d *Dispatcher) hearLeavingLocked(s *server, from string) bool {
 	if s.leaving {
-		return
+		return false
 	}
-	s.leaving = true
+	s.leaving, s.Leaving = true, true
 	if d.OnLeaving != nil {
 		d.OnLeaving(s.Instance, from)
 	}
+	return true
 }
 
 // hearRestLocked takes a server's word that it wants nothing from this entry for a time.
@@ -63,3 +81,115 @@
 		d.OnRest(s.Instance, s.rest.until.Sub(now))
 	}
 }
+
+// TakeWords takes what another entry tells of the servers.
+func (d *Dispatcher) TakeWords(from string, list []runworks.ServerNotice) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, one := range list {
+		e := earlyWord{ServerNotice: one, from: from, told: now}
+		if s := d.servers[one.Server]; s != nil {
+			d.takeWordLocked(now, s, &e)
+			continue
+		}
+		if d.early == nil {
+			d.early = make(map[string]earlyWord)
+		}
+		if len(d.early) < maxEarly {
+			d.early[one.Server] = e
+		}
+	}
+}
+
+// earlyWord is what another entry told of a server at a time. Of a server whose record is not
+// known yet it is kept until it is: an entry that starts is greeted before it has read any.
+type earlyWord struct {
+	runworks.ServerNotice
+	from string
+	told time.Time
+}
+
+// maxEarly bounds the words that are kept for servers that are not known: all servers of the
+// largest fleet. An entry that has no more room learns them from its own answers.
+const maxEarly = 4096
+
+// takeWordLocked takes what another entry told of a server.
+func (d *Dispatcher) takeWordLocked(now time.Time, s *server, e *earlyWord) {
+	if e.Leaving {
+		d.hearLeavingLocked(s, e.from)
+	}
+	if e.Limit != nil {
+		at := e.told.Add(-time.Duration(e.LimitAgeMs) * time.Millisecond)
+		d.takeLimitLocked(now, s, e.Limit, at, e.from)
+	}
+}
+
+// takeEarlyLocked takes what was told of servers that are known now, and forgets what was told
+// of those that did not come.
+func (d *Dispatcher) takeEarlyLocked(now time.Time) {
+	for life, e := range d.early {
+		if s := d.servers[life]; s != nil {
+			d.takeWordLocked(now, s, &e)
+			delete(d.early, life)
+		} else if now.Sub(e.told) > runworks.ForgetEntryAfter {
+			delete(d.early, life)
+		}
+	}
+}
+
+// lapsedWords are the words of a server whose record went at a time.
+type lapsedWords struct {
+	words
+	went time.Time
+}
+
+// lapsedKept is how long the words that hold for a server's life, or for a told time, outlast
+// its record: a server that leaves may run on for some tens of seconds.
+const lapsedKept = time.Minute
+
+// keepLapsed keeps the words of a server whose record went: that may have lapsed while the
+// store was away, and the server, which goes on, may come back with it. Without its words all
+// entries would fill its slots until it says them anew.
+func (d *Dispatcher) keepLapsed(now time.Time, s *server) {
+	if !s.limit.InForce(now) && !s.leaving && !s.rest.asked(now) {
+		return
+	}
+	if d.lapsed == nil {
+		d.lapsed = make(map[string]lapsedWords)
+	}
+	d.lapsed[s.life] = lapsedWords{words: s.words, went: now}
+}
+
+// takeLapsed gives the words back that a server had said when its record went.
+func (d *Dispatcher) takeLapsed(life string) words {
+	w := d.lapsed[life].words
+	delete(d.lapsed, life)
+	return w
+}
+
+// tendLapsedLocked forgets the words of servers that did not come back.
+func (d *Dispatcher) tendLapsedLocked(now time.Time) {
+	maps.DeleteFunc(d.lapsed, func(_ string, one lapsedWords) bool {
+		gone := now.Sub(one.went)
+		return gone > lapsedKept || gone > runworks.ForgetEntryAfter && !one.leaving && !one.rest.asked(now)
+	})
+}
+
+// Words gives what servers say of themselves to all, for another entry, which may know nothing.
+func (d *Dispatcher) Words() []runworks.ServerNotice {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	var out []runworks.ServerNotice
+	for _, s := range d.servers {
+		one := runworks.ServerNotice{Server: s.life, Leaving: s.leaving}
+		if word, at := s.limit.Word(); word.Named {
+			one.Limit, one.LimitAgeMs = &word, now.Sub(at).Milliseconds()
+		}
+		if one.Leaving || one.Limit != nil {
+			out = append(out, one)
+		}
+	}
+	return out
+}
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -23,26 +23,16 @@
 	lease.OnEnd(func() { cancel(errStartedAgain) })
 	spanCtx, span := c.f.Tracer.Start(c.sending, tracing.SpanBackend)
 	defer span.End()
-	send := &runworks.Send{Inbound: c.in, To: lease.Instance, Left: c.left(), LastEvent: lastEvent, Wanted: c.wanted, Customer: c.customerName()}
+	send := &runworks.Send{Inbound: c.in, To: lease.Instance, Left: c.left(), LastEvent: lastEvent, Customer: c.customerName()}
+	send.Wanted = func() error { return c.wanted(lease) }
 	metrics.Count(c.f.Metrics.Dispatches, metrics.Rank(c.rank))
 	c.sent = time.Now()
 	c.verdict.Draw.Spend(c.sent)
 	reply, err := c.send(spanCtx, send)
-	switch {
-	case neverSent(err):
-		c.sends--
-		lease.Release(dispatch.Abandoned)
-		return nil, c.notRun(err)
-	case errors.Is(err, runworks.ErrNotDispatched):
-		c.sends--
-		lease.Release(c.endOf(ctx, c.sent, dispatch.Unreachable))
-		return nil, c.notRun(err)
-	case err != nil:
-		c.ran++
-		lease.Release(c.endOf(ctx, c.sent, dispatch.Broken))
-		c.noteEnd(ctx, lease.Instance, time.Time{})
-		return nil, c.broken(ctx, err)
-	case reply.Gone:
+	if err != nil {
+		return nil, c.unanswered(ctx, lease, err)
+	}
+	if reply.Gone {
 		_ = reply.Body.Close()
 		lease.Release(dispatch.Moved)
 		return nil, c.notRun(errorx.Decorate(runworks.ErrTurnedAway, "another server has the address of %s", lease.Instance.ID))
@@ -58,6 +48,29 @@
 	return reply, nil
 }
 
+// unanswered gives the lease of a send that had no answer back, and says whether the call may
+// have run.
+func (c *call) unanswered(ctx context.Context, lease *dispatch.Lease, err error) *runworks.Failure {
+	switch {
+	case neverSent(err):
+		c.sends--
+		lease.Release(dispatch.Abandoned)
+	case errors.Is(err, runworks.ErrWithdrawn):
+		c.sends--
+		c.tried = c.tried[:len(c.tried)-1]
+		lease.Release(dispatch.Abandoned)
+	case errors.Is(err, runworks.ErrNotDispatched):
+		c.sends--
+		lease.Release(c.endOf(ctx, c.sent, dispatch.Unreachable))
+	default:
+		c.ran++
+		lease.Release(c.endOf(ctx, c.sent, dispatch.Broken))
+		c.noteEnd(ctx, lease.Instance, time.Time{})
+		return c.broken(ctx, err)
+	}
+	return c.notRun(err)
+}
+
 // hear takes what the server says of itself.
 func (c *call) hear(lease *dispatch.Lease, reply *runworks.ServerReply) {
 	if reply.WordErr != nil {
@@ -89,13 +102,16 @@
 // wanted gives an error if the call must not be sent after all. If the caller has left: the
 // end of the call's context tells it as a rule, but a host short of its processor may learn
 // it seconds late: four calls went to a server 0.9 s after their callers had left. If the
-// request is held by now: it may have waited here while it ended servers elsewhere.
-func (c *call) wanted() error {
+// request is held by now: it may have waited here while it ended servers elsewhere. If its
+// server takes nothing more by now, another may have it.
+func (c *call) wanted(lease *dispatch.Lease) error {
 	switch {
 	case c.in.Left != nil && c.in.Left():
 		return runworks.ErrCallerLeft
 	case c.held(time.Now()) > 0:
 		return runworks.ErrQuarantined
+	case lease.Withdrawn():
+		return errorx.Decorate(runworks.ErrWithdrawn, "%s", lease.Instance.ID)
 	}
 	return c.late()
 }
@@ -146,7 +162,7 @@
 	if neverSent(failed) {
 		return false
 	}
-	if errors.Is(failed, runworks.ErrNotDispatched) {
+	if errors.Is(failed, runworks.ErrNotDispatched) || errors.Is(failed, runworks.ErrWithdrawn) {
 		return true
 	}
 	if c.ran > 0 && (!c.repeatable() || c.ran >= c.route.MaxAttempts) {
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -48,10 +48,16 @@
 type sender struct {
 	replies []reply
 	sends   []runworks.Send
+	// connected is told of a server once there is a connection to it, before a byte is sent;
+	// nil tells nobody.
+	connected func(server runworks.Instance)
 }
 
 // Send implements runworks.Sender.
 func (s *sender) Send(ctx context.Context, send *runworks.Send) (*runworks.ServerReply, error) {
+	if s.connected != nil {
+		s.connected(send.To)
+	}
 	if err := send.Wanted(); err != nil {
 		return nil, err
 	}
--- a/services/peers/hear.go
+++ b/services/peers/hear.go
@@ -45,8 +45,8 @@
 		return nil, x.takeBeat(params, true)
 	case MethodSuspects:
 		return nil, x.takeSuspects(params)
-	case MethodServerLimits:
-		return nil, x.takeServerLimits(params)
+	case MethodServerWords:
+		return nil, x.takeServerWords(params)
 	case MethodLend:
 		return x.lend(params)
 	case MethodState:
@@ -82,7 +82,7 @@
 		x.decoder = decoder{from: b.From, names: b.Names}
 		x.OnGreeting(now, &b)
 		x.hearSuspects(b.From.Name, b.Suspects)
-		x.hearServerLimits(b.From.Name, b.ServerLimits)
+		x.hearServerWords(b.From.Name, b.ServerWords)
 	}
 	x.hear(now, &b)
 	return nil
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -101,8 +101,8 @@
 	if x.Suspects != nil {
 		b.Suspects = x.Suspects()
 	}
-	if x.ServerLimits != nil {
-		b.ServerLimits = x.ServerLimits()
+	if x.ServerWords != nil {
+		b.ServerWords = x.ServerWords()
 	}
 	if err := conn.Notify(ctx, MethodGreet, b); err != nil {
 		x.Logger.Warn("an entry could not be greeted", "name", l.member.Name, "error", err.Error())
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -23,9 +23,9 @@
 	// MethodSuspects is the notification of requests under which backend servers ended.
 	// Versions that do not know it pass it over.
 	MethodSuspects = "entry.suspects"
-	// MethodServerLimits is the notification of limits that backend servers name. Versions
-	// that do not know it pass it over.
-	MethodServerLimits = "entry.server_limits"
+	// MethodServerWords is the notification of what backend servers say of themselves.
+	// Versions that do not know it pass it over.
+	MethodServerWords = "entry.server_words"
 	// MethodLend is the call for what an entry has at hand of a backend server's limit.
 	MethodLend = "entry.lend"
 	// MethodState is the call for what an entry knows of a Subject.
@@ -108,8 +108,8 @@
 	Changes []Change `json:"-"`
 	// Suspects are all requests under which backend servers ended; only greetings tell them.
 	Suspects []runworks.Suspect `json:"suspects,omitempty"`
-	// ServerLimits are all limits that backend servers name; only greetings tell them.
-	ServerLimits []runworks.ServerLimit `json:"server_limits,omitempty"`
+	// ServerWords is all that backend servers say of themselves; only greetings tell it.
+	ServerWords []runworks.ServerNotice `json:"server_words,omitempty"`
 	// Names are those of the frames that follow a greeting, by their numbers.
 	Names []string `json:"names,omitempty"`
 }
@@ -135,10 +135,10 @@
 	// another entry told of some; nil gives none and tells nobody.
 	Suspects   func() []runworks.Suspect
 	OnSuspects func(from string, list []runworks.Suspect)
-	// ServerLimits gives the backend servers' limits that a greeting tells of, and
-	// OnServerLimits is told what another entry told of some; nil gives none and tells nobody.
-	ServerLimits   func() []runworks.ServerLimit
-	OnServerLimits func(from string, list []runworks.ServerLimit)
+	// ServerWords gives what backend servers say of themselves, for a greeting, and
+	// OnServerWords is told what another entry told of some; nil gives none and tells nobody.
+	ServerWords   func() []runworks.ServerNotice
+	OnServerWords func(from string, list []runworks.ServerNotice)
 	// Lend gives away requests that this entry has at hand of a backend server's limit, as far
 	// as it has no use for them; nil gives none.
 	Lend func(server string, requests int) int
@@ -170,10 +170,10 @@
 	listed bool
 	// lives holds the newest life of each entry, by its name.
 	lives map[string]runworks.Incarnation
-	// limitNews is what is to be told of backend servers' limits, by server, and tellingLimits
-	// says that somebody does.
-	limitNews     map[string]limitNews
-	tellingLimits bool
+	// wordNews is what is to be told of backend servers, by server, and tellingWords says that
+	// somebody does.
+	wordNews     map[string]*wordNews
+	tellingWords bool
 	// changes are not told yet; wake has them told at once.
 	changes []Change
 	wake    chan struct{}
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -40,10 +40,10 @@
 	// suspects are the requests it was told of, and knows those it tells in a greeting.
 	suspects []runworks.Fingerprint
 	knows    []runworks.Suspect
-	// serverLimits are the tellings of servers' limits that it heard, and knowsLimits those
+	// serverWords are the tellings of servers' words that it heard, and knowsWords those
 	// it tells in a greeting.
-	serverLimits [][]runworks.ServerLimit
-	knowsLimits  []runworks.ServerLimit
+	serverWords [][]runworks.ServerNotice
+	knowsWords  []runworks.ServerNotice
 	// beats is how many heartbeats it heard, and limits what they told of customers.
 	beats  int
 	limits map[string]float64
@@ -145,15 +145,15 @@
 		defer e.mu.Unlock()
 		e.replaced = append(e.replaced, old)
 	}
-	e.ServerLimits = func() []runworks.ServerLimit {
+	e.ServerWords = func() []runworks.ServerNotice {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		return e.knowsLimits
+		return e.knowsWords
 	}
-	e.OnServerLimits = func(_ string, list []runworks.ServerLimit) {
+	e.OnServerWords = func(_ string, list []runworks.ServerNotice) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.serverLimits = append(e.serverLimits, list)
+		e.serverWords = append(e.serverWords, list)
 	}
 	e.State = func(Subject) (any, error) { return e.Self.Name + " knows", nil }
 }
--- a/services/peers/server_limits_test.go
+++ b/services/peers/server_words_test.go
@@ -12,44 +12,47 @@
 	"github.com/runworks/runworks/standin/memnet"
 )
 
-// limitsOf gives the tellings of servers' limits that an entry heard.
-func (e *entry) limitsOf() [][]runworks.ServerLimit {
+// wordsOf gives the tellings of servers' words that an entry heard.
+func (e *entry) wordsOf() [][]runworks.ServerNotice {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.serverLimits
+	return e.serverWords
 }
 
-func serverLimit(server string, perSecond float64) runworks.ServerLimit {
-	return runworks.ServerLimit{Server: server, RateLimit: runworks.RateLimit{Named: true, PerSecond: perSecond}}
+func serverLimit(server string, perSecond float64) runworks.ServerNotice {
+	return runworks.ServerNotice{Server: server, Limit: &runworks.RateLimit{Named: true, PerSecond: perSecond}}
 }
 
-// TestServerLimitsAreTold tells another entry of a limit within some ways of the network, of
-// many that come at once in a second telling with the newest of each, and one that could not
-// be reached once it is back.
-func TestServerLimitsAreTold(t *testing.T) {
+// TestServerWordsAreTold tells another entry of a limit within some ways of the network, of
+// many words that come at once in a second telling, with the newest limit of each server and
+// that it leaves, and an entry that could not be reached once it is back.
+func TestServerWordsAreTold(t *testing.T) {
 	inNetwork(t, "key-of-the-fleet", func(is *is.I, network *memnet.Network, a, b *entry) {
-		a.TellServerLimit(serverLimit("s", 1))
+		a.TellServerWord(serverLimit("s", 1))
 		time.Sleep(5 * time.Millisecond)
-		is.Equal(b.limitsOf(), [][]runworks.ServerLimit{{serverLimit("s", 1)}})
+		is.Equal(b.wordsOf(), [][]runworks.ServerNotice{{serverLimit("s", 1)}})
 		for i := range 300 {
-			a.TellServerLimit(serverLimit(fmt.Sprintf("s%03d", i), 1))
-			a.TellServerLimit(serverLimit(fmt.Sprintf("s%03d", i), 2))
+			a.TellServerWord(serverLimit(fmt.Sprintf("s%03d", i), 1))
+			a.TellServerWord(serverLimit(fmt.Sprintf("s%03d", i), 2))
+			a.TellServerWord(runworks.ServerNotice{Server: fmt.Sprintf("s%03d", i), Leaving: i%2 == 1})
 		}
-		time.Sleep(2 * limitsPause)
-		told := b.limitsOf()
+		time.Sleep(2 * wordsPause)
+		told := b.wordsOf()
 		is.Equal(len(told), 2)
 		is.Equal(len(told[1]), 300)
-		is.Equal(told[1][7].PerSecond, 2.0)
-		is.True(told[1][7].AgeMs <= limitsPause.Milliseconds())
+		is.Equal(told[1][7].Limit.PerSecond, 2.0)
+		is.True(told[1][7].Leaving)
+		is.True(!told[1][8].Leaving)
+		is.True(told[1][7].LimitAgeMs <= wordsPause.Milliseconds())
 		time.Sleep(time.Second)
-		a.TellServerLimit(serverLimit("s", 3))
+		a.TellServerWord(serverLimit("s", 3))
 		time.Sleep(5 * time.Millisecond)
-		is.Equal(b.limitsOf()[2:], [][]runworks.ServerLimit{{serverLimit("s", 3)}})
+		is.Equal(b.wordsOf()[2:], [][]runworks.ServerNotice{{serverLimit("s", 3)}})
 		a.mu.Lock()
-		a.knowsLimits = []runworks.ServerLimit{serverLimit("s", 3), serverLimit("t", 4)}
+		a.knowsWords = []runworks.ServerNotice{serverLimit("s", 3), serverLimit("t", 4)}
 		a.mu.Unlock()
 		cutForLong(network)
-		is.Equal(b.limitsOf()[3:], [][]runworks.ServerLimit{{serverLimit("s", 3), serverLimit("t", 4)}})
+		is.Equal(b.wordsOf()[3:], [][]runworks.ServerNotice{{serverLimit("s", 3), serverLimit("t", 4)}})
 	})
 }
 
