A server that asks a front for rest gets nothing from it until that is over

Servers that turned all calls away and asked for three seconds of rest got up to 16 calls in them from one front; a tenth of the callers and more were refused though six others served.

Cause: nobody read what the server asked for. A server that turned a call away was left out for 30 ms, whatever it said; so each front sent the next call there, used up its budget for repeats, and told callers to come back after 0.2 s.

Change: a rest is one of the words of a server's life. It is the front's own: others may be welcome. Until it is over the server gets nothing, by no way: waiting calls, those that wait for a connection, repeats, streams that go on, loans. It has not failed. After it its load doubles every 0.1 s from one call on, a little apart at each front. A server that is left out is rather tried than waited for the rest of the only other. If all rest, calls whose callers leave before that are told at once, also those that wait, with the time when the first takes calls again, spread over half a second.

--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -40,10 +40,10 @@
 )
 
 // open gives the servers with a free slot; suspended ones only if no server of
-// the service is healthy.
+// the service is healthy and takes calls: one that rests may do so for long.
 func (s *service) open(now time.Time) []*server {
 	var open []*server
-	healthy := slices.ContainsFunc(s.servers, func(one *server) bool { return s.healthy(now, one) })
+	healthy := slices.ContainsFunc(s.servers, func(one *server) bool { return s.healthy(now, one) && !one.rest.asked(now) })
 	for _, one := range s.servers {
 		if one.room(now, s) && (s.healthy(now, one) || !healthy) {
 			open = append(open, one)
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -254,11 +254,11 @@
 }
 
 // any says whether a backend server is known that the call may go to. One that a server
-// failed does not wait for what the limit of another gives: it has an answer, and what the
-// limit gives is of more use to a call that has none. A stream that goes on does wait.
+// failed does not wait for what the limit of another gives, or its rest leaves: it has an
+// answer, and the slot is of more use to a call that has none. A stream that goes on does wait.
 func (s *service) any(now time.Time, ask *Ask) bool {
 	for _, one := range s.servers {
-		if !one.Leaving && !slices.Contains(ask.Avoid, one.life) && (!ask.Ran || ask.Resumed || one.limit.Admits(now)) {
+		if !one.Leaving && !slices.Contains(ask.Avoid, one.life) && (!ask.Ran || ask.Resumed || !one.withheld(now)) {
 			return true
 		}
 	}
--- a/services/dispatch/hope.go
+++ b/services/dispatch/hope.go
@@ -28,7 +28,7 @@
 // to start by then, as a late one.
 func (s *service) judge(now time.Time, w *waiter) error {
 	if w.ask.Resumed {
-		return nil
+		return s.judgeLate(now, w)
 	}
 	tier := queueRank(w.ask, false)
 	if s.startsIn(now, tier, s.waitingIn(tier)) <= w.ask.Target.Sub(now).Seconds() {
@@ -39,7 +39,8 @@
 }
 
 // judgeLate says whether a late call has no hope to start before its caller leaves: that
-// one is better told at once. An answer that broke off is let wait in any case.
+// one is better told at once. An answer that broke off is let wait, but not where all servers
+// rest for longer than its caller waits.
 func (s *service) judgeLate(now time.Time, w *waiter) error {
 	return s.hopeless(now, w, s.waitingIn(queueRank(w.ask, true)))
 }
@@ -47,16 +48,19 @@
 // hopeless gives an error if a late call that has so many ahead is not likely to start
 // before its caller leaves.
 func (s *service) hopeless(now time.Time, w *waiter, ahead int) error {
-	if w.ask.Resumed {
+	left := w.ask.lastStart().Sub(now).Seconds()
+	if w.ask.Resumed && s.restsFor(now).Seconds() <= left {
 		return nil
 	}
-	left := w.ask.lastStart().Sub(now).Seconds()
 	in := s.startsIn(now, queueRank(w.ask, true), ahead)
 	if in <= left*s.patience(w.ask) {
 		return nil
 	}
-	if math.IsInf(in, 1) {
+	switch {
+	case math.IsInf(in, 1):
 		return errorx.Decorate(runworks.ErrShortage, "all servers limit their requests, and no part is this entry's")
+	case s.withheld(now):
+		return errorx.Decorate(runworks.ErrShortage, "all servers rest or limit their requests, for some %.0f ms, the caller leaves in %.0f ms", in*1000, left*1000)
 	}
 	return errorx.Decorate(runworks.ErrShortage, "%d late calls wait ahead for some %.0f ms, the caller leaves in %.0f ms", ahead, in*1000, left*1000)
 }
@@ -74,11 +78,13 @@
 }
 
 // prune tells the late calls that have no hope any more, as the queue moves: calls held
-// until their callers left untried, a third of the lowest rank's on the busiest day.
+// until their callers left untried, a third of the lowest rank's on the busiest day. Those that
+// are not late yet have none either where all servers asked for a rest that outlasts them.
 func (s *service) prune(now time.Time) {
 	var waiting []*waiter
+	rest := s.restsFor(now) > 0
 	for _, w := range s.asks {
-		if w.late {
+		if w.late || rest {
 			waiting = append(waiting, w)
 		}
 	}
@@ -103,8 +109,8 @@
 // startsIn is in how many seconds a call of a tier starts that has so many ahead; 0 for
 // the first where a slot is all that it needs, and as long as nothing is known.
 func (s *service) startsIn(now time.Time, tier, ahead int) float64 {
-	if s.limited(now) {
-		return s.limitedStart(now, s.share(tier), ahead)
+	if s.withheld(now) {
+		return s.withheldStart(now, s.share(tier), ahead)
 	}
 	rate := s.rate() * s.share(tier)
 	if ahead == 0 || rate == 0 {
--- a/services/dispatch/limit.go
+++ b/services/dispatch/limit.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -121,39 +120,3 @@
 		d.partLimitsLocked(now)
 	}
 }
-
-// limited says whether all servers that calls of a service may go to have limits: then
-// these tell when calls start, and not how long calls keep their slots.
-func (s *service) limited(now time.Time) bool {
-	n := 0
-	for _, one := range s.servers {
-		if one.Leaving {
-			continue
-		}
-		if !one.limit.InForce(now) {
-			return false
-		}
-		n++
-	}
-	return n > 0
-}
-
-// limitedStart is in how many seconds a call starts here that has so many ahead, where all
-// servers have limits; infinite if this entry has no part of any and is not likely to be lent
-// one.
-func (s *service) limitedStart(now time.Time, share float64, ahead int) float64 {
-	if s.borrowing.likely(now, ahead) {
-		return 0
-	}
-	soonest, rate := math.Inf(1), 0.0
-	for _, one := range s.servers {
-		if !one.Leaving {
-			soonest = min(soonest, one.limit.Wait(now))
-			rate += one.limit.Part().PerSecond
-		}
-	}
-	if rate *= share; ahead == 0 || rate == 0 {
-		return soonest
-	}
-	return soonest + float64(ahead)/rate
-}
--- a/services/dispatch/model.go
+++ b/services/dispatch/model.go
@@ -143,7 +143,7 @@
 // fitsAny says whether some server lets a call be in time.
 func (s *service) fitsAny(now time.Time, o *outlook, ask *Ask, canWait bool) bool {
 	return slices.ContainsFunc(s.servers, func(one *server) bool {
-		return s.healthy(now, one) && one.limit.Admits(now) && !slices.Contains(ask.Avoid, one.life) && o.fits(now, one, ask, canWait)
+		return s.healthy(now, one) && !one.withheld(now) && !slices.Contains(ask.Avoid, one.life) && o.fits(now, one, ask, canWait)
 	})
 }
 
--- a/services/dispatch/rest.go
+++ b/services/dispatch/rest.go
@@ -1,26 +1,64 @@
 package dispatch
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
-// longestRest bounds how long a server is left alone by one word of it: after an hour it is
-// asked again.
-const longestRest = time.Hour
+const (
+	// longestRest bounds how long a server is left alone by one word of it: after an hour it is
+	// asked again.
+	longestRest = time.Hour
+	// restNews is how much longer a rest must become to be told of: calls that were sent
+	// together are turned away some milliseconds apart.
+	restNews = 500 * time.Millisecond
+	// restStep is the time in which what an entry may send after a rest doubles, from one call
+	// on: in it a server that still has no room says so, and others hear of the calls.
+	restStep = 100 * time.Millisecond
+	// restSteps is after how many of them an entry may send all that the slots hold.
+	restSteps = 8
+)
 
-// rest is the time in which a server wants nothing from this entry; the zero value is none.
+// rest is the time in which a server wants nothing from this entry, and the moment after it;
+// the zero value is none. A server that rests has not failed: it is left alone, and has its
+// full load afterwards, one step after the other, as all calls that waited for it would else
+// come at once.
 type rest struct {
-	until time.Time
+	// until is when it ends here, spread among the entries that were turned away together, and
+	// word when it does by the server's word.
+	until, word time.Time
+	// sent is how many calls were sent since.
+	sent int
 }
 
-// ask takes the server's word that it wants rest for a time, and says whether that changes
-// anything: of several words, on answers that overtake each other, the longest holds.
-func (r *rest) ask(now time.Time, lasts time.Duration) bool {
-	until := now.Add(min(lasts, longestRest))
-	if !until.After(r.until) {
+// ask takes the server's word that it wants rest for a time, and says whether that is news. Of
+// several words, on answers that overtake each other, the longest holds. The end is put off by
+// a part of spread.
+func (r *rest) ask(now time.Time, lasts, spread time.Duration) bool {
+	word := now.Add(min(lasts, longestRest))
+	if !word.After(r.word) {
 		return false
 	}
-	r.until = until
-	return true
+	news := !r.asked(now) || word.Sub(r.word) >= restNews
+	r.word, r.sent = word, 0
+	r.until = word.Add(rand.N(spread))
+	return news
 }
 
 // asked says whether the server wants nothing now.
 func (r *rest) asked(now time.Time) bool { return now.Before(r.until) }
+
+// wait is in how many seconds the rest ends.
+func (r *rest) wait(now time.Time) float64 { return max(r.until.Sub(now), 0).Seconds() }
+
+// room says whether a call may be sent, as far as the rest is concerned.
+func (r *rest) room(now time.Time) bool {
+	if r.asked(now) {
+		return false
+	}
+	step := int(now.Sub(r.until) / restStep)
+	return step >= restSteps || r.sent < 1<<step
+}
+
+// spend counts a call that is sent.
+func (r *rest) spend() { r.sent++ }
--- /dev/null
+++ b/services/dispatch/rest_test.go
@@ -0,0 +1,171 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
+)
+
+// rests has a server ask for rest.
+func rests(d *Dispatcher, life string, lasts time.Duration) {
+	hears(d, life, &runworks.ServerWord{Rest: lasts})
+}
+
+// TestRestingServerHasNotFailed leaves a server alone that asked for rest, holds nothing against
+// it and tells nobody that it is left out; after the rest its load grows step by step to all
+// that its slots hold.
+func TestRestingServerHasNotFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(16, 4)
+		d.OnSuspend = func(runworks.Instance, int, time.Duration) { t.Error("left out") }
+		var asked []time.Duration
+		d.OnRest = func(_ runworks.Instance, lasts time.Duration) { asked = append(asked, lasts) }
+		placed := taken(t, d, "placed")
+		rests(d, "s0", 2*time.Second)
+		rests(d, "s0", time.Second) // an answer that was overtaken
+		is.Equal(len(asked), 1)
+		is.True(asked[0] >= 2*time.Second)
+		is.True(asked[0] < 2*time.Second+turnTime)
+		is.Equal(placed.Withdrawn(), placed.Instance.ID == "s0")
+		placed.Release(Abandoned)
+		is.Equal(served(t, d), map[string]int{"s1": 4})
+		is.Equal(len(d.Own().LeftOut), 0)
+		is.Equal(d.Lend("s0", 1), 0)
+
+		time.Sleep(time.Until(d.servers["s0"].rest.until))
+		got := 0
+		for i, want := range []int{1, 1, 2, 4, 8} { // 16 slots in all
+			n := served(t, d)["s0"]
+			if i == 4 {
+				is.True(n >= want-2) // some slots are kept for others
+				break
+			}
+			is.Equal(n, want)
+			got += n
+			time.Sleep(restStep - time.Millisecond) // the call that found none took one
+		}
+		is.Equal(got, 8)
+	})
+}
+
+// TestRestIsOfOneLife keeps a rest over a lapse of the server's record, and forgets it with
+// the life that asked for it.
+func TestRestIsOfOneLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &Dispatcher{Hall: "a"}
+		d.Replace([]runworks.Instance{bornAt(100)})
+		rests(d, "s0/100", 3*time.Second)
+		is.True(d.RestsFor("llm") >= 3*time.Second)
+		d.Replace(nil)
+		time.Sleep(time.Second)
+		d.Replace([]runworks.Instance{bornAt(100)})
+		is.True(d.RestsFor("llm") >= 2*time.Second)
+		d.Replace([]runworks.Instance{bornAt(200)})
+		is.Equal(d.RestsFor("llm"), time.Duration(0))
+		is.Equal(taken(t, d, "next life").Instance.Born, int64(200))
+	})
+}
+
+// TestAllServersRest lets a call wait whose target lies behind the rest of all servers, and
+// tells others at once that they have no hope: those that come, those that wait as the last
+// server begins to rest, and answers that broke off.
+func TestAllServersRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(1, 1)
+		d.OnWant = func(*Loan) { t.Error("a loan is no use") }
+		go d.Run(t.Context())
+		asks := func(id string, target, patience time.Duration) *Ask {
+			a := ask(id, 0)
+			a.Target, a.Patience = time.Now().Add(target), time.Now().Add(patience)
+			return a
+		}
+		taken(t, d, "first")
+		taken(t, d, "second")
+		began := time.Now()
+		waits := acquired(d, asks("waits", time.Second, 2*time.Second))
+		patient := acquired(d, asks("patient", 4*time.Second, 8*time.Second))
+		rests(d, "s0", 3*time.Second)
+		is.Equal(len(waits), 0)
+		rests(d, "s1", 5*time.Second)
+		_, ok := <-waits
+		is.True(!ok)
+		is.True(time.Since(began) <= recheck)
+		_, err := d.Acquire(context.Background(), asks("comes", time.Second, 2*time.Second))
+		is.True(errors.Is(err, runworks.ErrShortage))
+		resumed := asks("resumed", 400*time.Millisecond, 2*time.Second)
+		resumed.Resumed = true
+		_, err = d.Acquire(context.Background(), resumed)
+		is.True(errors.Is(err, runworks.ErrShortage))
+		failed := asks("failed", 4*time.Second, 8*time.Second)
+		failed.Ran = true
+		_, err = d.Acquire(context.Background(), failed)
+		is.True(errors.Is(err, runworks.ErrNoServer))
+		is.True(time.Since(began) <= recheck)
+		d.servers["s0"].own = 0 // its call ended
+		is.Equal((<-patient).Instance.ID, "s0")
+		is.True(time.Since(began) >= 3*time.Second)
+		is.True(time.Since(began) < 4*time.Second)
+	})
+}
+
+// TestRestBesideLeftOut uses a server that is left out rather than to wait for the rest of the
+// only one that is not.
+func TestRestBesideLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(4, 4)
+		d.servers["s0"].note(time.Now(), Unreachable)
+		is.Equal(served(t, d), map[string]int{"s1": 4})
+		rests(d, "s1", time.Second)
+		is.Equal(served(t, d), map[string]int{"s0": 4})
+	})
+}
+
+// TestRestAndLimit borrows nothing for a server that wants nothing from this entry, and lends
+// what it has at hand: the other may be welcome there.
+func TestRestAndLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &Dispatcher{Hall: "a", Self: "me"}
+		d.OnWant = func(*Loan) { t.Error("a loan is no use") }
+		d.Replace(instances(8, 8))
+		for i := range 8 {
+			taken(t, d, fmt.Sprint("busy", i))
+			taken(t, d, fmt.Sprint("busy too", i))
+		}
+		d.Report("other", runworks.EntryLoad{})
+		limitOf(d, "s0", 4)
+		time.Sleep(time.Second)
+		rests(d, "s0", 2*time.Second)
+		is.True(d.Lend("s0", 1) == 1)
+		d.servers["s0"].own = 0
+		waits := acquired(d, ask("waits", 0))
+		is.Equal(len(waits), 0)
+		d.OnWant = nil
+		go d.Run(t.Context())
+		is.True(<-waits != nil)
+	})
+}
+
+// TestLongestRest asks a server again after an hour, whatever it said.
+func TestLongestRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(4)
+		rests(d, "s0", 1<<62)
+		time.Sleep(longestRest - time.Second)
+		is.Equal(served(t, d), map[string]int{})
+		time.Sleep(2 * time.Second)
+		is.Equal(served(t, d), map[string]int{"s0": 4})
+	})
+}
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -87,6 +87,7 @@
 	}
 	s.own++
 	s.limit.Spend(now)
+	s.rest.spend()
 	s.vacated = max(s.vacated-1, 0)
 	if s.leases == nil {
 		s.leases = make(map[*Lease]struct{})
@@ -114,9 +115,9 @@
 	return s.hasSlot(now, of) && s.limit.Admits(now)
 }
 
-// hasSlot says whether the server has a free slot, as far as is known.
+// hasSlot says whether the server has a free slot for this entry, as far as is known.
 func (s *server) hasSlot(now time.Time, of *service) bool {
-	return !s.Leaving && !s.moved && !now.Before(s.full) && s.load() < of.capacity(s)
+	return !s.Leaving && !s.moved && !now.Before(s.full) && s.rest.room(now) && s.load() < of.capacity(s)
 }
 
 // note records how a call ended; it gives how long the server is left out for it.
--- a/services/dispatch/words.go
+++ b/services/dispatch/words.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"github.com/runworks/runworks"
@@ -57,7 +58,7 @@
 func (l *Lease) Withdrawn() bool {
 	l.dispatcher.mu.Lock()
 	defer l.dispatcher.mu.Unlock()
-	return l.server.Leaving
+	return l.server.Leaving || l.server.rest.asked(time.Now())
 }
 
 // hearLeavingLocked takes a server's word that it will end, and says whether that is news; from
@@ -75,13 +76,84 @@
 	return true
 }
 
-// hearRestLocked takes a server's word that it wants nothing from this entry for a time.
+// hearRestLocked takes a server's word that it wants nothing from this entry for a time. The
+// others are not told: they may be welcome there.
 func (d *Dispatcher) hearRestLocked(now time.Time, s *server, lasts time.Duration) {
-	if s.rest.ask(now, lasts) && d.OnRest != nil {
+	if s.rest.ask(now, lasts, d.turnTime()) && d.OnRest != nil {
 		d.OnRest(s.Instance, s.rest.until.Sub(now))
 	}
 }
 
+// withheld says whether a server's own word keeps calls from it now.
+func (s *server) withheld(now time.Time) bool {
+	return !s.limit.Admits(now) || s.rest.asked(now)
+}
+
+// withheld says whether what all servers that calls of a service may go to say of themselves
+// tells when calls start, and not how long calls keep their slots.
+func (s *service) withheld(now time.Time) bool {
+	n := 0
+	for _, one := range s.servers {
+		if one.Leaving {
+			continue
+		}
+		if !one.limit.InForce(now) && !one.rest.asked(now) {
+			return false
+		}
+		n++
+	}
+	return n > 0
+}
+
+// withheldStart is in how many seconds a call starts here that has so many ahead, where all
+// servers have limits or rest; infinite if this entry has no part of any limit and is not
+// likely to be lent one.
+func (s *service) withheldStart(now time.Time, share float64, ahead int) float64 {
+	soonest, rate, lends := math.Inf(1), 0.0, false
+	for _, one := range s.servers {
+		if one.Leaving {
+			continue
+		}
+		soonest = min(soonest, max(one.limit.Wait(now), one.rest.wait(now)))
+		rate += one.limit.Part().PerSecond
+		lends = lends || !one.rest.asked(now)
+	}
+	if lends && s.borrowing.likely(now, ahead) {
+		return 0
+	}
+	if rate *= share; ahead == 0 || rate == 0 {
+		return soonest
+	}
+	return soonest + float64(ahead)/rate
+}
+
+// RestsFor is for how much longer all servers rest that a service's calls may go to; 0 if one
+// does not.
+func (d *Dispatcher) RestsFor(service string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.services[service]; s != nil {
+		return s.restsFor(time.Now())
+	}
+	return 0
+}
+
+func (s *service) restsFor(now time.Time) time.Duration {
+	soonest := time.Duration(0)
+	for _, one := range s.servers {
+		if one.Leaving {
+			continue
+		}
+		if !one.rest.asked(now) {
+			return 0
+		}
+		if left := one.rest.until.Sub(now); soonest == 0 || left < soonest {
+			soonest = left
+		}
+	}
+	return soonest
+}
+
 // TakeWords takes what another entry tells of the servers.
 func (d *Dispatcher) TakeWords(from string, list []runworks.ServerNotice) {
 	d.mu.Lock()
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -139,7 +139,7 @@
 	if errors.Is(err, runworks.ErrQuarantined) {
 		return runworks.NotRun(err, c.held(time.Now()))
 	}
-	return runworks.NotRun(err, retryTurnedAway)
+	return runworks.NotRun(err, c.restOr(retryTurnedAway))
 }
 
 // broken is the failure of an attempt that may have run.
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -40,6 +40,9 @@
 	// retryPart is the part of a caller's time left, as a divisor, that it waits
 	// before it comes back.
 	retryPart = 3
+	// retryRestSpread keeps those whom the rest of all servers kept out from coming back all in
+	// the moment in which it ends.
+	retryRestSpread = 500 * time.Millisecond
 	// retryTurnedAway is some times the time in which a slot becomes free.
 	retryTurnedAway = 200 * time.Millisecond
 )
@@ -290,5 +293,14 @@
 // some bursts' length, spread, and inside the part of its time that it will wait.
 func (c *call) retryAfter() time.Duration {
 	wait := retryShort + rand.N(retrySpread)
-	return min(wait, time.Until(c.deadline)/retryPart)
+	return c.restOr(min(wait, time.Until(c.deadline)/retryPart))
+}
+
+// restOr is when a caller is to come back if all servers rest, and else what is given: before
+// the first of them takes calls it would find none, and all at once would find it full.
+func (c *call) restOr(otherwise time.Duration) time.Duration {
+	if rests := c.f.Dispatcher.RestsFor(c.service); rests > 0 {
+		return rests + rand.N(retryRestSpread)
+	}
+	return otherwise
 }
--- a/services/forward/words_test.go
+++ b/services/forward/words_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -45,3 +47,50 @@
 		})
 	}
 }
+
+// resting turns a call away and asks for rest.
+var resting = reply{status: 503, notRun: true, word: runworks.ServerWord{Rest: 10 * time.Second}}
+
+// TestAllServersRest asks each server once, and then refuses calls at once, as not run; callers
+// are told when the first of them takes calls again, spread. Then they are served, and so is
+// one that comes shortly before.
+func TestAllServersRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &sender{replies: []reply{resting, resting, resting, good}}
+		f := newForwarder(t, s, io.Discard)
+		began := time.Now()
+		for range 3 {
+			_, _, err := serve(context.Background(), f, "stream")
+			failure := failureOf(is, err)
+			is.Equal(failure.Outcome, runworks.OutcomeNotRun)
+			is.True(failure.RetryAfter >= resting.word.Rest)
+			is.True(failure.RetryAfter < resting.word.Rest+time.Second)
+			is.Equal(len(s.sends), 3)
+			is.Equal(time.Since(began), time.Duration(0))
+		}
+		time.Sleep(resting.word.Rest - 2*time.Second)
+		_, _, err := serve(context.Background(), f, "stream")
+		is.NoErr(err)
+		is.True(time.Since(began) >= resting.word.Rest)
+	})
+}
+
+// TestSomeRest sends neither a repeat nor a stream that goes on to a server that asked for rest,
+// and costs callers nothing as long as another serves.
+func TestSomeRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		failed := reply{status: 500}
+		s := &sender{replies: []reply{resting, good, events, rest, failed, good, good}}
+		f := newForwarder(t, s, io.Discard)
+		for _, name := range []string{"once", "resumable", "safe", "once"} {
+			_, _, err := serve(context.Background(), f, name)
+			is.NoErr(err)
+		}
+		is.Equal(len(s.sends), 7)
+		for _, one := range s.sends[1:] {
+			is.True(one.To.ID != s.sends[0].To.ID)
+		}
+	})
+}
