--- a/services/dispatch/rest_test.go
+++ b/services/dispatch/rest_test.go
@@ -32,6 +32,7 @@
 		rests(d, "s0", 2*time.Second)
 		rests(d, "s0", time.Second) // an answer that was overtaken
 		is.Equal(asked, []time.Duration{2 * time.Second})
+		is.Equal(time.Until(d.servers["s0"].rest.until), 2*time.Second)
 		is.Equal(placed.Withdrawn(), placed.Instance.ID == "s0")
 		placed.Release(Abandoned)
 		is.Equal(served(t, d), map[string]int{"s1": 4})
