--- a/daemon/front_servers.go
+++ b/daemon/front_servers.go
@@ -121,9 +121,11 @@
 }
 
 func (d *Front) onLeaving(server runworks.Instance, from string) {
+	metrics.Count(d.metrics.ServerWords, metrics.Word("leaving"))
 	d.Logger.Info("backend server says that it leaves", "server", server.Life(), "service", server.Service, "address", server.Address, "told_by", from)
 }
 
 func (d *Front) onRest(server runworks.Instance, lasts time.Duration) {
+	metrics.Count(d.metrics.ServerWords, metrics.Word("rest"))
 	d.Logger.Warn("backend server asks for rest", "server", server.Life(), "service", server.Service, "for_ms", lasts.Milliseconds())
 }
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -52,6 +52,8 @@
 	// Quarantined counts calls that were refused as their request ended backend servers, by
 	// rank.
 	Quarantined metric.Int64Counter
+	// ServerWords counts what backend servers said of themselves, by what it was.
+	ServerWords metric.Int64Counter
 	// Keys counts claims of idempotency keys by verdict.
 	Keys metric.Int64Counter
 }
@@ -84,6 +86,7 @@
 		BadRecords:       b.counter("runworks.records_refused", "records on the store that name no backend server to use"),
 		ServerEnds:       b.counter("runworks.calls_ended_with_server", "calls whose backend server ended under them, by rank"),
 		Quarantined:      b.counter("runworks.quarantined", "calls refused as their request ended backend servers, by rank"),
+		ServerWords:      b.counter("runworks.server_words", "backend servers' words that they leave or want rest"),
 		Keys:             b.counter("runworks.keys", "claims of idempotency keys, by verdict"),
 	}
 	return s, b.err
@@ -114,6 +117,9 @@
 // Result is the label for how something ended.
 func Result(name string) attribute.KeyValue { return attribute.String("result", name) }
 
+// Word is the label for what a backend server said of itself.
+func Word(name string) attribute.KeyValue { return attribute.String("word", name) }
+
 // CountControl adds the bytes of a control connection.
 func (s *Set) CountControl(read, written int) {
 	if read > 0 {
--- a/services/dispatch/press_test.go
+++ b/services/dispatch/press_test.go
@@ -283,8 +283,12 @@
 
 // TestServerLimits presses on servers with limits in virtual time, through entries that
 // start, end, stand still and are cut off.
-func TestServerLimits(t *testing.T) {
-	datadriven.Walk(t, "testdata/limits", func(t *testing.T, path string) {
+func TestServerLimits(t *testing.T) { playPress(t, "testdata/limits") }
+
+// playPress plays the scripts of a folder.
+func playPress(t *testing.T, folder string) {
+	t.Helper()
+	datadriven.Walk(t, folder, func(t *testing.T, path string) {
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
 			p := newPress(ctx)
@@ -295,6 +299,13 @@
 	})
 }
 
+func newPress(ctx context.Context) *press {
+	return &press{
+		ctx: ctx, rng: rand.New(rand.NewPCG(1, 2)), limits: map[string]float64{}, told: map[string]time.Time{},
+		counted: map[string][]time.Time{}, first: map[string]time.Time{}, pressRests: newPressRests(),
+	}
+}
+
 // pressArgs are the arguments of a script's line.
 type pressArgs struct {
 	entries, servers, limited, seconds int
--- a/services/dispatch/rest_press_test.go
+++ b/services/dispatch/rest_press_test.go
@@ -1,15 +1,10 @@
 package dispatch
 
 import (
-	"context"
 	"fmt"
-	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/cockroachdb/datadriven"
-
 	"github.com/runworks/runworks"
 )
 
@@ -41,6 +36,10 @@
 	rested, found int
 }
 
+func newPressRests() pressRests {
+	return pressRests{lasts: map[string]time.Duration{}, askedFor: map[string][]*pressRest{}, running: map[string]int{}, began: map[string]int{}}
+}
+
 // pressRest is a rest that an entry was asked for, and the calls that it sent in it.
 type pressRest struct {
 	at   time.Time
@@ -148,24 +147,4 @@
 
 // TestServerRests presses on servers that ask for rest in virtual time, through entries that
 // start, stand still and are cut off.
-func TestServerRests(t *testing.T) {
-	datadriven.Walk(t, "testdata/rests", func(t *testing.T, path string) {
-		synctest.Test(t, func(t *testing.T) {
-			ctx, cancel := context.WithCancel(context.Background())
-			p := newPress(ctx)
-			defer p.work.Wait()
-			defer cancel()
-			datadriven.RunTest(t, path, p.step)
-		})
-	})
-}
-
-func newPress(ctx context.Context) *press {
-	return &press{
-		ctx: ctx, rng: rand.New(rand.NewPCG(1, 2)), limits: map[string]float64{}, told: map[string]time.Time{},
-		counted: map[string][]time.Time{}, first: map[string]time.Time{},
-		pressRests: pressRests{
-			lasts: map[string]time.Duration{}, askedFor: map[string][]*pressRest{}, running: map[string]int{}, began: map[string]int{},
-		},
-	}
-}
+func TestServerRests(t *testing.T) { playPress(t, "testdata/rests") }
--- /dev/null
+++ b/services/dispatch/words_told.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/runworks/runworks"
+)
+
+// TakeWords takes what another entry tells of the servers.
+func (d *Dispatcher) TakeWords(from string, list []runworks.ServerNotice) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, one := range list {
+		e := earlyWord{ServerNotice: one, from: from, told: now}
+		if s := d.servers[one.Server]; s != nil {
+			d.takeWordLocked(now, s, &e)
+			continue
+		}
+		if d.early == nil {
+			d.early = make(map[string]earlyWord)
+		}
+		if len(d.early) < maxEarly {
+			d.early[one.Server] = e
+		}
+	}
+}
+
+// earlyWord is what another entry told of a server at a time. Of a server whose record is not
+// known yet it is kept until it is: an entry that starts is greeted before it has read any.
+type earlyWord struct {
+	runworks.ServerNotice
+	from string
+	told time.Time
+}
+
+// maxEarly bounds the words that are kept for servers that are not known: all servers of the
+// largest fleet. An entry that has no more room learns them from its own answers.
+const maxEarly = 4096
+
+// takeWordLocked takes what another entry told of a server.
+func (d *Dispatcher) takeWordLocked(now time.Time, s *server, e *earlyWord) {
+	if e.Leaving {
+		d.hearLeavingLocked(s, e.from)
+	}
+	if e.Limit != nil {
+		at := e.told.Add(-time.Duration(e.LimitAgeMs) * time.Millisecond)
+		d.takeLimitLocked(now, s, e.Limit, at, e.from)
+	}
+}
+
+// takeEarlyLocked takes what was told of servers that are known now, and forgets what was told
+// of those that did not come.
+func (d *Dispatcher) takeEarlyLocked(now time.Time) {
+	for life, e := range d.early {
+		if s := d.servers[life]; s != nil {
+			d.takeWordLocked(now, s, &e)
+			delete(d.early, life)
+		} else if now.Sub(e.told) > runworks.ForgetEntryAfter {
+			delete(d.early, life)
+		}
+	}
+}
+
+// Words gives what servers say of themselves to all, for another entry, which may know nothing.
+func (d *Dispatcher) Words() []runworks.ServerNotice {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	var out []runworks.ServerNotice
+	for _, s := range d.servers {
+		one := runworks.ServerNotice{Server: s.life, Leaving: s.leaving}
+		if word, at := s.limit.Word(); word.Named {
+			one.Limit, one.LimitAgeMs = &word, now.Sub(at).Milliseconds()
+		}
+		if one.Leaving || one.Limit != nil {
+			out = append(out, one)
+		}
+	}
+	return out
+}
