What is told of a server before its record is known adds up

A later word of a limit took the place of an earlier one that the server leaves, and the other way round, as long as the server's record was not read.

--- a/services/dispatch/words_test.go
+++ b/services/dispatch/words_test.go
@@ -94,9 +94,23 @@
 		d := newDispatcher(4, 4)
 		d.TellWord = func(runworks.ServerNotice) { t.Error("told on") }
 		d.TakeWords("other", []runworks.ServerNotice{{Server: "s1", Leaving: true}, {Server: "s2", Leaving: true}})
+		limit := &runworks.RateLimit{Named: true, PerSecond: 3}
+		d.TakeWords("other", []runworks.ServerNotice{{Server: "s3", Limit: limit, LimitAgeMs: 1000}})
+		time.Sleep(time.Second)
+		d.TakeWords("other", []runworks.ServerNotice{{Server: "s3", Leaving: true}, {Server: "s2", Limit: limit}})
+		time.Sleep(runworks.ForgetEntryAfter)
 		d.Replace(instances(4, 4, 4))
 		is.Equal(served(t, d), map[string]int{"s0": 4})
 		is.Equal(len(d.Words()), 2)
+		d.Replace(instances(4, 4, 4, 4))
+		is.Equal(len(d.Words()), 3)
+		for _, one := range d.Words() {
+			is.True(one.Leaving)
+			if one.Server == "s3" {
+				is.Equal(*one.Limit, *limit)
+				is.True(one.LimitAgeMs >= 12000)
+			}
+		}
 		d.Replace(nil)
 		time.Sleep(2 * lapsedKept)
 		d.tendLapsedLocked(time.Now())
--- a/services/dispatch/words_told.go
+++ b/services/dispatch/words_told.go
@@ -20,8 +20,8 @@
 		if d.early == nil {
 			d.early = make(map[string]earlyWord)
 		}
-		if len(d.early) < maxEarly {
-			d.early[one.Server] = e
+		if older, ok := d.early[one.Server]; ok || len(d.early) < maxEarly {
+			d.early[one.Server] = e.over(&older)
 		}
 	}
 }
@@ -34,6 +34,21 @@
 	told time.Time
 }
 
+// over gives the word with what an older one tells beyond it.
+func (e earlyWord) over(older *earlyWord) earlyWord {
+	e.Leaving = e.Leaving || older.Leaving
+	if e.Limit == nil && older.Limit != nil {
+		e.Limit, e.LimitAgeMs = older.Limit, older.LimitAgeMs+e.told.Sub(older.told).Milliseconds()
+	}
+	return e
+}
+
+// expired says whether the word need not be kept any more.
+func (e *earlyWord) expired(now time.Time) bool {
+	age := now.Sub(e.told)
+	return age > lapsedKept || age > runworks.ForgetEntryAfter && !e.Leaving
+}
+
 // maxEarly bounds the words that are kept for servers that are not known: all servers of the
 // largest fleet. An entry that has no more room learns them from its own answers.
 const maxEarly = 4096
@@ -56,7 +71,7 @@
 		if s := d.servers[life]; s != nil {
 			d.takeWordLocked(now, s, &e)
 			delete(d.early, life)
-		} else if now.Sub(e.told) > runworks.ForgetEntryAfter {
+		} else if e.expired(now) {
 			delete(d.early, life)
 		}
 	}
