--- a/services/dispatch/rest_test.go
+++ b/services/dispatch/rest_test.go
@@ -88,8 +88,7 @@
 			a.Target, a.Patience = time.Now().Add(target), time.Now().Add(patience)
 			return a
 		}
-		taken(t, d, "first")
-		taken(t, d, "second")
+		running := []*Lease{taken(t, d, "first"), taken(t, d, "second")}
 		began := time.Now()
 		waits := acquired(d, asks("waits", time.Second, 2*time.Second))
 		patient := acquired(d, asks("patient", 4*time.Second, 8*time.Second))
@@ -110,7 +109,9 @@
 		_, err = d.Acquire(context.Background(), failed)
 		is.True(errors.Is(err, runworks.ErrNoServer))
 		is.True(time.Since(began) <= recheck)
-		d.servers["s0"].own = 0 // its call ended
+		for _, lease := range running {
+			lease.Release(Served)
+		}
 		is.Equal((<-patient).Instance.ID, "s0")
 		is.True(time.Since(began) >= 3*time.Second)
 		is.True(time.Since(began) < 4*time.Second)
@@ -138,16 +139,20 @@
 		d := &Dispatcher{Hall: "a", Self: "me"}
 		d.OnWant = func(*Loan) { t.Error("a loan is no use") }
 		d.Replace(instances(8, 8))
-		for i := range 8 {
-			taken(t, d, fmt.Sprint("busy", i))
-			taken(t, d, fmt.Sprint("busy too", i))
+		var running []*Lease
+		for i := range 16 {
+			running = append(running, taken(t, d, fmt.Sprint("busy", i)))
 		}
 		d.Report("other", runworks.EntryLoad{})
 		limitOf(d, "s0", 4)
 		time.Sleep(time.Second)
 		rests(d, "s0", 2*time.Second)
 		is.True(d.Lend("s0", 1) == 1)
-		d.servers["s0"].own = 0
+		for _, lease := range running {
+			if lease.Instance.ID == "s0" {
+				lease.Release(Served)
+			}
+		}
 		waits := acquired(d, ask("waits", 0))
 		is.Equal(len(waits), 0)
 		d.OnWant = nil
