A line that is written after the log's end is dropped

The process had answered all its calls; its exit code said that it crashed.

Lines after the end are dropped and counted. The test panicked before.

--- a/modules/logging/bounded.go
+++ b/modules/logging/bounded.go
@@ -18,14 +18,15 @@
 	lines   chan []byte
 	limit   *rate.Limiter
 	dropped atomic.Int64
-	done    chan struct{}
+	// quit is closed once no line is taken any more, and done once all are written.
+	quit, done chan struct{}
 }
 
 // NewBounded starts a writer of at most perSecond lines a second, and as many at
 // once.
 func NewBounded(out io.Writer, perSecond int) *Bounded {
 	b := &Bounded{
-		out: out, lines: make(chan []byte, queuedLines), done: make(chan struct{}),
+		out: out, lines: make(chan []byte, queuedLines), quit: make(chan struct{}), done: make(chan struct{}),
 		limit: rate.NewLimiter(rate.Limit(perSecond), perSecond),
 	}
 	go b.run()
@@ -34,7 +35,7 @@
 
 // Write takes one line; it never fails.
 func (b *Bounded) Write(line []byte) (int, error) {
-	if !b.limit.AllowN(time.Now(), 1) {
+	if b.closed() || !b.limit.AllowN(time.Now(), 1) {
 		b.dropped.Add(1)
 		return len(line), nil
 	}
@@ -49,16 +50,48 @@
 // Dropped gives how many lines were dropped since the start.
 func (b *Bounded) Dropped() int64 { return b.dropped.Load() }
 
-// Close writes what waits; no line may be written after it.
+// Close writes what waits. Lines that come after it are dropped: connections that end with
+// the process may still have something to tell.
 func (b *Bounded) Close() {
-	close(b.lines)
+	close(b.quit)
 	<-b.done
 }
 
+func (b *Bounded) closed() bool {
+	select {
+	case <-b.quit:
+		return true
+	default:
+		return false
+	}
+}
+
 func (b *Bounded) run() {
 	defer close(b.done)
-	for line := range b.lines {
-		// Nothing can be done about a log that can't be written.
-		_, _ = b.out.Write(line)
+	for {
+		select {
+		case line := <-b.lines:
+			b.write(line)
+		case <-b.quit:
+			b.writeRest()
+			return
+		}
 	}
 }
+
+// writeRest writes the lines that wait.
+func (b *Bounded) writeRest() {
+	for {
+		select {
+		case line := <-b.lines:
+			b.write(line)
+		default:
+			return
+		}
+	}
+}
+
+func (b *Bounded) write(line []byte) {
+	// Nothing can be done about a log that can't be written.
+	_, _ = b.out.Write(line)
+}
--- a/modules/logging/bounded_test.go
+++ b/modules/logging/bounded_test.go
@@ -42,6 +42,21 @@
 	})
 }
 
+// TestBoundedAfterClose drops and counts what is written after the end: connections that end
+// with the process may still have something to tell.
+func TestBoundedAfterClose(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	b := NewBounded(&out, 10)
+	_, _ = b.Write([]byte("x"))
+	b.Close()
+	n, err := b.Write([]byte("late"))
+	is.NoErr(err)
+	is.Equal(n, 4)
+	is.Equal(out.String(), "x")
+	is.Equal(b.Dropped(), int64(1))
+}
+
 // TestBoundedRate lets through so many lines a second.
 func TestBoundedRate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
