A caller whose call waited for all of its time is told when to come back

The time to come back was bounded by a part of the time left, which was none.

Any call that waited to its deadline was told nothing.

One whose time is over is told the time after a shortage, as others. TestWaitedToTheEnd had no Retry-After before.

--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -290,10 +290,14 @@
 }
 
 // retryAfter is when a caller is to come back that found all servers taken: after
-// some bursts' length, spread, and inside the part of its time that it will wait.
+// some bursts' length, spread, and inside the part of its time that it will wait. One whose
+// time is over comes back with another call.
 func (c *call) retryAfter() time.Duration {
 	wait := retryShort + rand.N(retrySpread)
-	return c.restOr(min(wait, time.Until(c.deadline)/retryPart))
+	if part := time.Until(c.deadline) / retryPart; part > 0 {
+		wait = min(wait, part)
+	}
+	return c.restOr(wait)
 }
 
 // restOr is when a caller is to come back if all servers rest, and else what is given: before
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -224,6 +224,31 @@
 	}
 }
 
+// TestWaitedToTheEnd tells a caller when to come back whose call waited for a server until its
+// time was over.
+func TestWaitedToTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &sender{replies: []reply{{hang: true}}}
+		f := newForwarder(t, s, io.Discard)
+		f.Dispatcher.Replace(threeServers("s")[:1])
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for range 4 { // all slots there are
+			go func() { _, _, _ = serve(ctx, f, "once") }()
+			synctest.Wait()
+		}
+		began := time.Now()
+		in := &runworks.Inbound{ID: "last", Method: http.MethodPost, Host: "h", Path: "/once/x", Target: "/once/x", Received: began, Timeout: 2 * time.Second}
+		_, err := f.Serve(context.Background(), in)
+		failure := failureOf(is, err)
+		is.True(errors.Is(err, runworks.ErrTimeLimit))
+		is.Equal(time.Since(began), 2*time.Second)
+		is.Equal(failure.Outcome, runworks.OutcomeNotRun)
+		is.True(failure.RetryAfter > 0)
+	})
+}
+
 // TestTimeLimit gives a call that hangs its answer at its route's time limit, and
 // tells the server no more time than is left.
 func TestTimeLimit(t *testing.T) {
