What is told of a server is joined and aged in one place

Telling entries and those that keep words of unknown servers each had a copy of how a newer word goes over an older one, with its age; and a limit's notice was put together twice. Both are methods of the notice now, and one function tells a word if somebody listens. Found by reading the change again; behaviour is as it was, the tests of both places are untouched.

--- a/server_word.go
+++ b/server_word.go
@@ -47,3 +47,20 @@
 	Limit      *RateLimit `json:"limit,omitempty"`
 	LimitAgeMs int64      `json:"limit_age_ms,omitempty"`
 }
+
+// Aged gives the notice as it reads a time after it was told.
+func (n ServerNotice) Aged(by time.Duration) ServerNotice {
+	if n.Limit != nil {
+		n.LimitAgeMs += by.Milliseconds()
+	}
+	return n
+}
+
+// Over gives the notice with what an older one says beyond it.
+func (n ServerNotice) Over(older ServerNotice) ServerNotice {
+	n.Leaving = n.Leaving || older.Leaving
+	if n.Limit == nil {
+		n.Limit, n.LimitAgeMs = older.Limit, older.LimitAgeMs
+	}
+	return n
+}
--- a/services/dispatch/limit.go
+++ b/services/dispatch/limit.go
@@ -43,10 +43,13 @@
 
 // tellLimitLocked tells the others the server's newest word of the requests that it takes.
 func (d *Dispatcher) tellLimitLocked(now time.Time, s *server) {
-	if d.TellWord != nil {
-		word, at := s.limit.Word()
-		d.TellWord(runworks.ServerNotice{Server: s.life, Limit: &word, LimitAgeMs: now.Sub(at).Milliseconds()})
-	}
+	d.tellWord(s.limitNotice(now))
+}
+
+// limitNotice gives the server's newest word of the requests that it takes, for the others.
+func (s *server) limitNotice(now time.Time) runworks.ServerNotice {
+	word, at := s.limit.Word()
+	return runworks.ServerNotice{Server: s.life, Limit: &word, LimitAgeMs: now.Sub(at).Milliseconds()}
 }
 
 // limitChangedLocked gives this entry its part of a limit that changed; from names the entry
--- a/services/dispatch/words.go
+++ b/services/dispatch/words.go
@@ -34,8 +34,8 @@
 	if s.ended {
 		return // a life that is over
 	}
-	if word.Leaving && d.hearLeavingLocked(s, "") && d.TellWord != nil {
-		d.TellWord(runworks.ServerNotice{Server: s.life, Leaving: true})
+	if word.Leaving && d.hearLeavingLocked(s, "") {
+		d.tellWord(runworks.ServerNotice{Server: s.life, Leaving: true})
 	}
 	if word.Rest > 0 {
 		d.hearRestLocked(now, s, word.Rest)
--- a/services/dispatch/words_told.go
+++ b/services/dispatch/words_told.go
@@ -21,7 +21,8 @@
 			d.early = make(map[string]earlyWord)
 		}
 		if older, ok := d.early[one.Server]; ok || len(d.early) < maxEarly {
-			d.early[one.Server] = e.over(&older)
+			e.ServerNotice = one.Over(older.Aged(now.Sub(older.told)))
+			d.early[one.Server] = e
 		}
 	}
 }
@@ -34,15 +35,6 @@
 	told time.Time
 }
 
-// over gives the word with what an older one tells beyond it.
-func (e earlyWord) over(older *earlyWord) earlyWord {
-	e.Leaving = e.Leaving || older.Leaving
-	if e.Limit == nil && older.Limit != nil {
-		e.Limit, e.LimitAgeMs = older.Limit, older.LimitAgeMs+e.told.Sub(older.told).Milliseconds()
-	}
-	return e
-}
-
 // expired says whether the word need not be kept any more.
 func (e *earlyWord) expired(now time.Time) bool {
 	age := now.Sub(e.told)
@@ -77,6 +69,13 @@
 	}
 }
 
+// tellWord has the others told of a server's words.
+func (d *Dispatcher) tellWord(notice runworks.ServerNotice) {
+	if d.TellWord != nil {
+		d.TellWord(notice)
+	}
+}
+
 // Words gives what servers say of themselves to all, for another entry, which may know nothing.
 func (d *Dispatcher) Words() []runworks.ServerNotice {
 	d.mu.Lock()
@@ -84,10 +83,11 @@
 	now := time.Now()
 	var out []runworks.ServerNotice
 	for _, s := range d.servers {
-		one := runworks.ServerNotice{Server: s.life, Leaving: s.leaving}
-		if word, at := s.limit.Word(); word.Named {
-			one.Limit, one.LimitAgeMs = &word, now.Sub(at).Milliseconds()
+		one := runworks.ServerNotice{Server: s.life}
+		if word, _ := s.limit.Word(); word.Named {
+			one = s.limitNotice(now)
 		}
+		one.Leaving = s.leaving
 		if one.Leaving || one.Limit != nil {
 			out = append(out, one)
 		}
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -70,8 +70,8 @@
 	missedBeats = 3
 	// SettleWait bounds how long an entry that starts waits to hear one of those that are
 	// listed: some times what a connection takes to open. What they drew of the customers'
-	// limits since the last record it learns from them alone: one that served 16 ms before
-	// it heard another let a customer through that had just drawn all of its limit there.
+	// limits since the last record it learns from them alone: one that serves before lets a
+	// customer through that has just drawn all of its limit elsewhere.
 	SettleWait = 150 * time.Millisecond
 	// firstRedial and lastRedial are the waits between attempts to reach an entry.
 	firstRedial = 100 * time.Millisecond
@@ -172,7 +172,7 @@
 	lives map[string]runworks.Incarnation
 	// wordNews is what is to be told of backend servers, by server, and tellingWords says that
 	// somebody does.
-	wordNews     map[string]*wordNews
+	wordNews     map[string]wordNews
 	tellingWords bool
 	// changes are not told yet; wake has them told at once.
 	changes []Change
--- a/services/peers/server_words.go
+++ b/services/peers/server_words.go
@@ -24,19 +24,10 @@
 	List []runworks.ServerNotice `json:"list"`
 }
 
-// wordNews is what is to be told of a backend server, and since when.
+// wordNews is what is to be told of a backend server, as of a time.
 type wordNews struct {
 	notice runworks.ServerNotice
-	since  time.Time
-}
-
-// merge adds what is newer.
-func (n *wordNews) merge(now time.Time, newer *runworks.ServerNotice) {
-	n.notice.Server = newer.Server
-	n.notice.Leaving = n.notice.Leaving || newer.Leaving
-	if newer.Limit != nil {
-		n.notice.Limit, n.notice.LimitAgeMs, n.since = newer.Limit, newer.LimitAgeMs, now
-	}
+	at     time.Time
 }
 
 // TellServerWord tells all entries that are connected at once, or a moment after the last
@@ -45,14 +36,11 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.wordNews == nil {
-		x.wordNews = make(map[string]*wordNews)
-	}
-	news := x.wordNews[notice.Server]
-	if news == nil {
-		news = &wordNews{}
-		x.wordNews[notice.Server] = news
+		x.wordNews = make(map[string]wordNews)
 	}
-	news.merge(time.Now(), &notice)
+	now := time.Now()
+	older := x.wordNews[notice.Server]
+	x.wordNews[notice.Server] = wordNews{notice: notice.Over(older.notice.Aged(now.Sub(older.at))), at: now}
 	if !x.tellingWords {
 		ctx := x.ctxLocked()
 		x.tellingWords = x.work.Go(func() {
@@ -75,10 +63,7 @@
 	defer x.mu.Unlock()
 	var out []runworks.ServerNotice
 	for _, news := range x.wordNews {
-		if news.notice.Limit != nil {
-			news.notice.LimitAgeMs += time.Since(news.since).Milliseconds()
-		}
-		out = append(out, news.notice)
+		out = append(out, news.notice.Aged(time.Since(news.at)))
 	}
 	slices.SortFunc(out, func(a, b runworks.ServerNotice) int { return strings.Compare(a.Server, b.Server) })
 	x.wordNews = nil
