When callers come back stands in a file of its own, with one spread for limits and rests

The spreads for those whom a limit refused and whom a rest kept out were two constants of one value and one reason.

--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -21,32 +21,6 @@
 	"github.com/runworks/runworks/services/route"
 )
 
-// When callers are told to come back.
-const (
-	// retryNotReady is about the time that an entry needs to read its state.
-	retryNotReady = time.Second
-	// retryNotReadySpread keeps those who came too early from coming back all at once: a
-	// start of all entries beside a store that refused it sent back 1,438 in two seconds.
-	retryNotReadySpread = 300 * time.Millisecond
-	// retryLimitSpread keeps those whom a limit refused from coming back all in the moment in
-	// which it opens: what was drawn in a burst leaves the window at once, and 161 calls came
-	// to 28 entries within 50 ms of it, which is what they need to hear of each other. They
-	// let 492,000 tokens through where 250,000 were left. Ten times that.
-	retryLimitSpread = 500 * time.Millisecond
-	// retryShort and retrySpread bound the wait after a shortage: a burst lasts a
-	// few seconds, and those who come back must not make the next one.
-	retryShort  = 1500 * time.Millisecond
-	retrySpread = 2500 * time.Millisecond
-	// retryPart is the part of a caller's time left, as a divisor, that it waits
-	// before it comes back.
-	retryPart = 3
-	// retryRestSpread keeps those whom the rest of all servers kept out from coming back all in
-	// the moment in which it ends.
-	retryRestSpread = 500 * time.Millisecond
-	// retryTurnedAway is some times the time in which a slot becomes free.
-	retryTurnedAway = 200 * time.Millisecond
-)
-
 const (
 	// defaultTimeout bounds a call whose caller and route name no time.
 	defaultTimeout = 30 * time.Second
@@ -221,7 +195,7 @@
 		return runworks.NotRun(errorx.Decorate(runworks.ErrNotReady, "what the customer drew before the start is not known yet"), v.Wait+rand.N(retryNotReadySpread))
 	case v.Wait > 0:
 		return runworks.NotRun(errorx.Decorate(runworks.ErrLimit, "%.0f tokens asked, %.0f used, %.0f held and %.0f assumed of %.0f, %d other entries counted",
-			tokens, v.Used, v.Held, v.Assumed, v.Allowed, v.Heard), v.Wait+rand.N(retryLimitSpread))
+			tokens, v.Used, v.Held, v.Assumed, v.Allowed, v.Heard), v.Wait+rand.N(retryOpenSpread))
 	}
 	c.verdict = v
 	return nil
@@ -288,23 +262,3 @@
 	}
 	return nil, runworks.NotRun(err, c.retryAfter())
 }
-
-// retryAfter is when a caller is to come back that found all servers taken: after
-// some bursts' length, spread, and inside the part of its time that it will wait. One whose
-// time is over comes back with another call.
-func (c *call) retryAfter() time.Duration {
-	wait := retryShort + rand.N(retrySpread)
-	if part := time.Until(c.deadline) / retryPart; part > 0 {
-		wait = min(wait, part)
-	}
-	return c.restOr(wait)
-}
-
-// restOr is when a caller is to come back if all servers rest, and else what is given: before
-// the first of them takes calls it would find none, and all at once would find it full.
-func (c *call) restOr(otherwise time.Duration) time.Duration {
-	if rests := c.f.Dispatcher.RestsFor(c.service); rests > 0 {
-		return rests + rand.N(retryRestSpread)
-	}
-	return otherwise
-}
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -444,8 +444,8 @@
 			_, err := f.Serve(context.Background(), &again)
 			is.True(errors.Is(err, runworks.ErrLimit))
 			late := failureOf(is, err).RetryAfter - opens
-			is.True(late >= 0 && late < retryLimitSpread)
-			parts[late*time.Duration(len(parts))/retryLimitSpread]++
+			is.True(late >= 0 && late < retryOpenSpread)
+			parts[late*time.Duration(len(parts))/retryOpenSpread]++
 		}
 		for _, n := range parts {
 			is.True(n < calls/2)
--- a/services/forward/words_test.go
+++ b/services/forward/words_test.go
@@ -76,6 +76,29 @@
 	})
 }
 
+// TestReturnAfterARestIsSpread tells those whom the rest of all servers kept out to come back
+// after it ends, and not all in the same moment.
+func TestReturnAfterARestIsSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newForwarder(t, &sender{replies: []reply{resting}}, io.Discard)
+		_, _, err := serve(context.Background(), f, "stream")
+		is.True(errors.Is(err, runworks.ErrTurnedAway))
+		ends := f.Dispatcher.RestsFor("app")
+		const calls = 100
+		parts := [5]int{}
+		for range calls {
+			_, _, err := serve(context.Background(), f, "stream")
+			late := failureOf(is, err).RetryAfter - ends
+			is.True(late >= 0 && late < retryOpenSpread)
+			parts[late*time.Duration(len(parts))/retryOpenSpread]++
+		}
+		for _, n := range parts {
+			is.True(n < calls/2)
+		}
+	})
+}
+
 // TestSomeRest sends neither a repeat nor a stream that goes on to a server that asked for rest,
 // and costs callers nothing as long as another serves.
 func TestSomeRest(t *testing.T) {
