--- a/services/dispatch/borrow.go
+++ b/services/dispatch/borrow.go
@@ -22,9 +22,7 @@
 
 // Loan is what an entry asks another for: requests to a server that the other has at hand of
 // its part of the server's limit, and no use for now. Without it calls that come to an entry
-// with no part are refused while others have some: of a few calls to 28 entries 0.40 were
-// served in place of 0.88, and 0.84 in place of 0.98 where five entries have as many as their
-// three servers take (in virtual time, the scripts of testdata/limits).
+// with no part are refused while others have some.
 type Loan struct {
 	// Server is Instance.Life.
 	Server string
--- a/services/dispatch/rest.go
+++ b/services/dispatch/rest.go
@@ -10,8 +10,8 @@
 	// together are turned away some milliseconds apart.
 	restNews = 500 * time.Millisecond
 	// restStep is the time in which what an entry may send after a rest doubles, from one call
-	// on: in it a server that still has no room says so, and the other entries hear of the
-	// calls. Without it a server that rests on gets three times as many calls in between.
+	// on: in it a server that still has no room says so, before it gets all that its slots
+	// would hold, and the other entries hear of the calls.
 	restStep = 100 * time.Millisecond
 	// restSteps is after how many of them an entry may send all that the slots hold.
 	restSteps = 8
--- a/services/dispatch/rest_test.go
+++ b/services/dispatch/rest_test.go
@@ -55,6 +55,25 @@
 	})
 }
 
+// TestRestIsToldOnce tells of a rest as it begins and as it becomes much longer: calls that were
+// sent together are turned away one after the other.
+func TestRestIsToldOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(4)
+		var told []time.Duration
+		d.OnRest = func(_ runworks.Instance, lasts time.Duration) { told = append(told, lasts) }
+		for range 5 {
+			rests(d, "s0", 2*time.Second)
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.Equal(told, []time.Duration{2 * time.Second})
+		is.Equal(d.RestsFor("llm"), 1990*time.Millisecond) // the last word holds
+		rests(d, "s0", 3*time.Second)
+		is.Equal(told[1:], []time.Duration{3 * time.Second})
+	})
+}
+
 // TestRestIsOfOneLife keeps a rest over a lapse of the server's record, and forgets it with
 // the life that asked for it.
 func TestRestIsOfOneLife(t *testing.T) {
--- a/tests/soak_server_limit_test.go
+++ b/tests/soak_server_limit_test.go
@@ -112,17 +112,25 @@
 	}
 }
 
+// arrivals gives the calls that came to a server's life; ok is false if that is not known.
+func (s *soak) arrivals(life *soakLife) (list []standin.RoutedArrival, ok bool) {
+	if life.ended() {
+		s.t.Logf("%s was killed, and what it got is not known", life.id)
+		return nil, false
+	}
+	if !getJSON("http://"+life.address("standin")+"/arrivals", &list) {
+		s.t.Errorf("%s does not tell its arrivals", life.id)
+		return nil, false
+	}
+	return list, true
+}
+
 // checkServerLimits checks that servers got no more than the users' rule allows while they
 // named limits.
 func (s *soak) checkServerLimits() {
 	for _, limit := range s.limits {
-		if limit.life.ended() {
-			s.t.Logf("%s was killed, and what it got is not known", limit.life.id)
-			continue
-		}
-		var all []standin.RoutedArrival
-		if !getJSON("http://"+limit.life.address("standin")+"/arrivals", &all) {
-			s.t.Errorf("%s does not tell its arrivals", limit.life.id)
+		all, ok := s.arrivals(limit.life)
+		if !ok {
 			continue
 		}
 		var arrivals []time.Time
--- a/tests/soak_words_test.go
+++ b/tests/soak_words_test.go
@@ -75,13 +75,8 @@
 	}
 	for _, server := range s.servers {
 		for _, life := range server.lives {
-			if life.ended() {
-				s.t.Logf("%s was killed, and what it got is not known", life.id)
-				continue
-			}
-			var arrivals []standin.RoutedArrival
-			if !getJSON("http://"+life.address("standin")+"/arrivals", &arrivals) {
-				s.t.Errorf("%s does not tell its arrivals", life.id)
+			arrivals, ok := s.arrivals(life)
+			if !ok {
 				continue
 			}
 			arrivals = slices.DeleteFunc(arrivals, func(one standin.RoutedArrival) bool { return one.Misdirected })
