A front tells that the store came back from an older copy

The logs of the users' record show offsets that go back, and can't tell which of the store's numberings an offset belongs to. The stand-in store can return to an earlier copy. No decision changes.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -170,7 +170,7 @@
 		Sender: &platform.Sender{Pool: d.pool},
 	}
 	d.front = &platform.Front{Forwarder: d.forwarder, Logger: d.Logger, MaxBodyBytes: s.MaxBodyBytes}
-	d.store = &platform.Store{Address: s.Store, Client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}}}
+	d.store = &platform.Store{Address: s.Store, Client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}}, OnReturn: d.onReturn}
 	d.exchange = &peers.Exchange{
 		Self: self,
 		Dial: dial, Keys: rpc.FleetKeys(s.FleetKeys), Logger: d.Logger,
--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/metrics"
 	"github.com/runworks/runworks/platform"
 	"github.com/runworks/runworks/services/dispatch"
 	"github.com/runworks/runworks/services/peers"
@@ -153,6 +154,12 @@
 	}
 }
 
+// onReturn notes that the store came back from an older copy.
+func (d *Front) onReturn(era int64) {
+	metrics.Count(d.metrics.StoreReturns)
+	d.Logger.Warn("the store came back from an older copy", "era", era)
+}
+
 func (d *Front) beat() peers.Beat {
 	b := peers.Beat{Load: d.dispatcher.Own(), Positions: map[peers.Subject]int64{}}
 	for subject, w := range d.watches {
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -54,6 +54,8 @@
 	Quarantined metric.Int64Counter
 	// ServerWords counts what backend servers said of themselves, by what it was.
 	ServerWords metric.Int64Counter
+	// StoreReturns counts how often the store came back from an older copy.
+	StoreReturns metric.Int64Counter
 	// Keys counts claims of idempotency keys by verdict.
 	Keys metric.Int64Counter
 }
@@ -87,6 +89,7 @@
 		ServerEnds:       b.counter("runworks.calls_ended_with_server", "calls whose backend server ended under them, by rank"),
 		Quarantined:      b.counter("runworks.quarantined", "calls refused as their request ended backend servers, by rank"),
 		ServerWords:      b.counter("runworks.server_words", "backend servers' words that they leave or want rest"),
+		StoreReturns:     b.counter("runworks.store_returns", "returns of the store from an older copy"),
 		Keys:             b.counter("runworks.keys", "claims of idempotency keys, by verdict"),
 	}
 	return s, b.err
--- a/standin/store.go
+++ b/standin/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/runworks/runworks/modules/notify"
@@ -29,6 +31,9 @@
 	silences int
 	changed  notify.Change
 	calls    map[string]int
+	// returns is how often the store came back from a copy, and copied the copy.
+	returns int64
+	copied  map[string]*topic
 }
 
 type topic struct {
@@ -78,6 +83,34 @@
 	s.changed.Signal()
 }
 
+// Copy keeps a copy of all topics as they stand.
+func (s *Store) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied = cloneTopics(s.topics)
+}
+
+// Return goes back to the last copy: what was written since is gone, and its offsets are given
+// out again. Without a copy the store is empty.
+func (s *Store) Return() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics = cloneTopics(s.copied)
+	s.returns++
+	s.changed.Signal()
+}
+
+// eraLocked numbers the times between two returns.
+func (s *Store) eraLocked() int64 { return s.returns + 1 }
+
+func cloneTopics(all map[string]*topic) map[string]*topic {
+	out := make(map[string]*topic, len(all))
+	for name, t := range all {
+		out[name] = &topic{first: t.first, records: slices.Clone(t.records), newest: maps.Clone(t.newest)}
+	}
+	return out
+}
+
 func (s *Store) topic(name string) *topic {
 	if s.topics == nil {
 		s.topics = make(map[string]*topic)
@@ -113,10 +146,10 @@
 
 // page gives the records from an offset on, in the form of a read.
 func (t *topic) page(from int64) (page []byte, gone bool) {
-	if from < t.first {
+	end := t.first + int64(len(t.records))
+	if from < t.first || from > end {
 		return nil, true
 	}
-	end := t.first + int64(len(t.records))
 	page = binary.BigEndian.AppendUint64(nil, uint64(end))
 	page = binary.BigEndian.AppendUint64(page, uint64(t.first))
 	for i := from - t.first; i < int64(len(t.records)); i++ {
--- a/standin/store_serve.go
+++ b/standin/store_serve.go
@@ -11,7 +11,11 @@
 	"time"
 )
 
-// Handler serves the store's protocol, and its faults at POST /control.
+// storeEra is the header that numbers the times between two returns of the store.
+const storeEra = "Store-Era"
+
+// Handler serves the store's protocol, its faults at POST /control, and its return to an older
+// copy at POST /copy and POST /return.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/log-append", s.serveAppend)
@@ -19,6 +23,8 @@
 	mux.HandleFunc("GET /-/log-newest", s.serveNewest)
 	mux.HandleFunc("POST /control", s.serveControl)
 	mux.HandleFunc("POST /put", s.servePut)
+	mux.HandleFunc("POST /copy", func(http.ResponseWriter, *http.Request) { s.Copy() })
+	mux.HandleFunc("POST /return", func(http.ResponseWriter, *http.Request) { s.Return() })
 	return mux
 }
 
@@ -31,6 +37,7 @@
 	}
 	s.calls[r.URL.Path]++
 	faults := s.faults
+	s.stampLocked(w)
 	s.mu.Unlock()
 	switch {
 	case faults.Silent:
@@ -45,6 +52,11 @@
 	return true
 }
 
+// stampLocked names the era that an answer is of.
+func (s *Store) stampLocked(w http.ResponseWriter) {
+	w.Header().Set(storeEra, strconv.FormatInt(s.eraLocked(), 10))
+}
+
 func (s *Store) serveControl(w http.ResponseWriter, r *http.Request) {
 	var f StoreFaults
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
@@ -74,6 +86,7 @@
 		return
 	}
 	s.mu.Lock()
+	s.stampLocked(w)
 	offset := int64(-1)
 	for _, one := range records {
 		next := s.appendLocked(r.URL.Query().Get("topic"), one)
@@ -133,6 +146,7 @@
 		}
 		t := s.topic(query.Get("topic"))
 		page, gone := t.page(from)
+		s.stampLocked(w)
 		changed := s.changed.Wait()
 		s.mu.Unlock()
 		if gone {
@@ -178,6 +192,7 @@
 	}
 	after := r.URL.Query().Get("afterRev")
 	s.mu.Lock()
+	s.stampLocked(w)
 	t := s.topic(r.URL.Query().Get("topic"))
 	out := newestPage{Items: []newestItem{}, End: t.first + int64(len(t.records))}
 	for key, one := range t.newest {
