Failing test: changes are not in force after the store came back from an older copy

Callers are handled by an older document for as long as the store's new numbering of records stays below the old one: four fronts of four lack version 5 three seconds after its ack.

--- /dev/null
+++ b/tests/platform_return_test.go
@@ -0,0 +1,153 @@
+package tests
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/runworks/runworks/standin"
+)
+
+// returnBound is within which time of its ack a change is in force.
+const returnBound = 3 * time.Second
+
+// TestPlatformChangesAfterStoreReturns puts each change in force in time at all fronts after
+// the store came back from an older copy, and nothing older in the place of what was.
+func TestPlatformChangesAfterStoreReturns(t *testing.T) {
+	var p *returnSite
+	datadriven.RunTest(t, "testdata/platform/store_returns", func(t *testing.T, d *datadriven.TestData) string {
+		a := scanScript(t, d)
+		if d.Cmd == "site" {
+			p = newReturnSite(t, a.servers)
+		}
+		switch d.Cmd {
+		case "site", "start", "kill":
+			return p.stepFronts(d.Cmd, a.fronts)
+		case "document":
+			p.putVersion(a.count)
+			return "taken\n"
+		case "copy":
+			p.post("http://"+p.store.address("standin")+"/copy", nil)
+			return "copied\n"
+		case "away":
+			p.setFaults(p.store, standin.StoreFaults{Down: d.HasArg("down"), Silent: d.HasArg("silent")})
+			p.wait(a.lasts)
+			return "away\n"
+		case "return":
+			p.post("http://"+p.store.address("standin")+"/return", nil)
+			p.setFaults(p.store, standin.StoreFaults{})
+			return "back\n"
+		case "record":
+			for _, name := range a.servers {
+				p.listServer(name, d.CmdArgs[len(d.CmdArgs)-1].Key)
+			}
+			return "taken\n"
+		case "drop":
+			for _, name := range a.servers {
+				p.put("keyed.servers", name, nil)
+			}
+			return "taken\n"
+		case "wait":
+			p.wait(a.lasts)
+			return "waited\n"
+		case "in-force":
+			return p.inForce(a.fronts, a.count)
+		case "used":
+			return p.used(a.fronts, a.servers, a.target)
+		}
+		t.Fatalf("no command %s", d.Cmd)
+		return ""
+	})
+}
+
+// returnSite is a site whose store can come back from an older copy.
+type returnSite struct {
+	*platformSite
+	calls int
+}
+
+func newReturnSite(t *testing.T, servers []string) *returnSite {
+	t.Helper()
+	p := &returnSite{platformSite: newBarePlatformSite(t)}
+	p.putVersion(1)
+	for _, name := range servers {
+		p.addServer(name)
+	}
+	return p
+}
+
+// putVersion puts a version of the document on the store, which holds one key of its own.
+func (p *returnSite) putVersion(version int) {
+	p.t.Helper()
+	keys := fmt.Sprintf(`"yard-key", "key-of-%d"`, version)
+	p.put("keyed.op", "config", []byte(strings.ReplaceAll(fmt.Sprintf(platformDocument, version), `"yard-key"`, keys)))
+}
+
+// wait lets the system run.
+func (p *returnSite) wait(lasts time.Duration) {
+	timer := time.NewTimer(lasts)
+	defer timer.Stop()
+	<-timer.C
+}
+
+// inForce says whether each front accepts the key of a version within the bound, and no
+// longer that of the version before.
+func (p *returnSite) inForce(fronts []string, version int) string {
+	p.t.Helper()
+	deadline := time.Now().Add(returnBound)
+	var out strings.Builder
+	for _, front := range fronts {
+		now := false
+		for !now && time.Now().Before(deadline) {
+			now = p.status(front, fmt.Sprint("key-of-", version)) == http.StatusOK && p.status(front, fmt.Sprint("key-of-", version-1)) == http.StatusUnauthorized
+		}
+		if !now {
+			fmt.Fprintf(&out, "not at %s\n", front)
+		}
+	}
+	if out.Len() == 0 {
+		return "in force\n"
+	}
+	return out.String()
+}
+
+// status sends a call with a key and gives its answer's status.
+func (p *returnSite) status(front, key string) int {
+	p.t.Helper()
+	p.calls++
+	res, _, err := p.do(front, platformCall{id: fmt.Sprint("return-", p.calls), method: http.MethodGet, target: "/safe/1", key: key})
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return res.StatusCode
+}
+
+// usedCalls is how many calls a look at who is used makes at each front: many times the servers.
+const usedCalls = 24
+
+// used says which of the servers get calls from the fronts.
+func (p *returnSite) used(fronts, servers []string, target string) string {
+	p.t.Helper()
+	before := map[string]int{}
+	for _, name := range servers {
+		before[name] = len(p.platformSite.calls(name))
+	}
+	for _, front := range fronts {
+		for range usedCalls {
+			p.calls++
+			c := platformCall{id: fmt.Sprint("return-", p.calls), method: http.MethodGet, target: target, key: "yard-key"}
+			if _, _, err := p.do(front, c); err != nil {
+				p.t.Fatal(err)
+			}
+		}
+	}
+	var out strings.Builder
+	for _, name := range servers {
+		fmt.Fprintf(&out, "%s=%t ", name, len(p.platformSite.calls(name)) > before[name])
+	}
+	return strings.TrimSpace(out.String()) + "\n"
+}
