Positions on the store carry its era, and are never compared across a return

What callers saw: after the store came back from an older copy they were handled by an older document for many seconds, with routes and keys that had been taken away.

Cause: an offset was taken to mean the same before and after the return.

Ruled out by the record's lines: fronts that read for all and did not find the store again, a change that the store lost, changes that were told and dropped.

A position of a later era is further on, whatever its offset. An answer of another era than the position that was read from gives the whole state anew; one whose pages are of two eras gives none. Each answer of the store tells its era, so any call finds the return out, and has the topics read at once.

Fronts of the last version tell offsets alone: these are not taken for positions, and such fronts count as none that read the store for others. They are told offsets beside positions, in JSON, as frames have a new form.

--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -23,9 +23,10 @@
 
 // watch builds what keeps this front's knowledge up to date.
 func (d *Front) watch() {
-	routing := &platform.Watch{Topic: platform.TopicOperators, OnState: d.onRouting, OnChange: d.onRouting}
+	routing := &platform.Watch{Topic: platform.TopicOperators, OnChange: d.onRouting}
+	routing.OnState = func(records []platform.Record, _ bool) { d.onRouting(records) }
 	servers := &platform.Watch{Topic: platform.TopicServers}
-	servers.OnState = func(records []platform.Record) { d.onServers(records, d.servers.Reset) }
+	servers.OnState = func(records []platform.Record, _ bool) { d.onServers(records, d.servers.Reset) }
 	servers.OnChange = func(records []platform.Record) { d.onServers(records, d.servers.Apply) }
 	d.watches = map[peers.Subject]*platform.Watch{peers.SubjectRouting: routing, peers.SubjectServers: servers}
 	d.asking = map[peers.Subject]*atomic.Bool{}
@@ -36,7 +37,7 @@
 		w.Fronts = func() int { return min(d.exchange.Live()+1, peers.Readers) }
 		w.Listeners = d.exchange.Live
 		w.Reads = d.exchange.Reads
-		w.OnRead = func(from int64, page *platform.Page) { d.tell(subject, from, page) }
+		w.OnRead = func(from runworks.Position, page *platform.Page) { d.tell(subject, from, page) }
 	}
 	d.members = &platform.Members{Store: d.store, Self: d.exchange.Self, Logger: d.Logger, OnMembers: d.onMembers}
 	d.members.Fronts = func() int { return d.exchange.Live() + 1 }
@@ -63,13 +64,17 @@
 	}
 	w := d.watches[subject]
 	if w == nil {
-		return nil, errorx.IllegalArgument.New("nothing is known of %s", subject)
+		return nil, errorx.IllegalArgument.New("%s is not followed", subject)
 	}
-	return w.Snapshot(), nil
+	s := w.Snapshot()
+	if s == nil {
+		return nil, errorx.Decorate(runworks.ErrNotReady, "nothing is known of %s", subject)
+	}
+	return s, nil
 }
 
 // tell tells the other fronts what this one read from the store.
-func (d *Front) tell(subject peers.Subject, from int64, page *platform.Page) {
+func (d *Front) tell(subject peers.Subject, from runworks.Position, page *platform.Page) {
 	size := 0
 	for _, r := range page.Records {
 		size += len(r.Key) + len(r.Value)
@@ -83,15 +88,15 @@
 // told takes what another front read from the store.
 func (d *Front) told(from string, c *peers.Change) {
 	if w := d.watches[c.Subject]; w != nil && w.Told(c.From, c.Next, c.Records) {
-		d.Logger.Info("changes told by another front", "name", from, "subject", c.Subject, "from_offset", c.From, "offset", c.Next, "records", len(c.Records))
+		d.Logger.Info("changes told by another front", "name", from, "subject", c.Subject, "era", c.Next.Era, "from_offset", c.From.Offset, "offset", c.Next.Offset, "records", len(c.Records))
 	}
 }
 
 // catchUp learns what another front knows already: from the store, or from that
 // front while the store can't be read.
-func (d *Front) catchUp(from string, subject peers.Subject, position int64) {
+func (d *Front) catchUp(from string, subject peers.Subject, position runworks.Position) {
 	w := d.watches[subject]
-	if w == nil || position <= w.Position() {
+	if w == nil || !position.After(w.Position()) {
 		return
 	}
 	if !w.Lost() {
@@ -126,7 +131,7 @@
 func (d *Front) learn(from string, subject peers.Subject, w *platform.Watch) {
 	var s platform.Snapshot
 	if d.askState(from, subject, &s) && w.Take(&s) {
-		d.Logger.Info("learned from another front", "name", from, "subject", subject, "offset", s.Offset)
+		d.Logger.Info("learned from another front", "name", from, "subject", subject, "era", s.Era, "offset", s.Offset)
 	}
 }
 
@@ -154,14 +159,17 @@
 	}
 }
 
-// onReturn notes that the store came back from an older copy.
+// onReturn reads the topics anew that the platform writes.
 func (d *Front) onReturn(era int64) {
 	metrics.Count(d.metrics.StoreReturns)
 	d.Logger.Warn("the store came back from an older copy", "era", era)
+	for _, w := range d.watches {
+		w.Returned(era)
+	}
 }
 
 func (d *Front) beat() peers.Beat {
-	b := peers.Beat{Load: d.dispatcher.Own(), Positions: map[peers.Subject]int64{}}
+	b := peers.Beat{Load: d.dispatcher.Own(), Positions: map[peers.Subject]runworks.Position{}}
 	for subject, w := range d.watches {
 		b.Positions[subject] = w.Position()
 		b.StoreLost = b.StoreLost || w.Lost()
--- a/modules/rpc/frames.go
+++ b/modules/rpc/frames.go
@@ -20,7 +20,7 @@
 
 const (
 	// framesForm is the form of frames that this version writes and reads.
-	framesForm = "1"
+	framesForm = "2"
 	// frameMark begins a frame; no JSON text begins with it.
 	frameMark = 0
 	// maxMessage bounds what a peer may have this process hold for one message, in
--- a/services/peers/frame.go
+++ b/services/peers/frame.go
@@ -26,7 +26,7 @@
 	First          int
 	Names          []string
 	RoutingVersion int64
-	Positions      []frameCount
+	Positions      []framePosition
 	Running        []frameCount
 	Failed         []frameCount
 	Reading        []frameCount
@@ -37,10 +37,19 @@
 	Changes        []frameChange
 }
 
+// framePosition is the position in a subject.
+type framePosition struct {
+	_       struct{} `cbor:",toarray"`
+	Subject int
+	Era     int64
+	Offset  int64
+}
+
 // frameChange is a Change.
 type frameChange struct {
 	_       struct{} `cbor:",toarray"`
 	Subject int
+	Era     int64
 	From    int64
 	Next    int64
 	Records []frameRecord
@@ -53,7 +62,7 @@
 	Value []byte
 }
 
-// frameCount is a count or position of what a name stands for.
+// frameCount is a count of what a name stands for.
 type frameCount struct {
 	_    struct{} `cbor:",toarray"`
 	Name int
@@ -121,10 +130,10 @@
 		e.numbers, e.names, e.told = make(map[string]int), nil, 0
 	}
 	f := &frame{First: e.told, RoutingVersion: b.RoutingVersion, StoreLost: b.StoreLost, Changes: e.changes(b.Changes)}
-	for subject, n := range b.Positions {
-		f.Positions = append(f.Positions, frameCount{Name: e.number(string(subject)), N: n})
+	for subject, p := range b.Positions {
+		f.Positions = append(f.Positions, framePosition{Subject: e.number(string(subject)), Era: p.Era, Offset: p.Offset})
 	}
-	slices.SortFunc(f.Positions, byName)
+	slices.SortFunc(f.Positions, func(a, b framePosition) int { return a.Subject - b.Subject })
 	e.load(f, &b.Load)
 	f.Limits = frameLimits{Version: b.Limits.Version, Records: b.Limits.Records, Complete: b.Limits.Complete, Customers: e.uses(b.Limits.Customers)}
 	f.Names = e.names[e.told:]
@@ -158,7 +167,7 @@
 func (e *encoder) changes(list []Change) []frameChange {
 	var out []frameChange
 	for _, c := range list {
-		one := frameChange{Subject: e.number(string(c.Subject)), From: c.From, Next: c.Next}
+		one := frameChange{Subject: e.number(string(c.Subject)), Era: c.From.Era, From: c.From.Offset, Next: c.Next.Offset}
 		for _, r := range c.Records {
 			one.Records = append(one.Records, frameRecord{Key: r.Key, Value: r.Value})
 		}
@@ -217,9 +226,9 @@
 // beat gives the numbers of a frame their names back.
 func (c *decoder) beat(f *frame) (*Beat, error) {
 	r := &namer{names: c.names}
-	b := &Beat{From: c.from, RoutingVersion: f.RoutingVersion, StoreLost: f.StoreLost, Changes: r.changes(f.Changes), Positions: make(map[Subject]int64, len(f.Positions))}
+	b := &Beat{From: c.from, RoutingVersion: f.RoutingVersion, StoreLost: f.StoreLost, Changes: r.changes(f.Changes), Positions: make(map[Subject]runworks.Position, len(f.Positions))}
 	for _, p := range f.Positions {
-		b.Positions[Subject(r.name(p.Name))] = p.N
+		b.Positions[Subject(r.name(p.Subject))] = runworks.Position{Era: p.Era, Offset: p.Offset}
 	}
 	r.load(&b.Load, f)
 	b.Limits = runworks.LimitUse{Version: f.Limits.Version, Records: f.Limits.Records, Complete: f.Limits.Complete}
@@ -262,7 +271,7 @@
 func (r *namer) changes(list []frameChange) []Change {
 	var out []Change
 	for _, c := range list {
-		one := Change{Subject: Subject(r.name(c.Subject)), From: c.From, Next: c.Next}
+		one := Change{Subject: Subject(r.name(c.Subject)), From: runworks.Position{Era: c.Era, Offset: c.From}, Next: runworks.Position{Era: c.Era, Offset: c.Next}}
 		for _, record := range c.Records {
 			one.Records = append(one.Records, runworks.Record{Key: record.Key, Value: record.Value})
 		}
--- a/services/peers/frame_test.go
+++ b/services/peers/frame_test.go
@@ -25,7 +25,7 @@
 	b.Load.Reading = map[string]int{"i-reading": 5000}
 	b.Load.LeftOut = []string{"i-left-out", "i-failed"}
 	b.StoreLost = true
-	b.Changes = []Change{{Subject: SubjectServers, From: 3, Next: 5, Records: []runworks.Record{{Key: "i-new", Value: []byte("{}")}, {Key: "i-gone", Value: []byte{}}}}}
+	b.Changes = []Change{{Subject: SubjectServers, From: runworks.Position{Era: 2, Offset: 3}, Next: runworks.Position{Era: 2, Offset: 5}, Records: []runworks.Record{{Key: "i-new", Value: []byte("{}")}, {Key: "i-gone", Value: []byte{}}}}}
 	b.Limits.Records, b.Limits.Complete = 4, true
 	b.Limits.Customers["fraction"] = runworks.CustomerUse{Drawn: 0.25, Used: 1e9, Held: -1}
 	return b
--- a/services/peers/hear.go
+++ b/services/peers/hear.go
@@ -102,7 +102,7 @@
 	if replaced {
 		delete(x.heard, old)
 	}
-	x.heard[b.From.Incarnation] = &life{name: b.From.Name, hall: b.From.Hall, last: now, storeLost: b.StoreLost}
+	x.heard[b.From.Incarnation] = &life{name: b.From.Name, hall: b.From.Hall, last: now, storeLost: b.StoreLost, noEras: b.noEras()}
 	// A new life may have another address than the list of entries holds.
 	opened := x.linkLocked(b.From)
 	if l := x.links[b.From.Name]; l != nil && !opened && known == nil {
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -97,6 +97,7 @@
 	defer x.telling.Unlock()
 	b := x.Beat()
 	b.From, b.Limits = x.Self, x.Limits()
+	b.tellOffsets()
 	b.Names = x.encoder.names[:x.encoder.told]
 	if x.Suspects != nil {
 		b.Suspects = x.Suspects()
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -100,7 +100,10 @@
 	// RoutingVersion is the version of the routing in force there.
 	RoutingVersion int64 `json:"routing_version,omitempty"`
 	// Positions tell how far the entry has followed each subject.
-	Positions map[Subject]int64 `json:"positions,omitempty"`
+	Positions map[Subject]runworks.Position `json:"topic_positions,omitempty"`
+	// Offsets are Positions without their eras, for versions that know of none. They are only
+	// written: without its era an offset can't be compared.
+	Offsets map[Subject]int64 `json:"positions,omitempty"`
 	// StoreLost says that the entry could not read the store of late.
 	StoreLost bool `json:"store_lost,omitempty"`
 	// Changes are what the entry read from the store since its last heartbeat; only frames
@@ -186,6 +189,9 @@
 	last time.Time
 	// storeLost is its word that it could not read the store of late.
 	storeLost bool
+	// noEras says that it is of a version that tells offsets without their eras: what it reads
+	// of the store is of no use here.
+	noEras bool
 }
 
 // Run sends heartbeats until ctx ends.
--- a/services/peers/readers.go
+++ b/services/peers/readers.go
@@ -15,8 +15,8 @@
 // Change is what an entry read of a subject on the store, for those that do not read it.
 type Change struct {
 	Subject Subject
-	// From is the position before the change, and Next the one behind it.
-	From, Next int64
+	// From is the position before the change, and Next the one behind it, of the same era.
+	From, Next runworks.Position
 	Records    []runworks.Record
 }
 
@@ -63,7 +63,7 @@
 	own := xxhash.Sum64String(x.Self.Name)
 	fresh := x.freshLocked()
 	for _, one := range x.heard {
-		if now.Sub(one.last) > fresh || one.storeLost && !lost {
+		if now.Sub(one.last) > fresh || one.noEras || one.storeLost && !lost {
 			continue
 		}
 		if !one.storeLost {
@@ -84,3 +84,14 @@
 func (x *Exchange) freshLocked() time.Duration {
 	return quietEvery + 2*x.farEveryLocked()
 }
+
+// tellOffsets fills in what versions that know of no eras read of the positions.
+func (b *Beat) tellOffsets() {
+	b.Offsets = make(map[Subject]int64, len(b.Positions))
+	for subject, p := range b.Positions {
+		b.Offsets[subject] = p.Offset
+	}
+}
+
+// noEras says whether the entry tells offsets alone.
+func (b *Beat) noEras() bool { return len(b.Positions) == 0 && len(b.Offsets) > 0 }
--- a/services/peers/readers_test.go
+++ b/services/peers/readers_test.go
@@ -100,7 +100,7 @@
 func TestChangesAreTold(t *testing.T) {
 	inNetwork(t, "key-of-the-fleet", func(is *is.I, _ *memnet.Network, a, b *entry) {
 		time.Sleep(DefaultEvery / 2) // in the middle between two heartbeats
-		c := Change{Subject: SubjectServers, From: 4, Next: 6, Records: []runworks.Record{{Key: "i-1", Value: []byte("x")}}}
+		c := Change{Subject: SubjectServers, From: runworks.Position{Era: 2, Offset: 4}, Next: runworks.Position{Era: 2, Offset: 6}, Records: []runworks.Record{{Key: "i-1", Value: []byte("x")}}}
 		a.Tell(c)
 		time.Sleep(5 * time.Millisecond)
 		is.Equal(b.toldChanges(), []Change{c})
--- a/services/peers/scale_test.go
+++ b/services/peers/scale_test.go
@@ -55,7 +55,7 @@
 func busyBeat() *Beat {
 	b := &Beat{
 		From:      Member{Name: "a", Address: "a:1", Incarnation: runworks.NewIncarnation()},
-		Positions: map[Subject]int64{SubjectRouting: 12, SubjectServers: 1234},
+		Positions: map[Subject]runworks.Position{SubjectRouting: {Era: 1, Offset: 12}, SubjectServers: {Era: 1, Offset: 1234}},
 	}
 	b.Load = runworks.EntryLoad{Running: runworks.RunningCalls{}, Waiting: runworks.WaitingCalls{"llm": {Rank: 2, Calls: 14}}}
 	b.Load.Failed, b.Load.Reading = map[string]int{}, map[string]int{}
--- a/services/peers/tell.go
+++ b/services/peers/tell.go
@@ -84,6 +84,7 @@
 		if conn.Frames {
 			err = conn.SendFrame(data)
 		} else {
+			beat.tellOffsets()
 			err = conn.Notify(ctx, MethodBeat, beat)
 		}
 		if err != nil {
--- a/tests/platform_return_test.go
+++ b/tests/platform_return_test.go
@@ -31,21 +31,27 @@
 			p.putVersion(a.count)
 			return "taken\n"
 		case "copy":
-			p.post("http://"+p.store.address("standin")+"/copy", nil)
-			return "copied\n"
+			return p.copyStore()
 		case "away":
 			p.setFaults(p.store, standin.StoreFaults{Down: d.HasArg("down"), Silent: d.HasArg("silent")})
 			p.wait(a.lasts)
 			return "away\n"
 		case "return":
-			p.post("http://"+p.store.address("standin")+"/return", nil)
-			p.setFaults(p.store, standin.StoreFaults{})
-			return "back\n"
-		case "record":
+			return p.returnStore()
+		case "list":
+			state := "ready"
+			if d.HasArg("draining") {
+				state = "draining"
+			}
 			for _, name := range a.servers {
-				p.listServer(name, d.CmdArgs[len(d.CmdArgs)-1].Key)
+				p.listServer(name, state)
 			}
 			return "taken\n"
+		case "add":
+			for _, name := range a.servers {
+				p.addServer(name)
+			}
+			return "added\n"
 		case "drop":
 			for _, name := range a.servers {
 				p.put("keyed.servers", name, nil)
@@ -54,6 +60,8 @@
 		case "wait":
 			p.wait(a.lasts)
 			return "waited\n"
+		case "servers":
+			return p.know(a.fronts, a.count)
 		case "in-force":
 			return p.inForce(a.fronts, a.count)
 		case "used":
@@ -126,6 +134,31 @@
 	return res.StatusCode
 }
 
+// know waits until each front has a number of servers that it sends calls to.
+func (p *returnSite) know(fronts []string, count int) string {
+	p.t.Helper()
+	for _, front := range fronts {
+		p.until(fmt.Sprintf("%s uses %d servers", front, count), func() bool {
+			var status struct {
+				Servers []struct {
+					Leaving bool `json:"leaving"`
+				} `json:"servers"`
+			}
+			n := 0
+			if !getJSON("http://"+p.fronts[front].address("operators")+"/status", &status) {
+				return false
+			}
+			for _, one := range status.Servers {
+				if !one.Leaving {
+					n++
+				}
+			}
+			return n == count
+		})
+	}
+	return "known\n"
+}
+
 // usedCalls is how many calls a look at who is used makes at each front: many times the servers.
 const usedCalls = 24
 
--- a/tests/platform_script_test.go
+++ b/tests/platform_script_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+
+	"github.com/runworks/runworks/standin"
 )
 
 // scriptArgs are the arguments of a line in a script of a platform site; what a line lacks is
@@ -32,6 +34,21 @@
 	return a
 }
 
+// copyStore has the store keep a copy of what it holds.
+func (p *platformSite) copyStore() string {
+	p.t.Helper()
+	p.post("http://"+p.store.address("standin")+"/copy", nil)
+	return "copied\n"
+}
+
+// returnStore has the store come back from its copy.
+func (p *platformSite) returnStore() string {
+	p.t.Helper()
+	p.post("http://"+p.store.address("standin")+"/return", nil)
+	p.setFaults(p.store, standin.StoreFaults{})
+	return "back\n"
+}
+
 // stepFronts does the steps that the scripts of all sites share: it starts fronts, as the
 // first of a site until they know each other, or ends them. It gives nothing for other steps.
 func (p *platformSite) stepFronts(step string, fronts []string) string {
