A front that starts on an older copy of the store learns the document from the others

What callers would see: a front that starts after the store came back from an older copy, and before the operator has written again, goes by the copy's document while all others go by the newest.

Cause: the document was ordered by its version within a front, but a front learned it by positions alone. The copy's position is that of all, so nothing told the one that starts.

Evidence: TestPlatformChangesAfterStoreReturns with the new steps fails without the change: "not at front-5", version 6 three seconds after its start; it is in force there with it.

A heartbeat already tells the version in force. A front that is behind asks for the other's routing: at once at its start, when it is not ready before (two seconds at most), else after a second, in which the change comes by itself as a rule. What a front tells of the routing holds the document in force in the place of the copy's.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -59,6 +59,13 @@
 	budgets    *forward.Budgets
 	exchange   *peers.Exchange
 	front      *platform.Front
+	// document is the record of the routing in force, and routingMu lets one newer follow.
+	document  atomic.Pointer[platform.Record]
+	routingMu sync.Mutex
+	// newestTold is the newest version of the routing that another front told of.
+	newestTold atomic.Int64
+	// started is when Run began.
+	started time.Time
 	// serversMu guards what is known of the backend servers' records.
 	serversMu sync.Mutex
 	servers   platform.Servers
@@ -90,7 +97,7 @@
 func (d *Front) Run(ctx context.Context, stop <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	d.ctx = ctx
+	d.ctx, d.started = ctx, time.Now()
 	d.limit()
 	listeners, err := d.listen(ctx)
 	if err != nil {
@@ -256,6 +263,8 @@
 		return errorx.Decorate(runworks.ErrNotReady, "no other front was heard yet")
 	case !d.suspects.Tried():
 		return errorx.Decorate(runworks.ErrNotReady, "the requests that end backend servers are not known")
+	case !d.isOpen() && d.routingBehind(time.Now()):
+		return errorx.Decorate(runworks.ErrNotReady, "another front has a newer routing")
 	case !d.listed.Load():
 		return errorx.Decorate(runworks.ErrNotReady, "no list of backend servers was read")
 	}
@@ -264,10 +273,8 @@
 
 // takeHeld lets the calls go on that were held until the front has read its state.
 func (d *Front) takeHeld() {
-	select {
-	case <-d.opened:
+	if d.isOpen() {
 		return
-	default:
 	}
 	if d.ready() == nil {
 		d.openOnce.Do(func() { close(d.opened) })
--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -70,6 +70,9 @@
 	if s == nil {
 		return nil, errorx.Decorate(runworks.ErrNotReady, "nothing is known of %s", subject)
 	}
+	if subject == peers.SubjectRouting {
+		s.Put(d.document.Load())
+	}
 	return s, nil
 }
 
@@ -130,13 +133,22 @@
 // learn asks another front for what it knows of a subject.
 func (d *Front) learn(from string, subject peers.Subject, w *platform.Watch) {
 	var s platform.Snapshot
-	if d.askState(from, subject, &s) && w.Take(&s) {
+	if !d.askState(from, subject, &s) {
+		return
+	}
+	if w.Take(&s) {
 		d.Logger.Info("learned from another front", "name", from, "subject", subject, "era", s.Era, "offset", s.Offset)
+		return
+	}
+	if subject == peers.SubjectRouting {
+		d.onRouting(s.Records) // the document is ordered by its version, wherever it comes from
 	}
 }
 
 // onRouting puts the newest document in force; it never goes back to an older one.
 func (d *Front) onRouting(records []platform.Record) {
+	d.routingMu.Lock()
+	defer d.routingMu.Unlock()
 	for _, r := range records {
 		if r.Key != platform.KeyRouting || len(r.Value) == 0 {
 			continue
@@ -150,6 +162,7 @@
 		if old != nil && old.Routing.Version >= routing.Version {
 			continue
 		}
+		d.document.Store(&r)
 		d.forwarder.Table.Store(route.NewTable(routing))
 		d.takeHeld()
 		if old == nil || !slices.Equal(old.Routing.Services, routing.Services) {
@@ -169,14 +182,11 @@
 }
 
 func (d *Front) beat() peers.Beat {
-	b := peers.Beat{Load: d.dispatcher.Own(), Positions: map[peers.Subject]runworks.Position{}}
+	b := peers.Beat{Load: d.dispatcher.Own(), Positions: map[peers.Subject]runworks.Position{}, RoutingVersion: d.routingVersion()}
 	for subject, w := range d.watches {
 		b.Positions[subject] = w.Position()
 		b.StoreLost = b.StoreLost || w.Lost()
 	}
-	if table := d.forwarder.Table.Load(); table != nil {
-		b.RoutingVersion = table.Routing.Version
-	}
 	return b
 }
 
@@ -194,6 +204,7 @@
 	for subject, position := range b.Positions {
 		d.catchUp(b.From.Name, subject, position)
 	}
+	d.catchUpRouting(b.From.Name, b.RoutingVersion)
 }
 
 func (d *Front) onMembers(list []peers.Member) {
--- /dev/null
+++ b/daemon/front_routing.go
@@ -0,0 +1,58 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/runworks/runworks/modules/pause"
+	"github.com/runworks/runworks/services/peers"
+)
+
+const (
+	// routingGrace is how long a newer routing of another front is waited for, which as a
+	// rule is told or can be read from the store: from an older copy it can't.
+	routingGrace = time.Second
+	// routingWait bounds how long a front that starts takes no calls as another front has a
+	// newer routing that it can't get.
+	routingWait = 2 * time.Second
+)
+
+// routingVersion is the version of the routing in force; 0 is none.
+func (d *Front) routingVersion() int64 {
+	if table := d.forwarder.Table.Load(); table != nil {
+		return table.Routing.Version
+	}
+	return 0
+}
+
+// catchUpRouting asks another front for its routing if that is newer and does not come by
+// itself: a front that starts after the store came back may find an older one there.
+func (d *Front) catchUpRouting(from string, version int64) {
+	if version <= d.routingVersion() {
+		return
+	}
+	d.newestTold.Store(max(version, d.newestTold.Load()))
+	d.ask(peers.SubjectRouting, func() {
+		if d.isOpen() {
+			pause.For(d.ctx, routingGrace)
+		}
+		if version > d.routingVersion() {
+			d.learn(from, peers.SubjectRouting, d.watches[peers.SubjectRouting])
+		}
+		d.takeHeld()
+	})
+}
+
+// routingBehind says whether another front told of a newer routing, which is still to come.
+func (d *Front) routingBehind(now time.Time) bool {
+	return d.newestTold.Load() > d.routingVersion() && now.Sub(d.started) < routingWait
+}
+
+// isOpen says whether calls are let through.
+func (d *Front) isOpen() bool {
+	select {
+	case <-d.opened:
+		return true
+	default:
+		return false
+	}
+}
