An older copy of the store brings no server back that left

What callers would see: after the store came back from an older copy, calls go to servers that had said that they leave, or had gone (DRAIN), and none to those that came since the copy was made.

Cause: the list of servers was whatever the store's newest state said. The copy's records are older than what fronts had seen: "draining" became "ready" again, dropped ids were back, and ids that the copy lacks counted as gone at once.

- That a server leaves, by its own record, is kept with its words: final for its life, told in greetings, and kept a minute after the record went.
A record that can't be read withdraws a server only as long as it stands (Instance.Unreadable), as before.
- A life that went before the return gets nothing for five seconds after it; if its record still stands then the server renews it.
- Servers that the copy lacks are kept for the time that lapsed records are, however few they are: they write their records again.

--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -26,8 +26,8 @@
 	routing := &platform.Watch{Topic: platform.TopicOperators, OnChange: d.onRouting}
 	routing.OnState = func(records []platform.Record, _ bool) { d.onRouting(records) }
 	servers := &platform.Watch{Topic: platform.TopicServers}
-	servers.OnState = func(records []platform.Record, _ bool) { d.onServers(records, d.servers.Reset) }
-	servers.OnChange = func(records []platform.Record) { d.onServers(records, d.servers.Apply) }
+	servers.OnState = func(records []platform.Record, returned bool) { d.onServers(records, d.servers.Reset, returned) }
+	servers.OnChange = func(records []platform.Record) { d.onServers(records, d.servers.Apply, false) }
 	d.watches = map[peers.Subject]*platform.Watch{peers.SubjectRouting: routing, peers.SubjectServers: servers}
 	d.asking = map[peers.Subject]*atomic.Bool{}
 	d.asking[peers.SubjectLimits] = &atomic.Bool{}
--- a/daemon/front_servers.go
+++ b/daemon/front_servers.go
@@ -13,13 +13,17 @@
 )
 
 // onServers puts the list of backend servers in force.
-func (d *Front) onServers(records []platform.Record, take func([]platform.Record) []platform.BadRecord) {
+func (d *Front) onServers(records []platform.Record, take func([]platform.Record) []platform.BadRecord, returned bool) {
 	d.serversMu.Lock()
 	defer d.serversMu.Unlock()
+	now := time.Now()
+	if returned {
+		d.lapses.Returned(now)
+	}
 	for _, bad := range take(records) {
 		d.noteBadRecord(bad)
 	}
-	d.putServers()
+	d.putServers(now)
 	d.listed.Store(true)
 	d.takeHeld()
 }
@@ -35,7 +39,7 @@
 	d.serversMu.Lock()
 	defer d.serversMu.Unlock()
 	if d.listed.Load() {
-		d.putServers()
+		d.putServers(time.Now())
 	}
 }
 
@@ -63,17 +67,17 @@
 }
 
 // putServers puts the list in force, and again when the time of those is over whose
-// records the store may have lost.
-func (d *Front) putServers() {
-	list, again := d.lapses.Merge(time.Now(), d.named(d.servers.List()))
+// records the store may have lost, or may have from before they went.
+func (d *Front) putServers(now time.Time) {
+	list, again := d.lapses.Merge(now, d.named(d.servers.List()))
 	change := d.dispatcher.Replace(list)
 	if again > 0 {
-		d.Logger.Warn("records of many backend servers went at once, kept for a while", "known", len(list), "for_ms", again.Milliseconds())
+		d.Logger.Warn("records of backend servers are in doubt, looked at again in a while", "known", len(list), "for_ms", again.Milliseconds())
 		d.work.Go(func() {
 			pause.For(d.ctx, again)
 			d.serversMu.Lock()
 			defer d.serversMu.Unlock()
-			d.putServers()
+			d.putServers(time.Now())
 		})
 	}
 	for _, one := range change.Added {
--- a/route.go
+++ b/route.go
@@ -108,10 +108,16 @@
 	Hall string
 	// Slots is how many calls it runs at once.
 	Slots int
-	// Leaving says that it gets no new calls.
+	// Leaving says that it will end, by its own word, and gets no new calls.
 	Leaving bool
+	// Unreadable says that its newest record can't be read: it gets no new calls as long as
+	// that stands.
+	Unreadable bool
 }
 
+// Withdrawn says whether the server gets no new calls, by its record.
+func (i *Instance) Withdrawn() bool { return i.Leaving || i.Unreadable }
+
 // Life names this life of the backend server among all entries: what one learned of a life
 // must not count for the next.
 func (i *Instance) Life() string {
--- a/services/dispatch/fleet.go
+++ b/services/dispatch/fleet.go
@@ -37,11 +37,12 @@
 				d.partLimitLocked(now, s) // the entries may have changed meanwhile
 			}
 			out.Added = append(out.Added, one)
-		} else if one.Leaving && !s.Leaving {
+		} else if one.Withdrawn() && !s.Leaving {
 			out.Left = append(out.Left, one)
 		}
+		s.leaving = s.leaving || one.Leaving
 		s.Instance = one
-		s.Leaving = one.Leaving || s.leaving
+		s.Leaving = one.Withdrawn() || s.leaving
 		d.servers[life] = s
 		d.newest[one.ID] = s
 	}
--- a/services/dispatch/lapse_test.go
+++ b/services/dispatch/lapse_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"testing"
@@ -50,3 +51,38 @@
 	is.Equal(ids(list), "s4 s5")
 	is.Equal(next, time.Duration(0))
 }
+
+// TestRecordsOfAnOlderCopy gives no calls to a server that had gone before the store came back
+// from an older copy, as long as its record may be the copy's, and keeps one that came since
+// the copy was made for the time in which it writes its record again.
+func TestRecordsOfAnOlderCopy(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var l Lapses
+	all := instances(1, 1, 1, 1, 1, 1)
+	_, _ = l.Merge(now, all[:5]) // the copy is made
+	now = now.Add(time.Second)
+	list, _ := l.Merge(now, slices.Clone(all[1:])) // s0 went, and s5 came
+	is.Equal(ids(list), "s1 s2 s3 s4 s5")
+	now = now.Add(time.Second)
+	l.Returned(now)
+	list, next := l.Merge(now, slices.Clone(all[:5]))
+	is.Equal(ids(list), "s1 s2 s3 s4 s5")
+	is.Equal(next, lapseGrace)
+	now = now.Add(lapseGrace / 2)
+	list, next = l.Merge(now, slices.Clone(all)) // s5 wrote again
+	is.Equal(ids(list), "s1 s2 s3 s4 s5")
+	is.Equal(next, returnGrace-lapseGrace/2)
+	list, next = l.Merge(now.Add(next-1), slices.Clone(all))
+	is.Equal(ids(list), "s1 s2 s3 s4 s5")
+	is.Equal(next, time.Duration(1))
+	list, next = l.Merge(now.Add(returnGrace), slices.Clone(all)) // it is still there: it lives
+	is.Equal(ids(list), "s0 s1 s2 s3 s4 s5")
+	is.Equal(next, time.Duration(0))
+
+	// One that goes and comes back after that is no older copy's.
+	now = now.Add(2 * returnGrace)
+	_, _ = l.Merge(now, slices.Clone(all[1:]))
+	list, _ = l.Merge(now, slices.Clone(all))
+	is.Equal(ids(list), "s0 s1 s2 s3 s4 s5")
+}
--- a/services/dispatch/words.go
+++ b/services/dispatch/words.go
@@ -7,12 +7,12 @@
 	"github.com/runworks/runworks/services/serverlimit"
 )
 
-// words are what the life of a server said of itself in its answers. They stand beside its
-// record, and neither takes the other's place.
+// words are what the life of a server said of itself: in its answers, and in its record that it
+// leaves. They stand beside its newest record, and neither takes the other's place.
 type words struct {
 	// limit is how many requests it takes, if it says so.
 	limit serverlimit.Limit
-	// leaving says that it will end.
+	// leaving says that it will end. That is final: a record that says otherwise is older.
 	leaving bool
 	// rest is when it wants nothing from this entry.
 	rest rest
--- a/services/dispatch/words_test.go
+++ b/services/dispatch/words_test.go
@@ -117,3 +117,43 @@
 		is.Equal(len(d.lapsed), 0)
 	})
 }
+
+// TestLeavingByItsRecord sends nothing more to a server whose record said that it leaves, though
+// an older record of that life comes back, and tells it to entries that know only that one. A
+// record that can't be read holds as long as it stands.
+func TestLeavingByItsRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &Dispatcher{Hall: "a"}
+		ready, draining := bornAt(100), bornAt(100)
+		draining.Leaving = true
+		nothing := func(d *Dispatcher) {
+			t.Helper()
+			_, err := d.Acquire(context.Background(), ask("new", 0))
+			is.True(errors.Is(err, runworks.ErrNoServer))
+		}
+		d.Replace([]runworks.Instance{ready})
+		is.Equal(len(d.Replace([]runworks.Instance{draining}).Left), 1)
+		is.Equal(len(d.Replace([]runworks.Instance{ready}).Left), 0)
+		nothing(d)
+		d.Replace(nil) // it went
+		word := []runworks.ServerNotice{{Server: "s0/100", Leaving: true}}
+		is.Equal(d.Words(), word)
+		started := &Dispatcher{Hall: "a"}
+		started.TakeWords("other", d.Words())
+		for _, one := range []*Dispatcher{d, started} {
+			one.Replace([]runworks.Instance{ready})
+			nothing(one)
+			is.Equal(one.Words(), word)
+		}
+		d.Replace([]runworks.Instance{bornAt(200)})
+		taken(t, d, "next life").Release(Served)
+
+		unreadable := bornAt(200)
+		unreadable.Unreadable = true
+		is.Equal(len(d.Replace([]runworks.Instance{unreadable}).Left), 1)
+		nothing(d)
+		d.Replace([]runworks.Instance{bornAt(200)})
+		taken(t, d, "it wrote again").Release(Served)
+	})
+}
--- a/services/dispatch/words_told.go
+++ b/services/dispatch/words_told.go
@@ -92,5 +92,10 @@
 			out = append(out, one)
 		}
 	}
+	for life, one := range d.lapsed {
+		if one.leaving {
+			out = append(out, runworks.ServerNotice{Server: life, Leaving: true})
+		}
+	}
 	return out
 }
