What fronts put on the store is written again after it came back from an older copy

What callers would see, if all fronts end after such a return: a customer gets its limit twice, and a request that ends servers ends three more. Fronts that started since the copy was made are not found by later ones.

Cause: each record was taken to stand once the store had acknowledged it.

- The use of limits is due on record anew; the entry whose turn is first writes it.
- A front looks for its own record in the list of entries, each time and at once after a return.
- A record of an entry's life before does not take the connection to the life that is heard.

--- a/daemon/front_follow.go
+++ b/daemon/front_follow.go
@@ -172,13 +172,16 @@
 	}
 }
 
-// onReturn reads the topics anew that the platform writes.
+// onReturn reads the topics anew that the platform writes, and has put back what fronts wrote.
 func (d *Front) onReturn(era int64) {
 	metrics.Count(d.metrics.StoreReturns)
 	d.Logger.Warn("the store came back from an older copy", "era", era)
 	for _, w := range d.watches {
 		w.Returned(era)
 	}
+	d.members.Returned()
+	d.suspects.Returned()
+	d.quota.RecordLost(time.Now())
 }
 
 func (d *Front) beat() peers.Beat {
--- a/services/peers/eras_test.go
+++ b/services/peers/eras_test.go
@@ -50,3 +50,19 @@
 	is.Equal(old.Positions[SubjectServers], int64(7))
 	is.True(!b.noEras())
 }
+
+// TestListOlderThanWhatIsHeard keeps the connection to an entry that is heard, though the list
+// of entries names the address of its life before.
+func TestListOlderThanWhatIsHeard(t *testing.T) {
+	inNetwork(t, "key-of-the-fleet", func(is *is.I, _ *memnet.Network, a, b *entry) {
+		time.Sleep(time.Second)
+		is.True(a.Connected("b"))
+		before := b.Self
+		before.Address, before.Incarnation = "gone:1", "life before"
+		a.SetMembers([]Member{before})
+		is.True(a.Connected("b"))
+		time.Sleep(time.Second)
+		is.True(a.Connected("b"))
+		is.Equal(len(a.replaced), 0)
+	})
+}
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -6,6 +6,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/runworks/runworks/modules/notify"
 	"github.com/runworks/runworks/modules/pause"
 	"github.com/runworks/runworks/modules/rpc"
 )
@@ -16,7 +17,7 @@
 	cancel context.CancelFunc
 	conn   *rpc.Conn
 	// wake ends the wait before the next attempt to reach the entry.
-	wake chan struct{}
+	wake notify.Wake
 }
 
 // reach has an entry that was just heard greeted at once, as it may know nothing yet. A
@@ -26,10 +27,7 @@
 	if replaced && l.conn != nil {
 		_ = l.conn.Close()
 	}
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+	l.wake.Signal()
 }
 
 // SetMembers makes entries known. An entry that is not on the list stays known:
@@ -39,7 +37,10 @@
 	defer x.mu.Unlock()
 	x.listed = true
 	for _, m := range members {
-		x.linkLocked(m)
+		// The list may be older than what was heard: a record of a life before.
+		if life := x.lives[m.Name]; x.heard[life] == nil || life == m.Incarnation {
+			x.linkLocked(m)
+		}
 	}
 }
 
@@ -59,7 +60,7 @@
 		l.cancel()
 	}
 	ctx, cancel := context.WithCancel(x.ctxLocked())
-	l := &link{member: m, cancel: cancel, wake: make(chan struct{}, 1)}
+	l := &link{member: m, cancel: cancel}
 	x.links[m.Name] = l
 	x.work.Go(func() { x.keep(ctx, l) })
 	return true
@@ -71,7 +72,7 @@
 	for ctx.Err() == nil {
 		stream, err := rpc.Dial(ctx, x.Dial, l.member.Address, x.Keys)
 		if err != nil {
-			pause.Until(ctx, wait, l.wake)
+			pause.Until(ctx, wait, l.wake.C())
 			wait = min(2*wait, lastRedial)
 			continue
 		}
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/modules/group"
+	"github.com/runworks/runworks/modules/notify"
 	"github.com/runworks/runworks/modules/pause"
 	"github.com/runworks/runworks/modules/rpc"
 )
@@ -179,7 +180,7 @@
 	tellingWords bool
 	// changes are not told yet; wake has them told at once.
 	changes []Change
-	wake    chan struct{}
+	wake    notify.Wake
 }
 
 // life is what is known of another entry's incarnation.
@@ -211,7 +212,7 @@
 		if data := x.tell(ctx, last, now.Sub(sent) >= quietEvery); data != nil {
 			last, sent = data, now
 		}
-		pause.Until(ctx, x.every(), x.waking())
+		pause.Until(ctx, x.every(), x.wake.C())
 	}
 	x.mu.Lock()
 	x.ctxLocked()
--- a/services/peers/readers.go
+++ b/services/peers/readers.go
@@ -25,10 +25,7 @@
 	x.mu.Lock()
 	x.changes = append(x.changes, c)
 	x.mu.Unlock()
-	select {
-	case x.waking() <- struct{}{}:
-	default:
-	}
+	x.wake.Signal()
 }
 
 // takeChanges gives the changes that were not told yet.
@@ -40,16 +37,6 @@
 	return out
 }
 
-// waking gives the channel that ends the pause before the next heartbeat.
-func (x *Exchange) waking() chan struct{} {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.wake == nil {
-		x.wake = make(chan struct{}, 1)
-	}
-	return x.wake
-}
-
 // Reads says whether this entry is one of those that read the store for all: the first by
 // a hash of their names, among those that were heard just now and are in touch with the
 // store. Where entries hear different ones, more of them read. If all lost the store, some
--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -180,6 +180,23 @@
 	return out
 }
 
+// Unrecorded gives the requests of which a record of all entries lacks what is worth one: ends
+// of servers, or that those it holds do not count any more.
+func (q *Quarantine) Unrecorded(now time.Time, record []runworks.Suspect) []runworks.Fingerprint {
+	recorded := Quarantine{For: q.For}
+	recorded.Take(now, record)
+	var out []runworks.Fingerprint
+	for _, s := range q.List(now) {
+		there := recorded.Get(s.Fingerprint)
+		ends := len(s.Ends) >= recordFrom && len(there.Ends) < len(s.Ends)
+		cleared := len(there.Ends) > 0 && s.Cleared.After(there.Cleared)
+		if ends || cleared {
+			out = append(out, s.Fingerprint)
+		}
+	}
+	return out
+}
+
 // Report is a suspect as operators see it.
 type Report struct {
 	runworks.Suspect
--- a/services/quota/record.go
+++ b/services/quota/record.go
@@ -81,6 +81,18 @@
 	return RecordEvery, true
 }
 
+// RecordLost tells that the last record may be gone: what the customers drew in the window is
+// to be put on record anew.
+func (q *Quota) RecordLost(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.recorder.last, q.recorder.since = now, nil
+	for customer := range q.recorder.limits {
+		total, _ := q.total(now, customer)
+		q.recorder.drew(customer, total.sum())
+	}
+}
+
 // RecordDue says whether this entry is to put its state on record now. Of the entries
 // that drew on a limit the one whose life has the first name does it; another waits a
 // little longer.
--- a/services/quota/record_test.go
+++ b/services/quota/record_test.go
@@ -53,6 +53,33 @@
 	is.Equal(len(q.Used(begin.Add(time.Hour))), 0)
 }
 
+// TestRecordAfterItWasLost puts the state on record again, by one entry, though nothing more
+// was drawn.
+func TestRecordAfterItWasLost(t *testing.T) {
+	is := is.New(t)
+	a, b := running("a"), running("b")
+	send(a, begin, 500)
+	send(b, begin, 30)
+	b.Report(begin, "a", a.News(begin))
+	a.Report(begin, "b", b.News(begin))
+	now := begin.Add(RecordEvery)
+	a.Record(now)
+	a.Recorded(true)
+	b.Report(now, "a", a.News(now))
+	later := now.Add(RecordEvery)
+	is.True(!a.RecordDue(later))
+	a.RecordLost(later)
+	b.RecordLost(later)
+	later = later.Add(hurryEvery)
+	is.True(a.RecordDue(later))
+	is.True(!b.RecordDue(later.Add(recordTurn / 2))) // it waits for the other one
+	record := a.Record(later)
+	a.Recorded(true)
+	is.Equal(record.Use.Customers["yard"].Used, 530.0)
+	b.Report(later, "a", a.News(later))
+	is.True(!b.RecordDue(later.Add(time.Second)))
+}
+
 // TestRecordGivesWay forgets what only a record tells once an entry tells that lived
 // through the window.
 func TestRecordGivesWay(t *testing.T) {
--- a/tests/platform_crash_test.go
+++ b/tests/platform_crash_test.go
@@ -48,6 +48,11 @@
 			p.storeDown = d.HasArg("down")
 			p.setFaults(p.store, standin.StoreFaults{Down: p.storeDown})
 			return "done\n"
+		case "copy":
+			return p.copyStore()
+		case "return":
+			defer p.writeAgain()
+			return p.returnStore()
 		case "lift":
 			return p.lift(a.fronts[0])
 		case "recorded":
@@ -73,6 +78,8 @@
 	*platformSite
 	started, calls, ended int
 	storeDown             bool
+	// gone are the servers that were taken off the list.
+	gone []string
 }
 
 func newCrashSite(t *testing.T, servers int) *crashSite {
@@ -125,6 +132,17 @@
 	return fmt.Sprintf("answered=%d refused=%d broken=%d ended=%d\n", answered, refused, broken, ended)
 }
 
+// writeAgain puts on the store what was written there of the servers.
+func (p *crashSite) writeAgain() {
+	p.t.Helper()
+	for name := range p.backend {
+		p.listServer(name, "ready")
+	}
+	for _, name := range p.gone {
+		p.put("keyed.servers", name, nil)
+	}
+}
+
 // lift has a front let all requests go that are held, and waits until all fronts do.
 func (p *crashSite) lift(front string) string {
 	p.t.Helper()
@@ -170,6 +188,7 @@
 		delete(p.backend, name)
 		if !p.storeDown {
 			p.put("keyed.servers", name, nil)
+			p.gone = append(p.gone, name)
 			p.add(name[:len("app")])
 		}
 	}
--- a/tests/platform_limit_test.go
+++ b/tests/platform_limit_test.go
@@ -45,6 +45,10 @@
 		switch d.Cmd {
 		case "site", "start", "kill":
 			return p.stepFronts(d.Cmd, a.fronts)
+		case "copy":
+			return p.copyStore()
+		case "return":
+			return p.returnStore()
 		case "draw":
 			return p.draw(a.fronts, a.tokens)
 		case "press":
