Soak in which the store comes back from older copies

From on two to four returns, of copies up to 4 s old, with the store away for up to 1.2 s and what the platform wrote written again up to 1.8 s later, beside all other faults, or beside planned work alone.

--- a/tests/soak_check_test.go
+++ b/tests/soak_check_test.go
@@ -210,6 +210,8 @@
 	s.checkLimit()
 	s.checkServerLimits()
 	s.checkWords()
+	s.checkVersions()
+	s.checkOrder()
 	s.checkProcesses()
 	s.checkTrap()
 	s.t.Logf("planned %t, %d calls: %v", s.planned, len(s.clients.calls), kinds)
--- a/tests/soak_faults_test.go
+++ b/tests/soak_faults_test.go
@@ -56,6 +56,9 @@
 	if s.saysWords() {
 		steps = append(steps, s.wordFaults()...)
 	}
+	if s.storeReturns() {
+		steps = append(steps, s.returnFaults()...)
+	}
 	sort.SliceStable(steps, func(i, j int) bool { return steps[i].at < steps[j].at })
 	return steps
 }
--- a/tests/soak_server_limit_test.go
+++ b/tests/soak_server_limit_test.go
@@ -35,7 +35,7 @@
 type soakSpan struct{ from, to time.Time }
 
 // namesLimits says whether servers name limits.
-func (s *soak) namesLimits() bool { return s.seed >= soakNamesLimits && !s.saysWords() }
+func (s *soak) namesLimits() bool { return s.seed >= soakNamesLimits && s.seed < soakSaysWords }
 
 // besideLimits are the faults beside which what servers say of themselves is kept. A server that is cut off
 // or stands still gets what was sent at different times at once, so there are none of these.
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -94,6 +94,11 @@
 	storeFaults int
 	storeBad    time.Time
 	lostUse     bool
+	// written are the newest records that the platform wrote on the store, published when each
+	// version of the document was, and returns those of the store from older copies.
+	written   map[storeKey][]byte
+	published map[int]time.Time
+	returns   []*storeReturn
 	// limits are those that servers named, and excused the times in which what servers get
 	// does not count.
 	limits  []*soakServerLimit
@@ -136,6 +141,7 @@
 func newSoak(t *testing.T, seed int64) *soak {
 	s := &soak{
 		platformSite: newBarePlatformSite(t), seed: seed, rand: rand.New(rand.NewPCG(uint64(seed), 0)), keys: map[string]bool{},
+		written: map[storeKey][]byte{}, published: map[int]time.Time{},
 	}
 	s.planned = s.rand.IntN(3) == 0
 	s.publish()
@@ -167,12 +173,14 @@
 	keys := fmt.Sprintf(`"yard-key", "turn-%d", "turn-%d"`, s.version, s.version-1)
 	s.keys[fmt.Sprint("turn-", s.version)] = true
 	s.keys[fmt.Sprint("turn-", s.version-1)] = true
+	s.published[s.version] = time.Now()
 	s.put("keyed.op", "config", []byte(strings.ReplaceAll(fmt.Sprintf(platformDocument, s.version), `"yard-key"`, keys)))
 }
 
 // put writes a record as the platform does; a store that is paused wakes for it.
 func (s *soak) put(topic, key string, value []byte) {
 	s.store.signal(syscall.SIGCONT)
+	s.written[storeKey{topic, key}] = value
 	s.platformSite.put(topic, key, value)
 }
 
--- a/tests/soak_words_test.go
+++ b/tests/soak_words_test.go
@@ -12,7 +12,7 @@
 // they leave.
 const soakSaysWords = 400000
 
-func (s *soak) saysWords() bool { return s.seed >= soakSaysWords }
+func (s *soak) saysWords() bool { return s.seed >= soakSaysWords && !s.storeReturns() }
 
 // wordFaults draws what servers say of themselves.
 func (s *soak) wordFaults() []soakStep {
