--- a/modules/setting/front.go
+++ b/modules/setting/front.go
@@ -13,8 +13,7 @@
 	// DefaultStopNotice is how long streams are taken after readiness turned red: a
 	// balancer that asks each second and wants two misses has noticed by then. Those sent
 	// up to 3 s after the signal may last until the end of the grace; half a second less
-	// leaves a busy host time to learn of the signal and to read a call. With 3 s a stream
-	// that was sent 3.02 s after it was cut by the end.
+	// leaves a busy host time to learn of the signal and to read a call.
 	DefaultStopNotice = 2500 * time.Millisecond
 	// DefaultSilence is when a connection whose peer confirms nothing is given up.
 	DefaultSilence = 3 * time.Second
--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -20,8 +20,7 @@
 	minSlotsToReserve = 4
 	// keptFromLate slots of each server of minSlotsToReserve are kept from late calls:
 	// where all slots are taken, one that becomes free is wanted in the next moment by a
-	// call that can be in time. Overloaded, the middle kind of call is on time in 0.55 in
-	// place of 0.47 (in virtual time, the load of testdata); more than two gain nothing.
+	// call that can be in time.
 	keptFromLate = 2
 	// taste is how much of its score an entry's own taste adds to a server at most: of
 	// servers as good, the entries prefer different ones, as they don't know what the
--- a/services/dispatch/fleet.go
+++ b/services/dispatch/fleet.go
@@ -139,8 +139,8 @@
 }
 
 // Report takes what another entry runs and what waits there, in place of what it told
-// before. Only what the two tell of is looked at: adding up all entries again takes 43 us
-// for each heartbeat with a hundred of them, this 1.3 us (BenchmarkReport, both beside other runs).
+// before. Only what the two tell of is looked at: adding up all entries again would cost a
+// large fleet more with each heartbeat than anything else does.
 func (d *Dispatcher) Report(from runworks.Incarnation, load runworks.EntryLoad) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/services/dispatch/waiting.go
+++ b/services/dispatch/waiting.go
@@ -15,9 +15,8 @@
 	// targets stand behind all of their customers' rank that can still meet theirs.
 	lateSteps = 2
 	// lengthPart is which part of its expected duration a call stands behind shorter ones
-	// of its customer: overloaded, the middle kind of call is on time in 0.55 in place of
-	// 0.50 (in virtual time, the load of testdata). With more the longest, which are worth
-	// most to their callers, are late too often.
+	// of its customer: small, so that the longest, which are worth most to their callers,
+	// are seldom late.
 	lengthPart = 0.1
 )
 
--- a/services/peers/frame.go
+++ b/services/peers/frame.go
@@ -14,12 +14,11 @@
 // servers, services and customers of the largest fleet.
 const maxNames = 20000
 
-// A frame is a heartbeat on the wire, to entries that read frames. One of an entry under
-// load takes 0.34 KB and 31 us to send and take in, where JSON-RPC takes 1.5 KB and 201 us
-// (BenchmarkBeat, nothing beside it): at a hundred entries, each of which hears two hundred a
-// second, that was 28 % of a host with 0.144 of a core. The sender is known from the greeting of the
-// connection. Names of servers, services, customers and subjects are told once and numbered
-// in the order in which they were told; a greeting tells those of all frames before it.
+// A frame is a heartbeat on the wire, to entries that read frames: a fifth of the bytes and of
+// the processor time of JSON-RPC, which a small host among a hundred could not spare. The sender
+// is known from the greeting of the connection. Names of servers, services, customers and
+// subjects are told once and numbered in the order in which they were told; a greeting tells
+// those of all frames before it.
 type frame struct {
 	_ struct{} `cbor:",toarray"`
 	// First is the number of the first of Names; 0 makes all numbers told before void.
--- a/services/peers/readers.go
+++ b/services/peers/readers.go
@@ -40,8 +40,7 @@
 // Reads says whether this entry is one of those that read the store for all: the first by
 // a hash of their names, among those that were heard just now and are in touch with the
 // store. Where entries hear different ones, more of them read. If all lost the store, some
-// still try. Of a hundred entries that all read each change 6,000 calls came in a minute,
-// the dearest of all that is priced there.
+// still try.
 func (x *Exchange) Reads(lost bool) bool {
 	now := time.Now()
 	x.mu.Lock()
--- a/services/quarantine/answers.go
+++ b/services/quarantine/answers.go
@@ -13,8 +13,8 @@
 	// seconds is always among them; short, as a new version of a server may end under what
 	// the old one answered.
 	answeredFor = 30 * time.Second
-	// maxAnswered bounds the answers that are kept: 0.6 MB, and at the 70 calls a second of
-	// a host in the largest fleet about a minute.
+	// maxAnswered bounds the answers that are kept: about a minute's of a host in the largest
+	// fleet.
 	maxAnswered = 4096
 )
 
--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -16,8 +16,7 @@
 	maxSuspects = 4096
 	// recordFrom is from how many ends on a request is worth a record. A server's end makes
 	// suspects of all calls that it had just begun, and nearly all are cleared by their next
-	// answer: with a record of each, 28 entries made 193 calls to the store more on a day of
-	// crashes (740 on average, six plays each).
+	// answer.
 	recordFrom = 2
 	// maxEnds bounds the ends that are kept of one request.
 	maxEnds = 16
--- a/services/quota/life.go
+++ b/services/quota/life.go
@@ -55,9 +55,7 @@
 
 // spendHeld counts as drawn what of the held tokens the life may have drawn unheard, and
 // lets go of the rest: as much as it drew in the last span of that many grains. All that
-// it held would be far too much in a burst, in which most of it waits for a server: after
-// the end of all entries in one, 800,000 of a customer's 1,600,000 tokens were refused it
-// for a window.
+// it held would be far too much in a burst, in which most of it waits for a server.
 func (l *life) spendHeld(number int64, span int) {
 	for _, a := range l.accounts {
 		if a.held > 0 {
--- a/services/quota/quota.go
+++ b/services/quota/quota.go
@@ -34,9 +34,8 @@
 // A call holds its tokens while it waits and draws them when it is sent: tokens that
 // counted from its arrival on and were given back later would leave the window as a
 // credit. What an entry drew is told by its life, so that it counts once whoever tells
-// it, and a new life goes on with what the others count: with a count that began at zero,
-// and an allowance to begin with, a customer drew 578,927 tokens of 449,118 in the window
-// around the start of two entries of four.
+// it, and a new life goes on with what the others count: a customer would get its limit
+// again from each entry that begins at zero.
 type Quota struct {
 	// Self names this entry's life to the others.
 	Self runworks.Incarnation
@@ -83,9 +82,8 @@
 	defer q.mu.Unlock()
 	if !q.toldLocked(now) {
 		// A record that can be read was read while the call was held: what lasts longer
-		// lasts until the limit opens by itself. Callers told to come back in 100 ms were
-		// refused for good in 1,400 of 1,500 cases (all entries killed as the store refused
-		// the record).
+		// lasts until the limit opens by itself, and callers who came back before would use
+		// their tries up.
 		return Verdict{Untold: true, Wait: max(untoldWait, q.Started.Add(TellTimeout).Sub(now))}
 	}
 	total, held := q.total(now, c.Name)
@@ -176,9 +174,8 @@
 }
 
 // underWay is what the other entries have drawn since they spoke last, if they go on as in
-// the half second before: with 27 of them that hear each other every 150 ms, a customer
-// that asks four times its limit drew up to 1.044 of it without, and 1.012 with it (three
-// plays in virtual time).
+// the half second before. Without it a customer that asks for far more than its limit would
+// draw beyond it what all entries take between two heartbeats.
 func (q *Quota) underWay(now time.Time, customer string) float64 {
 	sum := 0.0
 	from := q.number(now) - rateSpan
--- a/services/quota/record.go
+++ b/services/quota/record.go
@@ -11,9 +11,7 @@
 	// one is not known if all entries end at once, and each costs a call to the store.
 	RecordEvery = 400 * time.Millisecond
 	// hurryEvery is the same for a customer that drew hurryPart of its limit since: one that
-	// had drawn nothing for a window may draw all of it in a moment. Of 8,000 tokens 1,450
-	// were drawn in the 0.33 s between a record and the end of all entries, and drawn once
-	// more after it (a fault schedule over separate processes).
+	// had drawn nothing for a window may draw all of it in a moment.
 	hurryEvery = 100 * time.Millisecond
 	hurryPart  = 1.0 / 8
 	// recordTurn is how much longer an entry waits for each that comes before it, so
--- a/services/quota/set_off.go
+++ b/services/quota/set_off.go
@@ -3,9 +3,8 @@
 import "github.com/runworks/runworks"
 
 // setOff takes out of what the record tells what the lives that are heard tell themselves.
-// An entry that starts beside young ones hears both: of 60,000 tokens it counted 62,000 where
-// 31,000 were drawn, and refused a customer that had half of its limit left. The zero value
-// takes nothing out; it takes no lock.
+// An entry that starts beside young ones hears both, and would count these draws twice. The zero
+// value takes nothing out; it takes no lock.
 type setOff struct {
 	// recorded is what each life had drawn since its start as the record was written, and done
 	// what of it was taken out.
--- a/services/quota/tell.go
+++ b/services/quota/tell.go
@@ -10,8 +10,7 @@
 	// tellEvery is when the smallest change is told.
 	tellEvery = time.Second
 	// tellPart is the part of a limit that all entries together may have drawn untold:
-	// telling every change costs 29 entries 0.27 in place of 0.15 GB between halls in a
-	// minute of load.
+	// telling every change would nearly double the bytes between halls.
 	tellPart = 1.0 / 32
 	// nearPart is the part of a limit from which on every change is told at once.
 	nearPart = 15.0 / 16
--- a/tests/platform_return_test.go
+++ b/tests/platform_return_test.go
@@ -24,54 +24,79 @@
 		if d.Cmd == "site" {
 			p = newReturnSite(t, a.servers)
 		}
-		switch d.Cmd {
-		case "site", "start", "kill":
-			return p.stepFronts(d.Cmd, a.fronts)
-		case "document":
-			p.putVersion(a.count)
-			return "taken\n"
-		case "copy":
-			return p.copyStore()
-		case "away":
-			p.setFaults(p.store, standin.StoreFaults{Down: d.HasArg("down"), Silent: d.HasArg("silent")})
-			p.wait(a.lasts)
-			return "away\n"
-		case "return":
-			return p.returnStore()
-		case "list":
-			state := "ready"
-			if d.HasArg("draining") {
-				state = "draining"
+		for _, step := range []func(*datadriven.TestData, *scriptArgs) string{p.stepStore, p.stepRecords, p.look} {
+			if out := step(d, &a); out != "" {
+				return out
 			}
-			for _, name := range a.servers {
-				p.listServer(name, state)
-			}
-			return "taken\n"
-		case "add":
-			for _, name := range a.servers {
-				p.addServer(name)
-			}
-			return "added\n"
-		case "drop":
-			for _, name := range a.servers {
-				p.put("keyed.servers", name, nil)
-			}
-			return "taken\n"
-		case "wait":
-			p.wait(a.lasts)
-			return "waited\n"
-		case "servers":
-			return p.know(a.fronts, a.count)
-		case "in-force":
-			return p.inForce(a.fronts, a.count)
-		case "used":
-			return p.used(a.fronts, a.servers, a.target)
+		}
+		if out := p.stepFronts(d.Cmd, a.fronts); out != "" {
+			return out
 		}
 		t.Fatalf("no command %s", d.Cmd)
 		return ""
 	})
 }
 
+// stepStore does the steps of the store itself.
+func (p *returnSite) stepStore(d *datadriven.TestData, a *scriptArgs) string {
+	switch d.Cmd {
+	case "copy":
+		return p.copyStore()
+	case "away":
+		p.setFaults(p.store, standin.StoreFaults{Down: d.HasArg("down"), Silent: d.HasArg("silent")})
+		p.wait(a.lasts)
+		return "away\n"
+	case "return":
+		return p.returnStore()
+	case "wait":
+		p.wait(a.lasts)
+		return "waited\n"
+	}
+	return ""
+}
+
+// stepRecords writes what the platform writes on the store.
+func (p *returnSite) stepRecords(d *datadriven.TestData, a *scriptArgs) string {
+	switch d.Cmd {
+	case "document":
+		p.putVersion(a.count)
+		return "taken\n"
+	case "list":
+		state := "ready"
+		if d.HasArg("draining") {
+			state = "draining"
+		}
+		for _, name := range a.servers {
+			p.listServer(name, state)
+		}
+		return "taken\n"
+	case "add":
+		for _, name := range a.servers {
+			p.addServer(name)
+		}
+		return "added\n"
+	case "drop":
+		for _, name := range a.servers {
+			p.put("keyed.servers", name, nil)
+		}
+		return "taken\n"
+	}
+	return ""
+}
+
+// look tells what fronts do.
+func (p *returnSite) look(d *datadriven.TestData, a *scriptArgs) string {
+	switch d.Cmd {
+	case "in-force":
+		return p.inForce(a.fronts, a.count)
+	case "servers":
+		return p.know(a.fronts, a.count)
+	case "used":
+		return p.used(a.fronts, a.servers, a.target)
+	}
+	return ""
+}
+
 // returnSite is a site whose store can come back from an older copy.
 type returnSite struct {
 	*platformSite
