--- a/daemon/front_routing.go
+++ b/daemon/front_routing.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// routingGrace is how long a newer routing of another front is waited for, which as a
-	// rule is told or can be read from the store: from an older copy it can't.
-	routingGrace = time.Second
+	// routingGrace, and routingPerFront for each front, is how long a newer routing of another
+	// front is waited for, which as a rule is told or can be read from the store: from an older
+	// copy it can't.
+	routingGrace    = time.Second
+	routingPerFront = 5 * time.Millisecond
 	// routingWait bounds how long a front that starts takes no calls as another front has a
 	// newer routing that it can't get.
 	routingWait = 2 * time.Second
@@ -33,7 +35,7 @@
 	d.newestTold.Store(max(version, d.newestTold.Load()))
 	d.ask(peers.SubjectRouting, func() {
 		if d.isOpen() {
-			pause.For(d.ctx, routingGrace)
+			pause.For(d.ctx, routingGrace+time.Duration(d.exchange.Live())*routingPerFront)
 		}
 		if version > d.routingVersion() {
 			d.learn(from, peers.SubjectRouting, d.watches[peers.SubjectRouting])
