--- a/daemon/front_routing.go
+++ b/daemon/front_routing.go
@@ -32,7 +32,7 @@
 	if version <= d.routingVersion() {
 		return
 	}
-	d.newestTold.Store(max(version, d.newestTold.Load()))
+	d.noteNewest(version)
 	d.ask(peers.SubjectRouting, func() {
 		if d.isOpen() {
 			pause.For(d.ctx, routingGrace+time.Duration(d.exchange.Live())*routingPerFront)
@@ -44,6 +44,14 @@
 	})
 }
 
+// noteNewest notes a version of the routing that another front told of.
+func (d *Front) noteNewest(version int64) {
+	told := d.newestTold.Load()
+	for version > told && !d.newestTold.CompareAndSwap(told, version) {
+		told = d.newestTold.Load()
+	}
+}
+
 // routingBehind says whether another front told of a newer routing, which is still to come.
 func (d *Front) routingBehind(now time.Time) bool {
 	return d.newestTold.Load() > d.routingVersion() && now.Sub(d.started) < routingWait
