A front that starts looks at the store before it asks another for the routing

Cause: as all fronts start at once, the first that has read the document tells its version, and each other one, which has read nothing yet, asked it for its whole routing.

A front asks only once it has a state of its own, which is older then: on a copy of the store. The version it was told of holds its readiness back before, as it did.

--- a/daemon/front_routing.go
+++ b/daemon/front_routing.go
@@ -27,18 +27,23 @@
 }
 
 // catchUpRouting asks another front for its routing if that is newer and does not come by
-// itself: a front that starts after the store came back may find an older one there.
+// itself: a front that starts after the store came back may find an older one there. Before it
+// has looked it asks nobody: of many that start at once all would ask the first.
 func (d *Front) catchUpRouting(from string, version int64) {
 	if version <= d.routingVersion() {
 		return
 	}
 	d.noteNewest(version)
+	w := d.watches[peers.SubjectRouting]
+	if !w.Known() {
+		return
+	}
 	d.ask(peers.SubjectRouting, func() {
 		if d.isOpen() {
 			pause.For(d.ctx, routingGrace+time.Duration(d.exchange.Live())*routingPerFront)
 		}
 		if version > d.routingVersion() {
-			d.learn(from, peers.SubjectRouting, d.watches[peers.SubjectRouting])
+			d.learn(from, peers.SubjectRouting, w)
 		}
 		d.takeHeld()
 	})
