Make one fleet of the fronts of all regions

Cause: the template made the fleet key from the region's name and the store's address, so the fronts of one region refused those of the other, and each region counted the whole limit.

Keys can be rotated: a process sends its second key to one that refuses the first, so fronts of the last version, which know only the region's key, stay in the fleet of their region.

An entry that can't be reached, or refuses the key, is logged once with the cause; runworks_entries and /status count them, and runworks status prints them for a front (it printed an empty entry before).

--- a/cmd/runworks/status.go
+++ b/cmd/runworks/status.go
@@ -15,6 +15,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/joomcode/errorx"
 
+	"github.com/runworks/runworks/daemon"
 	"github.com/runworks/runworks/services/entry"
 )
 
@@ -26,18 +27,20 @@
 	address := cmd.Flag("operators", "The operators' base URL of an entry.").Envar("RUNWORKS_OPERATORS").Required().String()
 	output := cmd.Flag("output", "text or json.").Short('o').Default("text").Enum("text", "json")
 	cmd.Action(func(*kingpin.ParseContext) error {
-		status, err := fetchStatus(*address)
+		data, err := fetchStatus(*address)
 		if err != nil {
 			return err
 		}
 		if *output == "json" {
-			return json.NewEncoder(os.Stdout).Encode(status)
+			_, err := os.Stdout.Write(data)
+			return err
 		}
-		return printStatus(os.Stdout, status)
+		return printAny(os.Stdout, data)
 	})
 }
 
-func fetchStatus(address string) (*entry.Status, error) {
+// fetchStatus returns the JSON of the status of an entry or a front.
+func fetchStatus(address string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address+"/status", nil)
@@ -49,11 +52,31 @@
 		return nil, errorx.Decorate(err, "request the status of the entry")
 	}
 	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		return nil, errorx.Decorate(err, "read the status of the entry")
+	}
+	return data, nil
+}
+
+// printAny prints the status of a front, which counts fronts, or of an entry.
+func printAny(out io.Writer, data []byte) error {
+	var front daemon.FrontStatus
+	if err := json.Unmarshal(data, &front); err == nil && front.Fronts > 0 {
+		return printFront(out, &front)
+	}
 	var status entry.Status
-	if err := json.NewDecoder(res.Body).Decode(&status); err != nil {
-		return nil, errorx.Decorate(err, "decode the status of the entry")
+	if err := json.Unmarshal(data, &status); err != nil {
+		return errorx.Decorate(err, "decode the status of the entry")
 	}
-	return &status, nil
+	return printStatus(out, &status)
+}
+
+// printFront prints the status of a front.
+func printFront(out io.Writer, s *daemon.FrontStatus) error {
+	_, _ = fmt.Fprintf(out, "front: configuration %d, hears %d of %d fronts, %d refuse its fleet key\n", s.RoutingVersion, s.Fronts, s.FrontsKnown, s.FrontsKeyRefused)
+	_, err := fmt.Fprintf(out, "%d backend servers, waiting calls %v\n", len(s.Servers), s.Waiting)
+	return err
 }
 
 func printStatus(out io.Writer, s *entry.Status) error {
--- a/daemon/front_status.go
+++ b/daemon/front_status.go
@@ -10,7 +10,11 @@
 // FrontStatus is the status that a front reports to operators.
 type FrontStatus struct {
 	RoutingVersion int64                   `json:"routing_version"`
-	Fronts         int                     `json:"fronts"`
+	// Fronts counts the fronts that were heard recently, with this one, and FrontsKnown also those
+	// that are only listed. FrontsKeyRefused counts those that refuse this front's fleet keys.
+	Fronts           int                     `json:"fronts"`
+	FrontsKnown      int                     `json:"fronts_known"`
+	FrontsKeyRefused int                     `json:"fronts_key_refused,omitempty"`
 	Servers        []dispatch.ServerStatus `json:"servers"`
 	Waiting        map[string]int          `json:"waiting"`
 	// LimitsUsed is the usage of each customer's limit in the current window, in tokens, as this
@@ -21,7 +25,8 @@
 }
 
 func (d *Front) status() FrontStatus {
-	out := FrontStatus{Fronts: d.exchange.LiveCount() + 1, Servers: d.dispatcher.ServerStatuses(), Waiting: d.dispatcher.WaitingCalls(), LimitsUsed: d.quota.Consumed(time.Now())}
+	reach := d.exchange.Reach()
+	out := FrontStatus{Fronts: reach.Live + 1, FrontsKnown: reach.Known + 1, FrontsKeyRefused: reach.KeyRefused, Servers: d.dispatcher.ServerStatuses(), Waiting: d.dispatcher.WaitingCalls(), LimitsUsed: d.quota.Consumed(time.Now())}
 	out.Suspects = d.quarantine.Reports(time.Now())
 	if table := d.forwarder.Table.Load(); table != nil {
 		out.RoutingVersion = table.Routing.Version
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -106,6 +106,20 @@
 	return err
 }
 
+// WatchEntries exports how many other entries are known, heard recently, and refuse the fleet keys
+// of this one, as a gauge by state.
+func (s *Set) WatchEntries(count func() (known, live, keyRefused int)) error {
+	_, err := s.meter.Int64ObservableGauge("runworks.entries", metric.WithDescription("other entries by state"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			known, live, keyRefused := count()
+			for state, n := range map[string]int{"known": known, "live": live, "key_refused": keyRefused} {
+				o.Observe(int64(n), metric.WithAttributes(attribute.String("state", state)))
+			}
+			return nil
+		}))
+	return err
+}
+
 // Handler returns a handler that serves the metrics in the Prometheus text format.
 func (s *Set) Handler() http.Handler { return s.handler }
 
--- a/modules/rpc/rpc.go
+++ b/modules/rpc/rpc.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
+	"errors"
 	"io"
 	"log"
 	"net"
@@ -30,11 +31,15 @@
 // DialFunc opens a connection, like net.Dialer.DialContext.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// FleetKeys are the shared keys by which the processes authenticate to each other. The first
-// is sent and all are accepted, so that keys can be rotated without downtime.
+// ErrKeyRefused means that the process at the other end accepts none of this process's keys.
+var ErrKeyRefused = errorx.RejectedOperation.New("fleet key refused")
+
+// FleetKeys are the shared keys by which the processes authenticate to each other. All are
+// accepted. The first is sent, and the others only to a process that refuses it, so that keys can
+// be rotated without downtime.
 type FleetKeys []string
 
-// Primary returns the key that this process sends, or "" if there is none.
+// Primary returns the key that this process sends first, or "" if there is none.
 func (k FleetKeys) Primary() string {
 	if len(k) == 0 {
 		return ""
@@ -85,17 +90,27 @@
 	}
 }
 
-// Dial opens a control connection to the process at address (host:port). It fails after 2 s.
+// Dial opens a control connection to the process at address (host:port). It fails after 2 s, with
+// ErrKeyRefused if the process refused all keys.
 func Dial(ctx context.Context, dial DialFunc, address string, keys FleetKeys) (*Stream, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	stream, err := dialWithKey(ctx, dial, address, keys.Primary())
+	for i := 1; i < len(keys) && errors.Is(err, ErrKeyRefused); i++ {
+		stream, err = dialWithKey(ctx, dial, address, keys[i])
+	}
+	return stream, err
+}
+
+// dialWithKey opens a control connection with one key.
+func dialWithKey(ctx context.Context, dial DialFunc, address, key string) (*Stream, error) {
 	conn, err := dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, errorx.Decorate(err, "dial %s", address)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	stream, err := upgrade(ctx, conn, address, keys)
+	stream, err := upgrade(ctx, conn, address, key)
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -104,14 +119,14 @@
 }
 
 // upgrade requests the upgrade of an HTTP connection to a control connection.
-func upgrade(ctx context.Context, conn net.Conn, address string, keys FleetKeys) (*Stream, error) {
+func upgrade(ctx context.Context, conn net.Conn, address, key string) (*Stream, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+Path, nil)
 	if err != nil {
 		return nil, errorx.Decorate(err, "build the upgrade request to %s", address)
 	}
 	req.Header.Set("Connection", "Upgrade")
 	req.Header.Set("Upgrade", protocol)
-	req.Header.Set(KeyHeader, keys.Primary())
+	req.Header.Set(KeyHeader, key)
 	req.Header.Set(FramesHeader, framesVersion)
 	if err := req.Write(conn); err != nil {
 		return nil, errorx.Decorate(err, "send the upgrade request to %s", address)
@@ -122,7 +137,11 @@
 		return nil, errorx.Decorate(err, "read the upgrade response of %s", address)
 	}
 	_ = res.Body.Close()
-	if res.StatusCode != http.StatusSwitchingProtocols {
+	switch res.StatusCode {
+	case http.StatusSwitchingProtocols:
+	case http.StatusForbidden:
+		return nil, errorx.Decorate(ErrKeyRefused, "%s", address)
+	default:
 		return nil, errorx.IllegalState.New("%s refused the control connection: %s", address, res.Status)
 	}
 	return &Stream{Conn: conn, reader: reader, peerFrames: supportsFrames(res.Header)}, nil
--- a/modules/setting/front.go
+++ b/modules/setting/front.go
@@ -33,6 +33,8 @@
 	// DefaultQuarantineFor is the duration of a quarantine. A request that is never fixed then
 	// causes one server exit per hour.
 	DefaultQuarantineFor = time.Hour
+	// DefaultColdOverage is by how much a server that starts up may exceed its cold-start rate.
+	DefaultColdOverage = 1
 	// DefaultLogLinesPerSecond limits the log lines per second.
 	DefaultLogLinesPerSecond = 300
 )
@@ -78,6 +80,12 @@
 	QuarantineAfter int `yaml:"quarantine_after"`
 	// QuarantineFor is the duration of the quarantine after the last exit.
 	QuarantineFor time.Duration `yaml:"quarantine_for"`
+	// Regions holds the region of each hall, by hall. A hall that is not listed is in no region.
+	Regions map[string]string `yaml:"regions"`
+	// ColdOverage times a service's cold-start rate, plus ColdSlack, is the number of calls that
+	// all fronts together may send in a second to a server that starts up.
+	ColdOverage float64 `yaml:"cold_overage"`
+	ColdSlack   float64 `yaml:"cold_slack"`
 	// MaxBodyBytes limits the body of a call while no routing is active.
 	MaxBodyBytes int64 `yaml:"max_body_bytes"`
 	// Cores limits the processors that the process uses; 0 means all.
@@ -97,7 +105,7 @@
 	s := &Front{
 		Grace: DefaultGrace, StopNotice: DefaultStopNotice, PeerTimeout: DefaultPeerTimeout, RetryRatio: DefaultRetryRatio, RetrySlack: DefaultRetrySlack,
 		RetryWindow: DefaultRetryWindow, QuotaWindow: DefaultQuotaWindow, QuarantineAfter: DefaultQuarantineAfter, QuarantineFor: DefaultQuarantineFor,
-		MaxBodyBytes: DefaultMaxBodyBytes, LogLinesPerSecond: DefaultLogLinesPerSecond, Log: Log{JSON: true}, Traces: Traces{Sampled: 1},
+		ColdOverage: DefaultColdOverage, MaxBodyBytes: DefaultMaxBodyBytes, LogLinesPerSecond: DefaultLogLinesPerSecond, Log: Log{JSON: true}, Traces: Traces{Sampled: 1},
 	}
 	return s, load(file, s, s.check)
 }
@@ -130,6 +138,12 @@
 	if s.QuarantineAfter < 2 {
 		m.add("quarantine_after", "%d is below 2: a single exit can't be attributed to one request", s.QuarantineAfter)
 	}
+	if s.ColdOverage < 1 {
+		m.add("cold_overage", "%g is below 1", s.ColdOverage)
+	}
+	if s.ColdSlack < 0 {
+		m.add("cold_slack", "%g is negative", s.ColdSlack)
+	}
 	if s.MaxBodyBytes <= 0 {
 		m.add("max_body_bytes", "%d is not above zero", s.MaxBodyBytes)
 	}
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -16,6 +18,8 @@
 	member Member
 	cancel context.CancelFunc
 	conn   *rpc.Conn
+	// keyRefused is set while the entry refuses the fleet keys of this one.
+	keyRefused bool
 	// wake ends the wait before the next attempt to connect.
 	wake notify.Wake
 }
@@ -69,9 +73,16 @@
 // maintain keeps an entry connected until ctx is cancelled.
 func (x *Exchange) maintain(ctx context.Context, l *link) {
 	wait := minRedialWait
+	lastConnected, reported := time.Now(), false
 	for ctx.Err() == nil {
 		stream, err := rpc.Dial(ctx, x.Dial, l.member.Address, x.Keys)
+		refused := errors.Is(err, rpc.ErrKeyRefused)
+		x.setKeyRefused(l, refused)
 		if err != nil {
+			if !reported && ctx.Err() == nil && (refused || time.Since(lastConnected) > minPeerTimeout) {
+				reported = true
+				x.Logger.Warn("entry can't be reached; what it uses of the limits is not known here", "name", l.member.Name, "address", l.member.Address, "error", err.Error())
+			}
 			pause.Until(ctx, wait, l.wake.C())
 			wait = min(2*wait, maxRedialWait)
 			continue
@@ -86,6 +97,7 @@
 			_ = conn.Close()
 		}
 		x.setConn(l, nil)
+		lastConnected, reported = time.Now(), false
 		x.Logger.Warn("dependency lost", "dependency", "entry", "name", l.member.Name, "address", l.member.Address)
 	}
 }
@@ -119,6 +131,33 @@
 	l.conn = conn
 }
 
+func (x *Exchange) setKeyRefused(l *link, refused bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	l.keyRefused = refused
+}
+
+// Reach is how many of the other entries this one can exchange its state with.
+type Reach struct {
+	// Known counts the entries that are listed or were heard, and Live those heard recently.
+	Known, Live int
+	// KeyRefused counts those that refuse the fleet keys of this entry.
+	KeyRefused int
+}
+
+// Reach returns the current numbers.
+func (x *Exchange) Reach() Reach {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := Reach{Known: len(x.links), Live: len(x.peers)}
+	for _, l := range x.links {
+		if l.keyRefused {
+			out.KeyRefused++
+		}
+	}
+	return out
+}
+
 // rejectCall answers calls on connections that are used for sending only.
 func rejectCall(_ context.Context, method string, _ json.RawMessage) (any, error) {
 	return nil, errorx.UnsupportedOperation.New("no method %s on this connection", method)
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -277,6 +277,31 @@
 	inNetwork(t, "key-of-another-fleet", func(is *is.I, _ *memnet.Network, a, b *entry) {
 		is.Equal(a.runningAt("b"), -1)
 		is.Equal(b.runningAt("a"), -1)
+		is.Equal(a.Reach(), Reach{Known: 1, KeyRefused: 1})
+	})
+}
+
+// TestKeyRotation guards against a split of the fleet while a key is replaced: entries that send
+// the new key first reach those that accept only the old one.
+func TestKeyRotation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := memnet.New(time.Millisecond)
+		old := startEntry(t, network, "a", "the-old-fleet-key")
+		rotated := startWith(t, network, &Exchange{
+			Self: Member{Name: "b", Address: "b:1", Incarnation: "b-life"},
+			Dial: network.Dialer("b"), Keys: rpc.FleetKeys{"the-new-fleet-key", "the-old-fleet-key"},
+		})
+		rotated.SetMembers([]Member{old.Self, rotated.Self})
+		time.Sleep(time.Second)
+		is.Equal(old.Reach(), Reach{Known: 1, Live: 1})
+		is.Equal(rotated.Reach(), Reach{Known: 1, Live: 1})
+		for _, e := range []*entry{old, rotated} {
+			e.cancel()
+			_ = e.server.Close()
+		}
+		network.Close()
+		time.Sleep(time.Minute)
 	})
 }
 
