Empty a hall and take it back, and spare servers that start up

The record op/evacuate/HALL suspends a hall: it arrives by the same path as the document, from the store or from another front, and from then on the hall's servers are treated as draining ones until it is taken back.

A server that starts while the front runs, that says it is cold, or whose hall is taken back, has a rate limit until its cold start is over. It is one more limit of services/serverlimit, with the same shares and permit transfers between fronts, at a rate at which the bursts of all shares stay within what a server bears in any second.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -69,6 +69,8 @@
 	serversMu    sync.Mutex
 	servers      platform.Servers
 	expiryFilter dispatch.ExpiryFilter
+	// halls are the halls that the operators suspended; also guarded by serversMu.
+	halls platform.SuspendedHalls
 	// unrouted holds the incarnations of servers whose service has no route and that were logged.
 	unrouted map[string]bool
 	// pool holds the idle connections to backend servers.
@@ -163,7 +165,7 @@
 	self := peers.Member{Name: s.Name, Address: address, Hall: s.Hall, Incarnation: runworks.NewIncarnation()}
 	d.dispatcher = &dispatch.Dispatcher{
 		Self: self.Incarnation, Hall: s.Hall, OnEject: d.onEject, OnUnresponsive: d.onUnresponsive, OnPeerEject: d.onPeerEject, OnRateLimit: d.onRateLimit, RequestPermits: d.requestPermits,
-		OnDraining: d.onDraining, OnBackoff: d.onBackoff,
+		OnDraining: d.onDraining, OnBackoff: d.onBackoff, ColdStart: d.coldStart,
 		SendServerNotice: func(notice runworks.ServerNotice) { d.exchange.SendServerNotice(notice) },
 	}
 	d.quota = &quota.Quota{Self: self.Incarnation, Window: s.QuotaWindow, Started: time.Now()}
--- a/daemon/front_servers.go
+++ b/daemon/front_servers.go
@@ -70,6 +70,7 @@
 // the store may have lost, or restored from before their servers were removed.
 func (d *Front) applyServers(now time.Time) {
 	list, again := d.expiryFilter.Merge(now, d.withRoutes(d.servers.List()))
+	d.suspendHalls(list)
 	change := d.dispatcher.SetServers(list)
 	if again > 0 {
 		d.Logger.Warn("records of backend servers may be lost or outdated; checking again later", "known", len(list), "for_ms", again.Milliseconds())
--- a/daemon/front_status.go
+++ b/daemon/front_status.go
@@ -9,14 +9,16 @@
 
 // FrontStatus is the status that a front reports to operators.
 type FrontStatus struct {
-	RoutingVersion int64                   `json:"routing_version"`
+	RoutingVersion int64 `json:"routing_version"`
 	// Fronts counts the fronts that were heard recently, with this one, and FrontsKnown also those
 	// that are only listed. FrontsKeyRefused counts those that refuse this front's fleet keys.
 	Fronts           int                     `json:"fronts"`
 	FrontsKnown      int                     `json:"fronts_known"`
 	FrontsKeyRefused int                     `json:"fronts_key_refused,omitempty"`
-	Servers        []dispatch.ServerStatus `json:"servers"`
-	Waiting        map[string]int          `json:"waiting"`
+	Servers          []dispatch.ServerStatus `json:"servers"`
+	Waiting          map[string]int          `json:"waiting"`
+	// SuspendedHalls are the halls that the operators suspended, and when this front learned of it.
+	SuspendedHalls map[string]time.Time `json:"suspended_halls,omitempty"`
 	// LimitsUsed is the usage of each customer's limit in the current window, in tokens, as this
 	// front counts it. Fronts that are connected agree on it.
 	LimitsUsed map[string]float64 `json:"limits_used"`
@@ -27,6 +29,7 @@
 func (d *Front) status() FrontStatus {
 	reach := d.exchange.Reach()
 	out := FrontStatus{Fronts: reach.Live + 1, FrontsKnown: reach.Known + 1, FrontsKeyRefused: reach.KeyRefused, Servers: d.dispatcher.ServerStatuses(), Waiting: d.dispatcher.WaitingCalls(), LimitsUsed: d.quota.Consumed(time.Now())}
+	out.SuspendedHalls = d.suspendedHalls()
 	out.Suspects = d.quarantine.Reports(time.Now())
 	if table := d.forwarder.Table.Load(); table != nil {
 		out.RoutingVersion = table.Routing.Version
--- a/daemon/front_sync.go
+++ b/daemon/front_sync.go
@@ -23,8 +23,9 @@
 
 // buildWatches builds the components that follow the topics of the store.
 func (d *Front) buildWatches() {
-	routing := &platform.Watch{Topic: platform.TopicOperators, OnChange: d.onRouting}
-	routing.OnState = func(records []platform.Record, _ bool) { d.onRouting(records) }
+	routing := &platform.Watch{Topic: platform.TopicOperators}
+	routing.OnState = func(records []platform.Record, _ bool) { d.onOperators(records, d.halls.Reset) }
+	routing.OnChange = func(records []platform.Record) { d.onOperators(records, d.halls.Apply) }
 	servers := &platform.Watch{Topic: platform.TopicServers}
 	servers.OnState = func(records []platform.Record, restored bool) { d.onServers(records, d.servers.Reset, restored) }
 	servers.OnChange = func(records []platform.Record) { d.onServers(records, d.servers.Apply, false) }
@@ -145,6 +146,12 @@
 	}
 }
 
+// onOperators applies records of the operators: suspended halls and the routing document.
+func (d *Front) onOperators(records []platform.Record, apply func(time.Time, []platform.Record)) {
+	d.onSuspendedHalls(records, apply)
+	d.onRouting(records)
+}
+
 // onRouting activates the newest routing document, and never an older one than the active one.
 func (d *Front) onRouting(records []platform.Record) {
 	d.routingMu.Lock()
--- a/route.go
+++ b/route.go
@@ -54,6 +54,8 @@
 	Public bool
 	// Shares are the services that receive the calls, with their weights.
 	Shares []ServiceShare
+	// Regions are the regions whose backend servers may receive the calls; empty means all.
+	Regions []string
 }
 
 // ServiceShare is a service and its weight within a route.
@@ -69,6 +71,10 @@
 	// MaxConnections limits the connections of all entries to one backend server; 0 means not
 	// specified.
 	MaxConnections int
+	// ColdStart is how long a backend server is slow after it started, and ColdRate how many calls
+	// per second of all entries it bears meanwhile; 0 means no limit.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // RoutedCustomer is a customer with a token limit that applies across all entries.
@@ -84,6 +90,9 @@
 	TokenBurst float64
 	// TokensPerCall is the cost in tokens of a call that states none.
 	TokensPerCall float64
+	// Regions are the regions whose backend servers may receive the customer's calls, besides
+	// Route.Regions; empty means all.
+	Regions []string
 }
 
 // CallLimits limit the size of a caller's request and the time a caller may stay idle.
@@ -113,10 +122,14 @@
 	// Unreadable is set while the server's newest record can't be parsed; it receives no new
 	// calls until a readable record arrives.
 	Unreadable bool
+	// Suspended is set while the operators suspended the server's hall; it receives no new calls.
+	Suspended bool
+	// ColdUntil is until when the server is slow from its start, as it stated; zero if it is not.
+	ColdUntil time.Time
 }
 
-// Unavailable reports whether the server's record bars it from new calls.
-func (i *Instance) Unavailable() bool { return i.Draining || i.Unreadable }
+// Unavailable reports whether the server's record or its hall bars it from new calls.
+func (i *Instance) Unavailable() bool { return i.Draining || i.Unreadable || i.Suspended }
 
 // IncarnationID returns an ID of this incarnation that is the same at all entries. What was
 // learned about one incarnation must not be applied to the next.
--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -131,7 +131,7 @@
 	feasible := !w.late && w.feasible || s.anyMeetsTarget(now, f, req, canWait)
 	var out []*server
 	for _, one := range open {
-		if slices.Contains(req.Exclude, one.incarnation) || s.freeSlots(one, tier) <= 0 {
+		if !req.allows(one) || s.freeSlots(one, tier) <= 0 {
 			continue
 		}
 		if float64(one.meanGap) > fastest*paceTolerance && s.expectedDuration(one, req) > left {
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -51,6 +51,13 @@
 	Deadline time.Time
 	// Exclude lists the incarnations of the servers to which the call was already sent.
 	Exclude []string
+	// AllowsHall reports whether the call may run in a hall; nil means in all.
+	AllowsHall func(hall string) bool
+}
+
+// allows reports whether the call may be sent to a server.
+func (a *Request) allows(one *server) bool {
+	return !slices.Contains(a.Exclude, one.incarnation) && (a.AllowsHall == nil || a.AllowsHall(one.Hall))
 }
 
 // Dispatcher assigns the calls of one entry to backend servers. The exported fields must be
@@ -80,6 +87,8 @@
 	OnRateLimit func(server runworks.Instance, change LimitChange)
 	// SendServerNotice is called with a server notice to be sent to the other entries.
 	SendServerNotice func(notice runworks.ServerNotice)
+	// ColdStart returns how the servers of a service behave after their start; nil means as later.
+	ColdStart func(service string) ColdStart
 	// RequestPermits is called with a request for permits to be sent to another entry, whose
 	// reply goes to FinishTransfer. Without it no permits are requested.
 	RequestPermits func(transfer *PermitTransfer)
@@ -93,6 +102,8 @@
 	// unreachable holds since when entries that timed out, and do not count as gone yet, have
 	// been unreachable.
 	unreachable map[runworks.Incarnation]time.Time
+	// listed is set once a list of servers was received.
+	listed bool
 	// pendingNotices are notices of servers that are not known yet.
 	pendingNotices map[string]earlyNotice
 	// expiredReports are reports of servers whose records expired recently.
@@ -262,7 +273,7 @@
 // of more use to a call that has no answer yet. A stream that is resumed does wait.
 func (s *service) hasServerFor(now time.Time, req *Request) bool {
 	for _, one := range s.servers {
-		if !one.Draining && !slices.Contains(req.Exclude, one.incarnation) && (!req.Retry || req.Resumed || !one.throttled(now)) {
+		if !one.Draining && req.allows(one) && (!req.Retry || req.Resumed || !one.throttled(now)) {
 			return true
 		}
 	}
--- a/services/dispatch/limit.go
+++ b/services/dispatch/limit.go
@@ -92,7 +92,7 @@
 			ahead++
 		}
 	}
-	s.limit.SetShare(now, serverlimit.ShareOf(s.limit.PerSecond(), ahead, len(others)+1))
+	s.limit.SetShare(now, serverlimit.ShareOf(s.limit.PerSecond(now), ahead, len(others)+1))
 }
 
 // shareLimitsLocked computes this entry's shares of all limits after the set of entries changed.
@@ -108,11 +108,12 @@
 // runworks.EntryTimeout ago, whose shares are redistributed.
 func (d *Dispatcher) expireLimitsLocked(now time.Time) {
 	for _, s := range d.servers {
-		if s.limit.Expired(now) {
-			s.limit = serverlimit.Limit{}
-			if d.OnRateLimit != nil {
-				d.OnRateLimit(s.Instance, LimitChange{})
-			}
+		expired := s.limit.Expired(now)
+		if s.limit.RemoveExpired(now) {
+			d.shareLimitLocked(now, s)
+		}
+		if expired && d.OnRateLimit != nil {
+			d.OnRateLimit(s.Instance, LimitChange{})
 		}
 	}
 	removed := false
--- a/services/dispatch/model.go
+++ b/services/dispatch/model.go
@@ -144,7 +144,7 @@
 // anyMeetsTarget reports whether a call can meet its target at some server.
 func (s *service) anyMeetsTarget(now time.Time, f *forecast, req *Request, canWait bool) bool {
 	return slices.ContainsFunc(s.servers, func(one *server) bool {
-		return s.healthy(now, one) && !one.throttled(now) && !slices.Contains(req.Exclude, one.incarnation) && f.meetsTarget(now, one, req, canWait)
+		return s.healthy(now, one) && !one.throttled(now) && req.allows(one) && f.meetsTarget(now, one, req, canWait)
 	})
 }
 
--- a/services/dispatch/permits.go
+++ b/services/dispatch/permits.go
@@ -126,7 +126,7 @@
 		return
 	}
 	s := wanted[rand.IntN(len(wanted))]
-	donor := d.donor(s)
+	donor := d.donor(now, s)
 	if donor == "" {
 		p.fail(now)
 		return
@@ -139,12 +139,12 @@
 
 // donor returns a random reachable entry that has a share of a server's rate limit, or "" if
 // there is none.
-func (d *Dispatcher) donor(s *server) runworks.Incarnation {
+func (d *Dispatcher) donor(now time.Time, s *server) runworks.Incarnation {
 	all := append(d.others(), d.Self)
 	slices.SortFunc(all, func(a, b runworks.Incarnation) int {
 		return cmp.Compare(rendezvousHash(s.incarnation, b), rendezvousHash(s.incarnation, a))
 	})
-	owners := all[:serverlimit.ShareCount(s.limit.PerSecond(), len(all))]
+	owners := all[:serverlimit.ShareCount(s.limit.PerSecond(now), len(all))]
 	owners = slices.DeleteFunc(owners, func(id runworks.Incarnation) bool {
 		_, connected := d.peers[id]
 		return !connected
--- a/services/dispatch/server_set.go
+++ b/services/dispatch/server_set.go
@@ -32,37 +32,29 @@
 	for _, one := range list {
 		id := one.IncarnationID()
 		s := old[id]
-		if s == nil {
+		added, resumed := s == nil, s != nil && s.Suspended && !one.Suspended
+		if added {
 			s = &server{incarnation: id, reportState: d.takeExpired(id)}
 			if s.limit.Active(now) {
 				d.shareLimitLocked(now, s) // the set of entries may have changed in the meantime
 			}
 			out.Added = append(out.Added, one)
-		} else if one.Unavailable() && !s.Draining {
+		} else if one.Unavailable() && !one.Suspended && !s.Draining {
 			out.Withdrawn = append(out.Withdrawn, one)
 		}
 		s.draining = s.draining || one.Draining
 		s.Instance = one
 		s.Draining = one.Unavailable() || s.draining
+		d.limitColdStartLocked(now, s, added && d.listed || resumed)
 		d.servers[id] = s
 		d.newest[one.ID] = s
 	}
 	for id, s := range old {
-		if d.servers[id] != nil {
-			continue
-		}
-		if !s.Draining {
-			out.Exited = append(out.Exited, s.Instance)
+		if d.servers[id] == nil {
+			d.dropServerLocked(now, s, &out)
 		}
-		if d.newest[s.ID] != nil {
-			out.Restarted = append(out.Restarted, s.Instance)
-			s.markRestarted()
-		} else if !s.Draining {
-			out.Withdrawn = append(out.Withdrawn, s.Instance)
-		}
-		s.Draining = true
-		d.keepExpired(now, s)
 	}
+	d.listed = true
 	d.groupByServiceLocked()
 	d.applyEarlyLocked(now)
 	// The load of the other entries has to be known before any call is placed.
@@ -70,6 +62,22 @@
 	return out
 }
 
+// dropServerLocked notifies the calls of a server that is no longer listed, if it restarted, and adds
+// it to the change.
+func (d *Dispatcher) dropServerLocked(now time.Time, s *server, out *ServerSetChange) {
+	if !s.Draining {
+		out.Exited = append(out.Exited, s.Instance)
+	}
+	if d.newest[s.ID] != nil {
+		out.Restarted = append(out.Restarted, s.Instance)
+		s.markRestarted()
+	} else if !s.Draining {
+		out.Withdrawn = append(out.Withdrawn, s.Instance)
+	}
+	s.Draining = true
+	d.keepExpired(now, s)
+}
+
 // findServer returns the server that another entry names: by incarnation ID or, as entries of
 // older versions do, by server ID, which is taken for its newest incarnation.
 func (d *Dispatcher) findServer(name string) *server {
@@ -267,6 +275,7 @@
 	OwnCalls     int       `json:"own"`
 	PeerCalls    int       `json:"others"`
 	Draining     bool      `json:"leaving,omitempty"`
+	Suspended    bool      `json:"suspended,omitempty"`
 	EjectedUntil time.Time `json:"suspended_until,omitzero"`
 	// Limit is the last rate limit that the server reported, and LimitShare this entry's share
 	// of it in requests per second.
@@ -289,7 +298,7 @@
 		limit, _ := s.limit.Reported()
 		out = append(out, ServerStatus{
 			ID: s.ID, Generation: s.Generation, Service: s.Service, Hall: s.Hall, Slots: s.Slots,
-			OwnCalls: s.ownCalls, PeerCalls: s.peerCalls, Draining: s.Draining, EjectedUntil: s.ejectedUntil,
+			OwnCalls: s.ownCalls, PeerCalls: s.peerCalls, Draining: s.Draining, Suspended: s.Suspended, EjectedUntil: s.ejectedUntil,
 			Limit: limit, LimitShare: s.limit.Share().PerSecond,
 			ReportedDraining: s.draining, BackoffUntil: s.backoff.until, ReportedLoad: s.reportedLoad,
 		})
--- a/services/route/table.go
+++ b/services/route/table.go
@@ -16,17 +16,17 @@
 	// hosts holds the routes of each host, the longest path prefix first.
 	hosts     map[string][]*runworks.Route
 	customers map[string]*runworks.RoutedCustomer
-	services  map[string]bool
+	services  map[string]*runworks.RoutedService
 }
 
 // NewTable builds the indexes of a routing.
 func NewTable(r *runworks.Routing) *Table {
 	t := &Table{
 		Routing: r, hosts: map[string][]*runworks.Route{},
-		customers: map[string]*runworks.RoutedCustomer{}, services: map[string]bool{},
+		customers: map[string]*runworks.RoutedCustomer{}, services: map[string]*runworks.RoutedService{},
 	}
 	for i := range r.Services {
-		t.services[r.Services[i].Name] = true
+		t.services[r.Services[i].Name] = &r.Services[i]
 	}
 	for i := range r.Routes {
 		route := &r.Routes[i]
@@ -44,7 +44,10 @@
 }
 
 // HasService reports whether the routing contains a service.
-func (t *Table) HasService(service string) bool { return t.services[service] }
+func (t *Table) HasService(service string) bool { return t.services[service] != nil }
+
+// Service returns the service with a name, or nil if there is none.
+func (t *Table) Service(name string) *runworks.RoutedService { return t.services[name] }
 
 // Route returns the route with the longest matching path prefix; ErrNoRoute if there is none.
 func (t *Table) Route(host, path string) (*runworks.Route, error) {
--- a/services/serverlimit/limit.go
+++ b/services/serverlimit/limit.go
@@ -29,19 +29,22 @@
 	transferred int
 	// awaitingShare means that the entry has no share yet since the limit became active.
 	awaitingShare bool
+	// coldRate is the limit in requests a second until coldUntil, besides perSecond.
+	coldRate  float64
+	coldUntil time.Time
 }
 
 // Set applies a server's report of its limit in requests a second, made at a time, and reports
 // whether the limit changed. An older report than the last is ignored.
 func (l *Limit) Set(now, at time.Time, perSecond float64) bool {
-	active := l.Active(now)
-	if active && (!at.After(l.setAt) || at.Before(l.clearedAt)) {
+	reported := l.reported(now)
+	if reported && (!at.After(l.setAt) || at.Before(l.clearedAt)) {
 		return false
 	}
-	if !active {
+	if !l.Active(now) {
 		*l = Limit{filledAt: now, awaitingShare: true}
 	}
-	changed := !active || perSecond != l.perSecond || !l.clearedAt.IsZero()
+	changed := !reported || perSecond != l.perSecond || !l.clearedAt.IsZero()
 	l.perSecond, l.setAt, l.clearedAt = perSecond, at, time.Time{}
 	return changed
 }
@@ -50,20 +53,57 @@
 // another. It is ignored if the server reported a limit since the request was sent. It reports
 // whether the limit changed.
 func (l *Limit) Clear(now, at, sent time.Time) bool {
-	if !l.Active(now) || !l.clearedAt.IsZero() || !sent.After(l.setAt) {
+	if !l.reported(now) || !l.clearedAt.IsZero() || !sent.After(l.setAt) {
 		return false
 	}
 	l.clearedAt = at
 	return true
 }
 
+// SetColdStart limits the requests to a server that is slow from its start, until a time. It
+// reports whether the entry's share must be set anew. A shorter cold start than the known one is
+// ignored.
+func (l *Limit) SetColdStart(now, until time.Time, perSecond float64) bool {
+	if !until.After(now) || now.Before(l.coldUntil) && !until.After(l.coldUntil) && perSecond == l.coldRate {
+		return false
+	}
+	if !l.Active(now) {
+		*l = Limit{filledAt: now, awaitingShare: true}
+	}
+	changed := !now.Before(l.coldUntil) || perSecond != l.coldRate
+	l.coldRate, l.coldUntil = perSecond, until
+	return changed
+}
+
 // Active reports whether a limit applies.
-func (l *Limit) Active(now time.Time) bool {
+func (l *Limit) Active(now time.Time) bool { return l.reported(now) || now.Before(l.coldUntil) }
+
+// reported reports whether a limit that the server reported applies.
+func (l *Limit) reported(now time.Time) bool {
 	return !l.setAt.IsZero() && (l.clearedAt.IsZero() || now.Sub(l.clearedAt) < clearDelay)
 }
 
-// Expired reports whether a limit was set that no longer applies.
-func (l *Limit) Expired(now time.Time) bool { return !l.setAt.IsZero() && !l.Active(now) }
+// Expired reports whether a limit was reported that no longer applies.
+func (l *Limit) Expired(now time.Time) bool { return !l.setAt.IsZero() && !l.reported(now) }
+
+// RemoveExpired removes a reported limit and a cold start that are over. It reports whether another
+// limit still applies, so that the entry's share must be set anew.
+func (l *Limit) RemoveExpired(now time.Time) bool {
+	removed := false
+	if l.Expired(now) {
+		l.perSecond, l.setAt, l.clearedAt = 0, time.Time{}, time.Time{}
+		removed = true
+	}
+	if !l.coldUntil.IsZero() && !now.Before(l.coldUntil) {
+		l.coldRate, l.coldUntil = 0, time.Time{}
+		removed = true
+	}
+	if removed && !l.Active(now) {
+		*l = Limit{}
+		return false
+	}
+	return removed
+}
 
 // Reported returns the server's last report, and when it was made.
 func (l *Limit) Reported() (runworks.RateLimit, time.Time) {
@@ -77,7 +117,15 @@
 }
 
 // PerSecond returns the limit in requests a second from all entries together.
-func (l *Limit) PerSecond() float64 { return l.perSecond }
+func (l *Limit) PerSecond(now time.Time) float64 {
+	switch {
+	case !now.Before(l.coldUntil):
+		return l.perSecond
+	case !l.reported(now):
+		return l.coldRate
+	}
+	return min(l.perSecond, l.coldRate)
+}
 
 // Share returns this entry's share of the limit.
 func (l *Limit) Share() Share { return l.share }
--- a/services/serverlimit/limit_test.go
+++ b/services/serverlimit/limit_test.go
@@ -32,6 +32,10 @@
 			fields := strings.SplitN(line, " ", 3)
 			rest := fields[len(fields)-1]
 			var err error
+			if text, ok := playColdStart(&l, now, verb, rest); ok {
+				fmt.Fprintf(&out, "%d %s\n", ms, text)
+				continue
+			}
 			switch verb {
 			case "name": // the limit, and when the server reported it
 				_, err = fmt.Sscan(rest, &perSecond, &other)
@@ -41,7 +45,7 @@
 				fmt.Fprintf(&out, "%d news=%t\n", ms, l.Clear(now, now, at(other)))
 			case "share": // the entry's index, and the number of entries
 				_, err = fmt.Sscan(rest, &other, &n)
-				l.SetShare(now, ShareOf(l.PerSecond(), other, n))
+				l.SetShare(now, ShareOf(l.PerSecond(now), other, n))
 			case "send": // the number of requests
 				_, err = fmt.Sscan(rest, &n)
 				sent := 0
@@ -77,6 +81,22 @@
 	})
 }
 
+// playColdStart runs the verbs of cold starts and reports whether verb is one.
+func playColdStart(l *Limit, now time.Time, verb, rest string) (string, bool) {
+	switch verb {
+	case "cold": // the limit, and until when
+		var perSecond float64
+		var until int
+		if _, err := fmt.Sscan(rest, &perSecond, &until); err != nil {
+			return err.Error(), true
+		}
+		return fmt.Sprintf("news=%t", l.SetColdStart(now, start.Add(time.Duration(until)*time.Millisecond), perSecond)), true
+	case "expire":
+		return fmt.Sprintf("share=%t rate=%.2f in-force=%t", l.RemoveExpired(now), l.PerSecond(now), l.Active(now)), true
+	}
+	return "", false
+}
+
 // TestShares checks the sum of all entries' shares: the rates add up to the limit or the minimum
 // rate, and the bursts to no more than a second's worth and ExtraBurst. An entry with a share may
 // send a whole request.
@@ -147,3 +167,36 @@
 	word, _ := l.Reported()
 	is.True(!word.Named)
 }
+
+// TestColdStartInSecond has all entries send what they may to a server that starts up, each from a
+// random moment on: in no second does it get more than its limit.
+func TestColdStartInSecond(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		most := rapid.Float64Range(5, 200).Draw(t, "most")
+		n := rapid.IntRange(1, 400).Draw(t, "entries")
+		limits := make([]Limit, n)
+		until := start.Add(10 * time.Second)
+		for i := range limits {
+			limits[i].SetColdStart(start, until, RateWithin(most))
+			limits[i].SetShare(start, ShareOf(RateWithin(most), i, n))
+		}
+		var sent []time.Time
+		first := 0
+		now := start
+		for now.Before(until.Add(-time.Second)) {
+			now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "pause")) * time.Millisecond)
+			for i := range limits {
+				for limits[i].Admits(now) {
+					limits[i].Consume(now)
+					sent = append(sent, now)
+				}
+			}
+			for first < len(sent) && now.Sub(sent[first]) > time.Second {
+				first++
+			}
+			if got := len(sent) - first; float64(got) > most {
+				t.Fatalf("%d in a second, %g allowed", got, most)
+			}
+		}
+	})
+}
--- a/services/serverlimit/share.go
+++ b/services/serverlimit/share.go
@@ -45,3 +45,7 @@
 func ShareCount(perSecond float64, entries int) int {
 	return int(min(float64(entries), max(perSecond, minRate)+ExtraBurst))
 }
+
+// RateWithin returns the highest rate in requests a second at which all entries together send at
+// most perSecond requests in any second: the rate, and the bursts of all shares.
+func RateWithin(perSecond float64) float64 { return max((perSecond-ExtraBurst)/2, minRate) }
--- a/tests/platform_record_test.go
+++ b/tests/platform_record_test.go
@@ -1,6 +1,7 @@
 package tests
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -26,7 +27,11 @@
 // record returns the record of a backend server of the site.
 func (p *platformSite) record(name, state string, generation int64) []byte {
 	service, _, _ := strings.Cut(name, "-")
-	return serverRecord(service, p.backends[name].address("standin"), state, generation)
+	record := serverRecord(service, p.backends[name].address("standin"), state, generation)
+	if hall := p.halls[name]; hall != "" {
+		record = bytes.Replace(record, []byte(`"zone": "a"`), fmt.Appendf(nil, `"zone": %q`, hall), 1)
+	}
+	return record
 }
 
 // countLogLines returns how many lines of a front's log contain all texts.
--- a/tests/platform_restore_test.go
+++ b/tests/platform_restore_test.go
@@ -18,11 +18,23 @@
 // TestPlatformChangesAfterStoreRestored checks that after the store was restored from an older
 // copy each change becomes active at all fronts in time, and that no older state replaces newer.
 func TestPlatformChangesAfterStoreRestored(t *testing.T) {
+	runRestoreScript(t, "testdata/platform/store_returns")
+}
+
+// TestPlatformSuspendedHall checks that nothing goes to a hall that the operators suspended, also
+// from fronts that start or lose the store meanwhile, and that it is used again once it is resumed.
+func TestPlatformSuspendedHall(t *testing.T) {
+	runRestoreScript(t, "testdata/platform/suspended_hall")
+}
+
+// runRestoreScript runs the script of a site whose store can be restored.
+func runRestoreScript(t *testing.T, file string) {
+	t.Helper()
 	var p *restoreSite
-	datadriven.RunTest(t, "testdata/platform/store_returns", func(t *testing.T, d *datadriven.TestData) string {
+	datadriven.RunTest(t, file, func(t *testing.T, d *datadriven.TestData) string {
 		a := scanScript(t, d)
 		if d.Cmd == "site" {
-			p = newRestoreSite(t, a.servers)
+			p = newRestoreSite(t, a.servers, a.halls)
 		}
 		for _, step := range []func(*datadriven.TestData, *scriptArgs) string{p.stepStore, p.stepRecords, p.stepChecks} {
 			if out := step(d, &a); out != "" {
@@ -75,6 +87,12 @@
 			p.addServer(name)
 		}
 		return "added\n"
+	case "suspend":
+		p.put("keyed.op", "evacuate/"+a.hall, []byte(`{}`))
+		return "taken\n"
+	case "resume":
+		p.put("keyed.op", "evacuate/"+a.hall, nil)
+		return "taken\n"
 	case "drop":
 		for _, name := range a.servers {
 			p.put("keyed.servers", name, nil)
@@ -103,9 +121,14 @@
 	calls int
 }
 
-func newRestoreSite(t *testing.T, servers []string) *restoreSite {
+// newRestoreSite starts the store and servers, which are in the halls of the same index.
+func newRestoreSite(t *testing.T, servers, halls []string) *restoreSite {
 	t.Helper()
 	p := &restoreSite{platformSite: newBarePlatformSite(t)}
+	p.halls = map[string]string{}
+	for i, hall := range halls {
+		p.halls[servers[i]] = hall
+	}
 	p.putVersion(1)
 	for _, name := range servers {
 		p.addServer(name)
--- a/tests/platform_site_test.go
+++ b/tests/platform_site_test.go
@@ -37,6 +37,8 @@
 	*site
 	store  *process
 	fronts map[string]*process
+	// halls holds the halls of the backend servers that are not in hall a.
+	halls map[string]string
 	// extraSettings are settings of the fronts beyond those of frontSettings, as YAML lines.
 	extraSettings string
 }
