Keep calls in the regions that their route and customer allow

A call that is bound to regions is now placed only at servers of halls in all of them, also as it is retried or resumed, and is answered as not run where there is none. No front forwards a body to another, so it leaves the caller's front only for such a server.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -175,7 +175,7 @@
 	d.pool = &httpconn.Pool{Dial: dial, MatchResponse: platform.AnswersRequest}
 	d.forwarder = &forward.Forwarder{
 		Ready: d.initialized, Dispatcher: d.dispatcher, Quota: d.quota, Budgets: d.budgets, Quarantine: d.quarantine, Logger: d.Logger, Metrics: d.metrics, Tracer: tracer,
-		Sender: &platform.Sender{Pool: d.pool},
+		Sender: &platform.Sender{Pool: d.pool}, Regions: s.Regions,
 	}
 	d.front = &platform.Front{Forwarder: d.forwarder, Logger: d.Logger, MaxBodyBytes: s.MaxBodyBytes}
 	d.store = &platform.Store{Address: s.Store, Client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}}, OnRestored: d.onStoreRestored}
--- a/services/forward/dispatch_request.go
+++ b/services/forward/dispatch_request.go
@@ -22,6 +22,7 @@
 		ID: c.in.ID, Service: c.service, Rank: c.rank, RouteRank: c.route.Rank, Customer: c.customerName(),
 		PromptTokens: c.in.PromptTokens, MaxTokens: c.in.MaxTokens, ExpectedTokens: c.in.ExpectedTokens,
 		Resumed: !c.lastEvent.IsZero(), Retry: c.ran > 0, MaxGap: c.route.MaxGap, Target: target, CallerTimeout: c.callerTimeout(), Deadline: c.deadline, Exclude: slices.Clone(c.tried),
+		AllowsHall: c.allowsHall(),
 	}
 }
 
@@ -37,3 +38,24 @@
 	}
 	return c.in.Received.Add(wait)
 }
+
+// allowsHall returns the function that reports whether the call may run in a hall, or nil if it may
+// in all: both the route and the customer may be bound to regions.
+func (c *call) allowsHall() func(hall string) bool {
+	var customer []string
+	if c.customer != nil {
+		customer = c.customer.Regions
+	}
+	if len(c.route.Regions)+len(customer) == 0 {
+		return nil
+	}
+	return func(hall string) bool {
+		region, ok := c.f.Regions[hall]
+		return ok && inRegions(c.route.Regions, region) && inRegions(customer, region)
+	}
+}
+
+// inRegions reports whether a region is one of list; an empty list means all.
+func inRegions(list []string, region string) bool {
+	return len(list) == 0 || slices.Contains(list, region)
+}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -65,6 +65,9 @@
 	Logger     hclog.Logger
 	Metrics    *metrics.Set
 	Tracer     trace.Tracer
+	// Regions holds the region of each hall. A hall without one runs no call that is bound to
+	// regions.
+	Regions map[string]string
 	// Ready is closed once the entry has read its state; nil means that it has.
 	Ready <-chan struct{}
 	// Stopping is set near the end of a planned stop: new streams, which may last long, are then
