Pass changes of the store on through the fronts, and catch up from them

Cause, by what grows faster than the fleet: one front read each change and sent it to all others, one after the other, up to 32 KB. The document of 333 customers is larger, so it was never sent: all fronts learned from heartbeats that they were behind, waited the same time (5 ms a front), and read it from the store in the same moment. So did all for a change that two readers had read in overlapping pieces, and for a hint that met an earlier hint's timer. A front that the store turned away had no other source than another front's whole state.

Now a front that reads a change gives it to one front of each other hall and eight of its own, with the names of those to which they pass it on; who passes on is drawn anew for each change, without an election. Long records go as patches of the value that all have (zstd with the old value as dictionary: under 1 KB for a document of 100 KB). Overlapping changes are applied from where the front is. A front that is behind asks the front that announced the position last for the changes since its own, at a spread time that does not grow with the fleet, then a second one, then the store; while the store can't be read, another front's whole state.

TestRelayTimes, in virtual time over 20 Mbit/s with one entry in ten stopped: a patch reaches 30, 103, 384 and 768 entries in 12, 20, 24 and 26 ms, a whole document of 100 KB in 0.57, 0.86, 1.15 and 1.19 s; no entry sends it more than 12 times. Sent by one to all it was 15 s at 384. TestOverlappingChanges, TestChangeReachesAll, TestFrozenRelay.

Fronts of the last version neither pass on nor receive these changes; they read the store as before, and what they send in heartbeats is applied.

Ruled out: sending differences of whole documents only, as the store's record is then still read by each front that missed one.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -85,6 +85,7 @@
 	suspects *platform.Suspects
 	// requesting is set for a subject while its state is requested from another front.
 	requesting    map[peers.Subject]*atomic.Bool
+	catchUps      map[peers.Subject]*catchUp
 	work          group.Group
 	draining      atomic.Bool
 	serversListed atomic.Bool
@@ -182,7 +183,7 @@
 	d.exchange = &peers.Exchange{
 		Self: self,
 		Dial: dial, Keys: rpc.FleetKeys(s.FleetKeys), Logger: d.Logger,
-		Heartbeat: d.heartbeat, OnHeartbeat: d.onHeartbeat, OnUnreachable: d.onUnreachable, OnReplaced: d.onReplaced, State: d.state,
+		Heartbeat: d.heartbeat, OnHeartbeat: d.onHeartbeat, OnUnreachable: d.onUnreachable, OnReplaced: d.onReplaced, State: d.state, OnChange: d.applyChange, ChangesSince: d.changesSince,
 		LimitUpdates:  func() runworks.LimitUse { return d.quota.Updates(time.Now()) },
 		LimitSnapshot: func() runworks.LimitUse { return d.quota.FullUse(time.Now()) },
 		OnHandshake:   d.onHandshake, OnSettled: d.admitHeldCalls,
--- a/daemon/front_routing.go
+++ b/daemon/front_routing.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/runworks/runworks/modules/pause"
@@ -8,11 +9,10 @@
 )
 
 const (
-	// routingGrace, plus routingGracePerFront for each other front, is how long a front waits for a
-	// newer routing to arrive in a change or from the store before it requests it from another front.
-	// The request is needed if the store was restored from an older copy.
-	routingGrace         = time.Second
-	routingGracePerFront = 5 * time.Millisecond
+	// routingGrace, plus a random part of it, is how long a front waits for a newer routing to arrive
+	// in a change or from the store before it requests it from another front. The request is needed
+	// if the store was restored from an older copy.
+	routingGrace = time.Second
 	// routingTimeout limits how long a starting front takes no calls because another front has a newer
 	// routing that it has not received.
 	routingTimeout = 2 * time.Second
@@ -40,7 +40,7 @@
 	}
 	d.requestOnce(peers.SubjectRouting, func() {
 		if d.isInitialized() {
-			pause.For(d.ctx, routingGrace+time.Duration(d.exchange.LiveCount())*routingGracePerFront)
+			pause.For(d.ctx, routingGrace+rand.N(routingGrace))
 		}
 		if version > d.routingVersion() {
 			d.syncFromPeer(from, peers.SubjectRouting, w)
--- a/daemon/front_sync.go
+++ b/daemon/front_sync.go
@@ -17,10 +17,6 @@
 	"github.com/runworks/runworks/services/route"
 )
 
-// maxChangeBytes limits the changes that a front sends to all others: to a hundred of them, over a
-// link of 20 Mbit/s, this takes 1.3 s. The others read larger changes from the store.
-const maxChangeBytes = 32 << 10
-
 // buildWatches builds the components that follow the topics of the store.
 func (d *Front) buildWatches() {
 	routing := &platform.Watch{Topic: platform.TopicOperators}
@@ -32,13 +28,14 @@
 	d.watches = map[peers.Subject]*platform.Watch{peers.SubjectRouting: routing, peers.SubjectServers: servers}
 	d.requesting = map[peers.Subject]*atomic.Bool{}
 	d.requesting[peers.SubjectLimits] = &atomic.Bool{}
+	d.catchUps = map[peers.Subject]*catchUp{}
 	for subject, w := range d.watches {
 		d.requesting[subject] = &atomic.Bool{}
 		w.Store, w.Logger = d.store, d.Logger
 		w.ReaderCount = func() int { return min(d.exchange.LiveCount()+1, peers.StoreReaders) }
-		w.ListenerCount = d.exchange.LiveCount
 		w.ShouldRead = d.exchange.ReadsStore
-		w.OnRead = func(from runworks.Position, page *platform.Page) { d.sendChange(subject, from, page) }
+		w.OnRead = func(c *platform.Change) { d.sendChange(subject, c) }
+		d.catchUps[subject] = &catchUp{}
 	}
 	d.members = &platform.Members{Store: d.store, Self: d.exchange.Self, Logger: d.Logger, OnMembers: d.onMembers}
 	d.members.FrontCount = func() int { return d.exchange.LiveCount() + 1 }
@@ -77,39 +74,6 @@
 	return s, nil
 }
 
-// sendChange sends a page read from the store to the other fronts.
-func (d *Front) sendChange(subject peers.Subject, from runworks.Position, page *platform.Page) {
-	size := 0
-	for _, r := range page.Records {
-		size += len(r.Key) + len(r.Value)
-	}
-	if size > maxChangeBytes {
-		return // the others see from this front's position that they must read the store
-	}
-	d.exchange.SendChange(peers.Change{Subject: subject, From: from, Next: page.Next, Records: page.Records})
-}
-
-// applyChange applies a page that another front read from the store.
-func (d *Front) applyChange(from string, c *peers.Change) {
-	if w := d.watches[c.Subject]; w != nil && w.ApplyChanges(c.From, c.Next, c.Records) {
-		d.Logger.Info("applied changes from another front", "name", from, "subject", c.Subject, "era", c.Next.Era, "from_offset", c.From.Offset, "offset", c.Next.Offset, "records", len(c.Records))
-	}
-}
-
-// catchUp gets the state of a subject up to the position of another front: from the store, or from
-// that front while the store cannot be read.
-func (d *Front) catchUp(from string, subject peers.Subject, position runworks.Position) {
-	w := d.watches[subject]
-	if w == nil || !position.After(w.Position()) {
-		return
-	}
-	if !w.StoreLost() {
-		w.NotifyPosition(position)
-		return
-	}
-	d.requestOnce(subject, func() { d.syncFromPeer(from, subject, w) })
-}
-
 // requestOnce runs a request to another front, unless one for the subject is in progress.
 func (d *Front) requestOnce(subject peers.Subject, request func()) {
 	requesting := d.requesting[subject]
--- a/services/peers/frame.go
+++ b/services/peers/frame.go
@@ -215,8 +215,9 @@
 
 // decoder reads the frames of one connection.
 type decoder struct {
-	from  Member
-	names []string
+	from   Member
+	relays bool
+	names  []string
 }
 
 // decode returns the heartbeat of a frame. After an error the names are out of step, and the
@@ -244,7 +245,7 @@
 func (c *decoder) heartbeat(f *frame) (*Heartbeat, error) {
 	r := &nameTable{names: c.names}
 	b := &Heartbeat{
-		From: c.from, RoutingVersion: f.RoutingVersion, StoreLost: f.StoreLost, Changes: r.changes(f.Changes),
+		From: c.from, RoutingVersion: f.RoutingVersion, StoreLost: f.StoreLost, Relays: c.relays, Changes: r.changes(f.Changes),
 		Positions: make(map[Subject]runworks.Position, len(f.Positions)),
 	}
 	for _, p := range f.Positions {
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -110,6 +110,7 @@
 	defer x.sendMu.Unlock()
 	b := x.Heartbeat()
 	b.From, b.Limits = x.Self, x.LimitSnapshot()
+	b.Relays = true
 	b.fillOffsets()
 	b.Names = x.encoder.names[:x.encoder.sent]
 	if x.Suspects != nil {
@@ -174,14 +175,9 @@
 // RequestState requests the named entry's state of a subject and decodes it into out. It fails if
 // there is no connection, or if the entry does not answer within 1 s.
 func (x *Exchange) RequestState(ctx context.Context, name string, subject Subject, out any) error {
-	x.mu.Lock()
-	var conn *rpc.Conn
-	if l := x.links[name]; l != nil {
-		conn = l.conn
-	}
-	x.mu.Unlock()
+	conn := x.connByName(name)
 	if conn == nil {
-		return errorx.IllegalState.New("there is no connection to %s", name)
+		return errNotConnected(name)
 	}
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -9,7 +9,6 @@
 
 	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/modules/group"
-	"github.com/runworks/runworks/modules/notify"
 	"github.com/runworks/runworks/modules/pause"
 	"github.com/runworks/runworks/modules/rpc"
 )
@@ -27,6 +26,11 @@
 	// MethodServerNotices is the notification that carries ServerNotices. Versions that do not
 	// know it ignore it.
 	MethodServerNotices = "entry.server_words"
+	// MethodChange is the notification that carries a change of a Subject through the entries.
+	// Versions that do not know it receive none.
+	MethodChange = "entry.change"
+	// MethodChangesSince is the call that returns the changes of a Subject since a position.
+	MethodChangesSince = "entry.changes_since"
 	// MethodTransferPermits is the call that requests permits of a backend server's rate limit.
 	MethodTransferPermits = "entry.lend"
 	// MethodState is the call that returns an entry's state of a Subject.
@@ -107,8 +111,10 @@
 	Offsets map[Subject]int64 `json:"positions,omitempty"`
 	// StoreLost is set if the entry recently failed to read the store.
 	StoreLost bool `json:"store_lost,omitempty"`
-	// Changes holds what the entry read from the store since its last heartbeat. Only frames
-	// carry it.
+	// Relays is set if the entry passes on changes. Only handshakes carry it.
+	Relays bool `json:"relays,omitempty"`
+	// Changes holds what the entry read from the store since its last heartbeat. Only frames of
+	// versions that do not relay changes carry it.
 	Changes []Change `json:"-"`
 	// Suspects holds all requests to which exits of backend servers were attributed. Only
 	// handshakes carry it.
@@ -128,7 +134,7 @@
 	Logger hclog.Logger
 	// Interval is the time between heartbeats; DefaultInterval if zero.
 	Interval time.Duration
-	// Heartbeat returns the state to send. Exchange sets From, Limits and Changes.
+	// Heartbeat returns the state to send. Exchange sets From and Limits.
 	Heartbeat func() Heartbeat
 	// LimitUpdates returns Heartbeat.Limits of a heartbeat, and LimitSnapshot that of a
 	// handshake.
@@ -154,6 +160,11 @@
 	OnSettled func()
 	// OnReplaced is called with the previous incarnation of an entry that restarted.
 	OnReplaced func(old runworks.Incarnation)
+	// OnChange is called with each change that another entry passed on, and that entry's name.
+	OnChange func(from string, c *Change)
+	// ChangesSince returns the changes of a subject since a position, as the answer to
+	// RequestChanges. May be nil, which returns an error.
+	ChangesSince func(s Subject, since runworks.Position) (*Change, error)
 	// State returns this entry's state of a subject, as the answer to RequestState.
 	State func(s Subject) (any, error)
 
@@ -182,9 +193,6 @@
 	// goroutine sends them.
 	pendingNotices map[string]pendingNotice
 	sendingNotices bool
-	// pendingChanges are sent with the next heartbeat; wake triggers one.
-	pendingChanges []Change
-	wake           notify.Wake
 }
 
 // peerState is what is known of one incarnation of another entry.
@@ -194,6 +202,8 @@
 	lastSeen time.Time
 	// storeLost is Heartbeat.StoreLost of its last heartbeat.
 	storeLost bool
+	// relays is Heartbeat.Relays of its last handshake.
+	relays bool
 	// offsetsOnly is set if its version sends offsets without eras, so that this entry can't use
 	// what it reads from the store.
 	offsetsOnly bool
@@ -216,7 +226,7 @@
 		if data := x.sendHeartbeat(ctx, last, now.Sub(sent) >= idleInterval); data != nil {
 			last, sent = data, now
 		}
-		pause.Until(ctx, x.interval(), x.wake.C())
+		pause.For(ctx, x.interval())
 	}
 	x.mu.Lock()
 	x.ctxLocked()
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -111,12 +111,17 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.peers[b.From.Incarnation] = *b
-		e.changes = append(e.changes, b.Changes...)
+		e.changes = append(e.changes, b.Changes...) // of versions that do not relay changes
 		e.heartbeats++
 		for customer, u := range b.Limits.Customers {
 			e.limits[customer] = u.Consumed
 		}
 	}
+	e.OnChange = func(_ string, c *Change) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.changes = append(e.changes, *c)
+	}
 	if e.LimitUpdates == nil {
 		e.LimitUpdates = func() runworks.LimitUse { return runworks.LimitUse{Version: 1} }
 	}
--- a/services/peers/readers.go
+++ b/services/peers/readers.go
@@ -4,39 +4,12 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/runworks/runworks"
 )
 
 // StoreReaders is the number of entries that read the store on behalf of all: one, and a second
 // for the time until the failure of the first is detected.
 const StoreReaders = 2
 
-// Change is what an entry read of a subject from the store, for entries that do not read it.
-type Change struct {
-	Subject Subject
-	// From is the position before the change and Next the one after it, of the same era.
-	From, Next runworks.Position
-	Records    []runworks.Record
-}
-
-// SendChange sends a change to all other entries with an immediate heartbeat.
-func (x *Exchange) SendChange(c Change) {
-	x.mu.Lock()
-	x.pendingChanges = append(x.pendingChanges, c)
-	x.mu.Unlock()
-	x.wake.Signal()
-}
-
-// takePendingChanges returns and clears the changes that were not sent yet.
-func (x *Exchange) takePendingChanges() []Change {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	out := x.pendingChanges
-	x.pendingChanges = nil
-	return out
-}
-
 // ReadsStore reports whether this entry is one of those that read the store on behalf of all: the
 // first StoreReaders by a hash of their names, of the entries that were seen recently and can
 // read the store. Where entries see different sets of others, more of them read. If all lost the
--- a/services/peers/receive.go
+++ b/services/peers/receive.go
@@ -48,6 +48,10 @@
 		return nil, x.handleSuspects(params)
 	case MethodServerNotices:
 		return nil, x.handleServerNotices(params)
+	case MethodChange:
+		return nil, x.handleChange(params)
+	case MethodChangesSince:
+		return x.handleChangesRequest(params)
 	case MethodTransferPermits:
 		return x.handlePermitRequest(params)
 	case MethodState:
@@ -80,7 +84,7 @@
 	}
 	now := time.Now()
 	if handshake {
-		x.decoder = decoder{from: b.From, names: b.Names}
+		x.decoder = decoder{from: b.From, relays: b.Relays, names: b.Names}
 		x.OnHandshake(now, &b)
 		x.receiveSuspects(b.From.Name, b.Suspects)
 		x.receiveServerNotices(b.From.Name, b.ServerNotices)
@@ -105,7 +109,7 @@
 	}
 	x.peers[b.From.Incarnation] = &peerState{
 		name: b.From.Name, hall: b.From.Hall, lastSeen: now,
-		storeLost: b.StoreLost, offsetsOnly: b.offsetsOnly(),
+		storeLost: b.StoreLost, relays: b.Relays, offsetsOnly: b.offsetsOnly(),
 	}
 	// A new incarnation may have another address than the member list.
 	opened := x.ensureLinkLocked(b.From)
--- a/services/peers/send.go
+++ b/services/peers/send.go
@@ -18,10 +18,10 @@
 	defer x.sendMu.Unlock()
 	now := time.Now()
 	heartbeat := x.Heartbeat()
-	heartbeat.From, heartbeat.Limits, heartbeat.Changes = x.Self, x.LimitUpdates(), x.takePendingChanges()
+	heartbeat.From, heartbeat.Limits = x.Self, x.LimitUpdates()
 	local, remote := x.conns()
 	f := x.encoder.frame(&heartbeat)
-	toRemote := len(remote) == 0 || now.Sub(x.remoteSentAt) >= x.remoteInterval() || len(f.Changes)+len(f.Names) > 0
+	toRemote := len(remote) == 0 || now.Sub(x.remoteSentAt) >= x.remoteInterval() || len(f.Names) > 0
 	if x.mergeUnsentRemote(&heartbeat, toRemote) {
 		f.Limits.Customers = x.encoder.uses(heartbeat.Limits.Customers)
 		force = true
