Decode only the newest document of several that arrive together

A front that was behind decoded each version of the operators' document between, up to seven of 333 customers and 265 routes in one page, and used the last. Only the version of each is read now, and the highest one is decoded; an older one only if that is invalid.

--- a/daemon/front_sync.go
+++ b/daemon/front_sync.go
@@ -116,31 +116,35 @@
 	d.onRouting(records)
 }
 
-// onRouting activates the newest routing document, and never an older one than the active one.
+// onRouting activates the newest routing document of records, and never an older one than the active
+// one.
 func (d *Front) onRouting(records []platform.Record) {
 	d.routingMu.Lock()
 	defer d.routingMu.Unlock()
-	for _, r := range records {
-		if r.Key != platform.KeyRouting || len(r.Value) == 0 {
-			continue
-		}
+	for _, r := range platform.RoutingRecords(records) {
 		routing, err := platform.DecodeRouting(r.Value)
 		if err != nil {
 			d.Logger.Error("routing refused; keeping the active routing", "error", err.Error())
-			continue
-		}
-		old := d.forwarder.Table.Load()
-		if old != nil && old.Routing.Version >= routing.Version {
-			continue
-		}
-		d.routingRecord.Store(&r)
-		d.forwarder.Table.Store(route.NewTable(routing))
-		d.admitHeldCalls()
-		if old == nil || !slices.Equal(old.Routing.Services, routing.Services) {
-			d.onServicesChanged()
+			continue // an older one of the same page may be valid
 		}
-		d.Logger.Info("routing active", "routing_version", routing.Version, "routes", len(routing.Routes), "customers", len(routing.Customers))
+		d.activateRouting(&r, routing)
+		return
+	}
+}
+
+// activateRouting makes a routing the active one if it is newer.
+func (d *Front) activateRouting(r *platform.Record, routing *runworks.Routing) {
+	old := d.forwarder.Table.Load()
+	if old != nil && old.Routing.Version >= routing.Version {
+		return
+	}
+	d.routingRecord.Store(r)
+	d.forwarder.Table.Store(route.NewTable(routing))
+	d.admitHeldCalls()
+	if old == nil || !slices.Equal(old.Routing.Services, routing.Services) {
+		d.onServicesChanged()
 	}
+	d.Logger.Info("routing active", "routing_version", routing.Version, "routes", len(routing.Routes), "customers", len(routing.Customers))
 }
 
 // onStoreRestored is called when the store was restored from an older copy. It reloads the topics
