Log a list that arrives whole, and the start's connections, in one line each

A front of 384 wrote some 600 lines of servers added, 270 of regained connections and 200 of first heartbeats in its first seconds: half a million for a start of all. Up to 20 servers that are added at once have a line each, more have one with their counts by service; five seconds after its start an entry logs to how many others it is connected, and from then on each.

--- a/daemon/front_servers.go
+++ b/daemon/front_servers.go
@@ -12,6 +12,10 @@
 	"github.com/runworks/runworks/services/dispatch"
 )
 
+// maxLoggedServers is the number of added servers up to which each has a log line. More are added at
+// once only by a list that arrives whole.
+const maxLoggedServers = 20
+
 // onServers applies new records of backend servers.
 func (d *Front) onServers(records []platform.Record, apply func([]platform.Record) []platform.BadRecord, restored bool) {
 	d.serversMu.Lock()
@@ -81,6 +85,10 @@
 			d.applyServers(time.Now())
 		})
 	}
+	if len(change.Added) > maxLoggedServers {
+		d.Logger.Info("backend servers added", "count", len(change.Added), "services", countByService(change.Added))
+		change.Added = nil
+	}
 	for _, one := range change.Added {
 		d.Logger.Info("backend server added", "server", one.ID, "born", one.Generation, "service", one.Service, "address", one.Address, "hall", one.Hall, "leaving", one.Draining)
 	}
@@ -96,6 +104,15 @@
 	}
 }
 
+// countByService returns the number of servers of each service.
+func countByService(list []runworks.Instance) map[string]int {
+	out := make(map[string]int)
+	for _, one := range list {
+		out[one.Service]++
+	}
+	return out
+}
+
 func (d *Front) onEject(server runworks.Instance, failures int, wait time.Duration) {
 	d.Logger.Warn("backend server ejected", "server", server.ID, "service", server.Service, "failures", failures, "for_ms", wait.Milliseconds())
 }
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -90,7 +90,9 @@
 		wait = minRedialWait
 		conn := rpc.ServeFrames(ctx, stream, rejectCall, nil)
 		x.handshake(ctx, l, conn)
-		x.Logger.Info("dependency regained", "dependency", "entry", "name", l.member.Name, "address", l.member.Address)
+		if !x.starting() {
+			x.Logger.Info("dependency regained", "dependency", "entry", "name", l.member.Name, "address", l.member.Address)
+		}
 		select {
 		case <-conn.DisconnectNotify():
 		case <-ctx.Done():
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -77,6 +77,9 @@
 	// was consumed of the customers' limits since the last record. An entry that serves earlier
 	// would admit calls of a customer that has just used up its limit elsewhere.
 	SettleTimeout = 150 * time.Millisecond
+	// startSummaryAfter is how long after its start an entry logs in one line which others it is
+	// connected to. Later it logs each.
+	startSummaryAfter = 5 * time.Second
 	// minRedialWait and maxRedialWait bound the wait between attempts to connect to an entry; it
 	// doubles with each failure.
 	minRedialWait = 100 * time.Millisecond
@@ -214,6 +217,8 @@
 	x.mu.Lock()
 	x.startedAt = time.Now()
 	x.mu.Unlock()
+	summary := time.AfterFunc(startSummaryAfter, x.logStart)
+	defer summary.Stop()
 	if x.OnSettled != nil {
 		settled := time.AfterFunc(SettleTimeout, x.OnSettled)
 		defer settled.Stop()
@@ -235,6 +240,19 @@
 	x.work.Close()
 }
 
+// starting reports whether this entry started less than startSummaryAfter ago.
+func (x *Exchange) starting() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.startedAt.IsZero() || time.Since(x.startedAt) < startSummaryAfter
+}
+
+// logStart logs how many entries this one is connected to since its start.
+func (x *Exchange) logStart() {
+	r := x.Reach()
+	x.Logger.Info("connected to entries since the start", "live", r.Live, "known", r.Known, "key_refused", r.KeyRefused)
+}
+
 // ctxLocked returns the context of all connections.
 func (x *Exchange) ctxLocked() context.Context {
 	if x.ctx == nil {
--- a/services/peers/receive.go
+++ b/services/peers/receive.go
@@ -117,7 +117,7 @@
 		l.reconnect(replaced)
 	}
 	x.mu.Unlock()
-	if known == nil {
+	if known == nil && !x.starting() {
 		x.Logger.Info("first heartbeat received from entry",
 			"name", b.From.Name, "incarnation", b.From.Incarnation, "routing_version", b.RoutingVersion)
 	}
