--- a/standin/store_serve.go
+++ b/standin/store_serve.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -15,7 +16,7 @@
 const headerStoreEra = "Store-Era"
 
 // Handler returns a handler of the store's protocol, with the faults at POST /control, Put at
-// POST /put, Snapshot at POST /copy and Restore at POST /return.
+// POST /put, Snapshot at POST /copy, Restore at POST /return, and the calls by path at GET /calls.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/log-append", s.serveAppend)
@@ -23,6 +24,7 @@
 	mux.HandleFunc("GET /-/log-newest", s.serveNewest)
 	mux.HandleFunc("POST /control", s.serveControl)
 	mux.HandleFunc("POST /put", s.servePut)
+	mux.HandleFunc("GET /calls", s.serveCalls)
 	mux.HandleFunc("POST /copy", func(http.ResponseWriter, *http.Request) { s.Snapshot() })
 	mux.HandleFunc("POST /return", func(http.ResponseWriter, *http.Request) { s.Restore() })
 	return mux
@@ -57,6 +59,13 @@
 	w.Header().Set(headerStoreEra, strconv.FormatInt(s.eraLocked(), 10))
 }
 
+func (s *Store) serveCalls(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	calls := maps.Clone(s.calls)
+	s.mu.Unlock()
+	writeJSON(w, calls)
+}
+
 func (s *Store) serveControl(w http.ResponseWriter, r *http.Request) {
 	var f StoreFaults
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
