Move catching up with other fronts to services/catchup, tested in virtual time

Sending, applying and requesting changes was in daemon, where only tests of separate processes reached it. It decides, so it is a service: the copy of a topic is an interface that platform.Watch implements. No change of behaviour but one: a front that knows nothing yet and can't read the store waits like any other before it requests the whole state.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -23,6 +23,7 @@
 	"github.com/runworks/runworks/modules/tcp"
 	"github.com/runworks/runworks/platform"
 	"github.com/runworks/runworks/routers/operators"
+	"github.com/runworks/runworks/services/catchup"
 	"github.com/runworks/runworks/services/dispatch"
 	"github.com/runworks/runworks/services/forward"
 	"github.com/runworks/runworks/services/peers"
@@ -85,7 +86,7 @@
 	suspects *platform.Suspects
 	// requesting is set for a subject while its state is requested from another front.
 	requesting    map[peers.Subject]*atomic.Bool
-	catchUps      map[peers.Subject]*catchUp
+	followers     map[peers.Subject]*catchup.Follower
 	work          group.Group
 	draining      atomic.Bool
 	serversListed atomic.Bool
@@ -183,7 +184,7 @@
 	d.exchange = &peers.Exchange{
 		Self: self,
 		Dial: dial, Keys: rpc.FleetKeys(s.FleetKeys), Logger: d.Logger,
-		Heartbeat: d.heartbeat, OnHeartbeat: d.onHeartbeat, OnUnreachable: d.onUnreachable, OnReplaced: d.onReplaced, State: d.state, OnChange: d.applyChange, ChangesSince: d.changesSince,
+		Heartbeat: d.heartbeat, OnHeartbeat: d.onHeartbeat, OnUnreachable: d.onUnreachable, OnReplaced: d.onReplaced, State: d.state, OnChange: d.onChange, ChangesSince: d.changesSince,
 		LimitUpdates:  func() runworks.LimitUse { return d.quota.Updates(time.Now()) },
 		LimitSnapshot: func() runworks.LimitUse { return d.quota.FullUse(time.Now()) },
 		OnHandshake:   d.onHandshake, OnSettled: d.admitHeldCalls,
--- a/daemon/front_sync.go
+++ b/daemon/front_sync.go
@@ -12,6 +12,7 @@
 	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/modules/metrics"
 	"github.com/runworks/runworks/platform"
+	"github.com/runworks/runworks/services/catchup"
 	"github.com/runworks/runworks/services/dispatch"
 	"github.com/runworks/runworks/services/peers"
 	"github.com/runworks/runworks/services/route"
@@ -28,14 +29,19 @@
 	d.watches = map[peers.Subject]*platform.Watch{peers.SubjectRouting: routing, peers.SubjectServers: servers}
 	d.requesting = map[peers.Subject]*atomic.Bool{}
 	d.requesting[peers.SubjectLimits] = &atomic.Bool{}
-	d.catchUps = map[peers.Subject]*catchUp{}
+	d.followers = map[peers.Subject]*catchup.Follower{}
 	for subject, w := range d.watches {
 		d.requesting[subject] = &atomic.Bool{}
 		w.Store, w.Logger = d.store, d.Logger
 		w.ReaderCount = func() int { return min(d.exchange.LiveCount()+1, peers.StoreReaders) }
 		w.ShouldRead = d.exchange.ReadsStore
-		w.OnRead = func(c *platform.Change) { d.sendChange(subject, c) }
-		d.catchUps[subject] = &catchUp{}
+		f := &catchup.Follower{
+			Subject: subject, Topic: w, Logger: d.Logger, Context: d.ctx, Go: d.work.Go, PeerCount: d.exchange.LiveCount,
+			SendChange: d.exchange.SendChange, RequestChanges: d.exchange.RequestChanges,
+			RequestState: func(name string) { d.requestOnce(subject, func() { d.syncFromPeer(name, subject, w) }) },
+		}
+		w.OnRead = f.Send
+		d.followers[subject] = f
 	}
 	d.members = &platform.Members{Store: d.store, Self: d.exchange.Self, Logger: d.Logger, OnMembers: d.onMembers}
 	d.members.FrontCount = func() int { return d.exchange.LiveCount() + 1 }
@@ -178,14 +184,32 @@
 	d.budgets.SetEntries(d.exchange.LiveCount() + 1)
 	d.admitHeldCalls()
 	for _, c := range b.Changes {
-		d.applyChange(b.From.Name, &c)
+		d.onChange(b.From.Name, &c)
 	}
 	for subject, position := range b.Positions {
-		d.catchUp(b.From.Name, subject, position)
+		if f := d.followers[subject]; f != nil {
+			f.Announced(b.From.Name, position)
+		}
 	}
 	d.catchUpRouting(b.From.Name, b.RoutingVersion)
 }
 
+// onChange applies a change that another front passed on.
+func (d *Front) onChange(from string, c *peers.Change) {
+	if f := d.followers[c.Subject]; f != nil {
+		f.Receive(from, c)
+	}
+}
+
+// changesSince returns the changes of a subject since a position, for another front.
+func (d *Front) changesSince(subject peers.Subject, since runworks.Position) (*peers.Change, error) {
+	f := d.followers[subject]
+	if f == nil {
+		return nil, errorx.IllegalArgument.New("%s is not followed", subject)
+	}
+	return f.Since(since)
+}
+
 func (d *Front) onMembers(list []peers.Member) {
 	d.exchange.SetMembers(list)
 	d.admitHeldCalls()
