--- a/daemon/front.go
+++ b/daemon/front.go
@@ -192,12 +192,9 @@
 		OnSuspects:    func(_ string, list []runworks.Suspect) { d.quarantine.Apply(time.Now(), list) },
 		ServerNotices: d.dispatcher.ServerNotices, OnServerNotices: d.dispatcher.ApplyNotices, TransferPermits: d.dispatcher.TransferPermits,
 	}
-	if err := d.metrics.WatchEntries(func() (known, live, keyRefused int) {
-		r := d.exchange.Reach()
-		return r.Known, r.Live, r.KeyRefused
-	}); err != nil {
+	if err := d.watchState(); err != nil {
 		flushSpans()
-		return nil, errorx.Decorate(err, "count the other entries")
+		return nil, err
 	}
 	d.suspects = &platform.Suspects{Store: d.store, Quarantine: d.quarantine, Front: s.Name, Logger: d.Logger, OnFirstReadDone: d.admitHeldCalls}
 	d.buildWatches()
--- a/daemon/front_status.go
+++ b/daemon/front_status.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/runworks/runworks/services/dispatch"
 	"github.com/runworks/runworks/services/quarantine"
 )
@@ -36,3 +38,25 @@
 	}
 	return out
 }
+
+// watchState exports the state that no event counts as metrics.
+func (d *Front) watchState() error {
+	err := d.metrics.WatchEntries(func() (known, live, keyRefused int) {
+		r := d.exchange.Reach()
+		return r.Known, r.Live, r.KeyRefused
+	})
+	if err != nil {
+		return errorx.Decorate(err, "count the other entries")
+	}
+	err = d.metrics.WatchKeptChanges(func() int {
+		sum := 0
+		for _, w := range d.watches {
+			sum += w.RecentBytes()
+		}
+		return sum
+	})
+	if err != nil {
+		return errorx.Decorate(err, "measure the kept changes")
+	}
+	return nil
+}
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -106,6 +106,17 @@
 	return err
 }
 
+// WatchKeptChanges exports the memory of the changes that are kept for other entries, in bytes, as a
+// gauge.
+func (s *Set) WatchKeptChanges(bytes func() int) error {
+	_, err := s.meter.Int64ObservableGauge("runworks.changes_kept", metric.WithUnit("By"), metric.WithDescription("changes of the store kept for other entries"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(bytes()))
+			return nil
+		}))
+	return err
+}
+
 // WatchEntries exports how many other entries are known, heard recently, and refuse the fleet keys
 // of this one, as a gauge by state.
 func (s *Set) WatchEntries(count func() (known, live, keyRefused int)) error {
--- a/services/catchup/catchup.go
+++ b/services/catchup/catchup.go
@@ -67,7 +67,7 @@
 	// Go runs a function until it ends or the process stops.
 	Go func(f func()) bool
 	// Context ends when the process stops.
-	Context context.Context //nolint:containedctx // the follower has no Run of its own
+	Context context.Context
 
 	running atomic.Bool
 	// ahead is the latest announcement of a position that this entry has not reached.
