Send only the last record of a key as a patch

A record of 1 to 4 KB that a shorter one of its key followed in the same change was sent as a patch, which the receiver applied after the shorter one. TestRecordsOfOneKey failed before.

--- a/services/catchup/catchup.go
+++ b/services/catchup/catchup.go
@@ -19,8 +19,6 @@
 	// maxChangeBytes limits a change that an entry sends to the others, and that it accepts. The
 	// others request or read larger ones.
 	maxChangeBytes = 1 << 20
-	// patchBytes is the size of a record from which it is sent as a patch.
-	patchBytes = 1 << 10
 	// grace, plus a random part of maxSpread, is how long an entry that is behind waits for the
 	// change to arrive before it requests it: several times what a change takes through all
 	// entries. The spread keeps the entries that missed the same change from requesting it at once;
@@ -90,12 +88,13 @@
 	f.SendChange(*c)
 }
 
-// encode returns the change for an update: long records are patches of their previous values.
+// encode returns the change for an update. Long records are patches of their previous values; as
+// each is the last of its key, they may be applied after all others.
 func (f *Follower) encode(u *Update) (*peers.Change, error) {
 	out := &peers.Change{Subject: f.Subject, From: u.From, Next: u.Next}
 	size := 0
 	for _, r := range withoutReplaced(u.Records) {
-		if len(r.Value) < patchBytes {
+		if len(r.Value) <= longRecord {
 			out.Records = append(out.Records, r)
 			size += len(r.Key) + len(r.Value)
 			continue
--- a/services/catchup/catchup_test.go
+++ b/services/catchup/catchup_test.go
@@ -110,7 +110,9 @@
 	}
 	u := &Update{From: e.position, Next: next, Records: records, Previous: map[string][]byte{}}
 	for _, r := range records {
-		u.Previous[r.Key] = e.state[r.Key]
+		if _, ok := u.Previous[r.Key]; !ok {
+			u.Previous[r.Key] = e.state[r.Key]
+		}
 		e.state[r.Key] = r.Value
 	}
 	e.position = next
@@ -167,6 +169,23 @@
 	})
 }
 
+// TestRecordsOfOneKey checks that several records of one key, short and long ones, are applied in
+// their order.
+func TestRecordsOfOneKey(t *testing.T) {
+	for _, sizes := range [][]int{{10, longRecord + 1}, {longRecord + 1, 10}, {longRecord / 2, 10}, {longRecord / 2, longRecord, longRecord + 1, 3}} {
+		run(t, 2, func(is *is.I, all []*entry) {
+			var records []runworks.Record
+			for i, size := range sizes {
+				records = append(records, runworks.Record{Key: "k", Value: bytes.Repeat([]byte{byte('a' + i)}, size)})
+			}
+			all[0].Send(all[0].Apply(at(10), at(10+int64(len(sizes))), records))
+			all[1].Receive("e-0", &all[0].sent[0])
+			is.True(bytes.Equal(all[1].Value("k"), records[len(records)-1].Value))
+			is.Equal(all[1].Position(), all[0].Position())
+		})
+	}
+}
+
 // TestChangeThatDoesNotFit checks that a damaged patch, one of another base, and one behind a gap
 // are requested from the entry that has them, and never applied.
 func TestChangeThatDoesNotFit(t *testing.T) {
--- a/services/catchup/recent.go
+++ b/services/catchup/recent.go
@@ -8,8 +8,8 @@
 	maxRecentBytes = 256 << 10
 	// maxRecentUpdates limits their number.
 	maxRecentUpdates = 64
-	// longRecord is the size in bytes of a record that is left out of a list if a later one of its
-	// key is in it.
+	// longRecord is the size in bytes above which a record is left out of a list if a later one of
+	// its key is in it, and is sent as a patch.
 	longRecord = 4 << 10
 )
 
