Keep the end of a cold start when its rate changes

A document that changes a service's cold-start rate while a server is cold replaced the end of its cold start by the one of its record, which may be earlier; the comment said that a shorter one is ignored. Found by reading. The new case of TestLimit failed before.

--- a/services/serverlimit/limit.go
+++ b/services/serverlimit/limit.go
@@ -64,7 +64,10 @@
 // reports whether the entry's share must be set anew. A shorter cold start than the known one is
 // ignored.
 func (l *Limit) SetColdStart(now, until time.Time, perSecond float64) bool {
-	if !until.After(now) || now.Before(l.coldUntil) && !until.After(l.coldUntil) && perSecond == l.coldRate {
+	if until.Before(l.coldUntil) {
+		until = l.coldUntil
+	}
+	if !until.After(now) {
 		return false
 	}
 	if !l.Active(now) {
