Look up an entry's connection in one place

connTo, Connected and connByName each searched the links; the branch that logs a whole list no longer empties the list for the loop behind it. No change of behaviour; tests of peers, dispatch and serverlimit pass.

--- a/daemon/front_servers.go
+++ b/daemon/front_servers.go
@@ -87,10 +87,10 @@
 	}
 	if len(change.Added) > maxLoggedServers {
 		d.Logger.Info("backend servers added", "count", len(change.Added), "services", countByService(change.Added))
-		change.Added = nil
-	}
-	for _, one := range change.Added {
-		d.Logger.Info("backend server added", "server", one.ID, "born", one.Generation, "service", one.Service, "address", one.Address, "hall", one.Hall, "leaving", one.Draining)
+	} else {
+		for _, one := range change.Added {
+			d.Logger.Info("backend server added", "server", one.ID, "born", one.Generation, "service", one.Service, "address", one.Address, "hall", one.Hall, "leaving", one.Draining)
+		}
 	}
 	for _, one := range change.Withdrawn {
 		d.Logger.Info("backend server draining or removed", "server", one.ID, "born", one.Generation, "service", one.Service, "address", one.Address)
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -167,12 +167,7 @@
 }
 
 // Connected reports whether there is a connection to the named entry.
-func (x *Exchange) Connected(name string) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	l := x.links[name]
-	return l != nil && l.conn != nil
-}
+func (x *Exchange) Connected(name string) bool { return x.connByName(name) != nil }
 
 // RequestState requests the named entry's state of a subject and decodes it into out. It fails if
 // there is no connection, or if the entry does not answer within 1 s.
--- a/services/peers/permits.go
+++ b/services/peers/permits.go
@@ -60,12 +60,8 @@
 func (x *Exchange) connTo(id runworks.Incarnation) *rpc.Conn {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	one := x.peers[id]
-	if one == nil {
-		return nil
-	}
-	if l := x.links[one.name]; l != nil {
-		return l.conn
+	if one := x.peers[id]; one != nil {
+		return x.connByNameLocked(one.name)
 	}
 	return nil
 }
--- a/services/peers/relay.go
+++ b/services/peers/relay.go
@@ -158,6 +158,10 @@
 func (x *Exchange) connByName(name string) *rpc.Conn {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	return x.connByNameLocked(name)
+}
+
+func (x *Exchange) connByNameLocked(name string) *rpc.Conn {
 	if l := x.links[name]; l != nil {
 		return l.conn
 	}
