--- a/daemon/front.go
+++ b/daemon/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
@@ -22,7 +21,6 @@
 	"github.com/runworks/runworks/modules/setting"
 	"github.com/runworks/runworks/modules/tcp"
 	"github.com/runworks/runworks/platform"
-	"github.com/runworks/runworks/routers/operators"
 	"github.com/runworks/runworks/services/catchup"
 	"github.com/runworks/runworks/services/dispatch"
 	"github.com/runworks/runworks/services/forward"
@@ -201,54 +199,6 @@
 	return flushSpans, nil
 }
 
-// Indices of the listeners of a front.
-const (
-	callersListener = iota
-	balancerListener
-	frontsListener
-	operatorsListener
-)
-
-// listen opens all listeners.
-func (d *Front) listen(ctx context.Context) ([]net.Listener, error) {
-	s := d.Settings
-	names := []string{callersListener: "callers", balancerListener: "balancer", frontsListener: "fronts", operatorsListener: "operators"}
-	addresses := []string{callersListener: s.Listen, balancerListener: s.Ready, frontsListener: s.Peers, operatorsListener: s.Operators}
-	var out []net.Listener
-	for i, address := range addresses {
-		l, err := tcp.Options{PeerTimeout: s.PeerTimeout}.Listen(ctx, address)
-		if err != nil {
-			closeAll(out)
-			return nil, errorx.Decorate(err, "listen for %s on %s", names[i], address)
-		}
-		out = append(out, l)
-		d.Logger.Info("listening", "for", names[i], "address", l.Addr().String())
-	}
-	return out, nil
-}
-
-func closeAll(list []net.Listener) {
-	for _, l := range list {
-		_ = l.Close()
-	}
-}
-
-// buildServers returns one HTTP server for each listener.
-func (d *Front) buildServers(listeners []net.Listener) []*http.Server {
-	operatorRoutes := &operators.Routes{Ready: d.ready, Metrics: d.metrics, Status: func() any { return d.status() }, Release: d.release}
-	handlers := []http.Handler{
-		callersListener: d.front, balancerListener: platform.ReadyHandler(d.ready), frontsListener: d.exchange, operatorsListener: operatorRoutes.Handler(),
-	}
-	out := make([]*http.Server, len(listeners))
-	for i, handler := range handlers {
-		out[i] = &http.Server{
-			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: tcp.TrackIdle, ConnContext: tcp.WithConn,
-			ErrorLog: d.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-		}
-	}
-	return out
-}
-
 // idleLimit returns how long a caller's connection may be idle.
 func (d *Front) idleLimit() time.Duration {
 	if table := d.forwarder.Table.Load(); table != nil && table.Routing.Limits.IdleTimeout > 0 {
--- /dev/null
+++ b/daemon/front_listen.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+
+	"github.com/runworks/runworks/modules/tcp"
+	"github.com/runworks/runworks/platform"
+	"github.com/runworks/runworks/routers/operators"
+)
+
+// Indices of the listeners of a front.
+const (
+	callersListener = iota
+	balancerListener
+	frontsListener
+	operatorsListener
+)
+
+// listen opens all listeners.
+func (d *Front) listen(ctx context.Context) ([]net.Listener, error) {
+	s := d.Settings
+	names := []string{callersListener: "callers", balancerListener: "balancer", frontsListener: "fronts", operatorsListener: "operators"}
+	addresses := []string{callersListener: s.Listen, balancerListener: s.Ready, frontsListener: s.Peers, operatorsListener: s.Operators}
+	var out []net.Listener
+	for i, address := range addresses {
+		l, err := tcp.Options{PeerTimeout: s.PeerTimeout}.Listen(ctx, address)
+		if err != nil {
+			closeAll(out)
+			return nil, errorx.Decorate(err, "listen for %s on %s", names[i], address)
+		}
+		out = append(out, l)
+		d.Logger.Info("listening", "for", names[i], "address", l.Addr().String())
+	}
+	return out, nil
+}
+
+func closeAll(list []net.Listener) {
+	for _, l := range list {
+		_ = l.Close()
+	}
+}
+
+// buildServers returns one HTTP server for each listener.
+func (d *Front) buildServers(listeners []net.Listener) []*http.Server {
+	operatorRoutes := &operators.Routes{Ready: d.ready, Metrics: d.metrics, Status: func() any { return d.status() }, Release: d.release}
+	handlers := []http.Handler{
+		callersListener: d.front, balancerListener: platform.ReadyHandler(d.ready), frontsListener: d.exchange, operatorsListener: operatorRoutes.Handler(),
+	}
+	out := make([]*http.Server, len(listeners))
+	for i, handler := range handlers {
+		out[i] = &http.Server{
+			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: tcp.TrackIdle, ConnContext: tcp.WithConn,
+			ErrorLog: d.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		}
+	}
+	return out
+}
