Pass a free slot on to the next entry, and only while it can be used

Cause: a free slot was offered to one more entry for each turn in which the load of its server did not change, also while no entry could use it: it was ejected or full, or read a long prompt. All entries that waited then sent a call in the same moment (57 calls of 24 entries at one server within some milliseconds), and most were late. Change: turns are counted from the last change of the server's calls or unread prompts, while it is available; and an unused slot moves on to the next entry in order instead of being offered to more of them. Result: two new tests; on the code before 8 of 8 entries start a call where one slot is free, now 1.

--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -45,9 +45,10 @@
 	// vacated is the number of slots that calls of this entry released since the last heartbeat,
 	// so that the other entries still count them as taken.
 	vacated int
-	// lastLoad is the load when it was last checked, and loadSince since when it is unchanged.
-	lastLoad  int
-	loadSince time.Time
+	// lastLoad and lastUnread are the load and the unread prompt tokens when they were last checked,
+	// and freeSince since when both are unchanged and a slot is free; zero if none is.
+	lastLoad, lastUnread int
+	freeSince            time.Time
 	// unanswered is the number of calls in a row that ended without a complete response.
 	unanswered int
 	// ownErrors is the number of calls in a row that the server answered with an error, and
--- a/services/dispatch/turn.go
+++ b/services/dispatch/turn.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,7 +11,7 @@
 )
 
 // turnDuration, plus turnDurationPerPeer for each other entry, is the time after which a free
-// slot is offered to one more entry: by then the first in turn has either taken it and
+// slot is offered to the next entry: by then the first in turn has either taken it and
 // reported that, or left it. Both are twice the heartbeat interval (package peers).
 const (
 	turnDuration        = 100 * time.Millisecond
@@ -29,14 +30,19 @@
 	var own runworks.WaitingCall
 	own.Rank, own.Calls = s.queue.HighestRank()
 	contenders := d.contenders(s.name, own.Rank)
+	for _, one := range s.servers {
+		if !slices.Contains(available, one) {
+			one.freeSince = time.Time{} // no entry could use a turn
+		}
+	}
 	out := available[:0]
 	for _, one := range available {
 		if one.limit.Active(now) {
 			out = append(out, one) // each entry has a share of its own
 			continue
 		}
-		offered := s.freeSlots(one, own.Rank) + one.unusedTurns(now, d.turnDuration())
-		if one.vacated > 0 || d.inTurn(one, contenders, own, offered) {
+		passed := one.unusedTurns(now, d.turnDuration())
+		if one.vacated > 0 || d.inTurn(one, contenders, own, s.freeSlots(one, own.Rank), passed) {
 			out = append(out, one)
 		}
 	}
@@ -60,13 +66,18 @@
 	return out
 }
 
-// inTurn reports whether fewer contenders than the slots offered are ahead of this entry at a
-// server. With a hundred contenders and one slot, about five are compared before it returns.
-func (d *Dispatcher) inTurn(one *server, contenders []contender, own runworks.WaitingCall, offered int) bool {
+// inTurn reports whether one of a server's free slots is offered to this entry: to as many of the
+// contenders as there are slots, from the first or, after passed turns in which none was used, from
+// the one that many places further on. The slot moves on instead of being offered to more entries,
+// as all of them would use it at the moment at which their calls can. With a hundred contenders and
+// one slot, about five are compared before it returns in the first turn.
+func (d *Dispatcher) inTurn(one *server, contenders []contender, own runworks.WaitingCall, free, passed int) bool {
+	n := len(contenders) + 1
+	passed %= n
 	ahead := 0
 	ownClaim := 0.0
 	for _, r := range contenders {
-		if ahead >= offered {
+		if passed == 0 && ahead >= free {
 			break
 		}
 		if ownClaim == 0 {
@@ -76,7 +87,7 @@
 			ahead++
 		}
 	}
-	return ahead < offered
+	return (ahead-passed+n)%n < free
 }
 
 // turnDuration returns how long a free slot is offered to each entry in turn.
@@ -95,11 +106,13 @@
 	return (float64(xxhash.Sum64String(server+string(entry))>>11) + 0.5) / (1 << 53)
 }
 
-// unusedTurns returns how many turns passed since the server's load changed. So many more
-// entries may use a slot of it, as those before them did not.
+// unusedTurns returns how many turns passed in which the server had a free slot that could be used
+// and none was. They are counted from the last change of its calls or of the prompts that it has not
+// read, as no entry may be able to use the slot while a long prompt is read.
 func (s *server) unusedTurns(now time.Time, turn time.Duration) int {
-	if load := s.load(); load != s.lastLoad || s.loadSince.IsZero() {
-		s.lastLoad, s.loadSince = load, now
+	load, unread := s.load(), s.ownUnread+s.peerUnread
+	if load != s.lastLoad || unread != s.lastUnread || s.freeSince.IsZero() {
+		s.lastLoad, s.lastUnread, s.freeSince = load, unread, now
 	}
-	return int(now.Sub(s.loadSince) / turn)
+	return int(now.Sub(s.freeSince) / turn)
 }
--- a/services/dispatch/turn_test.go
+++ b/services/dispatch/turn_test.go
@@ -143,3 +143,59 @@
 		is.Equal(len(waiting), 1)
 	})
 }
+
+// checkOneStarts checks that a slot which no entry could use for some turns gets one call, and not
+// one of each entry that waited. block keeps the slot from being used and unblock ends that. Until
+// then another entry with far more calls is first in turn.
+func checkOneStarts(t *testing.T, block, unblock func(d *Dispatcher)) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := newEntries(8)
+		all.fill()
+		var waiting []<-chan *Lease
+		first := runningLoad(nil)
+		first.Waiting = runworks.WaitingCalls{"llm": {Rank: 0, Calls: 1_000_000}}
+		for i, d := range all {
+			req := newRequest(fmt.Sprint(i), 0)
+			req.Target, req.PromptTokens = req.Target.Add(4*time.Second), 100
+			waiting = append(waiting, acquireAsync(d, req))
+			d.SetPeerLoad("elsewhere", first)
+			block(d)
+		}
+		for range 40 {
+			time.Sleep(turnDuration / 2)
+			all.heartbeat()
+		}
+		is.Equal(started(waiting), 0)
+		for _, d := range all {
+			unblock(d)
+			d.RemovePeer("elsewhere")
+		}
+		synctest.Wait()
+		is.Equal(started(waiting), 1)
+		time.Sleep(time.Minute) // waiting calls are abandoned
+	})
+}
+
+// TestOneCallAfterServerWasFull guards against calls of all entries that meet at a server which
+// took none for a while: most of them would be late.
+func TestOneCallAfterServerWasFull(t *testing.T) {
+	checkOneStarts(t,
+		func(d *Dispatcher) { d.servers["s0"].fullUntil = time.Now().Add(time.Minute) },
+		func(d *Dispatcher) { d.servers["s0"].fullUntil = time.Now() })
+}
+
+// TestOneCallAfterPromptWasRead guards against the same where the server had a free slot, but read a
+// prompt after which the calls would have been late.
+func TestOneCallAfterPromptWasRead(t *testing.T) {
+	load := runningLoad(nil)
+	load.UnreadPromptTokens = map[string]int{"s0": 1_000_000}
+	checkOneStarts(t,
+		func(d *Dispatcher) {
+			for i := range 2 * minPrefillSamples {
+				d.services["llm"].prefill.add(float64(1000*i), 0.01*float64(i))
+			}
+			d.SetPeerLoad("reading", load)
+		},
+		func(d *Dispatcher) { d.SetPeerLoad("reading", runningLoad(nil)) })
+}
