Grant slots of backend servers to other entries

The dispatcher can queue and place calls that another entry sends (AcquireFor), and that entry adopts the granted slot (Adopt). A running call counts at exactly one of them: at the entry that granted the slot while that one lives, else where it runs. Nothing uses it yet. A refusal can carry the time at which the caller should return.

--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -51,6 +51,8 @@
 	Deadline time.Time
 	// Exclude lists the incarnations of the servers to which the call was already sent.
 	Exclude []string
+	// Hall is the hall of the entry that sends the call; empty is that of this entry.
+	Hall string
 	// AllowsHall reports whether the call may run in a hall; nil means in all.
 	AllowsHall func(hall string) bool
 }
@@ -144,6 +146,8 @@
 	// unknown.
 	tokensPerEvent average
 	permitRequests permitRequests
+	// grantedAt is when another entry last asked for a slot; zero if none has.
+	grantedAt time.Time
 }
 
 // Acquire waits until a backend server is free for the call. It returns ErrNoServer if no
@@ -151,7 +155,12 @@
 // time, ErrTimeLimit if it has not started by the last moment that CallerTimeout and Deadline
 // allow, and the cause of ctx.
 func (d *Dispatcher) Acquire(ctx context.Context, req *Request) (*Lease, error) {
-	w, lease, err := d.admit(req)
+	return d.acquire(ctx, req, "")
+}
+
+// acquire is Acquire for a call that the given entry sends; empty is this entry.
+func (d *Dispatcher) acquire(ctx context.Context, req *Request, entry runworks.Incarnation) (*Lease, error) {
+	w, lease, err := d.admit(req, entry)
 	if lease != nil || err != nil {
 		return lease, err
 	}
@@ -176,7 +185,7 @@
 }
 
 // admit assigns a free slot at once or puts the call in the queue.
-func (d *Dispatcher) admit(req *Request) (*waiter, *Lease, error) {
+func (d *Dispatcher) admit(req *Request, entry runworks.Incarnation) (*waiter, *Lease, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.services[req.Service]
@@ -184,8 +193,14 @@
 	if s == nil || !s.hasServerFor(now, req) {
 		return nil, nil, runworks.ErrNoServer
 	}
+	if entry != "" {
+		if s.anyLimited(now) {
+			return nil, nil, ErrNotScheduled
+		}
+		s.grantedAt = now
+	}
 	s.arrivals++
-	w := &waiter{req: req, lease: make(chan *Lease, 1), arrival: s.arrivals}
+	w := &waiter{req: req, entry: entry, lease: make(chan *Lease, 1), arrival: s.arrivals}
 	w.feasible = s.anyMeetsTarget(now, s.forecast(), req, s.canWait(now, req))
 	if err := s.checkAdmission(now, w); err != nil {
 		return nil, nil, err
@@ -256,7 +271,7 @@
 		}
 		target.ownUnread += w.req.PromptTokens
 		s.recordStart(t.Tier)
-		lease := &Lease{Instance: target.Instance, dispatcher: d, server: target, service: s.name, routeRank: routeRank(t.Tier), began: now, unreadTokens: w.req.PromptTokens}
+		lease := &Lease{Instance: target.Instance, dispatcher: d, server: target, service: s.name, routeRank: routeRank(t.Tier), began: now, unreadTokens: w.req.PromptTokens, entry: w.entry}
 		target.addLease(now, lease)
 		w.lease <- lease
 	}
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -18,7 +18,14 @@
 	began      time.Time
 	// unreadTokens is the number of prompt tokens that the server has not read yet.
 	unreadTokens int
-	once         sync.Once
+	// entry is the entry that sends the call, of a slot granted to another one.
+	entry runworks.Incarnation
+	// scheduler is the entry that granted the slot and counts the call; empty if this one does.
+	scheduler runworks.Incarnation
+	// observer is notified of the progress of a call whose slot was granted by another entry; nil
+	// of others.
+	observer Observer
+	once     sync.Once
 	// onExit is called after the server's process has exited.
 	onExit func()
 }
@@ -52,9 +59,10 @@
 		d := l.dispatcher
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		l.server.releaseSlot()
-		delete(l.server.leases, l)
-		l.markReadLocked()
+		l.releaseSlotLocked()
+		if l.observer != nil {
+			l.observer.Released(r)
+		}
 		now := time.Now()
 		if wait := l.server.recordResult(now, r); wait > 0 && d.OnEject != nil {
 			d.OnEject(l.server.Instance, l.server.unanswered, wait)
@@ -85,6 +93,9 @@
 		stalled = 1
 	}
 	l.server.lateGaps += stallWeight * (stalled - l.server.lateGaps)
+	if l.observer != nil {
+		l.observer.ReceivedEvent(gap, stalled > 0)
+	}
 }
 
 // RecordLength records the number of events of a complete answer for which the caller
@@ -99,6 +110,9 @@
 	if s := d.services[l.service]; s != nil {
 		s.tokensPerEvent.add(float64(expectedTokens)/float64(events), lengthWeight)
 	}
+	if l.observer != nil {
+		l.observer.Completed(expectedTokens, events)
+	}
 }
 
 // RecordFirstEvent records that the first event of the call's answer arrived, for a prompt of
@@ -109,14 +123,30 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	l.server.lastReceived = now
+	l.recordFirstEventLocked(promptTokens, now.Sub(l.began))
+	if l.observer != nil {
+		l.observer.ReceivedFirstEvent(now.Sub(l.began))
+	}
+}
+
+// recordFirstEventLocked records that the first event arrived a time after the call was sent.
+func (l *Lease) recordFirstEventLocked(promptTokens int, after time.Duration) {
 	l.markReadLocked()
-	if s := d.services[l.service]; s != nil && promptTokens > 0 {
-		s.prefill.add(float64(promptTokens), now.Sub(l.began).Seconds()/s.forecast().slowdown(l.server))
+	if s := l.dispatcher.services[l.service]; s != nil && promptTokens > 0 {
+		s.prefill.add(float64(promptTokens), after.Seconds()/s.forecast().slowdown(l.server))
 	}
 }
 
 // markReadLocked records that the call's prompt was read or no longer will be.
 func (l *Lease) markReadLocked() {
-	l.server.ownUnread -= l.unreadTokens
+	if l.scheduler == "" {
+		l.server.ownUnread -= l.unreadTokens
+	}
 	l.unreadTokens = 0
 }
+
+// releaseSlotLocked frees the slot.
+func (l *Lease) releaseSlotLocked() {
+	l.markReadLocked()
+	l.server.releaseSlot(l)
+}
--- a/services/dispatch/peer_load.go
+++ b/services/dispatch/peer_load.go
@@ -22,8 +22,8 @@
 		if s.failing(now, d.services[s.Service]) {
 			out.Ejected = append(out.Ejected, id)
 		}
-		if s.ownCalls > 0 {
-			out.Running[id] = s.ownCalls
+		if n := s.countedCalls(); n > 0 {
+			out.Running[id] = n
 		}
 		if s.ownUnread >= minUnreadReported {
 			out.UnreadPromptTokens[id] = s.ownUnread
@@ -65,6 +65,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.unreachable, from)
+	d.dropGrantsLocked(from)
 	d.dropPeerLoadLocked(from)
 	d.shareLimitsLocked(time.Now())
 }
@@ -79,6 +80,7 @@
 		d.unreachable = make(map[runworks.Incarnation]time.Time)
 	}
 	d.unreachable[from] = time.Now()
+	d.dropGrantsLocked(from)
 	d.dropPeerLoadLocked(from)
 }
 
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -35,12 +35,15 @@
 	leases map[*Lease]struct{}
 	// restarted is set once the server has a newer incarnation.
 	restarted bool
-	// ownCalls is the number of running calls of this entry.
-	ownCalls int
+	// ownCalls is the number of running calls of this entry, and countedElsewhere how many of them
+	// count at the scheduler that granted their slots.
+	ownCalls, countedElsewhere int
+	// grantedCalls is the number of running calls of other entries whose slots this entry granted.
+	grantedCalls int
 	// peerCalls is the number of running calls that the other entries reported.
 	peerCalls int
-	// ownUnread is the number of prompt tokens of this entry's calls that the server has not
-	// processed yet, and peerUnread that of the other entries' calls.
+	// ownUnread is the number of prompt tokens of the calls that count at this entry and that the
+	// server has not processed yet, and peerUnread that of the other calls.
 	ownUnread, peerUnread int
 	// vacated is the number of slots that calls of this entry released since the last heartbeat,
 	// so that the other entries still count them as taken.
@@ -78,14 +81,24 @@
 	reportState
 }
 
-func (s *server) load() int { return s.ownCalls + s.peerCalls }
+// countedCalls returns the number of running calls that count at this entry.
+func (s *server) countedCalls() int { return s.ownCalls - s.countedElsewhere + s.grantedCalls }
 
-// addLease assigns a slot to a call of this entry.
+func (s *server) load() int { return s.countedCalls() + s.peerCalls }
+
+// addLease assigns a slot to a call.
 func (s *server) addLease(now time.Time, lease *Lease) {
-	if s.ownCalls == 0 {
-		s.busySince = now
+	if lease.entry != "" {
+		s.grantedCalls++
+	} else {
+		if s.ownCalls == 0 {
+			s.busySince = now
+		}
+		s.ownCalls++
+	}
+	if lease.scheduler != "" {
+		s.countedElsewhere++
 	}
-	s.ownCalls++
 	s.limit.Consume(now)
 	s.backoff.countSent()
 	s.vacated = max(s.vacated-1, 0)
@@ -95,9 +108,18 @@
 	s.leases[lease] = struct{}{}
 }
 
-// releaseSlot releases the slot of a call of this entry.
-func (s *server) releaseSlot() {
-	s.ownCalls--
+// releaseSlot releases the slot of a call.
+func (s *server) releaseSlot(lease *Lease) {
+	delete(s.leases, lease)
+	if lease.entry != "" {
+		s.grantedCalls--
+	} else {
+		s.ownCalls--
+	}
+	if lease.scheduler != "" {
+		s.countedElsewhere--
+		return
+	}
 	s.vacated++
 }
 
--- a/services/dispatch/start_estimate.go
+++ b/services/dispatch/start_estimate.go
@@ -128,7 +128,7 @@
 	}
 	own := 0
 	for _, one := range s.servers {
-		own += one.ownCalls
+		own += one.countedCalls()
 	}
 	return float64(own) / float64(s.duration)
 }
--- a/services/dispatch/waiting.go
+++ b/services/dispatch/waiting.go
@@ -21,7 +21,9 @@
 
 // waiter is a waiting call.
 type waiter struct {
-	req   *Request
+	req *Request
+	// entry is the entry that sends the call; empty is this entry.
+	entry runworks.Incarnation
 	lease chan *Lease
 	late  bool
 	// arrival numbers calls in the order in which they arrived.
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -57,8 +57,10 @@
 	// Table is the active routing; nil until one has been read.
 	Table      atomic.Pointer[route.Table]
 	Dispatcher *dispatch.Dispatcher
-	Quota      *quota.Quota
-	Budgets    *Budgets
+	// Slots grants the slots of backend servers; nil is Dispatcher.
+	Slots   SlotSource
+	Quota   *quota.Quota
+	Budgets *Budgets
 	// Quarantine holds the requests that make backend servers exit.
 	Quarantine *quarantine.Quarantine
 	Sender     runworks.Sender
@@ -83,6 +85,19 @@
 	abort    context.CancelFunc
 }
 
+// SlotSource grants slots of backend servers, like dispatch.Dispatcher.
+type SlotSource interface {
+	Acquire(ctx context.Context, req *dispatch.Request) (*dispatch.Lease, error)
+}
+
+// slots returns the source of slots.
+func (f *Forwarder) slots() SlotSource {
+	if f.Slots != nil {
+		return f.Slots
+	}
+	return f.Dispatcher
+}
+
 // Active returns the number of calls whose responses are not complete.
 func (f *Forwarder) Active() int64 { return f.active.Load() }
 
@@ -250,7 +265,7 @@
 // acquire waits for a slot at a backend server.
 func (c *call) acquire(ctx context.Context) (*dispatch.Lease, *runworks.Failure) {
 	start := time.Now()
-	lease, err := c.f.Dispatcher.Acquire(ctx, c.dispatchRequest())
+	lease, err := c.f.slots().Acquire(ctx, c.dispatchRequest())
 	c.waited += time.Since(start)
 	metrics.Observe(c.f.Metrics.WaitSeconds, time.Since(start).Seconds(), metrics.Rank(c.rank))
 	if err == nil {
@@ -264,5 +279,5 @@
 	if c.ran > 0 {
 		return nil, &runworks.Failure{Err: err, Outcome: runworks.OutcomeUnknown}
 	}
-	return nil, runworks.NotRun(err, c.retryAfter())
+	return nil, runworks.NotRun(err, c.retryAfter(err))
 }
--- a/services/forward/retry_after.go
+++ b/services/forward/retry_after.go
@@ -1,8 +1,11 @@
 package forward
 
 import (
+	"errors"
 	"math/rand/v2"
 	"time"
+
+	"github.com/runworks/runworks/services/dispatch"
 )
 
 // Retry-After estimates.
@@ -25,9 +28,13 @@
 )
 
 // retryAfter returns the Retry-After estimate for a call that found no capacity: the length of a
-// burst, spread, and at most a fraction of the caller's time left. A caller whose time is over
-// retries with a new call, so the bound does not apply.
-func (c *call) retryAfter() time.Duration {
+// burst, spread, and at most a fraction of the caller's time left, unless the refusal states a time.
+// A caller whose time is over retries with a new call, so the bound does not apply.
+func (c *call) retryAfter(err error) time.Duration {
+	var refusal *dispatch.Refusal
+	if errors.As(err, &refusal) && refusal.RetryAfter > 0 {
+		return refusal.RetryAfter
+	}
 	wait := retryNoCapacity + rand.N(retryNoCapacitySpread)
 	if bound := time.Until(c.deadline) / retryTimeLeftDivisor; bound > 0 {
 		wait = min(wait, bound)
