--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -113,8 +113,12 @@
 	var bestScore float64
 	f := s.forecast()
 	typical, fastest := s.paces()
+	preference := maxPreference
+	if s.grantsToOthers(now) {
+		preference = 0 // no other entry chooses at the same moment
+	}
 	for _, one := range s.candidates(now, f, open, w, fastest) {
-		if score := d.score(one, w.req, typical) + f.latencyScore(now, one, w.req); best == nil || score < bestScore {
+		if score := d.score(one, w.req, typical, preference) + f.latencyScore(now, one, w.req); best == nil || score < bestScore {
 			best, bestScore = one, score
 		}
 	}
@@ -153,13 +157,14 @@
 }
 
 // score returns a server's score, lower is better: the fraction of its slots in use, weighted
-// by its pace relative to the others.
-func (d *Dispatcher) score(s *server, req *Request, typical float64) float64 {
+// by its pace relative to the others. preference is the largest fraction that this entry's preference
+// adds to it.
+func (d *Dispatcher) score(s *server, req *Request, typical, preference float64) float64 {
 	score := float64(s.load()+1) / float64(max(s.Slots, 1))
 	if s.meanGap > 0 && typical > 0 {
 		score *= float64(s.meanGap) / typical
 	}
-	score *= 1 + maxPreference*rendezvousHash(s.ID, d.Self)
+	score *= 1 + preference*rendezvousHash(s.ID, d.Self)
 	switch {
 	case s.Hall == cmp.Or(req.Hall, d.Hall):
 	case len(d.peers) > runworks.ManyEntriesThreshold:
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -148,6 +148,8 @@
 	permitRequests permitRequests
 	// grantedAt is when another entry last asked for a slot; zero if none has.
 	grantedAt time.Time
+	// reportsSlowness is set once a server reported how slow it is.
+	reportsSlowness bool
 }
 
 // Acquire waits until a backend server is free for the call. It returns ErrNoServer if no
--- a/services/dispatch/grant.go
+++ b/services/dispatch/grant.go
@@ -13,6 +13,14 @@
 // server of it has a rate limit, of which each entry has a share of its own.
 var ErrNotScheduled = errors.New("slots of the service are not granted to other entries")
 
+// ErrEntryLost means that the entry that asked for a slot timed out or restarted while its call
+// waited.
+var ErrEntryLost = errors.New("the entry that sends the call is lost")
+
+// grantingTime is for how long after a request of another entry this one counts as the scheduler of
+// the service: many times the time between two requests where slots are contended.
+const grantingTime = 2 * time.Second
+
 // Observer is notified of the progress of a call whose slot another entry granted. Its methods are
 // called with a lock held and must not block.
 type Observer interface {
@@ -34,12 +42,16 @@
 }
 
 // Adopt returns a lease of a slot that another entry, the scheduler, granted to a call of this one.
-// It returns nil if the server, named by its incarnation, is unknown here or must get no call.
+// It returns nil if the server, named by its incarnation, is unknown here or must get no call, and
+// if the scheduler is not heard: it may have ended the grant.
 func (d *Dispatcher) Adopt(server string, req *Request, scheduler runworks.Incarnation, observer Observer) *Lease {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	s := d.servers[server]
+	if _, live := d.peers[scheduler]; !live {
+		return nil
+	}
 	if s == nil || s.Service != req.Service || s.Draining || s.backoff.active(now) || s.failing(now, d.services[s.Service]) || !req.allows(s) {
 		return nil
 	}
@@ -47,23 +59,45 @@
 		Instance: s.Instance, dispatcher: d, server: s, service: s.Service, routeRank: req.RouteRank, began: now,
 		unreadTokens: req.PromptTokens, scheduler: scheduler, observer: observer,
 	}
-	if _, live := d.peers[scheduler]; !live {
-		lease.scheduler = ""
-		s.ownUnread += lease.unreadTokens
-	}
+	// The call never waits in the queue here, where these would be recorded.
+	d.services[s.Service].recordRequest(req)
 	s.addLease(now, lease)
 	return lease
 }
 
 // dropGrantsLocked ends what this entry and a lost one counted for each other: the slots granted to
-// the lost entry are free, and the calls whose slots it granted count here.
+// the lost entry are free, its calls wait no longer, and the calls whose slots it granted count here.
 func (d *Dispatcher) dropGrantsLocked(lost runworks.Incarnation) {
+	for _, s := range d.services {
+		for id, w := range s.waiters {
+			if w.entry == lost {
+				s.queue.Remove(id)
+				s.drop(id, ErrEntryLost)
+			}
+		}
+	}
+	for _, s := range d.servers {
+		for lease := range s.leases {
+			if lease.entry == lost {
+				lease.releaseSlotLocked()
+			}
+		}
+	}
+	d.countGrantsLocked(lost)
+}
+
+// CountGrants counts the running calls whose slots the given entry, the scheduler, granted at this
+// entry from now on. The scheduler is lost, or will be told that it no longer counts them.
+func (d *Dispatcher) CountGrants(scheduler runworks.Incarnation) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.countGrantsLocked(scheduler)
+}
+
+func (d *Dispatcher) countGrantsLocked(scheduler runworks.Incarnation) {
 	for _, s := range d.servers {
 		for lease := range s.leases {
-			switch lost {
-			case lease.entry:
-				lease.once.Do(lease.releaseSlotLocked)
-			case lease.scheduler:
+			if lease.scheduler == scheduler {
 				s.countedElsewhere--
 				s.ownUnread += lease.unreadTokens
 				lease.scheduler = ""
@@ -72,6 +106,52 @@
 	}
 }
 
+// EndGrants frees the slots that were granted to another entry, which counts those calls itself.
+func (d *Dispatcher) EndGrants(leases []*Lease) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, lease := range leases {
+		if !lease.released {
+			lease.releaseSlotLocked()
+		}
+	}
+	for _, lease := range leases {
+		d.pumpLocked(d.services[lease.service])
+	}
+}
+
+// Scheduling is what is known of a service that decides whether its slots are granted by one entry.
+type Scheduling struct {
+	// ReportsSlowness is set once a backend server reported how slow it is.
+	ReportsSlowness bool
+	// Limited is set while a backend server has a rate limit.
+	Limited bool
+}
+
+// Scheduling returns what is known of a service.
+func (d *Dispatcher) Scheduling(name string) Scheduling {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.services[name]
+	if s == nil {
+		return Scheduling{}
+	}
+	return Scheduling{ReportsSlowness: s.reportsSlowness, Limited: s.anyLimited(time.Now())}
+}
+
+// grantsToOthers reports whether other entries asked for slots recently.
+func (s *service) grantsToOthers(now time.Time) bool {
+	return !s.grantedAt.IsZero() && now.Sub(s.grantedAt) <= grantingTime
+}
+
+// recordRequest records the bounds of ranks and pauses in a call.
+func (s *service) recordRequest(req *Request) {
+	s.recordRank(req.RouteRank)
+	if gap := req.MaxGap; gap > 0 && (s.maxGap == 0 || gap < s.maxGap) {
+		s.maxGap = gap
+	}
+}
+
 // RecordRemoteFirstEvent records that the first event of a call for which a slot was granted to
 // another entry arrived a time after the send, for a prompt of promptTokens tokens.
 func (l *Lease) RecordRemoteFirstEvent(promptTokens int, after time.Duration) {
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"sync"
 	"time"
 
 	"github.com/runworks/runworks"
@@ -25,7 +24,9 @@
 	// observer is notified of the progress of a call whose slot was granted by another entry; nil
 	// of others.
 	observer Observer
-	once     sync.Once
+	// released is set once the slot is free. It is guarded by the dispatcher's lock, which is held
+	// where the slots of a lost entry are freed: a sync.Once would deadlock there.
+	released bool
 	// onExit is called after the server's process has exited.
 	onExit func()
 }
@@ -55,30 +56,34 @@
 
 // Release frees the slot and records how the call ended. Further calls have no effect.
 func (l *Lease) Release(r Result) {
-	l.once.Do(func() {
-		d := l.dispatcher
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		l.releaseSlotLocked()
-		if l.observer != nil {
-			l.observer.Released(r)
-		}
-		now := time.Now()
+	d := l.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l.released {
+		return
+	}
+	l.releaseSlotLocked()
+	if l.observer != nil {
+		l.observer.Released(r)
+	}
+	now := time.Now()
+	// The errors of a server in the calls of another entry are known from its heartbeats.
+	if l.entry == "" || r != Failed {
 		if wait := l.server.recordResult(now, r); wait > 0 && d.OnEject != nil {
 			d.OnEject(l.server.Instance, l.server.unanswered, wait)
 		}
-		if s := d.services[l.service]; s != nil {
-			if r == Served {
-				s.duration.add(now.Sub(l.began).Seconds(), durationWeight)
-				s.statsFor(l.routeRank).duration.add(now.Sub(l.began).Seconds(), durationWeight)
-				s.served++
-			}
-			if r == Failed {
-				d.ejectFailingLocked(now, s)
-			}
-			d.pumpLocked(s)
+	}
+	if s := d.services[l.service]; s != nil {
+		if r == Served {
+			s.duration.add(now.Sub(l.began).Seconds(), durationWeight)
+			s.statsFor(l.routeRank).duration.add(now.Sub(l.began).Seconds(), durationWeight)
+			s.served++
+		}
+		if r == Failed {
+			d.ejectFailingLocked(now, s)
 		}
-	})
+		d.pumpLocked(s)
+	}
 }
 
 // RecordEventGap records the time between two events of the call's stream.
@@ -147,6 +152,7 @@
 
 // releaseSlotLocked frees the slot.
 func (l *Lease) releaseSlotLocked() {
+	l.released = true
 	l.markReadLocked()
 	l.server.releaseSlot(l)
 }
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -47,6 +47,9 @@
 	}
 	if report.Load != nil {
 		s.reportedLoad = report.Load
+		if service := d.services[s.Service]; service != nil && report.Load.Slowness > 0 {
+			service.reportsSlowness = true
+		}
 	}
 	if d.servers[s.incarnation] == nil {
 		d.keepExpired(now, s)
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -98,10 +98,11 @@
 	}
 	if lease.scheduler != "" {
 		s.countedElsewhere++
+	} else {
+		s.vacated = max(s.vacated-1, 0)
 	}
 	s.limit.Consume(now)
 	s.backoff.countSent()
-	s.vacated = max(s.vacated-1, 0)
 	if s.leases == nil {
 		s.leases = make(map[*Lease]struct{})
 	}
--- a/services/dispatch/waiting.go
+++ b/services/dispatch/waiting.go
@@ -36,10 +36,7 @@
 
 // enqueueLocked puts a call in the queue of its service and reports whether there was room.
 func (d *Dispatcher) enqueueLocked(s *service, w *waiter) bool {
-	s.recordRank(w.req.RouteRank)
-	if gap := w.req.MaxGap; gap > 0 && (s.maxGap == 0 || gap < s.maxGap) {
-		s.maxGap = gap
-	}
+	s.recordRequest(w.req)
 	t := &reservation.Item{
 		Reservation: runworks.Reservation{
 			ID: w.req.ID, Service: w.req.Service, Tier: queueTier(w.req, w.late), Customer: w.req.Customer,
