Carry requests for slots and their placements between entries

One entry can schedule a service only if the others can ask it for slots, report what became of them, and know whether it is there.

The decoder of previous versions refuses a frame with more fields than it knows and closes the connection. So stopping is appended only by an entry that is stopping, and only to entries whose handshake says that they schedule; the frame of all others is unchanged.

--- a/services/peers/frame.go
+++ b/services/peers/frame.go
@@ -36,6 +36,18 @@
 	Changes             []frameChange
 }
 
+// stoppingFrame is the frame of an entry whose planned stop began. A decoder of a previous version
+// accepts no frame with more fields than it knows, so this one goes only to entries that schedule.
+type stoppingFrame struct {
+	_ struct{} `cbor:",toarray"`
+	frame
+	Stopping bool
+}
+
+// stoppingFrameHead is the first byte of an encoded stoppingFrame: an array of 13 elements, where
+// that of a frame has 12.
+const stoppingFrameHead = 0x80 | 13
+
 // framePosition is a position in a subject.
 type framePosition struct {
 	_       struct{} `cbor:",toarray"`
@@ -115,7 +127,14 @@
 func (e *encoder) encode(b *Heartbeat) ([]byte, error) { return e.frame(b).encode() }
 
 // encode returns the encoded frame.
-func (f *frame) encode() ([]byte, error) {
+func (f *frame) encode() ([]byte, error) { return marshal(f) }
+
+// encodeStopping returns the encoded frame of an entry whose planned stop began.
+func (f *frame) encodeStopping() ([]byte, error) {
+	return marshal(&stoppingFrame{frame: *f, Stopping: true})
+}
+
+func marshal(f any) ([]byte, error) {
 	data, err := shortFloats.Marshal(f)
 	if err != nil {
 		return nil, errorx.Decorate(err, "encode the heartbeat")
--- a/services/peers/frame_decode.go
+++ b/services/peers/frame_decode.go
@@ -9,9 +9,10 @@
 
 // decoder reads the frames of one connection.
 type decoder struct {
-	from   Member
-	relays bool
-	names  []string
+	from      Member
+	relays    bool
+	schedules bool
+	names     []string
 }
 
 // decode returns the heartbeat of a frame. After an error the names are out of step, and the
@@ -20,8 +21,8 @@
 	if c.from.Incarnation == "" {
 		return nil, errorx.IllegalState.New("heartbeat received before the handshake")
 	}
-	var f frame
-	if err := cbor.Unmarshal(data, &f); err != nil {
+	f, stopping, err := decodeFrame(data)
+	if err != nil {
 		return nil, errorx.Decorate(err, "decode the heartbeat of %s", c.from.Name)
 	}
 	if f.First < 0 || f.First > len(c.names) || f.First+len(f.Names) > 2*maxNames {
@@ -32,14 +33,25 @@
 	if f.First == 0 || len(f.Names) > 0 {
 		c.names = append(c.names[:f.First:f.First], f.Names...)
 	}
-	return c.heartbeat(&f)
+	return c.heartbeat(f, stopping)
+}
+
+// decodeFrame returns the frame of data and whether its sender is stopping.
+func decodeFrame(data []byte) (f *frame, stopping bool, err error) {
+	if len(data) > 0 && data[0] == stoppingFrameHead {
+		var s stoppingFrame
+		err = cbor.Unmarshal(data, &s)
+		return &s.frame, s.Stopping, err
+	}
+	f = &frame{}
+	return f, false, cbor.Unmarshal(data, f)
 }
 
 // heartbeat resolves the numbers of a frame.
-func (c *decoder) heartbeat(f *frame) (*Heartbeat, error) {
+func (c *decoder) heartbeat(f *frame, stopping bool) (*Heartbeat, error) {
 	r := &nameTable{names: c.names}
 	b := &Heartbeat{
-		From: c.from, RoutingVersion: f.RoutingVersion, StoreLost: f.StoreLost, Relays: c.relays, Changes: r.changes(f.Changes),
+		From: c.from, RoutingVersion: f.RoutingVersion, StoreLost: f.StoreLost, Relays: c.relays, Schedules: c.schedules, Stopping: stopping, Changes: r.changes(f.Changes),
 		Positions: make(map[Subject]runworks.Position, len(f.Positions)),
 	}
 	for _, p := range f.Positions {
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -99,6 +99,7 @@
 			_ = conn.Close()
 		}
 		x.setConn(l, nil)
+		x.notifyDisconnected(l)
 		lastConnected, reported = time.Now(), false
 		x.Logger.Warn("dependency lost", "dependency", "entry", "name", l.member.Name, "address", l.member.Address)
 	}
@@ -112,7 +113,7 @@
 	defer x.sendMu.Unlock()
 	b := x.Heartbeat()
 	b.From, b.Limits = x.Self, x.LimitSnapshot()
-	b.Relays = true
+	b.Relays, b.Schedules = true, x.Slots != nil
 	b.fillOffsets()
 	b.Names = x.encoder.names[:x.encoder.sent]
 	if x.Suspects != nil {
@@ -134,6 +135,16 @@
 	l.conn = conn
 }
 
+// notifyDisconnected calls OnDisconnected with the latest incarnation of a link's entry.
+func (x *Exchange) notifyDisconnected(l *link) {
+	x.mu.Lock()
+	id := x.incarnations[l.member.Name]
+	x.mu.Unlock()
+	if x.OnDisconnected != nil && id != "" {
+		x.OnDisconnected(id)
+	}
+}
+
 func (x *Exchange) setKeyRefused(l *link, refused bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -33,6 +33,10 @@
 	MethodChangesSince = "entry.changes_since"
 	// MethodTransferPermits is the call that requests permits of a backend server's rate limit.
 	MethodTransferPermits = "entry.lend"
+	// MethodAcquire is the call that requests a slot, and MethodPlacements the notification that
+	// reports what became of grants. Only entries whose handshake has Schedules answer them.
+	MethodAcquire    = "entry.acquire"
+	MethodPlacements = "entry.placements"
 	// MethodState is the call that returns an entry's state of a Subject.
 	MethodState = "entry.state"
 )
@@ -95,6 +99,8 @@
 	// Hall is the entry's hall; empty from versions that do not send it.
 	Hall        string               `json:"hall,omitempty"`
 	Incarnation runworks.Incarnation `json:"incarnation"`
+	// CPU is the entry's share of a processor; 0 if unknown.
+	CPU float64 `json:"cpu,omitempty"`
 }
 
 // Heartbeat is the state that an entry sends to the others.
@@ -116,6 +122,10 @@
 	StoreLost bool `json:"store_lost,omitempty"`
 	// Relays is set if the entry passes on changes. Only handshakes carry it.
 	Relays bool `json:"relays,omitempty"`
+	// Schedules is set if the entry answers requests for slots. Only handshakes carry it.
+	Schedules bool `json:"schedules,omitempty"`
+	// Stopping is set once the entry's planned stop began.
+	Stopping bool `json:"stopping,omitempty"`
 	// Changes holds what the entry read from the store since its last heartbeat. Only frames of
 	// versions that do not relay changes carry it.
 	Changes []Change `json:"-"`
@@ -163,6 +173,11 @@
 	OnSettled func()
 	// OnReplaced is called with the previous incarnation of an entry that restarted.
 	OnReplaced func(old runworks.Incarnation)
+	// Slots answers requests for slots; nil if this entry grants none.
+	Slots SlotServer
+	// OnDisconnected is called with the incarnation of an entry when the connection to it is closed,
+	// before it is opened again. May be nil.
+	OnDisconnected func(id runworks.Incarnation)
 	// OnChange is called with each change that another entry passed on, and that entry's name.
 	OnChange func(from string, c *Change)
 	// ChangesSince returns the changes of a subject since a position, as the answer to
@@ -207,6 +222,9 @@
 	storeLost bool
 	// relays is Heartbeat.Relays of its last handshake.
 	relays bool
+	// schedules, stopping and cpu are those of its last handshake and heartbeat.
+	schedules, stopping bool
+	cpu                 float64
 	// offsetsOnly is set if its version sends offsets without eras, so that this entry can't use
 	// what it reads from the store.
 	offsetsOnly bool
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -39,6 +39,9 @@
 	// storeLost is what it sends as StoreLost, and changes the changes that it received.
 	storeLost bool
 	changes   []Change
+	// stopping is what it sends as Stopping, and lost holds the entries whose connections closed.
+	stopping bool
+	lost     []runworks.Incarnation
 	// suspects are those that it received, and knownSuspects those that it sends in a handshake.
 	suspects      []runworks.Fingerprint
 	knownSuspects []runworks.Suspect
@@ -105,7 +108,7 @@
 	e.Heartbeat = func() Heartbeat {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		return Heartbeat{StoreLost: e.storeLost, Load: runworks.EntryLoad{Running: runworks.RunningCalls{"s": e.running}}}
+		return Heartbeat{StoreLost: e.storeLost, Stopping: e.stopping, Load: runworks.EntryLoad{Running: runworks.RunningCalls{"s": e.running}}}
 	}
 	e.OnHeartbeat = func(_ time.Time, b *Heartbeat) {
 		e.mu.Lock()
@@ -151,6 +154,11 @@
 		defer e.mu.Unlock()
 		e.gone = append(e.gone, from)
 	}
+	e.OnDisconnected = func(id runworks.Incarnation) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.lost = append(e.lost, id)
+	}
 	e.OnReplaced = func(old runworks.Incarnation) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -176,6 +184,20 @@
 	e.running = n
 }
 
+// setStopping makes the entry report that its planned stop began.
+func (e *entry) setStopping() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stopping = true
+}
+
+// lostIDs returns the incarnations of the entries whose connections closed.
+func (e *entry) lostIDs() []runworks.Incarnation {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lost
+}
+
 // runningAt returns the number of calls that another entry reported as running; -1 if none.
 func (e *entry) runningAt(name string) int {
 	e.mu.Lock()
--- a/services/peers/receive.go
+++ b/services/peers/receive.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -28,6 +29,7 @@
 	x.mu.Unlock()
 	h := &inbound{Exchange: x}
 	<-rpc.ServeFrames(ctx, stream, h.handle, h.handleFrame).DisconnectNotify()
+	h.closeSession()
 }
 
 // inbound is a connection that another entry opened. It carries that entry's messages; this
@@ -35,6 +37,8 @@
 type inbound struct {
 	*Exchange
 	decoder decoder
+	// session is set by the handshake, if this entry grants slots. Calls read it concurrently.
+	session atomic.Pointer[Session]
 }
 
 // handle processes a message of another entry.
@@ -54,6 +58,10 @@
 		return x.handleChangesRequest(params)
 	case MethodTransferPermits:
 		return x.handlePermitRequest(params)
+	case MethodAcquire:
+		return x.handleAcquire(ctx, params)
+	case MethodPlacements:
+		return nil, x.handlePlacements(params)
 	case MethodState:
 		var c StateRequest
 		if err := json.Unmarshal(params, &c); err != nil {
@@ -84,8 +92,9 @@
 	}
 	now := time.Now()
 	if handshake {
-		x.decoder = decoder{from: b.From, relays: b.Relays, names: b.Names}
+		x.decoder = decoder{from: b.From, relays: b.Relays, schedules: b.Schedules, names: b.Names}
 		x.OnHandshake(now, &b)
+		x.openSession(b.From)
 		x.receiveSuspects(b.From.Name, b.Suspects)
 		x.receiveServerNotices(b.From.Name, b.ServerNotices)
 	}
@@ -110,6 +119,7 @@
 	x.peers[b.From.Incarnation] = &peerState{
 		name: b.From.Name, hall: b.From.Hall, lastSeen: now,
 		storeLost: b.StoreLost, relays: b.Relays, offsetsOnly: b.offsetsOnly(),
+		schedules: b.Schedules, stopping: b.Stopping, cpu: b.From.CPU,
 	}
 	// A new incarnation may have another address than the member list.
 	opened := x.ensureLinkLocked(b.From)
--- a/services/peers/send.go
+++ b/services/peers/send.go
@@ -31,15 +31,47 @@
 		x.Logger.Error("heartbeat could not be encoded", "error", err.Error())
 		return nil
 	}
-	if bytes.Equal(data, last) && !force {
+	full := data
+	if heartbeat.Stopping {
+		if full, err = f.encodeStopping(); err != nil {
+			x.Logger.Error("heartbeat could not be encoded", "error", err.Error())
+			return nil
+		}
+	}
+	if bytes.Equal(full, last) && !force {
 		return nil
 	}
 	if toRemote {
 		local = append(local, remote...)
 		x.remoteSentAt = now
 	}
+	if heartbeat.Stopping {
+		var scheduling []*rpc.Conn
+		scheduling, local = x.partitionScheduling(local)
+		x.sendTo(ctx, scheduling, full, &heartbeat)
+	}
 	x.sendTo(ctx, local, data, &heartbeat)
-	return data
+	return full
+}
+
+// partitionScheduling divides connections into those to entries that schedule and the others.
+func (x *Exchange) partitionScheduling(conns []*rpc.Conn) (scheduling, others []*rpc.Conn) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	schedules := make(map[*rpc.Conn]bool, len(conns))
+	for name, l := range x.links {
+		if one := x.peers[x.incarnations[name]]; l.conn != nil && one != nil {
+			schedules[l.conn] = one.schedules
+		}
+	}
+	for _, conn := range conns {
+		if schedules[conn] {
+			scheduling = append(scheduling, conn)
+		} else {
+			others = append(others, conn)
+		}
+	}
+	return scheduling, others
 }
 
 // mergeUnsentRemote records the use of limits in a heartbeat that goes to local entries only. If
