Let one front schedule an engine service

Each front placed its own calls by loads that are 50 to 100 ms old, so that several of them sent to the same free slot at once, and each queued its calls alone. Now a front asks the scheduler of the service for a slot: one of the largest connected fronts, by rendezvous hash. The scheduler runs the same dispatcher, with the running and waiting calls of all.

A call counts at one front throughout; when the scheduler is lost, its grants count at their fronts, and what it reported last is forgotten two heartbeats later, as each call would otherwise count twice until it times out.

It applies to engine services, where shared_scheduling is set or an engine reported Slowness. Also: the settings shared_scheduling and cpu_share, the metrics runworks.scheduled, runworks.schedule, runworks.grants and runworks.schedule_messages_ignored, the log line scheduler changed, schedulers in the status, and the reports of the last calls at a planned stop.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -27,6 +27,7 @@
 	"github.com/runworks/runworks/services/peers"
 	"github.com/runworks/runworks/services/quarantine"
 	"github.com/runworks/runworks/services/quota"
+	"github.com/runworks/runworks/services/scheduler"
 )
 
 const (
@@ -56,6 +57,9 @@
 	quarantine *quarantine.Quarantine
 	budgets    *forward.Budgets
 	exchange   *peers.Exchange
+	// slotClient acquires the slots of calls, and slotServer grants slots to other fronts.
+	slotClient *scheduler.Client
+	slotServer *scheduler.Server
 	front      *platform.Front
 	// routingRecord is the record of the active routing. routingMu serializes its replacement.
 	routingRecord atomic.Pointer[platform.Record]
@@ -162,7 +166,7 @@
 		return nil, err
 	}
 	dial := tcp.Options{PeerTimeout: s.PeerTimeout}.Dial
-	self := peers.Member{Name: s.Name, Address: address, Hall: s.Hall, Incarnation: runworks.NewIncarnation()}
+	self := peers.Member{Name: s.Name, Address: address, Hall: s.Hall, Incarnation: runworks.NewIncarnation(), CPU: s.CPUShare}
 	d.dispatcher = &dispatch.Dispatcher{
 		Self: self.Incarnation, Hall: s.Hall, OnEject: d.onEject, OnUnresponsive: d.onUnresponsive, OnPeerEject: d.onPeerEject, OnRateLimit: d.onRateLimit, RequestPermits: d.requestPermits,
 		OnDraining: d.onDraining, OnBackoff: d.onBackoff, ColdStart: d.coldStart,
@@ -190,6 +194,7 @@
 		OnSuspects:    func(_ string, list []runworks.Suspect) { d.quarantine.Apply(time.Now(), list) },
 		ServerNotices: d.dispatcher.ServerNotices, OnServerNotices: d.dispatcher.ApplyNotices, TransferPermits: d.dispatcher.TransferPermits,
 	}
+	d.buildScheduler()
 	if err := d.watchState(); err != nil {
 		flushSpans()
 		return nil, err
--- a/daemon/front_status.go
+++ b/daemon/front_status.go
@@ -19,6 +19,8 @@
 	FrontsKeyRefused int                     `json:"fronts_key_refused,omitempty"`
 	Servers          []dispatch.ServerStatus `json:"servers"`
 	Waiting          map[string]int          `json:"waiting"`
+	// Schedulers are the names of the fronts that schedule services, as this front last chose them.
+	Schedulers map[string]string `json:"schedulers,omitempty"`
 	// SuspendedHalls are the halls that the operators suspended, and when this front learned of it.
 	SuspendedHalls map[string]time.Time `json:"suspended_halls,omitempty"`
 	// LimitsUsed is the usage of each customer's limit in the current window, in tokens, as this
@@ -31,6 +33,7 @@
 func (d *Front) status() FrontStatus {
 	reach := d.exchange.Reach()
 	out := FrontStatus{Fronts: reach.Live + 1, FrontsKnown: reach.Known + 1, FrontsKeyRefused: reach.KeyRefused, Servers: d.dispatcher.ServerStatuses(), Waiting: d.dispatcher.WaitingCalls(), LimitsUsed: d.quota.Consumed(time.Now())}
+	out.Schedulers = d.slotClient.Schedulers()
 	out.SuspendedHalls = d.suspendedHalls()
 	out.Suspects = d.quarantine.Reports(time.Now())
 	if table := d.forwarder.Table.Load(); table != nil {
@@ -48,6 +51,9 @@
 	if err != nil {
 		return errorx.Decorate(err, "count the other entries")
 	}
+	if err := d.metrics.WatchGrants(d.slotServer.Held); err != nil {
+		return errorx.Decorate(err, "count the granted slots")
+	}
 	err = d.metrics.WatchKeptChanges(func() int {
 		sum := 0
 		for _, w := range d.watches {
--- a/daemon/front_stop.go
+++ b/daemon/front_stop.go
@@ -41,4 +41,5 @@
 	if err := server.Shutdown(ctx); err != nil {
 		d.Logger.Warn("planned stop cut short", "calls", d.forwarder.Active(), "error", err.Error())
 	}
+	d.slotClient.Flush()
 }
--- a/daemon/front_sync.go
+++ b/daemon/front_sync.go
@@ -52,6 +52,7 @@
 func (d *Front) startSync(ctx context.Context, wg *conc.WaitGroup) {
 	wg.Go(func() { d.exchange.Run(ctx) })
 	wg.Go(func() { d.dispatcher.Run(ctx) })
+	wg.Go(func() { d.slotClient.Run(ctx) })
 	for _, w := range d.watches {
 		wg.Go(func() { w.Run(ctx) })
 	}
@@ -167,7 +168,7 @@
 }
 
 func (d *Front) heartbeat() peers.Heartbeat {
-	b := peers.Heartbeat{Load: d.dispatcher.LocalLoad(), Positions: map[peers.Subject]runworks.Position{}, RoutingVersion: d.routingVersion()}
+	b := peers.Heartbeat{Load: d.dispatcher.LocalLoad(), Positions: map[peers.Subject]runworks.Position{}, RoutingVersion: d.routingVersion(), Stopping: d.draining.Load()}
 	for subject, w := range d.watches {
 		b.Positions[subject] = w.Position()
 		b.StoreLost = b.StoreLost || w.StoreLost()
@@ -232,11 +233,15 @@
 
 func (d *Front) onReplaced(old runworks.Incarnation) {
 	d.dispatcher.RemovePeer(old)
+	d.slotServer.Lost(old)
+	d.slotClient.Disconnected(old)
 	d.quota.EndIncarnation(time.Now(), old)
 }
 
 func (d *Front) onUnreachable(from runworks.Incarnation) {
 	d.dispatcher.MarkPeerUnreachable(from)
+	d.slotServer.Lost(from)
+	d.slotClient.Disconnected(from)
 }
 
 // requestPermits requests the permits of a backend server's rate limit that another front does not
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -56,6 +56,14 @@
 	ServerReports metric.Int64Counter
 	// StoreRestores counts how often the store was restored from an older copy.
 	StoreRestores metric.Int64Counter
+	// Scheduled counts calls of services that one entry schedules, by result: granted, refused, or
+	// local, which has a cause.
+	Scheduled metric.Int64Counter
+	// ScheduleSeconds is the time from a request for a slot to the scheduler's answer, in seconds,
+	// for calls that did not wait there.
+	ScheduleSeconds metric.Float64Histogram
+	// ScheduleMessagesIgnored counts invalid messages to the scheduler, by cause.
+	ScheduleMessagesIgnored metric.Int64Counter
 	// Keys counts claims of idempotency keys by verdict.
 	Keys metric.Int64Counter
 }
@@ -90,8 +98,11 @@
 		Quarantined:         b.counter("runworks.quarantined", "calls refused as their request ended backend servers, by rank"),
 		ServerReports:       b.counter("runworks.server_words", "backend servers' words that they leave or want rest"),
 		StoreRestores:       b.counter("runworks.store_returns", "returns of the store from an older copy"),
+		Scheduled:           b.counter("runworks.scheduled", "calls of scheduled services by result, and by cause of a local one"),
+		ScheduleSeconds:     b.seconds("runworks.schedule", "time to the scheduler's answer, of calls that did not wait"),
 		Keys:                b.counter("runworks.keys", "claims of idempotency keys, by verdict"),
 	}
+	s.ScheduleMessagesIgnored = b.counter("runworks.schedule_messages_ignored", "invalid messages to the scheduler, by cause")
 	return s, b.err
 }
 
@@ -117,6 +128,17 @@
 	return err
 }
 
+// WatchGrants exports the number of slots that this entry granted to others and that are in use, as a
+// gauge.
+func (s *Set) WatchGrants(held func() int) error {
+	_, err := s.meter.Int64ObservableGauge("runworks.grants", metric.WithDescription("slots granted to other entries"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(held()))
+			return nil
+		}))
+	return err
+}
+
 // WatchEntries exports how many other entries are known, heard recently, and refuse the fleet keys
 // of this one, as a gauge by state.
 func (s *Set) WatchEntries(count func() (known, live, keyRefused int)) error {
--- a/modules/setting/front.go
+++ b/modules/setting/front.go
@@ -1,6 +1,7 @@
 package setting
 
 import (
+	"math"
 	"time"
 
 	"github.com/runworks/runworks/modules/yamlfile"
@@ -86,6 +87,11 @@
 	// all fronts together may send in a second to a server that starts up.
 	ColdOverage float64 `yaml:"cold_overage"`
 	ColdSlack   float64 `yaml:"cold_slack"`
+	// SharedScheduling lets one front grant the slots of each engine service to the calls of all.
+	// Services whose engines report how slow they are need no setting.
+	SharedScheduling bool `yaml:"shared_scheduling"`
+	// CPUShare is the front's share of a processor, by which schedulers are chosen; 0 means unknown.
+	CPUShare float64 `yaml:"cpu_share"`
 	// MaxBodyBytes limits the body of a call while no routing is active.
 	MaxBodyBytes int64 `yaml:"max_body_bytes"`
 	// Cores limits the processors that the process uses; 0 means all.
@@ -144,6 +150,9 @@
 	if s.ColdSlack < 0 {
 		m.add("cold_slack", "%g is negative", s.ColdSlack)
 	}
+	if s.CPUShare < 0 || math.IsInf(s.CPUShare, 0) || math.IsNaN(s.CPUShare) {
+		m.add("cpu_share", "%g is negative or not finite", s.CPUShare)
+	}
 	if s.MaxBodyBytes <= 0 {
 		m.add("max_body_bytes", "%d is not above zero", s.MaxBodyBytes)
 	}
--- a/services/dispatch/grant.go
+++ b/services/dispatch/grant.go
@@ -120,6 +120,21 @@
 	}
 }
 
+// ForgetRunning forgets the running calls and unread prompts that an entry reported, until its next
+// report: it was the scheduler and is lost, so that the entries that send its calls count them.
+func (d *Dispatcher) ForgetRunning(from runworks.Incarnation) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old, known := d.peers[from]
+	if !known {
+		return
+	}
+	load := old
+	load.Running, load.UnreadPromptTokens = nil, nil
+	d.peers[from] = load
+	d.replacePeerLoadLocked(&old, &load)
+}
+
 // Scheduling is what is known of a service that decides whether its slots are granted by one entry.
 type Scheduling struct {
 	// ReportsSlowness is set once a backend server reported how slow it is.
--- a/services/dispatch/grant_test.go
+++ b/services/dispatch/grant_test.go
@@ -107,7 +107,9 @@
 	}
 }
 
-func (r *recorder) Completed(expectedTokens, events int) { r.expected, r.events = expectedTokens, events }
+func (r *recorder) Completed(expectedTokens, events int) {
+	r.expected, r.events = expectedTokens, events
+}
 
 func (r *recorder) Released(result Result) { r.results = append(r.results, result) }
 
--- /dev/null
+++ b/services/scheduler/client.go
@@ -0,0 +1,391 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/metrics"
+	"github.com/runworks/runworks/services/dispatch"
+	"github.com/runworks/runworks/services/peers"
+)
+
+const (
+	// avoidTime is for how long an entry is not asked after a failure.
+	avoidTime = time.Second
+	// viewAge is the age up to which the choice of the schedulers is used again. It bounds its cost,
+	// which grows with the number of entries, and is well below the heartbeat interval.
+	viewAge = 20 * time.Millisecond
+	// watchInterval is how often the schedulers of waiting and running calls are checked for silence.
+	watchInterval = 25 * time.Millisecond
+	// stallTime is how late a check may be. A later one says that this process got no processor time,
+	// so that heartbeats wait to be read and no entry is known to be silent.
+	stallTime = 100 * time.Millisecond
+	// forgetTime is how long after its loss the calls that a scheduler reported are forgotten. By
+	// then the other entries have reported those that they count themselves. Otherwise each call would
+	// count twice until the scheduler times out, and no slot would seem free.
+	forgetTime = 2 * peers.DefaultInterval
+)
+
+// fallback is an error that sends a call to the local dispatcher: the cause, as in metrics and in the
+// log.
+type fallback string
+
+// Error implements error.
+func (f fallback) Error() string { return "no scheduler: " + string(f) }
+
+// The causes for which a call uses the local dispatcher.
+const (
+	causeOwn          fallback = "own"
+	causeAlone        fallback = "alone"
+	causeHalls        fallback = "halls"
+	causeLimit        fallback = "limit"
+	causeDisconnected fallback = "disconnected"
+	causeSilent       fallback = "silent"
+	causeNotScheduler fallback = "not_scheduler"
+	causeNoServer     fallback = "no_server"
+	causeReply        fallback = "reply"
+	causeServer       fallback = "server"
+)
+
+// Transport carries messages to other entries, like peers.Exchange.
+type Transport interface {
+	PeerStates() []peers.PeerState
+	LastSeen(id runworks.Incarnation) time.Time
+	Acquire(ctx context.Context, to runworks.Incarnation, r *peers.AcquireRequest) (*peers.AcquireReply, error)
+	SendPlacements(ctx context.Context, to runworks.Incarnation, list []peers.Placement) error
+}
+
+// Client acquires slots for the calls of this entry: from the entry that schedules the service, and
+// otherwise from its own dispatcher. Set the exported fields before use.
+type Client struct {
+	Self       peers.Member
+	Dispatcher *dispatch.Dispatcher
+	Transport  Transport
+	// Scheduled reports whether one entry grants the slots of a service.
+	Scheduled func(service string) bool
+	// Stopping reports whether the planned stop of this entry began; it then schedules nothing.
+	Stopping func() bool
+	Logger   hclog.Logger
+	Metrics  *metrics.Set
+
+	// mu may be locked while the dispatcher's lock is held, and never the other way round.
+	mu sync.Mutex
+	// members are the candidates as of viewedAt, and others what they were derived from.
+	members  []peers.Member
+	others   []peers.PeerState
+	viewedAt time.Time
+	// chosen holds the choice by service, as of viewedAt, and current the last one that was logged.
+	chosen  map[string]peers.Member
+	current map[string]peers.Member
+	avoided map[avoided]time.Time
+	remotes map[runworks.Incarnation]*remote
+}
+
+// avoided names an entry that failed to schedule a service; an empty service means all.
+type avoided struct {
+	id      runworks.Incarnation
+	service string
+}
+
+// Acquire waits for a slot like dispatch.Dispatcher.Acquire. A failure of the scheduler is never its
+// error: the call then continues at the local dispatcher.
+func (c *Client) Acquire(ctx context.Context, req *dispatch.Request) (*dispatch.Lease, error) {
+	if !c.Scheduled(req.Service) {
+		return c.Dispatcher.Acquire(ctx, req)
+	}
+	if req.AllowsHall != nil {
+		return c.acquireLocally(ctx, req, causeHalls)
+	}
+	if c.Dispatcher.Scheduling(req.Service).Limited {
+		return c.acquireLocally(ctx, req, causeLimit)
+	}
+	r, cause := c.schedulerOf(time.Now(), req.Service)
+	if r == nil {
+		return c.acquireLocally(ctx, req, cause)
+	}
+	lease, err := c.request(ctx, r, req)
+	if errors.As(err, &cause) {
+		return c.acquireLocally(ctx, req, cause)
+	}
+	return lease, err
+}
+
+// acquireLocally acquires a slot from the local dispatcher.
+func (c *Client) acquireLocally(ctx context.Context, req *dispatch.Request, cause fallback) (*dispatch.Lease, error) {
+	metrics.Count(c.Metrics.Scheduled, metrics.Result("local"), metrics.Cause(string(cause)))
+	return c.Dispatcher.Acquire(ctx, req)
+}
+
+// schedulerOf returns the scheduler of a service, or why there is none but this entry.
+func (c *Client) schedulerOf(now time.Time, service string) (*remote, fallback) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.viewedAt) >= viewAge {
+		c.others = c.Transport.PeerStates()
+		c.members = candidates(now, c.Self, c.Stopping(), c.others)
+		c.viewedAt, c.chosen = now, make(map[string]peers.Member)
+	}
+	one, ok := c.chosen[service]
+	if !ok {
+		one = choose(service, c.notAvoidedLocked(now, service))
+		c.chosen[service] = one
+		c.noteChoiceLocked(now, service, one)
+	}
+	switch {
+	case one.Incarnation != c.Self.Incarnation && one.Incarnation != "":
+		return c.remoteLocked(one.Incarnation), ""
+	case len(c.members) <= 1:
+		return nil, causeAlone
+	}
+	return nil, causeOwn
+}
+
+// notAvoidedLocked returns the candidates without those that failed recently.
+func (c *Client) notAvoidedLocked(now time.Time, service string) []peers.Member {
+	for key, until := range c.avoided {
+		if !now.Before(until) {
+			delete(c.avoided, key)
+		}
+	}
+	if len(c.avoided) == 0 {
+		return c.members
+	}
+	var out []peers.Member
+	for _, one := range c.members {
+		if !c.avoidsLocked(one.Incarnation, service) {
+			out = append(out, one)
+		}
+	}
+	return out
+}
+
+func (c *Client) avoidsLocked(id runworks.Incarnation, service string) bool {
+	_, all := c.avoided[avoided{id: id}]
+	_, one := c.avoided[avoided{id: id, service: service}]
+	return all || one
+}
+
+// avoidLocked keeps an entry from being asked for avoidTime. The next call makes a new choice.
+func (c *Client) avoidLocked(key avoided) {
+	if c.avoided == nil {
+		c.avoided = make(map[avoided]time.Time)
+	}
+	c.avoided[key] = time.Now().Add(avoidTime)
+	c.viewedAt = time.Time{}
+}
+
+// noteChoiceLocked logs a change of a service's scheduler.
+func (c *Client) noteChoiceLocked(now time.Time, service string, one peers.Member) {
+	if c.current == nil {
+		c.current = make(map[string]peers.Member)
+	}
+	old, known := c.current[service]
+	if known && old.Incarnation == one.Incarnation {
+		return
+	}
+	c.current[service] = one
+	c.Logger.Info("scheduler changed", "service", service, "scheduler", one.Name, "incarnation", one.Incarnation,
+		"cause", c.changeCauseLocked(now, service, old, known))
+}
+
+// changeCauseLocked returns why a service's scheduler is no longer the old one.
+func (c *Client) changeCauseLocked(now time.Time, service string, old peers.Member, known bool) string {
+	switch {
+	case !known:
+		return "first"
+	case old.Incarnation == c.Self.Incarnation && c.Stopping():
+		return "stopping"
+	case old.Incarnation == c.Self.Incarnation || old.Incarnation == "":
+		return "preferred"
+	}
+	for i := range c.others {
+		if c.others[i].Incarnation != old.Incarnation {
+			continue
+		}
+		if cause := unfit(now, &c.others[i]); cause != "" {
+			return string(cause)
+		}
+		if c.avoidsLocked(old.Incarnation, service) {
+			return "failed"
+		}
+		return "preferred"
+	}
+	return "gone"
+}
+
+// Schedulers returns the name of each service's scheduler, for operators.
+func (c *Client) Schedulers() map[string]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]string, len(c.current))
+	for service, one := range c.current {
+		out[service] = one.Name
+	}
+	return out
+}
+
+// answer is the reply to a request for a slot.
+type answer struct {
+	reply *peers.AcquireReply
+	err   error
+}
+
+// wait is a request that waits for its reply.
+type wait struct {
+	replied chan answer
+	// left is set once nobody waits for the reply any longer; Client.mu guards it.
+	left bool
+}
+
+// request acquires a slot from the scheduler. A failure of the scheduler is a fallback.
+func (c *Client) request(ctx context.Context, r *remote, req *dispatch.Request) (*dispatch.Lease, error) {
+	start := time.Now()
+	w := &wait{replied: make(chan answer, 1)}
+	message := encodeRequest(start, req, c.Self.Hall)
+	c.addWait(r, 1)
+	defer c.addWait(r, -1)
+	go func() {
+		// It ends with the reply or the connection. A write blocks while the scheduler does not read.
+		reply, err := c.Transport.Acquire(context.Background(), r.id, message)
+		c.deliver(r, w, answer{reply, err})
+	}()
+	select {
+	case a := <-w.replied:
+		return c.conclude(ctx, r, req, a, start)
+	case <-r.lost:
+		if a, ok := c.leave(r, w, req.ID); ok {
+			c.discard(r, a)
+		}
+		return nil, r.cause
+	case <-ctx.Done():
+		if a, ok := c.leave(r, w, req.ID); ok {
+			c.discard(r, a)
+		}
+		return nil, context.Cause(ctx)
+	}
+}
+
+// deliver passes a reply to the call, or frees its slot if the call no longer waits.
+func (c *Client) deliver(r *remote, w *wait, a answer) {
+	c.mu.Lock()
+	left := w.left
+	if !left {
+		w.replied <- a
+	}
+	c.mu.Unlock()
+	if left {
+		c.discard(r, a)
+	}
+}
+
+// leave ends the wait for a reply and tells the scheduler. It returns the reply if there is one.
+func (c *Client) leave(r *remote, w *wait, id runworks.RequestID) (answer, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w.left = true
+	select {
+	case a := <-w.replied:
+		return a, true
+	default:
+	}
+	c.reportLocked(r, peers.Placement{Canceled: id})
+	return answer{}, false
+}
+
+// discard frees the slot of a reply that is not used.
+func (c *Client) discard(r *remote, a answer) {
+	if a.err != nil || a.reply.Grant == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reportLocked(r, peers.Placement{Grant: a.reply.Grant, Ended: resultNames[dispatch.Abandoned]})
+}
+
+// conclude adopts the slot of a reply, or returns its refusal or a fallback.
+func (c *Client) conclude(ctx context.Context, r *remote, req *dispatch.Request, a answer, start time.Time) (*dispatch.Lease, error) {
+	reply := a.reply
+	switch {
+	case a.err != nil:
+		return nil, c.fail(r, a.err)
+	case ctx.Err() != nil:
+		c.discard(r, a)
+		return nil, context.Cause(ctx)
+	}
+	if reply.WaitedMs == 0 {
+		metrics.Observe(c.Metrics.ScheduleSeconds, time.Since(start).Seconds())
+	}
+	if reply.Refused == "" {
+		if reply.Server == "" || reply.Grant <= 0 {
+			return nil, c.avoid(r, "", causeReply)
+		}
+		lease := c.adopt(r, req, reply)
+		if lease == nil {
+			c.discard(r, a)
+			return nil, causeServer
+		}
+		metrics.Count(c.Metrics.Scheduled, metrics.Result("granted"))
+		return lease, nil
+	}
+	if err := decodeRefusal(reply); err != nil {
+		metrics.Count(c.Metrics.Scheduled, metrics.Result("refused"))
+		return nil, err
+	}
+	switch reply.Refused {
+	case peers.RefusedNoServer:
+		return nil, causeNoServer
+	case peers.RefusedNotScheduler:
+		return nil, c.avoid(r, req.Service, causeNotScheduler)
+	}
+	return nil, c.avoid(r, "", causeReply)
+}
+
+// fail records that a request got no reply, and returns the cause.
+func (c *Client) fail(r *remote, err error) fallback {
+	var refused *jsonrpc2.Error
+	if errors.As(err, &refused) {
+		return c.avoid(r, "", causeReply) // it could not decode the request, or does not know it
+	}
+	if isDecodeError(err) {
+		return c.avoid(r, "", causeReply)
+	}
+	c.lose(r.id, causeDisconnected, true)
+	return causeDisconnected
+}
+
+// avoid keeps the scheduler from being asked for a time, for one service or for all, and returns the
+// cause.
+func (c *Client) avoid(r *remote, service string, cause fallback) fallback {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.avoidLocked(avoided{id: r.id, service: service})
+	return cause
+}
+
+// adopt takes the granted slot; nil if it must not be used here.
+func (c *Client) adopt(r *remote, req *dispatch.Request, reply *peers.AcquireReply) *dispatch.Lease {
+	h := &heldGrant{client: c, remote: r, number: reply.Grant}
+	lease := c.Dispatcher.Adopt(reply.Server, req, r.id, h)
+	if lease == nil {
+		return nil
+	}
+	c.mu.Lock()
+	gone := r.gone
+	if gone {
+		h.detached = true
+		c.reportLocked(r, h.abandoned())
+	} else {
+		r.held[reply.Grant] = h
+	}
+	c.mu.Unlock()
+	if gone { // the scheduler was lost since its reply
+		c.Dispatcher.CountGrants(r.id)
+	}
+	return lease
+}
