Simplify the ends of sessions and measure a scheduled call

Two conditions of Server.finish, and one in the client, made no test fail when taken out: a request is canceled with its session, and a caller that left releases its lease as before. They are removed. The rule that a stalled front does not take its scheduler for silent got a test that fails without it.

--- a/services/peers/slots_test.go
+++ b/services/peers/slots_test.go
@@ -132,14 +132,18 @@
 		reply, err := a.Acquire(ctx, "b-life", r)
 		is.NoErr(err)
 		is.Equal(*reply, AcquireReply{Server: "s0/7", Grant: 1<<53 + 1})
+		server.mu.Lock()
 		is.Equal(server.request, *r)
+		server.mu.Unlock()
 		list := []Placement{
 			{Grant: reply.Grant, Read: true, FirstMs: 12.5, Ended: "served", Gaps: &Gaps{N: 3, SumMs: 7.5, Late: 1}, Events: 4, ExpectedTokens: 9},
 			{Canceled: "another"},
 		}
 		is.NoErr(a.SendPlacements(ctx, "b-life", list))
 		time.Sleep(10 * time.Millisecond)
+		server.mu.Lock()
 		is.Equal(server.placed, list)
+		server.mu.Unlock()
 		_, err = a.Acquire(ctx, "unknown", r)
 		is.True(err != nil)
 	})
@@ -197,7 +201,9 @@
 // the connection is opened again.
 func TestLostConnectionEndsSession(t *testing.T) {
 	inSchedulingNetwork(t, func(is *is.I, network *memnet.Network, a, _ *entry, server *slotServer) {
+		server.mu.Lock()
 		server.block = make(chan struct{})
+		server.mu.Unlock()
 		failed := make(chan error, 1)
 		go func() {
 			_, err := a.Acquire(context.Background(), "b-life", &AcquireRequest{ID: "waits"})
--- a/services/scheduler/client.go
+++ b/services/scheduler/client.go
@@ -257,7 +257,7 @@
 	}()
 	select {
 	case a := <-w.replied:
-		return c.conclude(ctx, r, req, a, start)
+		return c.conclude(r, req, a, start)
 	case <-r.lost:
 		if a, ok := c.leave(r, w, req.ID); ok {
 			c.discard(r, a)
@@ -309,15 +309,11 @@
 }
 
 // conclude adopts the slot of a reply, or returns its refusal or a fallback.
-func (c *Client) conclude(ctx context.Context, r *remote, req *dispatch.Request, a answer, start time.Time) (*dispatch.Lease, error) {
-	reply := a.reply
-	switch {
-	case a.err != nil:
+func (c *Client) conclude(r *remote, req *dispatch.Request, a answer, start time.Time) (*dispatch.Lease, error) {
+	if a.err != nil {
 		return nil, c.fail(r, a.err)
-	case ctx.Err() != nil:
-		c.discard(r, a)
-		return nil, context.Cause(ctx)
 	}
+	reply := a.reply
 	if reply.WaitedMs == 0 {
 		metrics.Observe(c.Metrics.ScheduleSeconds, time.Since(start).Seconds())
 	}
--- a/services/scheduler/client_test.go
+++ b/services/scheduler/client_test.go
@@ -445,6 +445,21 @@
 	})
 }
 
+// TestStallIsNoSilence guards against a front that leaves its scheduler because it got no processor time
+// itself: the heartbeats that arrived meanwhile are not read yet.
+func TestStallIsNoSilence(t *testing.T) {
+	withClient(t, func(c *clientTest, _ func()) {
+		c.transport.answer = granted
+		lease := c.mustAcquire("call")
+		later := time.Now().Add(silenceTimeout + time.Second)
+		c.loseSilent(later, watchInterval+stallTime+1)
+		c.is.Equal(c.counted(), [2]int{})
+		c.loseSilent(later, watchInterval+stallTime)
+		c.is.Equal(c.counted(), [2]int{1, 9000})
+		lease.Release(dispatch.Served)
+	})
+}
+
 // TestWaitsWhileSchedulerIsHeard guards against calls that leave a scheduler that has no free slot yet.
 func TestWaitsWhileSchedulerIsHeard(t *testing.T) {
 	withClient(t, func(c *clientTest, _ func()) {
--- a/services/scheduler/network_test.go
+++ b/services/scheduler/network_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,18 +40,38 @@
 
 // startFront starts a front on the host of the same name; one of a previous version does not schedule.
 func startFront(t testing.TB, network *memnet.Network, name, incarnation string, cpu float64, previous bool) *front {
+	t.Helper()
+	l, err := network.Listen(name + ":1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	self := peers.Member{Name: name, Address: name + ":1", Hall: "a", Incarnation: runworks.Incarnation(incarnation), CPU: cpu}
+	return newFront(t, l, network.Dialer(name), self, previous)
+}
+
+// startTCPFront starts a front on a port of this host.
+func startTCPFront(t testing.TB, name string, cpu float64) *front {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	self := peers.Member{Name: name, Address: l.Addr().String(), Hall: "a", Incarnation: runworks.Incarnation(name + "-life"), CPU: cpu}
+	return newFront(t, l, (&net.Dialer{}).DialContext, self, false)
+}
+
+func newFront(t testing.TB, l net.Listener, dial rpc.DialFunc, self peers.Member, previous bool) *front {
 	t.Helper()
 	set, err := metrics.New()
 	if err != nil {
 		t.Fatal(err)
 	}
 	f := &front{}
-	self := peers.Member{Name: name, Address: name + ":1", Hall: "a", Incarnation: runworks.Incarnation(incarnation), CPU: cpu}
 	f.dispatcher = &dispatch.Dispatcher{Hall: "a", Self: self.Incarnation}
 	f.dispatcher.SetServers([]runworks.Instance{{ID: "s0", Service: "llm", Hall: "a", Slots: fleetSlots}})
 	f.server = &Server{Dispatcher: f.dispatcher, Ready: func() bool { return true }, Logger: hclog.NewNullLogger(), Metrics: set}
 	f.exchange = &peers.Exchange{
-		Self: self, Dial: network.Dialer(name), Keys: rpc.FleetKeys{"key"}, Logger: hclog.NewNullLogger(),
+		Self: self, Dial: dial, Keys: rpc.FleetKeys{"key"}, Logger: hclog.NewNullLogger(),
 		Heartbeat: func() peers.Heartbeat {
 			return peers.Heartbeat{Load: f.dispatcher.LocalLoad(), Stopping: f.stopping.Load()}
 		},
@@ -77,10 +99,6 @@
 	if !previous {
 		f.exchange.Slots, f.exchange.OnDisconnected = f.server, f.client.Disconnected
 	}
-	l, err := network.Listen(self.Address)
-	if err != nil {
-		t.Fatal(err)
-	}
 	f.http = &http.Server{Handler: f.exchange} //nolint:gosec // a test's server
 	var ctx context.Context
 	ctx, f.cancel = context.WithCancel(context.Background())
@@ -389,12 +407,11 @@
 	})
 }
 
-// BenchmarkScheduledCall measures the processor time of one scheduled call: request, grant, first
-// event, gaps and end, at the front and at the scheduler together.
+// BenchmarkScheduledCall measures one scheduled call at the front and at the scheduler together, over
+// TCP: request, grant, first event, gaps and end. cpu-ns/op is the processor time of both. A tenth of a
+// core at 600 calls per second is 167,000 ns for the scheduler alone.
 func BenchmarkScheduledCall(b *testing.B) {
-	network := memnet.New(0)
-	from, to := startFront(b, network, "a", "a-life", 0.1, false), startFront(b, network, "b", "b-life", 0.8, false)
-	defer network.Close()
+	from, to := startTCPFront(b, "a", 0.1), startTCPFront(b, "b", 0.8)
 	defer from.kill()
 	defer to.kill()
 	members := []peers.Member{from.exchange.Self, to.exchange.Self}
@@ -404,15 +421,32 @@
 		time.Sleep(time.Millisecond)
 	}
 	b.ReportAllocs()
-	for n := 0; b.Loop(); n++ {
-		lease, err := from.client.Acquire(context.Background(), request(fmt.Sprint(n)))
-		if err != nil {
-			b.Fatal(err)
-		}
-		lease.RecordFirstEvent(9000)
-		for range 10 {
-			lease.RecordEventGap(time.Millisecond)
+	before := processorTime(b)
+	var n atomic.Int64
+	b.SetParallelism(1)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			lease, err := from.client.Acquire(context.Background(), request(fmt.Sprint(n.Add(1))))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			lease.RecordFirstEvent(9000)
+			for range 10 {
+				lease.RecordEventGap(time.Millisecond)
+			}
+			lease.Release(dispatch.Served)
 		}
-		lease.Release(dispatch.Served)
+	})
+	b.ReportMetric(float64(processorTime(b)-before)/float64(b.N), "cpu-ns/op")
+}
+
+// processorTime returns the processor time of this process.
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var use syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &use); err != nil {
+		b.Fatal(err)
 	}
+	return time.Duration(use.Utime.Nano() + use.Stime.Nano())
 }
--- a/services/scheduler/remote.go
+++ b/services/scheduler/remote.go
@@ -229,16 +229,21 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			now := time.Now()
+			c.loseSilent(now, now.Sub(last))
+			last = now
 		}
-		now := time.Now()
-		stalled := now.Sub(last) > watchInterval+stallTime
-		last = now
-		if stalled {
-			continue
-		}
-		for _, id := range c.silent(now) {
-			c.lose(id, causeSilent, false)
-		}
+	}
+}
+
+// loseSilent loses the schedulers that are silent, unless too much time has passed since the last
+// check.
+func (c *Client) loseSilent(now time.Time, passed time.Duration) {
+	if passed > watchInterval+stallTime {
+		return
+	}
+	for _, id := range c.silent(now) {
+		c.lose(id, causeSilent, false)
 	}
 }
 
--- a/services/scheduler/server.go
+++ b/services/scheduler/server.go
@@ -51,9 +51,8 @@
 	// over is set once the connection is closed, or the entry opened another one: nothing can be
 	// granted any longer.
 	over bool
-	// epoch counts how often the entry was lost. lost is set from then until its next request.
-	epoch int
-	lost  bool
+	// lost is set from the loss of the entry until its next request.
+	lost bool
 	// waiting holds the requests that wait, with the functions that cancel them.
 	waiting map[runworks.RequestID]context.CancelFunc
 	// canceled holds the requests that were canceled before they arrived, and when.
@@ -135,7 +134,6 @@
 // end cancels the waiting requests and returns the granted slots, to be freed.
 func (s *session) end() []*dispatch.Lease {
 	s.cancelAll()
-	s.epoch++
 	out := make([]*dispatch.Lease, 0, len(s.grants))
 	for _, one := range s.grants {
 		out = append(out, one.lease)
@@ -174,12 +172,12 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	one, epoch, cause := v.register(now, s, r.ID, cancel)
+	one, cause := v.register(now, s, r.ID, cancel)
 	if one == nil {
 		return refuse(cause)
 	}
 	lease, err := v.Dispatcher.AcquireFor(ctx, req, s.From.Incarnation)
-	number := v.finish(ctx, one, epoch, r, lease)
+	number := v.finish(ctx, one, r, lease)
 	switch {
 	case err != nil:
 		return encodeRefusal(err)
@@ -200,34 +198,35 @@
 
 // register adds a waiting request to its session. It returns nil and the cause if nothing can be
 // granted to it.
-func (v *Server) register(now time.Time, s *peers.Session, id runworks.RequestID, cancel context.CancelFunc) (one *session, epoch int, cause string) {
+func (v *Server) register(now time.Time, s *peers.Session, id runworks.RequestID, cancel context.CancelFunc) (one *session, cause string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	one = v.sessions[s]
 	if one == nil || one.over {
-		return nil, 0, "the connection is closed"
+		return nil, "the connection is closed"
 	}
 	one.lost = false
 	if at, ok := one.canceled[id]; ok {
 		delete(one.canceled, id)
 		if now.Sub(at) <= cancelMemory {
-			return nil, 0, "the request was canceled"
+			return nil, "the request was canceled"
 		}
 	}
 	if one.waiting[id] != nil {
-		return nil, 0, "a request with this id waits"
+		return nil, "a request with this id waits"
 	}
 	one.waiting[id] = cancel
-	return one, one.epoch, ""
+	return one, ""
 }
 
 // finish removes a waiting request and records what was granted to it. It returns the number of the
-// grant, or 0 if the slot must be freed: nobody would report the end of the call.
-func (v *Server) finish(ctx context.Context, one *session, epoch int, r *peers.AcquireRequest, lease *dispatch.Lease) int64 {
+// grant, or 0 if the slot must be freed: the request was canceled, as it also is with the end of its
+// session, and nobody would report the end of the call.
+func (v *Server) finish(ctx context.Context, one *session, r *peers.AcquireRequest, lease *dispatch.Lease) int64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	delete(one.waiting, r.ID)
-	if lease == nil || one.over || one.epoch != epoch || ctx.Err() != nil {
+	if lease == nil || ctx.Err() != nil {
 		return 0
 	}
 	v.lastGrant++
