--- a/services/scheduler/network_test.go
+++ b/services/scheduler/network_test.go
@@ -144,9 +144,8 @@
 }
 
 // start starts a front that knows the others.
-func (f *fleet) start(name, incarnation string, cpu float64, previous bool) *front {
-	one := startFront(f.t, f.network, name, incarnation, cpu, previous)
-	f.fronts[name] = one
+func (f *fleet) start(name, incarnation string, cpu float64, previous bool) {
+	f.fronts[name] = startFront(f.t, f.network, name, incarnation, cpu, previous)
 	var members []peers.Member
 	for _, other := range f.fronts {
 		members = append(members, other.exchange.Self)
@@ -154,7 +153,6 @@
 	for _, other := range f.fronts {
 		other.exchange.SetMembers(members)
 	}
-	return one
 }
 
 // call acquires a slot in the background.
