Leave servers that a front can't use out of its requests

A server that asked only one front to send nothing looks idle to the scheduler, which would grant its slots to that front again and again; each such grant is released, and the call continues locally. The request now excludes the servers that the front ejected or that asked it for a back-off.

--- a/services/dispatch/grant.go
+++ b/services/dispatch/grant.go
@@ -52,7 +52,7 @@
 	if _, live := d.peers[scheduler]; !live {
 		return nil
 	}
-	if s == nil || s.Service != req.Service || s.Draining || s.backoff.active(now) || s.failing(now, d.services[s.Service]) || !req.allows(s) {
+	if s == nil || s.Service != req.Service || s.Draining || s.unusable(now, d.services[s.Service]) || !req.allows(s) {
 		return nil
 	}
 	lease := &Lease{
@@ -141,6 +141,9 @@
 	ReportsSlowness bool
 	// Limited is set while a backend server has a rate limit.
 	Limited bool
+	// Unusable lists the incarnations of the servers that this entry must not use, but others may:
+	// it ejected them, or they asked it to send nothing.
+	Unusable []string
 }
 
 // Scheduling returns what is known of a service.
@@ -151,7 +154,19 @@
 	if s == nil {
 		return Scheduling{}
 	}
-	return Scheduling{ReportsSlowness: s.reportsSlowness, Limited: s.anyLimited(time.Now())}
+	now := time.Now()
+	out := Scheduling{ReportsSlowness: s.reportsSlowness, Limited: s.anyLimited(now)}
+	for _, one := range s.servers {
+		if !one.Draining && one.unusable(now, s) {
+			out.Unusable = append(out.Unusable, one.incarnation)
+		}
+	}
+	return out
+}
+
+// unusable reports whether this entry ejected the server, or was asked by it to send nothing.
+func (s *server) unusable(now time.Time, svc *service) bool {
+	return s.backoff.active(now) || s.failing(now, svc)
 }
 
 // grantsToOthers reports whether other entries asked for slots recently.
--- a/services/dispatch/grant_test.go
+++ b/services/dispatch/grant_test.go
@@ -284,13 +284,16 @@
 		refused("s0", func(req *Request) { req.Service = "another" })
 		refused("s0", func(req *Request) { req.Exclude = []string{"s0"} })
 		refused("s0", func(req *Request) { req.AllowsHall = func(string) bool { return false } })
+		is.Equal(len(d.Scheduling("llm").Unusable), 0)
 		mustAcquire(t, d, "unreachable").Release(Unreachable)
 		refused("s0", nil)
+		is.Equal(d.Scheduling("llm").Unusable, []string{"s0"})
 		time.Sleep(maxEjection)
 		lease := mustAcquire(t, d, "backs off")
 		lease.ApplyReport(&runworks.ServerReport{Backoff: time.Second}, time.Now())
 		lease.Release(Rejected)
 		refused("s0", nil)
+		is.Equal(d.Scheduling("llm").Unusable, []string{"s0"})
 		time.Sleep(2 * time.Second)
 		d.MarkPeerUnreachable("scheduler")
 		refused("s0", nil) // the scheduler may have ended the grant
@@ -400,3 +403,54 @@
 		is.Equal(mustAcquire(t, d, "own").Instance.ID, "s0")
 	})
 }
+
+// BenchmarkGrantsUnderLoad measures, at the scheduler of a contended service, the end of a call, the
+// grant of its slot to the next one in the queue, and the arrival of another: 44 servers with 11 slots,
+// all in use, and 300 waiting calls of 24 entries with three ranks.
+func BenchmarkGrantsUnderLoad(b *testing.B) {
+	d := &Dispatcher{Hall: "a"}
+	var list []runworks.Instance
+	for i := range 44 {
+		list = append(list, runworks.Instance{ID: fmt.Sprint("s", i), Service: "llm", Hall: "a", Slots: 11})
+	}
+	d.SetServers(list)
+	for i := range 24 {
+		d.SetPeerLoad(runworks.Incarnation(fmt.Sprint("entry-", i)), runworks.EntryLoad{})
+	}
+	n := 0
+	waiters := map[*waiter]bool{}
+	var leases []*Lease
+	arrive := func() {
+		n++
+		req := newRequest(fmt.Sprint(n), n%3)
+		req.PromptTokens, req.ExpectedTokens, req.MaxGap, req.Customer = 100+n%7000, 400, 400*time.Millisecond, fmt.Sprint(n%16)
+		req.Target = time.Now().Add(time.Hour) // none is refused
+		req.Deadline = req.Target
+		w, lease, err := d.admit(req, runworks.Incarnation(fmt.Sprint("entry-", n%24)))
+		if err != nil {
+			b.Fatal(err)
+		}
+		if lease != nil {
+			leases = append(leases, lease)
+			return
+		}
+		waiters[w] = true
+	}
+	for len(waiters) < 300 {
+		arrive()
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		leases[0].RecordRemoteFirstEvent(1000, 100*time.Millisecond)
+		leases[0].RecordRemoteGaps(60, time.Second, 0)
+		leases[0].Release(Served)
+		leases = leases[1:]
+		for w := range waiters {
+			if len(w.lease) > 0 {
+				leases = append(leases, <-w.lease)
+				delete(waiters, w)
+			}
+		}
+		arrive()
+	}
+}
--- a/services/scheduler/client.go
+++ b/services/scheduler/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -102,14 +103,15 @@
 	if req.AllowsHall != nil {
 		return c.acquireLocally(ctx, req, causeHalls)
 	}
-	if c.Dispatcher.Scheduling(req.Service).Limited {
+	known := c.Dispatcher.Scheduling(req.Service)
+	if known.Limited {
 		return c.acquireLocally(ctx, req, causeLimit)
 	}
 	r, cause := c.schedulerOf(time.Now(), req.Service)
 	if r == nil {
 		return c.acquireLocally(ctx, req, cause)
 	}
-	lease, err := c.request(ctx, r, req)
+	lease, err := c.request(ctx, r, req, known.Unusable)
 	if errors.As(err, &cause) {
 		return c.acquireLocally(ctx, req, cause)
 	}
@@ -243,11 +245,15 @@
 	left bool
 }
 
-// request acquires a slot from the scheduler. A failure of the scheduler is a fallback.
-func (c *Client) request(ctx context.Context, r *remote, req *dispatch.Request) (*dispatch.Lease, error) {
+// request acquires a slot from the scheduler, at none of the unusable servers. A failure of the
+// scheduler is a fallback.
+func (c *Client) request(ctx context.Context, r *remote, req *dispatch.Request, unusable []string) (*dispatch.Lease, error) {
 	start := time.Now()
 	w := &wait{replied: make(chan answer, 1)}
 	message := encodeRequest(start, req, c.Self.Hall)
+	if message.Exclude = slices.Concat(req.Exclude, unusable); len(message.Exclude) > maxExcluded {
+		message.Exclude = message.Exclude[:maxExcluded]
+	}
 	c.addWait(r, 1)
 	defer c.addWait(r, -1)
 	go func() {
--- a/services/scheduler/client_test.go
+++ b/services/scheduler/client_test.go
@@ -361,6 +361,30 @@
 	}
 }
 
+// TestUnusableServersAreExcluded guards against grants that this front can't use: the scheduler would
+// grant the idle slots of a server that asked only this front to send nothing, again and again.
+func TestUnusableServersAreExcluded(t *testing.T) {
+	withClient(t, func(c *clientTest, _ func()) {
+		c.Dispatcher.SetServers([]runworks.Instance{{ID: "s0", Service: "llm", Slots: 2}, {ID: "s1", Service: "llm", Slots: 2}})
+		var excluded []string
+		c.transport.answer = func(_ runworks.Incarnation, r *peers.AcquireRequest) (*peers.AcquireReply, error) {
+			excluded = r.Exclude
+			return &peers.AcquireReply{Server: "s0", Grant: 1}, nil
+		}
+		lease := c.mustAcquire("first")
+		c.is.Equal(len(excluded), 0)
+		lease.ApplyReport(&runworks.ServerReport{Backoff: time.Second}, time.Now())
+		lease.Release(dispatch.Rejected)
+		req := request("second")
+		req.Exclude = []string{"tried"}
+		r := <-c.start(context.Background(), req)
+		c.is.NoErr(r.err)
+		c.is.Equal(r.lease.Instance.ID, "s1") // from the local dispatcher
+		c.is.Equal(excluded, []string{"tried", "s0"})
+		c.is.Equal(req.Exclude, []string{"tried"})
+	})
+}
+
 // TestRefusals guards against refusals that lose their reason or their time.
 func TestRefusals(t *testing.T) {
 	withClient(t, func(c *clientTest, _ func()) {
