Schedule engine services where the platform's contracts say that callers compete

Cause: a deployment whose callers compete for slots states that in the contracts of its settings, and its engines do not report how slow they are. Change: the settings carry the contracts, and package platform knows the one.

--- a/daemon/front_scheduler.go
+++ b/daemon/front_scheduler.go
@@ -2,9 +2,11 @@
 
 import (
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/platform"
 	"github.com/runworks/runworks/services/scheduler"
 )
 
+
 // buildScheduler assembles the client and the server of shared scheduling.
 func (d *Front) buildScheduler() {
 	d.slotServer = &scheduler.Server{Dispatcher: d.dispatcher, Ready: d.isInitialized, Logger: d.Logger, Metrics: d.metrics}
@@ -18,7 +20,7 @@
 }
 
 // isScheduled reports whether one front grants the slots of a service: an engine service, where the
-// settings ask for it or the engines report how slow they are.
+// settings or the platform's contracts ask for it, or the engines report how slow they are.
 func (d *Front) isScheduled(service string) bool {
 	table := d.forwarder.Table.Load()
 	if table == nil {
@@ -28,5 +30,5 @@
 	if s == nil || s.Kind != runworks.KindEngine {
 		return false
 	}
-	return d.Settings.SharedScheduling || d.dispatcher.Scheduling(service).ReportsSlowness
+	return d.Settings.SharedScheduling || platform.CallersCompete(d.Settings.Contracts) || d.dispatcher.Scheduling(service).ReportsSlowness
 }
--- a/modules/setting/front.go
+++ b/modules/setting/front.go
@@ -87,6 +87,8 @@
 	// all fronts together may send in a second to a server that starts up.
 	ColdOverage float64 `yaml:"cold_overage"`
 	ColdSlack   float64 `yaml:"cold_slack"`
+	// Contracts names the parts of the platform's rules that are in force; package platform knows them.
+	Contracts []string `yaml:"contracts"`
 	// SharedScheduling lets one front grant the slots of each engine service to the calls of all.
 	// Services whose engines report how slow they are need no setting.
 	SharedScheduling bool `yaml:"shared_scheduling"`
