Close the connection of a front that is lost while it holds slots

A front that got no processor time for the peer timeout loses its slots at the scheduler, but hears the scheduler again when it continues and went on as if its calls counted there, so that they counted nowhere until they ended. The scheduler now closes the connection of a lost front that held slots; the front counts its calls and opens another one.

Also: messages that can't be decoded are counted, as other invalid ones are; the time after which a scheduler is silent grows with the heartbeat interval beyond 100 fronts in a hall (512 ms at 128); and the tests of the failures check the metrics.

--- a/services/peers/interval.go
+++ b/services/peers/interval.go
@@ -22,6 +22,11 @@
 	return max(interval, time.Duration(local)*intervalPerPeer)
 }
 
+// LocalInterval returns the time between heartbeats of an entry to each of n local ones.
+func LocalInterval(n int) time.Duration {
+	return max(DefaultInterval, time.Duration(n)*intervalPerPeer)
+}
+
 // remoteInterval returns the time between heartbeats to remote entries.
 func (x *Exchange) remoteInterval() time.Duration {
 	x.mu.Lock()
--- a/services/peers/receive.go
+++ b/services/peers/receive.go
@@ -27,7 +27,7 @@
 	x.mu.Lock()
 	ctx := x.ctxLocked()
 	x.mu.Unlock()
-	h := &inbound{Exchange: x}
+	h := &inbound{Exchange: x, stream: stream}
 	<-rpc.ServeFrames(ctx, stream, h.handle, h.handleFrame).DisconnectNotify()
 	h.closeSession()
 }
@@ -36,6 +36,7 @@
 // entry's own go over the connection it opened itself.
 type inbound struct {
 	*Exchange
+	stream  *rpc.Stream
 	decoder decoder
 	// session is set by the handshake, if this entry grants slots. Calls read it concurrently.
 	session atomic.Pointer[Session]
--- a/services/peers/slots.go
+++ b/services/peers/slots.go
@@ -92,6 +92,15 @@
 // Session is a connection that another entry opened and on which its handshake arrived.
 type Session struct {
 	From Member
+	// closeConn closes the connection; nil in tests without one.
+	closeConn func()
+}
+
+// Close closes the connection, so that the entry opens another one and reports its full state.
+func (s *Session) Close() {
+	if s.closeConn != nil {
+		s.closeConn()
+	}
 }
 
 // SlotServer answers the requests of other entries for slots. All methods but Acquire must not block.
@@ -105,6 +114,8 @@
 	Acquire(ctx context.Context, s *Session, r *AcquireRequest) *AcquireReply
 	// Placed is called with the placements that a session reports.
 	Placed(s *Session, list []Placement)
+	// Undecodable is called with the error of a message of a session that could not be decoded.
+	Undecodable(s *Session, err error)
 }
 
 // PeerState is what is known of another entry as a possible scheduler.
@@ -173,7 +184,7 @@
 	if x.Slots == nil {
 		return
 	}
-	s := &Session{From: from}
+	s := &Session{From: from, closeConn: func() { _ = x.stream.Close() }}
 	if old := x.session.Swap(s); old != nil {
 		x.Slots.Closed(old)
 	}
@@ -195,7 +206,7 @@
 	}
 	var r AcquireRequest
 	if err := json.Unmarshal(params, &r); err != nil {
-		x.Logger.Warn("request for a slot could not be decoded", "name", s.From.Name, "error", err.Error())
+		x.Slots.Undecodable(s, err)
 		return nil, errorx.Decorate(err, "decode the request")
 	}
 	return x.Slots.Acquire(ctx, s, &r), nil
@@ -209,7 +220,7 @@
 	}
 	var m placements
 	if err := json.Unmarshal(params, &m); err != nil {
-		x.Logger.Warn("placements could not be decoded", "name", s.From.Name, "error", err.Error())
+		x.Slots.Undecodable(s, err)
 		return errorx.Decorate(err, "decode the placements")
 	}
 	x.Slots.Placed(s, m.Placements)
--- a/services/peers/slots_test.go
+++ b/services/peers/slots_test.go
@@ -45,11 +45,13 @@
 
 // slotServer is a SlotServer that records what it is called with.
 type slotServer struct {
-	mu      sync.Mutex
-	events  []string
-	open    map[*Session]bool
-	placed  []Placement
-	request AcquireRequest
+	mu     sync.Mutex
+	events []string
+	open   map[*Session]bool
+	placed []Placement
+	// undecodable counts the messages that could not be decoded.
+	undecodable int
+	request     AcquireRequest
 	// block, unless nil, holds replies until it is closed.
 	block chan struct{}
 }
@@ -88,6 +90,12 @@
 	s.placed = append(s.placed, list...)
 }
 
+func (s *slotServer) Undecodable(*Session, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.undecodable++
+}
+
 // inSchedulingNetwork runs a test with entries a and b that grant slots, b with the given server and
 // half a processor.
 func inSchedulingNetwork(t *testing.T, test func(is *is.I, network *memnet.Network, a, b *entry, server *slotServer)) {
@@ -149,6 +157,22 @@
 	})
 }
 
+// TestUndecodableMessages guards against messages that are ignored without a trace, and against an entry
+// that loses its connection, and all that it holds, because of one.
+func TestUndecodableMessages(t *testing.T) {
+	inSchedulingNetwork(t, func(is *is.I, _ *memnet.Network, a, b *entry, server *slotServer) {
+		conn := a.connTo("b-life")
+		is.True(conn.Call(context.Background(), MethodAcquire, map[string]any{"id": 7}, nil) != nil)
+		is.NoErr(conn.Notify(context.Background(), MethodPlacements, map[string]any{"placements": []any{map[string]any{"grant": "x"}}}))
+		time.Sleep(10 * time.Millisecond)
+		server.mu.Lock()
+		is.Equal(server.undecodable, 2)
+		is.Equal(len(server.placed), 0)
+		server.mu.Unlock()
+		is.Equal(len(a.lostIDs())+len(b.lostIDs()), 0)
+	})
+}
+
 // TestSchedulerState guards against an entry that is asked although it is stopping, silent or not
 // connected.
 func TestSchedulerState(t *testing.T) {
--- a/services/scheduler/choose.go
+++ b/services/scheduler/choose.go
@@ -9,29 +9,54 @@
 	"github.com/runworks/runworks/services/peers"
 )
 
-// silenceTimeout is the time without a heartbeat after which an entry is no scheduler: an idle entry
-// sends one every 250 ms.
-const silenceTimeout = 400 * time.Millisecond
+const (
+	// silenceTimeout is the time without a heartbeat after which an entry is no scheduler: an idle
+	// entry sends one every 250 ms.
+	silenceTimeout = 400 * time.Millisecond
+	// silentHeartbeats is the least number of heartbeats that must be missing. It matters from 100
+	// entries in a hall on, whose heartbeats are further apart: with 200, a fixed timeout would take
+	// a live scheduler for silent now and then.
+	silentHeartbeats = 2
+)
+
+// silenceAfter returns the time without a heartbeat after which an entry is no scheduler, with n other
+// entries in the scope.
+func silenceAfter(n int) time.Duration {
+	return max(silenceTimeout, silentHeartbeats*peers.LocalInterval(n))
+}
 
 // candidates returns the entries that may schedule: this one and the others of the scope that
-// schedule, are connected, were heard recently and are not stopping. The scope is all entries, or
-// those of the hall if there are more than runworks.ManyEntriesThreshold others.
-func candidates(now time.Time, self peers.Member, stopping bool, others []peers.PeerState) []peers.Member {
+// schedule, are connected, were heard recently and are not stopping.
+func candidates(now time.Time, self peers.Member, stopping bool, others []peers.PeerState, silence time.Duration) []peers.Member {
 	out := make([]peers.Member, 0, len(others)+1)
 	if !stopping {
 		out = append(out, self)
 	}
-	hallOnly := len(others) > runworks.ManyEntriesThreshold
 	for i := range others {
-		if (!hallOnly || others[i].Hall == self.Hall) && unfit(now, &others[i]) == "" {
+		if unfit(now, &others[i], silence) == "" {
 			out = append(out, others[i].Member)
 		}
 	}
 	return out
 }
 
+// scope returns the other entries that may schedule for this one: all, or those of the hall if there are
+// more than runworks.ManyEntriesThreshold.
+func scope(self peers.Member, others []peers.PeerState) []peers.PeerState {
+	if len(others) <= runworks.ManyEntriesThreshold {
+		return others
+	}
+	var out []peers.PeerState
+	for i := range others {
+		if others[i].Hall == self.Hall {
+			out = append(out, others[i])
+		}
+	}
+	return out
+}
+
 // unfit returns why an entry is no candidate; empty if it is one.
-func unfit(now time.Time, one *peers.PeerState) fallback {
+func unfit(now time.Time, one *peers.PeerState, silence time.Duration) fallback {
 	switch {
 	case !one.Schedules:
 		return "version"
@@ -39,7 +64,7 @@
 		return "stopping"
 	case !one.Connected:
 		return causeDisconnected
-	case now.Sub(one.LastSeen) > silenceTimeout:
+	case now.Sub(one.LastSeen) > silence:
 		return causeSilent
 	}
 	return ""
--- a/services/scheduler/choose_test.go
+++ b/services/scheduler/choose_test.go
@@ -45,9 +45,9 @@
 		others = append(others, one)
 	}
 	others[0].LastSeen = now.Add(-silenceTimeout)
-	is.Equal(names(candidates(now, self, false, others)), []string{"self", "fit"})
-	is.Equal(names(candidates(now, self, true, others)), []string{"fit"})
-	is.Equal(names(candidates(now, self, true, nil)), nil)
+	is.Equal(names(candidates(now, self, false, scope(self, others), silenceTimeout)), []string{"self", "fit"})
+	is.Equal(names(candidates(now, self, true, others, silenceTimeout)), []string{"fit"})
+	is.Equal(names(candidates(now, self, true, nil, silenceTimeout)), nil)
 }
 
 // TestScope guards against a scheduler in another hall where there are many fronts, and against one
@@ -62,15 +62,25 @@
 		one.Hall = []string{"a", "b"}[i%2]
 		others = append(others, one)
 	}
-	is.Equal(len(candidates(now, self, false, others)), runworks.ManyEntriesThreshold+1)
+	is.Equal(len(candidates(now, self, false, scope(self, others), silenceTimeout)), runworks.ManyEntriesThreshold+1)
 	others = append(others, peerState("more", now))
-	list := candidates(now, self, false, others)
+	list := candidates(now, self, false, scope(self, others), silenceTimeout)
 	is.Equal(len(list), runworks.ManyEntriesThreshold/2+2)
 	for _, one := range list {
 		is.Equal(one.Hall, "a")
 	}
 }
 
+// TestSilenceOfManyFronts guards against a live scheduler that is taken for silent, where many fronts send
+// their heartbeats at long intervals.
+func TestSilenceOfManyFronts(t *testing.T) {
+	is := is.New(t)
+	is.Equal(silenceAfter(0), silenceTimeout)
+	is.Equal(silenceAfter(48), silenceTimeout)
+	is.Equal(silenceAfter(100), silenceTimeout)
+	is.Equal(silenceAfter(128), 512*time.Millisecond)
+}
+
 // TestChoose guards against a scheduler on a small front, and against fronts that choose differently:
 // the choice does not depend on the order, moves only when the chosen front is gone, and differs
 // between services.
--- a/services/scheduler/client.go
+++ b/services/scheduler/client.go
@@ -77,9 +77,11 @@
 
 	// mu may be locked while the dispatcher's lock is held, and never the other way round.
 	mu sync.Mutex
-	// members are the candidates as of viewedAt, and others what they were derived from.
+	// members are the candidates as of viewedAt. They were derived from others, the scope, and
+	// silence, the time without a heartbeat after which one of those is no scheduler.
 	members  []peers.Member
 	others   []peers.PeerState
+	silence  time.Duration
 	viewedAt time.Time
 	// chosen holds the choice by service, as of viewedAt, and current the last one that was logged.
 	chosen  map[string]peers.Member
@@ -129,8 +131,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if now.Sub(c.viewedAt) >= viewAge {
-		c.others = c.Transport.PeerStates()
-		c.members = candidates(now, c.Self, c.Stopping(), c.others)
+		c.others = scope(c.Self, c.Transport.PeerStates())
+		c.silence = silenceAfter(len(c.others))
+		c.members = candidates(now, c.Self, c.Stopping(), c.others, c.silence)
 		c.viewedAt, c.chosen = now, make(map[string]peers.Member)
 	}
 	one, ok := c.chosen[service]
@@ -210,7 +213,7 @@
 		if c.others[i].Incarnation != old.Incarnation {
 			continue
 		}
-		if cause := unfit(now, &c.others[i]); cause != "" {
+		if cause := unfit(now, &c.others[i], c.silence); cause != "" {
 			return string(cause)
 		}
 		if c.avoidsLocked(old.Incarnation, service) {
--- a/services/scheduler/client_test.go
+++ b/services/scheduler/client_test.go
@@ -5,6 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -209,12 +212,21 @@
 	return [2]int{load.Running["s0"], load.UnreadPromptTokens["s0"]}
 }
 
+// hasMetric reports whether the metrics have a line.
+func (c *clientTest) hasMetric(line string) bool {
+	w := httptest.NewRecorder()
+	c.Metrics.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil)) //nolint:noctx // a test's request
+	return strings.Contains(w.Body.String(), "\n"+line+"\n")
+}
+
 // TestGrantIsAdoptedAndReported guards against lost or early reports: the first event and the end are
 // reported at most 10 ms later, gaps with the end only, and the call counts at the scheduler.
 func TestGrantIsAdoptedAndReported(t *testing.T) {
 	withClient(t, func(c *clientTest, _ func()) {
 		c.transport.answer = granted
 		lease := c.mustAcquire("call")
+		c.is.True(c.hasMetric(`runworks_scheduled_total{result="granted"} 1`))
+		c.is.True(c.hasMetric("runworks_schedule_seconds_count 1"))
 		c.is.Equal(c.transport.askedIDs(), []runworks.Incarnation{"b-life"})
 		c.is.Equal(c.counted(), [2]int{})
 		time.Sleep(250 * time.Millisecond)
@@ -320,17 +332,18 @@
 	}
 	for name, one := range map[string]struct {
 		answer  func() (*peers.AcquireReply, error)
+		cause   fallback
 		avoided bool
 	}{
-		"connection closed":   {fails(jsonrpc2.ErrClosed), true},
-		"error reply":         {fails(&jsonrpc2.Error{Message: "no method"}), true},
-		"undecodable reply":   {fails(&json.UnmarshalTypeError{}), true},
-		"empty reply":         {reply(peers.AcquireReply{}), true},
-		"no grant number":     {reply(peers.AcquireReply{Server: "s0"}), true},
-		"unknown refusal":     {reply(peers.AcquireReply{Refused: "later version"}), true},
-		"not the scheduler":   {reply(peers.AcquireReply{Refused: peers.RefusedNotScheduler}), true},
-		"no server known":     {reply(peers.AcquireReply{Refused: peers.RefusedNoServer}), false},
-		"server unknown here": {reply(peers.AcquireReply{Server: "s9", Grant: 1}), false},
+		"connection closed":   {fails(jsonrpc2.ErrClosed), causeDisconnected, true},
+		"error reply":         {fails(&jsonrpc2.Error{Message: "no method"}), causeReply, true},
+		"undecodable reply":   {fails(&json.UnmarshalTypeError{}), causeReply, true},
+		"empty reply":         {reply(peers.AcquireReply{}), causeReply, true},
+		"no grant number":     {reply(peers.AcquireReply{Server: "s0"}), causeReply, true},
+		"unknown refusal":     {reply(peers.AcquireReply{Refused: "later version"}), causeReply, true},
+		"not the scheduler":   {reply(peers.AcquireReply{Refused: peers.RefusedNotScheduler}), causeNotScheduler, true},
+		"no server known":     {reply(peers.AcquireReply{Refused: peers.RefusedNoServer}), causeNoServer, false},
+		"server unknown here": {reply(peers.AcquireReply{Server: "s9", Grant: 1}), causeServer, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			withClient(t, func(c *clientTest, _ func()) {
@@ -342,6 +355,7 @@
 				}
 				first := c.mustAcquire("first")
 				c.is.Equal(c.counted()[0], 1)
+				c.is.True(c.hasMetric(fmt.Sprintf("runworks_scheduled_total{cause=%q,result=\"local\"} 1", string(one.cause))))
 				first.Release(dispatch.Served)
 				c.mustAcquire("second").Release(dispatch.Served)
 				next := runworks.Incarnation("b-life")
@@ -396,7 +410,9 @@
 			c.is.Equal(out.lease, nil)
 			return out.err
 		}
-		c.is.True(errors.Is(refused(peers.AcquireReply{Refused: peers.RefusedTimeLimit}), runworks.ErrTimeLimit))
+		c.is.True(errors.Is(refused(peers.AcquireReply{Refused: peers.RefusedTimeLimit, WaitedMs: 900}), runworks.ErrTimeLimit))
+		c.is.True(c.hasMetric(`runworks_scheduled_total{result="refused"} 1`))
+		c.is.True(!c.hasMetric("runworks_schedule_seconds_count 1")) // it waited
 		err := refused(peers.AcquireReply{Refused: peers.RefusedShortage, Cause: "queue is full", RetryAfterMs: 1250})
 		c.is.True(errors.Is(err, runworks.ErrShortage))
 		var refusal *dispatch.Refusal
--- a/services/scheduler/network_test.go
+++ b/services/scheduler/network_test.go
@@ -358,6 +358,25 @@
 	}
 }
 
+// TestSlowSender guards against calls that count nowhere: the scheduler takes a front for lost that was
+// only slow, and frees its slots, while the front hears the scheduler and goes on.
+func TestSlowSender(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		lease := f.mustCall("a", "running")
+		f.is.Equal(f.counts(), map[string]int{"b": 1})
+		f.fronts["b"].exchange.OnUnreachable("a-life")
+		f.is.Equal(f.fronts["b"].dispatcher.LocalLoad().Running["s0"], 0)
+		time.Sleep(time.Second)
+		f.is.Equal(f.counts(), map[string]int{"a": 1})
+		f.known(1)
+		lease.Release(dispatch.Served)
+		lease = f.mustCall("a", "next")
+		f.is.Equal(f.counts(), map[string]int{"b": 1})
+		f.known(1)
+		lease.Release(dispatch.Served)
+	})
+}
+
 // TestPreviousVersionBeside guards against a rolling upgrade in which calls count wrongly: a front of
 // the previous version, larger than all, is not asked, and its calls are known by heartbeat.
 func TestPreviousVersionBeside(t *testing.T) {
--- a/services/scheduler/remote.go
+++ b/services/scheduler/remote.go
@@ -247,10 +247,10 @@
 	}
 }
 
-// silent returns the schedulers that hold something of this entry and were not heard for
-// silenceTimeout.
+// silent returns the schedulers that hold something of this entry and are silent.
 func (c *Client) silent(now time.Time) []runworks.Incarnation {
 	c.mu.Lock()
+	silence := c.silence
 	var used []runworks.Incarnation
 	for id, r := range c.remotes {
 		if r.waits > 0 || len(r.held) > 0 {
@@ -260,7 +260,7 @@
 	c.mu.Unlock()
 	var out []runworks.Incarnation
 	for _, id := range used {
-		if now.Sub(c.Transport.LastSeen(id)) > silenceTimeout {
+		if now.Sub(c.Transport.LastSeen(id)) > silence {
 			out = append(out, id)
 		}
 	}
--- a/services/scheduler/server.go
+++ b/services/scheduler/server.go
@@ -105,7 +105,9 @@
 	v.Dispatcher.EndGrants(ended)
 }
 
-// Lost ends what an entry holds that timed out or restarted. The dispatcher must have been told.
+// Lost ends what an entry holds that timed out or restarted. The dispatcher must have been told. The
+// connection of an entry that held slots is closed: if the entry was only slow, it would go on as if its
+// calls counted here.
 func (v *Server) Lost(id runworks.Incarnation) {
 	v.mu.Lock()
 	one := v.current[id]
@@ -121,6 +123,9 @@
 	}
 	v.mu.Unlock()
 	v.Dispatcher.EndGrants(ended)
+	if len(ended) > 0 {
+		one.Close()
+	}
 }
 
 // dropLocked ends and removes an entry's current session.
@@ -329,6 +334,9 @@
 	}
 }
 
+// Undecodable implements peers.SlotServer.
+func (v *Server) Undecodable(s *peers.Session, _ error) { v.ignore(s, "undecodable message") }
+
 // ignore counts and logs a message that is ignored.
 func (v *Server) ignore(s *peers.Session, cause string) {
 	v.mu.Lock()
