Stop the scheduler as planned among real fronts

The test that kills the scheduler goes on with a planned stop of the next one: every call at the third front is answered, and it schedules itself.

--- a/services/scheduler/client_test.go
+++ b/services/scheduler/client_test.go
@@ -215,7 +215,7 @@
 // hasMetric reports whether the metrics have a line.
 func (c *clientTest) hasMetric(line string) bool {
 	w := httptest.NewRecorder()
-	c.Metrics.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil)) //nolint:noctx // a test's request
+	c.Metrics.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	return strings.Contains(w.Body.String(), "\n"+line+"\n")
 }
 
--- a/tests/platform_scheduler_test.go
+++ b/tests/platform_scheduler_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -36,7 +37,7 @@
 }
 
 // TestPlatformScheduler guards against calls that fail when the front that schedules their service is
-// killed: those of the other fronts are answered, and the next front schedules.
+// killed, or stops as planned: those of the other fronts are answered, and the next front schedules.
 func TestPlatformScheduler(t *testing.T) {
 	is := is.New(t)
 	names := []string{"front-1", "front-2", "front-3"}
@@ -65,36 +66,64 @@
 		}
 	}
 	is.Equal(len(others), 2)
-	var work sync.WaitGroup
-	var sent atomic.Int64
-	var stopping atomic.Bool
-	for i := range 8 {
-		work.Go(func() {
-			for n := 0; !stopping.Load(); n++ {
-				p.chat(others[i%2], fmt.Sprintf("caller-%d-%d", i, n))
-				sent.Add(1)
-			}
-		})
-	}
-	p.waitFor("calls before the kill", func() bool { return sent.Load() > 50 })
+	load := p.startChats(others)
+	p.waitFor("calls before the kill", func() bool { return load.sent.Load() > 50 })
 	p.killFronts([]string{first})
-	before := sent.Load()
-	p.waitFor("calls after the kill", func() bool { return sent.Load() > before+200 })
-	stopping.Store(true)
-	work.Wait()
+	before := load.sent.Load()
+	p.waitFor("calls after the kill", func() bool { return load.sent.Load() > before+200 })
+	load.stop()
 	second := p.scheduler(others[0])
 	is.True(second == others[0] || second == others[1])
 	is.Equal(p.scheduler(others[1]), second)
 	for _, name := range others {
 		if name != second {
-			res, err := http.Get("http://" + p.fronts[name].address("operators") + "/metrics")
-			is.NoErr(err)
-			text, err := io.ReadAll(res.Body)
-			is.NoErr(err)
-			_ = res.Body.Close()
-			for _, metric := range []string{`runworks_scheduled_total{result="granted"}`, "runworks_schedule_seconds_count", "runworks_grants"} {
-				is.True(strings.Contains(string(text), "\n"+metric+" "))
-			}
+			p.checkScheduled(name)
+			load = p.startChats([]string{name})
+			p.fronts[second].signal(syscall.SIGTERM)
+			p.waitFor("the next front schedules", func() bool { return p.scheduler(name) == name })
+			p.fronts[second].waitExit()
+			load.stop()
 		}
 	}
 }
+
+// chats are callers that send one call after the other.
+type chats struct {
+	work     sync.WaitGroup
+	sent     atomic.Int64
+	stopping atomic.Bool
+}
+
+// startChats starts callers at the fronts; each call must be answered.
+func (p *platformSite) startChats(fronts []string) *chats {
+	c := &chats{}
+	for i := range 8 {
+		c.work.Go(func() {
+			for n := 0; !c.stopping.Load(); n++ {
+				front := fronts[i%len(fronts)]
+				p.chat(front, fmt.Sprintf("%s-%d-%d-%d", front, len(fronts), i, n))
+				c.sent.Add(1)
+			}
+		})
+	}
+	return c
+}
+
+// stop waits until the callers have their last answers.
+func (c *chats) stop() {
+	c.stopping.Store(true)
+	c.work.Wait()
+}
+
+// checkScheduled checks the metrics of a front whose calls another one scheduled.
+func (p *platformSite) checkScheduled(front string) {
+	is := is.New(p.t)
+	res, err := http.Get("http://" + p.fronts[front].address("operators") + "/metrics")
+	is.NoErr(err)
+	text, err := io.ReadAll(res.Body)
+	is.NoErr(err)
+	_ = res.Body.Close()
+	for _, metric := range []string{`runworks_scheduled_total{result="granted"}`, "runworks_schedule_seconds_count", "runworks_grants"} {
+		is.True(strings.Contains(string(text), "\n"+metric+" "))
+	}
+}
