Don't count a cut against a server whose stream the caller did not read

Cause: a backend server cuts a stream that is unread for some seconds. The front took every such cut for a failure of the server; two in a row eject it. A caller that disconnected after it had not read for a second counted as well: the time since the last event was taken for the server's silence. The delay was also recorded as a pause of the server.

Change: a stream measures the time from the return of each read to the next one, which is the time that writes to the caller are blocked. A cut counts as Abandoned, without a search for an exit, if these times amount to a second since the front had last read all that the server had to send; that is shown by 100 ms in sum in which reads waited for the server. The server's silence and the gaps between its events leave that time out. The stream is resumed as before, and its caller timeout counts from when the caller took the last event. Gauges slow_readers and slow_readers_held_bytes, log field reader_blocked_ms.

Not covered: dispatch still takes a server for unresponsive while all of a front's calls there wait for their callers, as nothing is received.

--- a/daemon/front_status.go
+++ b/daemon/front_status.go
@@ -58,5 +58,8 @@
 	if err != nil {
 		return errorx.Decorate(err, "measure the kept changes")
 	}
+	if err := d.metrics.WatchSlowReaders(d.forwarder.SlowReaders); err != nil {
+		return errorx.Decorate(err, "count the slow readers")
+	}
 	return nil
 }
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -117,6 +117,24 @@
 	return err
 }
 
+// WatchSlowReaders exports the number of streams whose caller has not read for a second, and the
+// memory in bytes that they hold, as gauges.
+func (s *Set) WatchSlowReaders(count func() (streams, bytes int)) error {
+	b := builder{meter: s.meter}
+	streams := b.gauge("runworks.slow_readers", "streams whose caller has not read for a second")
+	held := b.gauge("runworks.slow_readers_held", "memory of these streams", metric.WithUnit("By"))
+	if b.err != nil {
+		return b.err
+	}
+	_, err := s.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		n, bytes := count()
+		o.ObserveInt64(streams, int64(n))
+		o.ObserveInt64(held, int64(bytes))
+		return nil
+	}, streams, held)
+	return err
+}
+
 // WatchEntries exports how many other entries are known, heard recently, and refuse the fleet keys
 // of this one, as a gauge by state.
 func (s *Set) WatchEntries(count func() (known, live, keyRefused int)) error {
@@ -193,6 +211,12 @@
 	return h
 }
 
+func (b *builder) gauge(name, text string, options ...metric.Int64ObservableGaugeOption) metric.Int64ObservableGauge {
+	g, err := b.meter.Int64ObservableGauge(name, append(options, metric.WithDescription(text))...)
+	b.setErr(err)
+	return g
+}
+
 func (b *builder) setErr(err error) {
 	if b.err == nil && err != nil {
 		b.err = err
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -83,6 +83,7 @@
 	// abortCtx is canceled when calls without a response are aborted.
 	abortCtx context.Context
 	abort    context.CancelFunc
+	readers  readers
 }
 
 // SlotSource grants slots of backend servers, like dispatch.Dispatcher.
@@ -139,6 +140,8 @@
 	longestPause time.Duration
 	// lastEvent is when the last event was passed on; zero before the first.
 	lastEvent time.Time
+	// readerBlocked is the time that a stream waited for its caller to read.
+	readerBlocked time.Duration
 }
 
 // Serve returns the response to a call; the error is a *runworks.Failure. The caller of Serve
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -35,6 +35,8 @@
 	// body is sent whole, or up to an error if broken is set.
 	body   string
 	broken error
+	// pause is the time from the body's last byte to its end.
+	pause time.Duration
 	// hang waits for the end of the call's context.
 	hang bool
 	// exited reports that the server's process has exited afterwards.
@@ -75,7 +77,7 @@
 	if end == nil {
 		end = io.EOF
 	}
-	body := io.NopCloser(io.MultiReader(strings.NewReader(r.body), &errReader{end}))
+	body := io.NopCloser(io.MultiReader(strings.NewReader(r.body), &errReader{err: end, pause: r.pause}))
 	status := r.status
 	if status == 0 {
 		status = http.StatusOK
@@ -91,10 +93,16 @@
 }
 
 // errReader returns an error at the end of a body.
-type errReader struct{ err error }
+type errReader struct {
+	err   error
+	pause time.Duration
+}
 
 // Read implements io.Reader.
-func (f *errReader) Read([]byte) (int, error) { return 0, f.err }
+func (f *errReader) Read([]byte) (int, error) {
+	time.Sleep(f.pause)
+	return 0, f.err
+}
 
 var errReset = errors.New("reset")
 
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -46,19 +46,32 @@
 	firstEventAt, lastEventAt time.Time
 	// answeredAt is when this server's response began.
 	answeredAt time.Time
-	err        error
-	closed     bool
+	// meanGap is the mean of the gaps between this server's events that the caller did not delay,
+	// and gaps their number.
+	meanGap time.Duration
+	gaps    int
+	reader  reader
+	err     error
+	closed  bool
 }
 
 // Read implements io.Reader. It returns io.EOF only after a complete response.
 func (s *stream) Read(p []byte) (int, error) {
+	s.reader.endWait(time.Now())
 	for s.pending.Len() == 0 {
 		if s.err != nil {
 			return 0, s.err
 		}
 		s.fill()
 	}
-	return s.pending.Read(p)
+	n, err := s.pending.Read(p)
+	s.reader.startWait(time.Now(), s.heldBytes())
+	return n, err
+}
+
+// heldBytes returns the memory in bytes that the stream holds: its buffers and the request body.
+func (s *stream) heldBytes() int {
+	return cap(s.readBuf) + s.pending.Cap() + cap(s.partial) + len(s.call.in.Body)
 }
 
 // fill reads from the server until an event is complete or the stream ends.
@@ -66,7 +79,9 @@
 	if s.readBuf == nil {
 		s.readBuf = make([]byte, streamReadSize)
 	}
+	start := time.Now()
 	n, err := s.body.Read(s.readBuf)
+	s.reader.recordServerWait(time.Since(start))
 	s.splitEvents(s.readBuf[:n])
 	switch {
 	case errors.Is(err, io.EOF):
@@ -111,21 +126,58 @@
 		s.firstEventAt = now
 		s.lease.RecordFirstEvent(s.call.in.PromptTokens)
 	} else {
-		pause := now.Sub(s.lastEventAt)
-		s.lease.RecordEventGap(pause)
-		s.call.longestPause = max(s.call.longestPause, pause)
+		s.recordGap(now.Sub(s.lastEventAt))
 	}
 	s.call.events++
 	s.call.lastEvent = now
 	s.lastEventAt = now
+	s.reader.sinceEvent = 0
+}
+
+// recordGap records the time between two events. Where the caller delayed the reading, the server
+// is recorded with the mean of its other gaps in this stream.
+func (s *stream) recordGap(gap time.Duration) {
+	if s.reader.hidesPace() {
+		s.lease.RecordEventGap(s.meanGap)
+		return
+	}
+	s.gaps++
+	s.meanGap += (gap - s.meanGap) / time.Duration(s.gaps)
+	s.lease.RecordEventGap(gap)
+	s.call.longestPause = max(s.call.longestPause, gap)
 }
 
-// lastReceivedAt returns when the server last sent something.
+// lastReceivedAt returns when the server last sent something. The time in which the front waited for
+// the caller, and read nothing, is not counted as the server's.
 func (s *stream) lastReceivedAt() time.Time {
-	if s.lastEventAt.IsZero() {
-		return s.answeredAt
+	last := s.lastEventAt
+	if last.IsZero() {
+		last = s.answeredAt
+	}
+	return last.Add(s.reader.sinceEvent)
+}
+
+// cutForSlowCaller reports whether the server broke the stream while the front waited for the
+// caller to read.
+func (s *stream) cutForSlowCaller() bool {
+	return s.ctx.Err() == nil && s.reader.slow() && !errors.Is(context.Cause(s.call.attemptCtx), errServerRestarted)
+}
+
+// recordBreak releases the lease of a broken stream and records the break. If the caller's slow
+// reading explains it, it does not count against the server or the request.
+func (s *stream) recordBreak() {
+	c := s.call
+	if !s.cutForSlowCaller() {
+		s.lease.Release(c.resultOrAbandoned(s.ctx, s.lastReceivedAt(), dispatch.Interrupted))
+		c.recordInterruption(s.ctx, s.lease.Instance, s.firstEventAt)
+		return
+	}
+	s.lease.Release(dispatch.Abandoned)
+	c.f.Logger.Info("stream cut while its caller did not read", "server", s.lease.Instance.IncarnationID(), "service", c.service,
+		"request", c.in.ID, "reader_blocked_ms", s.reader.unread.Milliseconds())
+	if !c.lastEvent.IsZero() {
+		c.lastEvent = time.Now() // the caller has only now taken the last event
 	}
-	return s.lastEventAt
 }
 
 // resume continues a broken stream at another server. It returns nil if the stream continues, and
@@ -133,8 +185,7 @@
 func (s *stream) resume(cause error) error {
 	c := s.call
 	_ = s.body.Close()
-	s.lease.Release(c.resultOrAbandoned(s.ctx, s.lastReceivedAt(), dispatch.Interrupted))
-	c.recordInterruption(s.ctx, s.lease.Instance, s.firstEventAt)
+	s.recordBreak()
 	for {
 		if !c.route.Resumable || !c.mayRetry(s.ctx, cause) {
 			return c.interruptedFailure(s.ctx, cause)
@@ -153,6 +204,8 @@
 		if reply.Status < 300 {
 			s.body, s.answeredAt = reply.Body, time.Now()
 			s.firstEventAt, s.lastEventAt = time.Time{}, time.Time{}
+			s.meanGap, s.gaps = 0, 0
+			s.reader.restart()
 			return nil
 		}
 		_ = reply.Body.Close()
@@ -167,6 +220,9 @@
 		return nil
 	}
 	s.closed = true
+	s.reader.endWait(time.Now())
+	s.call.f.readers.remove(&s.reader)
+	s.call.readerBlocked = s.reader.total
 	_ = s.body.Close()
 	if errors.Is(s.err, io.EOF) {
 		s.lease.RecordLength(s.call.in.ExpectedTokens, s.call.events)
