Bound the memory that a front holds for request bodies and answers

Cause: request bodies, of up to 4 MB each, are held while their calls wait and run, and answers of up to 256 KB until their callers have read them. Neither had a bound, nor was it counted; 50 calls with long bodies exceed the memory of a front of 184 MB.

Change: forward.Memory reserves for bodies, whole answers and events beyond 64 KB. Its limit is a quarter of memory_mb, 46 MB of 184: the heap may take 60 %, and 64 MB are left for all else and for what is not collected yet. An answer that does not fit is passed on as it is read; a server's error that is passed on in that way counts as such.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -33,6 +33,11 @@
 	// heapFraction is the fraction of the memory limit that the Go heap may take. The rest is for
 	// stacks and socket buffers.
 	heapFraction = 0.6
+	// heldFraction is the fraction of the memory limit that request bodies, whole answers and long
+	// events of calls may take: 46 MB of the smallest front's 184 MB. That is eight bodies of 4 MB, or
+	// those of 1,700 prompts of 6,600 tokens. The other 64 MB of the heap are for all else and for
+	// what is not collected yet.
+	heldFraction = 0.25
 	// headerTimeout limits the time to read the header of a request.
 	headerTimeout = 3 * time.Second
 	// idleTimeout limits how long a caller's connection may be idle, unless the routing sets a limit.
@@ -176,6 +181,7 @@
 	d.forwarder = &forward.Forwarder{
 		Ready: d.initialized, Dispatcher: d.dispatcher, Quota: d.quota, Budgets: d.budgets, Quarantine: d.quarantine, Logger: d.Logger, Metrics: d.metrics, Tracer: tracer,
 		Sender: &platform.Sender{Pool: d.pool}, Regions: s.Regions,
+		Memory: forward.Memory{Limit: int64(heldFraction * float64(s.MemoryMB<<20))},
 	}
 	d.front = &platform.Front{Forwarder: d.forwarder, Logger: d.Logger, MaxBodyBytes: s.MaxBodyBytes}
 	d.store = &platform.Store{Address: s.Store, Client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}}, OnRestored: d.onStoreRestored}
--- a/daemon/front_status.go
+++ b/daemon/front_status.go
@@ -61,5 +61,8 @@
 	if err := d.metrics.WatchSlowReaders(d.forwarder.SlowReaders); err != nil {
 		return errorx.Decorate(err, "count the slow readers")
 	}
+	if err := d.metrics.WatchHeldMemory(d.forwarder.Memory.Held); err != nil {
+		return errorx.Decorate(err, "measure the memory held for calls")
+	}
 	return nil
 }
--- a/errors.go
+++ b/errors.go
@@ -35,6 +35,8 @@
 	ErrQuarantined = sentinel("quarantined", "backend servers ended as they began to run the same request")
 	// ErrShortage means that no eligible backend server has capacity for the request.
 	ErrShortage = sentinel("shortage", "no backend server has room for the request")
+	// ErrMemory means that the entry holds too much for its calls to take another one.
+	ErrMemory = sentinel("memory", "the entry has no memory for the request")
 	// ErrTimeLimit means that the time limit has passed or can no longer be met.
 	ErrTimeLimit = sentinel("time_limit", "the request can't be finished inside its time limit")
 	// ErrCallerDisconnected means that the caller closed its connection.
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -135,6 +135,16 @@
 	return err
 }
 
+// WatchHeldMemory exports the memory that is held for calls, in bytes, as a gauge.
+func (s *Set) WatchHeldMemory(bytes func() int64) error {
+	_, err := s.meter.Int64ObservableGauge("runworks.calls_held", metric.WithUnit("By"), metric.WithDescription("request bodies, whole answers and long events held for calls"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(bytes())
+			return nil
+		}))
+	return err
+}
+
 // WatchEntries exports how many other entries are known, heard recently, and refuse the fleet keys
 // of this one, as a gauge by state.
 func (s *Set) WatchEntries(count func() (known, live, keyRefused int)) error {
--- a/services/forward/answer.go
+++ b/services/forward/answer.go
@@ -32,21 +32,32 @@
 }
 
 // bufferReply reads the response body to its end before passing it on. One longer than
-// maxBufferedBody is streamed.
+// maxBufferedBody, or for which there is no memory, is streamed.
 func (c *call) bufferReply(ctx context.Context, lease *dispatch.Lease, reply *runworks.ServerReply) (*runworks.Reply, *runworks.Failure) {
-	data, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBody))
-	if err == nil && len(data) == maxBufferedBody {
-		body := &prefixedBody{call: c, lease: lease, status: reply.Status, prefix: bytes.NewReader(data), rest: reply.Body}
+	memory := &c.f.Memory
+	reserved := wholeAnswerSize(reply.Header)
+	var data []byte
+	var err error
+	fits := memory.Reserve(reserved)
+	if fits {
+		data, err = io.ReadAll(io.LimitReader(reply.Body, maxBufferedBody))
+	} else {
+		reserved = 0
+	}
+	if err == nil && (!fits || len(data) == maxBufferedBody) {
+		body := &prefixedBody{call: c, lease: lease, status: reply.Status, prefix: bytes.NewReader(data), rest: reply.Body, reserved: reserved}
 		return &runworks.Reply{Status: reply.Status, Header: reply.Header, Body: body}, nil
 	}
 	_ = reply.Body.Close()
 	if err != nil {
+		memory.Release(reserved)
 		lease.Release(c.resultOrAbandoned(ctx, time.Now(), dispatch.Interrupted))
 		c.recordInterruption(ctx, lease.Instance, time.Time{})
 		return c.retryOrReturn(ctx, c.interruptedFailure(ctx, err), nil)
 	}
+	memory.Release(reserved - int64(len(data)))
 	reply.Header.Set("Content-Length", strconv.Itoa(len(data)))
-	out := &runworks.Reply{Status: reply.Status, Header: reply.Header, Body: io.NopCloser(bytes.NewReader(data))}
+	out := &runworks.Reply{Status: reply.Status, Header: reply.Header, Body: &wholeBody{Reader: bytes.NewReader(data), memory: memory, reserved: int64(len(data))}}
 	lease.Release(resultOf(reply.Status))
 	if reply.Status >= 500 {
 		return c.retryOrReturn(ctx, nil, out)
@@ -72,6 +83,9 @@
 		metrics.Count(c.f.Metrics.Retries, metrics.Result(string(runworks.OutcomeFailed)))
 		reply, second := c.serve(ctx)
 		if second == nil || own == nil {
+			if own != nil {
+				_ = own.Body.Close()
+			}
 			return reply, second
 		}
 	}
@@ -82,6 +96,20 @@
 	return nil, failure
 }
 
+// wholeBody is a response body that was read whole.
+type wholeBody struct {
+	*bytes.Reader
+	memory   *Memory
+	reserved int64
+}
+
+// Close implements io.Closer.
+func (b *wholeBody) Close() error {
+	b.memory.Release(b.reserved)
+	b.reserved = 0
+	return nil
+}
+
 // prefixedBody is a response body too long to buffer: the prefix already read, then the rest.
 type prefixedBody struct {
 	call   *call
@@ -90,6 +118,8 @@
 	prefix *bytes.Reader
 	rest   io.ReadCloser
 	err    error
+	// reserved is the memory in bytes that is reserved for the prefix.
+	reserved int64
 }
 
 // Read implements io.Reader.
@@ -104,9 +134,15 @@
 
 // Close implements io.Closer.
 func (t *prefixedBody) Close() error {
+	t.call.f.Memory.Release(t.reserved)
+	t.reserved = 0
 	_ = t.rest.Close()
 	if errors.Is(t.err, io.EOF) {
-		t.lease.Release(dispatch.Served)
+		t.lease.Release(resultOf(t.status))
+		if t.status >= http.StatusInternalServerError {
+			t.call.finish(runworks.OutcomeFailed, t.status, nil)
+			return nil
+		}
 		t.call.recordAnswer()
 		t.call.finish(runworks.OutcomeDone, t.status, nil)
 		return nil
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -63,10 +63,12 @@
 	Budgets *Budgets
 	// Quarantine holds the requests that make backend servers exit.
 	Quarantine *quarantine.Quarantine
-	Sender     runworks.Sender
-	Logger     hclog.Logger
-	Metrics    *metrics.Set
-	Tracer     trace.Tracer
+	// Memory bounds what is held for calls.
+	Memory  Memory
+	Sender  runworks.Sender
+	Logger  hclog.Logger
+	Metrics *metrics.Set
+	Tracer  trace.Tracer
 	// Regions holds the region of each hall. A hall without one runs no call that is bound to
 	// regions.
 	Regions map[string]string
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -7,6 +7,8 @@
 	"io"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/modules/metrics"
 	"github.com/runworks/runworks/services/dispatch"
@@ -17,6 +19,10 @@
 	streamReadSize = 4 << 10
 	// maxEvent bounds one event of a stream, in bytes.
 	maxEvent = 1 << 20
+	// freeBuffers is the size in bytes up to which a stream's buffers are not counted as held memory.
+	// The streams of 500 slots then hold at most 32 MB that are not counted; with usual events, of
+	// some hundred bytes, they hold 2 MB.
+	freeBuffers = 64 << 10
 )
 
 var eventEnd = []byte("\n\n")
@@ -51,8 +57,10 @@
 	meanGap time.Duration
 	gaps    int
 	reader  reader
-	err     error
-	closed  bool
+	// reserved is the memory in bytes that is reserved for long events.
+	reserved int64
+	err      error
+	closed   bool
 }
 
 // Read implements io.Reader. It returns io.EOF only after a complete response.
@@ -94,7 +102,22 @@
 		s.err = s.resume(err)
 	case len(s.partial) > maxEvent:
 		s.err = errEventTooLong
+	case !s.reserveBuffers():
+		s.err = errorx.Decorate(runworks.ErrMemory, "a long event")
+	}
+}
+
+// reserveBuffers reserves memory for buffers beyond freeBuffers and reports whether there is enough.
+func (s *stream) reserveBuffers() bool {
+	more := int64(s.pending.Cap()+cap(s.partial)-freeBuffers) - s.reserved
+	if more <= 0 {
+		return true
+	}
+	if !s.call.f.Memory.Reserve(more) {
+		return false
 	}
+	s.reserved += more
+	return true
 }
 
 // splitEvents moves the whole events of data to pending.
@@ -222,6 +245,7 @@
 	s.closed = true
 	s.reader.endWait(time.Now())
 	s.call.f.readers.remove(&s.reader)
+	s.call.f.Memory.Release(s.reserved)
 	s.call.readerBlocked = s.reader.total
 	_ = s.body.Close()
 	if errors.Is(s.err, io.EOF) {
