--- a/services/forward/memory_test.go
+++ b/services/forward/memory_test.go
@@ -71,6 +71,8 @@
 			is := is.New(t)
 			f := newForwarder(t, &sender{replies: []reply{{body: event}}}, io.Discard)
 			f.Memory.Limit = 1 << 20
+			f.Dispatcher.SetServers(threeServers("s")[:1])
+			f.Dispatcher.OnEject = func(runworks.Instance, int, time.Duration) { t.Error("a server was ejected") }
 			if !fits {
 				f.Memory.held.Store(f.Memory.Limit)
 			}
@@ -82,6 +84,8 @@
 				return
 			}
 			is.True(errors.Is(err, runworks.ErrMemory))
+			_, _, err = serve(context.Background(), f, "stream") // two failures would eject the server
+			is.True(errors.Is(err, runworks.ErrMemory))
 			is.Equal(f.Memory.Held(), f.Memory.Limit)
 		})
 	}
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -103,6 +103,7 @@
 	case len(s.partial) > maxEvent:
 		s.err = errEventTooLong
 	case !s.reserveBuffers():
+		s.lease.Release(dispatch.Abandoned)
 		s.err = errorx.Decorate(runworks.ErrMemory, "a long event")
 	}
 }
