--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -63,10 +63,12 @@
 	Budgets *Budgets
 	// Quarantine holds the requests that make backend servers exit.
 	Quarantine *quarantine.Quarantine
-	Sender     runworks.Sender
-	Logger     hclog.Logger
-	Metrics    *metrics.Set
-	Tracer     trace.Tracer
+	// Memory bounds what is held for calls.
+	Memory  Memory
+	Sender  runworks.Sender
+	Logger  hclog.Logger
+	Metrics *metrics.Set
+	Tracer  trace.Tracer
 	// Regions holds the region of each hall. A hall without one runs no call that is bound to
 	// regions.
 	Regions map[string]string
@@ -83,6 +85,7 @@
 	// abortCtx is canceled when calls without a response are aborted.
 	abortCtx context.Context
 	abort    context.CancelFunc
+	readers  readers
 }
 
 // SlotSource grants slots of backend servers, like dispatch.Dispatcher.
@@ -139,6 +142,8 @@
 	longestPause time.Duration
 	// lastEvent is when the last event was passed on; zero before the first.
 	lastEvent time.Time
+	// readerBlocked is the time that a stream waited for its caller to read.
+	readerBlocked time.Duration
 }
 
 // Serve returns the response to a call; the error is a *runworks.Failure. The caller of Serve
