Admit calls by the capacity of the whole service at its scheduler

Cause: an entry admits, orders and refuses by its own queue and its own start rate.

Change, only where the entry grants slots to other entries and no rate limit or back-off decides: - The rate at which slots become free is measured from the ends of all calls; until calls have waited for a second, it follows from the running calls and the mean time for which their route ranks hold slots. - A call is admitted by what waits at its own and at higher ranks, what arrives at higher ranks, the minimum shares of lower ranks, and the share of its customer. It waits late only for capacity that calls of its customer rank and above which can be on time do not need. - A lower rank with waiting calls is owed half the starts that all calls get, relative to its arrivals. - Waiting calls are checked again in the order in which they are served. - A customer's calls are ordered by target, not deadline: returning calls have less time left and overtook the calls that were admitted before.

--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -74,7 +74,7 @@
 // rank leaves some to calls that cannot wait, and late calls to those that can still be on
 // time.
 func (s *service) reserved(one *server, tier int) int {
-	if one.Slots < minSlotsToReserve {
+	if one.Slots < minSlotsToReserve || s.owedStart {
 		return 0
 	}
 	n := 0
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -148,6 +148,10 @@
 	permitRequests permitRequests
 	// grantedAt is when another entry last asked for a slot; zero if none has.
 	grantedAt time.Time
+	// measured holds the measured rates of the service.
+	measured capacity
+	// owedStart is set while a call is placed that starts by the minimum share of its rank.
+	owedStart bool
 }
 
 // Acquire waits until a backend server is free for the call. It returns ErrNoServer if no
@@ -200,6 +204,7 @@
 		s.grantedAt = now
 	}
 	s.arrivals++
+	s.recordArrival(now, req)
 	w := &waiter{req: req, entry: entry, lease: make(chan *Lease, 1), arrival: s.arrivals}
 	w.feasible = s.anyMeetsTarget(now, s.forecast(), req, s.canWait(now, req))
 	if err := s.checkAdmission(now, w); err != nil {
@@ -258,7 +263,7 @@
 		if len(available) == 0 {
 			break
 		}
-		t := s.queue.Pop(now, func(rank int) bool { return s.anyFree(available, rank) })
+		t := s.pop(now, available, skipped)
 		if t == nil {
 			break
 		}
@@ -271,6 +276,7 @@
 		}
 		target.ownUnread += w.req.PromptTokens
 		s.recordStart(t.Tier)
+		s.measured.recordStart(now, newCallTier(w.req))
 		lease := &Lease{Instance: target.Instance, dispatcher: d, server: target, service: s.name, routeRank: routeRank(t.Tier), began: now, unreadTokens: w.req.PromptTokens, entry: w.entry}
 		target.addLease(now, lease)
 		w.lease <- lease
@@ -280,6 +286,8 @@
 			w.abandon(runworks.ErrShortage)
 		}
 	}
+	s.owedStart = false
+	s.measured.noteWaiting(now, s.queue.Len() > 0)
 	d.requestPermitsLocked(now, s)
 }
 
--- a/services/dispatch/grant.go
+++ b/services/dispatch/grant.go
@@ -67,6 +67,9 @@
 				s.countedElsewhere--
 				s.ownUnread += lease.unreadTokens
 				lease.scheduler = ""
+				if svc := d.services[lease.service]; svc != nil {
+					svc.measured.recordHold(lease.routeRank)
+				}
 			}
 		}
 	}
--- /dev/null
+++ b/services/dispatch/scheduled.go
@@ -0,0 +1,160 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/services/reservation"
+)
+
+// recordArrival counts an arriving call for the rates of its service. A resumed stream and a retry
+// were counted when they first arrived.
+func (s *service) recordArrival(now time.Time, req *Request) {
+	if !req.Resumed && !req.Retry {
+		s.measured.recordArrival(now, newCallTier(req), req.Customer, s.item(&waiter{req: req}, 0).Cost())
+	}
+}
+
+// newCallTier returns the tier of a call as one that is not resumed and can be on time.
+func newCallTier(req *Request) int {
+	return routeSteps*lateSteps*req.Rank + min(req.RouteRank, routeSteps-1)
+}
+
+// admission returns what decides about an arriving call.
+func (s *service) admission(now time.Time, w *waiter) *admission {
+	tier := newCallTier(w.req)
+	a := &admission{
+		tier: tier, ahead: s.queue.Ahead(s.item(w, tier)), lateAhead: s.waitingIn(lateTier(tier)), backlog: s.queue.Backlog(tier, w.req.Customer),
+		target: w.req.Target.Sub(now).Seconds(), leaves: w.req.lastStart().Sub(now).Seconds(),
+	}
+	if class := s.measured.classes[tier]; class != nil {
+		a.demands = class.demands(now)
+	}
+	return a
+}
+
+// checkCapacity decides by the capacity of the whole service whether an arriving call waits for its
+// target, waits as a late call, or is refused.
+func (s *service) checkCapacity(now time.Time, w *waiter) error {
+	if w.req.Resumed {
+		w.late = true
+		return nil
+	}
+	a := s.admission(now, w)
+	verdict, onTime, late := s.capacityView(now).decide(a)
+	switch verdict {
+	case waitForTarget:
+		return nil
+	case waitLate:
+		w.late = true
+		return nil
+	case refuseNow:
+	}
+	return capacityError(a, onTime, late)
+}
+
+// checkLateCapacity returns an error if a call that missed its target while it waited is not likely
+// to be served as a late one.
+func (s *service) checkLateCapacity(now time.Time, w *waiter) error {
+	if w.req.Resumed {
+		return nil
+	}
+	a := s.admission(now, w)
+	if late := s.capacityView(now).lateDelay(a.tier, a.lateAhead); late > a.leaves {
+		return capacityError(a, math.Inf(1), late)
+	}
+	return nil
+}
+
+// capacityError returns the reason for the refusal of a call.
+func capacityError(a *admission, onTime, late float64) error {
+	const never = "no capacity is left for late ones"
+	switch {
+	case a.target > 0 && math.IsInf(late, 1):
+		return errorx.Decorate(runworks.ErrShortage, "%d calls of its rank wait ahead, a start in %s, the target in %.0f ms, and "+never, a.ahead, milliseconds(onTime), a.target*1000)
+	case a.target > 0:
+		return errorx.Decorate(runworks.ErrShortage, "%d calls of its rank wait ahead, a start in %s, the target in %.0f ms, and late in %s, the caller leaves in %.0f ms",
+			a.ahead, milliseconds(onTime), a.target*1000, milliseconds(late), a.leaves*1000)
+	case math.IsInf(late, 1):
+		return errorx.Decorate(runworks.ErrShortage, "the target has passed, and "+never)
+	}
+	return errorx.Decorate(runworks.ErrShortage, "the target has passed, a late start in %s, the caller leaves in %.0f ms", milliseconds(late), a.leaves*1000)
+}
+
+// pruneScheduled refuses waiting calls that are no longer likely to be served in time to be of use,
+// each as soon as that is clear.
+func (s *service) pruneScheduled(now time.Time) {
+	v := s.capacityView(now)
+	var tiers []int
+	s.queue.EachTier(func(tier, _ int) { tiers = append(tiers, tier) })
+	for _, tier := range tiers {
+		ahead := 0
+		s.queue.EachInOrder(tier, func(t *reservation.Item) {
+			w := s.waiters[t.ID]
+			if w == nil || w.req.Resumed {
+				ahead++
+				return
+			}
+			a := &admission{
+				tier: onTimeTier(tier), ahead: ahead, lateAhead: ahead,
+				target: w.req.Target.Sub(now).Seconds(), leaves: w.req.lastStart().Sub(now).Seconds(),
+			}
+			if isLateTier(tier) {
+				a.target = 0
+			} else if c := v.class(tier); c != nil {
+				a.lateAhead = c.late
+			}
+			if v.keeps(a) {
+				ahead++
+				return
+			}
+			s.queue.Remove(t.ID)
+			v.remove(tier)
+			s.drop(t.ID, capacityError(a, v.startDelay(a.tier, a.ahead), v.lateDelay(a.tier, a.lateAhead)))
+		})
+	}
+}
+
+// orderTime returns the time by which the calls of one customer and tier are ordered: the target, or
+// the last possible start of late calls. By its deadline a returning call, which has less time left,
+// would overtake calls that were admitted before it returned, and those would miss their targets.
+func orderTime(w *waiter) time.Time {
+	if w.late {
+		return w.req.lastStart()
+	}
+	return w.req.Target
+}
+
+// pop removes and returns the waiting call that is served next on one of the open servers; nil if
+// there is none. Ranks are served in strict order, except that a rank which is owed a start for its
+// minimum share goes first. Slots that are kept free of lower ranks are open to it: otherwise it
+// would get none while all others are taken. Classes whose calls were skipped are left out.
+func (s *service) pop(now time.Time, open []*server, skipped []*waiter) *reservation.Item {
+	s.owedStart = false
+	allowed := func(rank int) bool { return s.anyFree(open, rank) }
+	if s.schedules(now) {
+		var without []int
+		for _, w := range skipped {
+			without = append(without, newCallTier(w.req))
+		}
+		if tier := s.capacityView(now).owed(without); tier >= 0 {
+			s.owedStart = true
+			if t := s.queue.Pop(now, func(rank int) bool { return onTimeTier(rank) == tier && allowed(rank) }); t != nil {
+				return t
+			}
+			s.owedStart = false
+		}
+	}
+	return s.queue.Pop(now, allowed)
+}
+
+// milliseconds formats seconds for the cause of a refusal.
+func milliseconds(seconds float64) string {
+	if math.IsInf(seconds, 1) {
+		return "no foreseeable time"
+	}
+	return time.Duration(seconds * float64(time.Second)).Round(time.Millisecond).String()
+}
--- /dev/null
+++ b/services/dispatch/scheduled_test.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// burstOfTwoRanks is a load of twice the capacity of ten slots, mostly of the higher rank.
+func burstOfTwoRanks(unscheduled bool) *contention {
+	kind := func(rank int, perSecond float64) *contentionKind {
+		return &contentionKind{
+			rank: rank, customers: 4, perSecond: perSecond, seconds: 400 * time.Millisecond, spread: 0.3,
+			target: time.Second, leaves: 3 * time.Second, timeout: 3 * time.Second,
+		}
+	}
+	return &contention{
+		rng: rand.New(rand.NewPCG(1, 1)), entries: 6, burst: 1, span: 15 * time.Second, unscheduled: unscheduled,
+		kinds: []*contentionKind{kind(0, 40), kind(1, 10)},
+	}
+}
+
+// TestUnscheduledServicesServedAsBefore guards against a change for services of which every entry
+// queues its own calls: there the higher rank gets nearly every start, and many calls wait as late ones
+// that are refused then. Where the entry schedules the service, the same load gives the lower rank its
+// minimum share, and few calls are refused after a wait.
+func TestUnscheduledServicesServedAsBefore(t *testing.T) {
+	is := is.New(t)
+	before, scheduled := burstOfTwoRanks(true), burstOfTwoRanks(false)
+	before.simulate(t, 1, 10)
+	scheduled.simulate(t, 1, 10)
+	t.Log(formatFigures(before.figures()))
+	t.Log(formatFigures(scheduled.figures()))
+	is.True(before.figures()["relative-1"] < 0.25)
+	is.True(scheduled.figures()["relative-1"] >= 0.5)
+	is.True(before.figures()["held-and-refused"] > 0.2)
+	is.True(scheduled.figures()["held-and-refused"] < 0.1)
+}
+
+// loaded is a service of which 100 slots become free per second, with rank 0 at tier 0 and rank 1 at
+// tier 33.
+func loaded(arrivals0, arrivals1 float64, waiting0, waiting1 int) *capacityView {
+	return &capacityView{rate: 100, served: min(1, 100/(arrivals0+arrivals1)), classes: []classView{
+		{tier: 0, arrivals: arrivals0, waiting: waiting0}, {tier: 33, arrivals: arrivals1, waiting: waiting1},
+	}}
+}
+
+// TestAdmissionByCapacity guards against calls that wait for seconds before they are refused, and
+// against refusals of calls that there is capacity for.
+func TestAdmissionByCapacity(t *testing.T) {
+	for _, one := range []struct {
+		name string
+		view *capacityView
+		call admission
+		want admissionVerdict
+	}{
+		{"nothing waits", loaded(300, 0, 0, 0), admission{target: 0.1, leaves: 2}, waitForTarget},
+		{"short queue", loaded(50, 50, 20, 0), admission{ahead: 20, target: 1, leaves: 4}, waitForTarget},
+		{"long queue and spare capacity", loaded(50, 0, 150, 0), admission{ahead: 150, target: 1, leaves: 8}, waitLate},
+		{"long queue and no spare capacity", loaded(150, 0, 150, 0), admission{ahead: 150, target: 1, leaves: 8}, refuseNow},
+		{"spare capacity after the caller left", loaded(90, 0, 150, 0), admission{ahead: 150, target: 1, leaves: 4}, refuseNow},
+		{"higher rank takes all but the minimum share", loaded(150, 50, 0, 4), admission{tier: 33, ahead: 4, target: 1, leaves: 4}, waitForTarget},
+		{"minimum share is used up", loaded(150, 50, 0, 40), admission{tier: 33, ahead: 40, target: 1, leaves: 4}, refuseNow},
+		{"higher rank waits, and enough is left", loaded(50, 40, 20, 0), admission{tier: 33, target: 1, leaves: 4}, waitForTarget},
+		{"few of the customer's calls wait", loaded(300, 0, 50, 0), admission{ahead: 10, backlog: 10, demands: []float64{150, 150}, target: 1, leaves: 4}, waitForTarget},
+		{"many of the customer's calls wait", loaded(300, 0, 50, 0), admission{ahead: 45, backlog: 45, demands: []float64{150, 150}, target: 1, leaves: 4}, refuseNow},
+		{"the others ask for little", loaded(300, 0, 50, 0), admission{ahead: 45, backlog: 45, demands: []float64{295, 5}, target: 1, leaves: 4}, waitForTarget},
+		{"rate unknown", &capacityView{}, admission{ahead: 500, target: 1, leaves: 4}, waitForTarget},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			verdict, onTime, late := one.view.decide(&one.call)
+			t.Logf("on time in %.3f s, late in %.3f s", onTime, late)
+			is.New(t).Equal(verdict, one.want)
+		})
+	}
+}
+
+// TestRankWithFewCallsIsOwedStarts guards against a lower rank that sends so few calls that none ever
+// seems to start in time by its share.
+func TestRankWithFewCallsIsOwedStarts(t *testing.T) {
+	is := is.New(t)
+	v := loaded(200, 1, 50, 1)
+	is.Equal(v.owed(nil), -1)
+	is.True(v.startDelay(33, 0) > 1)
+	v.classes[1].credit = 1
+	is.Equal(v.owed(nil), 33)
+	is.Equal(v.owed([]int{33}), -1) // no free server suited its calls
+	is.True(v.startDelay(33, 0) < 0.1)
+}
+
+// TestFairShare guards against a share that a customer can't use being withheld from the others.
+func TestFairShare(t *testing.T) {
+	is := is.New(t)
+	is.Equal(fairShare(100, []float64{10, 10, 500}), 80.0)
+	is.Equal(fairShare(90, []float64{100, 200, 300}), 30.0)
+	is.Equal(fairShare(100, []float64{10, 20}), math.Inf(1))
+}
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -98,6 +98,8 @@
 	}
 	if lease.scheduler != "" {
 		s.countedElsewhere++
+	} else if svc := lease.dispatcher.services[lease.service]; svc != nil {
+		svc.measured.recordHold(lease.routeRank)
 	}
 	s.limit.Consume(now)
 	s.backoff.countSent()
@@ -120,6 +122,9 @@
 		s.countedElsewhere--
 		return
 	}
+	if svc := lease.dispatcher.services[lease.service]; svc != nil {
+		svc.measured.recordEnd(time.Now(), lease.routeRank, lease.began)
+	}
 	s.vacated++
 }
 
--- a/services/dispatch/start_estimate.go
+++ b/services/dispatch/start_estimate.go
@@ -27,6 +27,9 @@
 // checkAdmission decides whether a call that arrives waits for its target or, if it is not
 // likely to start by then, as a late call. It returns an error if the call should not wait.
 func (s *service) checkAdmission(now time.Time, w *waiter) error {
+	if s.schedules(now) {
+		return s.checkCapacity(now, w)
+	}
 	if w.req.Resumed {
 		return s.checkLateAdmission(now, w)
 	}
@@ -42,6 +45,9 @@
 // disconnects, so that it is refused at once. A resumed call may wait anyway, unless all
 // servers back off for longer than its caller waits.
 func (s *service) checkLateAdmission(now time.Time, w *waiter) error {
+	if s.schedules(now) {
+		return s.checkLateCapacity(now, w)
+	}
 	return s.checkLateStart(now, w, s.waitingIn(queueTier(w.req, true)))
 }
 
@@ -82,6 +88,10 @@
 // without an attempt: on the busiest days a third of those of the lowest rank. Calls that are
 // not late yet are checked too while all servers back off.
 func (s *service) prune(now time.Time) {
+	if s.schedules(now) {
+		s.pruneScheduled(now)
+		return
+	}
 	var waiting []*waiter
 	backoff := s.backoffRemaining(now) > 0
 	for _, w := range s.waiters {
@@ -113,6 +123,9 @@
 	if s.throttled(now) {
 		return s.throttledStart(now, s.startShare(tier), ahead)
 	}
+	if s.schedules(now) && !isLateTier(tier) {
+		return s.capacityView(now).startDelay(tier, ahead)
+	}
 	rate := s.startRate() * s.startShare(tier)
 	if ahead == 0 || rate == 0 {
 		return 0
--- a/services/dispatch/waiting.go
+++ b/services/dispatch/waiting.go
@@ -40,14 +40,7 @@
 	if gap := w.req.MaxGap; gap > 0 && (s.maxGap == 0 || gap < s.maxGap) {
 		s.maxGap = gap
 	}
-	t := &reservation.Item{
-		Reservation: runworks.Reservation{
-			ID: w.req.ID, Service: w.req.Service, Tier: queueTier(w.req, w.late), Customer: w.req.Customer,
-			PromptTokens: w.req.PromptTokens, MaxTokens: w.req.MaxTokens,
-		},
-		Deadline:   w.req.Deadline,
-		OrderDelay: s.lengthPenalty(w.req),
-	}
+	t := s.item(w, queueTier(w.req, w.late))
 	verdict, dropped := s.queue.Offer(time.Now(), t, func(int) int { return 0 })
 	if dropped != nil {
 		s.drop(dropped.ID, runworks.ErrShortage)
@@ -59,6 +52,22 @@
 	return true
 }
 
+// item returns the entry of a call in the queue.
+func (s *service) item(w *waiter, tier int) *reservation.Item {
+	t := &reservation.Item{
+		Reservation: runworks.Reservation{
+			ID: w.req.ID, Service: w.req.Service, Tier: tier, Customer: w.req.Customer,
+			PromptTokens: w.req.PromptTokens, MaxTokens: w.req.MaxTokens,
+		},
+		Deadline:   w.req.Deadline,
+		OrderDelay: s.lengthPenalty(w.req),
+	}
+	if s.schedules(time.Now()) {
+		t.OrderDelay += orderTime(w).Sub(t.Deadline)
+	}
+	return t
+}
+
 // drop removes a waiting call, which returns err.
 func (s *service) drop(id runworks.RequestID, err error) {
 	if w := s.waiters[id]; w != nil {
--- a/services/reservation/fair.go
+++ b/services/reservation/fair.go
@@ -14,10 +14,12 @@
 
 // customer holds the waiting reservations of one customer in one tier.
 type customer struct {
-	tier    *tier
-	name    string
-	weight  float64
-	start   float64
+	tier   *tier
+	name   string
+	weight float64
+	start  float64
+	// cost is the sum of the costs of the waiting reservations.
+	cost    float64
 	index   int
 	waiting waitingHeap
 }
@@ -34,9 +36,10 @@
 	}
 	w.customer = c
 	heap.Push(&c.waiting, w)
+	c.cost += w.Cost()
 	t.size++
 	if c.index < 0 {
-		c.start = max(c.start, t.virtualTime)
+		c.start = max(c.start, t.virtualTime+w.behind())
 		heap.Push(&t.active, c)
 	}
 }
@@ -46,6 +49,7 @@
 func (t *tier) pop() *Item {
 	c := t.active[0]
 	w, _ := heap.Pop(&c.waiting).(*Item)
+	c.cost -= w.Cost()
 	t.size--
 	t.virtualTime = c.start
 	c.start += w.Cost() / c.weight
@@ -56,6 +60,7 @@
 func (t *tier) remove(w *Item) {
 	c := w.customer
 	heap.Remove(&c.waiting, w.index)
+	c.cost -= w.Cost()
 	t.size--
 	t.reorder(c)
 }
@@ -135,12 +140,15 @@
 
 func (h waitingHeap) Len() int { return len(h) }
 
-func (h waitingHeap) Less(i, j int) bool {
-	mine, other := h[i].Deadline.Add(h[i].OrderDelay), h[j].Deadline.Add(h[j].OrderDelay)
+func (h waitingHeap) Less(i, j int) bool { return waitingLess(h[i], h[j]) }
+
+// waitingLess reports whether a reservation comes before another one of its customer.
+func waitingLess(a, b *Item) bool {
+	mine, other := a.Deadline.Add(a.OrderDelay), b.Deadline.Add(b.OrderDelay)
 	if !mine.Equal(other) {
 		return mine.Before(other)
 	}
-	return h[i].seq < h[j].seq
+	return a.seq < b.seq
 }
 
 func (h waitingHeap) Swap(i, j int) {
--- a/services/reservation/queue.go
+++ b/services/reservation/queue.go
@@ -19,6 +19,9 @@
 	Deadline time.Time
 	// OrderDelay is added to the deadline to order the reservations of one customer.
 	OrderDelay time.Duration
+	// Behind is the cost by which the customer starts after the others if it has no other
+	// reservation in the tier.
+	Behind float64
 
 	seq      uint64
 	index    int
