Tell refused callers when capacity is expected for their rank

Cause: Retry-After is random, 1.5 to 4 s, whatever is queued.

Change: package services/returns keeps, by class of customer rank and route rank, the times that a scheduler gave out, and gives them out in sequence. A time beyond a third of the caller's time left is not promised. A promise counts as demand until 0.5 s after its time: before later promises of the same and lower ranks, and before late calls. dispatch.Refusal carries the time and its basis; forward logs retry_after_ms and retry_basis. Metrics: runworks.schedule_refusals (rank, cause, basis), runworks.retry_after (rank, basis).

The rate for returns is what the rank gets beyond the calls that arrive anyway, at least a quarter of all. Rates are measured over 0.5 s instead of 1 s.

--- a/daemon/front_servers.go
+++ b/daemon/front_servers.go
@@ -117,6 +117,12 @@
 	d.Logger.Warn("backend server ejected", "server", server.ID, "service", server.Service, "failures", failures, "for_ms", wait.Milliseconds())
 }
 
+// onRefuse counts a call that this entry refused as the scheduler of its service. Its log line is written
+// by the entry that owns it.
+func (d *Front) onRefuse(rank int, cause dispatch.RefusalCause, basis string) {
+	metrics.Count(d.metrics.ScheduleRefusals, metrics.Rank(rank), metrics.Cause(string(cause)), metrics.Basis(basis))
+}
+
 func (d *Front) onUnresponsive(server runworks.Instance, unresponsive bool) {
 	if unresponsive {
 		d.Logger.Warn("backend server unresponsive; ejected until it responds", "server", server.ID, "service", server.Service)
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -56,6 +56,12 @@
 	ServerReports metric.Int64Counter
 	// StoreRestores counts how often the store was restored from an older copy.
 	StoreRestores metric.Int64Counter
+	// ScheduleRefusals counts calls that the scheduler of a service refused, by rank, cause, and the basis
+	// of the time at which their callers should return.
+	ScheduleRefusals metric.Int64Counter
+	// RetryAfterSeconds is the time that callers of calls which found no capacity were told to return
+	// after, by rank and basis.
+	RetryAfterSeconds metric.Float64Histogram
 	// Keys counts claims of idempotency keys by verdict.
 	Keys metric.Int64Counter
 }
@@ -90,6 +96,8 @@
 		Quarantined:         b.counter("runworks.quarantined", "calls refused as their request ended backend servers, by rank"),
 		ServerReports:       b.counter("runworks.server_words", "backend servers' words that they leave or want rest"),
 		StoreRestores:       b.counter("runworks.store_returns", "returns of the store from an older copy"),
+		ScheduleRefusals:    b.counter("runworks.schedule_refusals", "calls refused by the scheduler of their service, by rank, cause and basis of the retry time"),
+		RetryAfterSeconds:   b.seconds("runworks.retry_after", "time to return after that was given to callers that found no capacity, by rank and basis"),
 		Keys:                b.counter("runworks.keys", "claims of idempotency keys, by verdict"),
 	}
 	return s, b.err
@@ -143,6 +151,9 @@
 // Cause returns the label for the cause of an event.
 func Cause(name string) attribute.KeyValue { return attribute.String("cause", name) }
 
+// Basis returns the label for what a time was derived from.
+func Basis(name string) attribute.KeyValue { return attribute.String("basis", name) }
+
 // Result returns the label for the result of an operation.
 func Result(name string) attribute.KeyValue { return attribute.String("result", name) }
 
--- a/services/dispatch/admission.go
+++ b/services/dispatch/admission.go
@@ -13,6 +13,10 @@
 	// an arriving call must be expected to start to wait. The rest covers the error of the estimate,
 	// so that few calls wait long and are refused then, and the time to the first event.
 	waitMargin = 0.75
+	// minReturnFraction is the fraction of the slots of a rank for which refused callers return while
+	// other calls need all. By the whole rate 0.46 of them are refused again, at random times 0.39, and
+	// by a quarter 0.27 (short-burst of testdata/contention).
+	minReturnFraction = 0.25
 	// maxCreditSeconds bounds the starts that a rank is owed to those of this time, so that a rank
 	// whose calls could not use their starts does not displace others for long later.
 	maxCreditSeconds = 0.5
@@ -59,7 +63,7 @@
 	// tier is its tier as a call that can be on time.
 	tier int
 	// ahead and lateAhead are the calls of its tier that are served before it, as a call that can be
-	// on time and as a late one.
+	// on time and as a late one. Callers that were told to return now count as late ones before it.
 	ahead, lateAhead int
 	// target and leaves are the times until its target and until its caller leaves.
 	target, leaves float64
@@ -199,6 +203,28 @@
 	return min(max(free, minimum), v.rate)
 }
 
+// waitingBefore returns how many calls of a class and those above wait.
+func (v *capacityView) waitingBefore(tier int) int {
+	n := 0
+	for i := range v.classes {
+		if c := &v.classes[i]; c.tier <= tier {
+			n += c.waiting + c.late
+		}
+	}
+	return n
+}
+
+// returnRate returns how many callers per second should return to a class: what it gets beyond the calls
+// that arrive anyway, but at least a fraction of all, so that callers return during a long burst too.
+func (v *capacityView) returnRate(tier int) float64 {
+	rate := v.rankRate(tier)
+	arrivals := 0.0
+	if c := v.class(tier); c != nil {
+		arrivals = c.arrivals
+	}
+	return max(rate-arrivals, minReturnFraction*rate)
+}
+
 // fairShare returns the max-min fair share of a capacity: the most that one customer gets while all
 // demands up to it are met. It is +Inf if all demands can be met.
 func fairShare(capacity float64, demands []float64) float64 {
--- a/services/dispatch/capacity.go
+++ b/services/dispatch/capacity.go
@@ -12,9 +12,10 @@
 	// for that of the whole service. Entries ask for each call, so that two seconds without one mean
 	// that they ask another one.
 	scheduleTimeout = 2 * time.Second
-	// flowSpan is the time constant of measured rates: several times the interval between calls of
-	// a loaded service, and short against a burst.
-	flowSpan = time.Second
+	// flowSpan is the time constant of measured rates: many times the interval between calls of a loaded
+	// service. With 1 s the rates follow a burst so late that 0.135 of the refused calls had waited for
+	// long, instead of at most 0.09 (short-burst of testdata/contention).
+	flowSpan = 500 * time.Millisecond
 	// minFlowAge bounds the age of a rate that has just begun to be measured.
 	minFlowAge = 200 * time.Millisecond
 	// idleAfter is how long after its last call a customer is forgotten: its rate is below a hundredth
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 
 	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/services/reservation"
+	"github.com/runworks/runworks/services/returns"
 )
 
 const (
@@ -91,6 +92,10 @@
 	SendServerNotice func(notice runworks.ServerNotice)
 	// ColdStart returns how the servers of a service behave after their start; nil means as later.
 	ColdStart func(service string) ColdStart
+	// OnRefuse is called with the rank of a call that is refused, why, and what the time was derived
+	// from after which its caller should return. It is called only where this entry schedules the
+	// service.
+	OnRefuse func(rank int, cause RefusalCause, basis string)
 	// RequestPermits is called with a request for permits to be sent to another entry, whose
 	// reply goes to FinishTransfer. Without it no permits are requested.
 	RequestPermits func(transfer *PermitTransfer)
@@ -152,6 +157,8 @@
 	measured capacity
 	// owedStart is set while a call is placed that starts by the minimum share of its rank.
 	owedStart bool
+	// returns holds the times at which refused callers were told to return.
+	returns returns.Book
 }
 
 // Acquire waits until a backend server is free for the call. It returns ErrNoServer if no
@@ -208,10 +215,10 @@
 	w := &waiter{req: req, entry: entry, lease: make(chan *Lease, 1), arrival: s.arrivals}
 	w.feasible = s.anyMeetsTarget(now, s.forecast(), req, s.canWait(now, req))
 	if err := s.checkAdmission(now, w); err != nil {
-		return nil, nil, err
+		return nil, nil, d.refuse(now, s, w, CauseArrival, err)
 	}
 	if !d.enqueueLocked(s, w) {
-		return nil, nil, runworks.ErrShortage
+		return nil, nil, d.refuse(now, s, w, CauseQueueFull, runworks.ErrShortage)
 	}
 	d.pumpLocked(s)
 	select {
@@ -246,6 +253,7 @@
 	d.pruneExpiredLocked(now)
 	for _, s := range d.services {
 		s.prune(now)
+		d.pruneScheduled(now, s)
 		d.pumpLocked(s)
 	}
 }
--- a/services/dispatch/scheduled.go
+++ b/services/dispatch/scheduled.go
@@ -27,7 +27,7 @@
 func (s *service) admission(now time.Time, w *waiter) *admission {
 	tier := newCallTier(w.req)
 	a := &admission{
-		tier: tier, ahead: s.queue.Ahead(s.item(w, tier)), lateAhead: s.waitingIn(lateTier(tier)), backlog: s.queue.Backlog(tier, w.req.Customer),
+		tier: tier, ahead: s.queue.Ahead(s.item(w, tier)), lateAhead: s.waitingIn(lateTier(tier)) + s.returns.Due(now, tier), backlog: s.queue.Backlog(tier, w.req.Customer),
 		target: w.req.Target.Sub(now).Seconds(), leaves: w.req.lastStart().Sub(now).Seconds(),
 	}
 	if class := s.measured.classes[tier]; class != nil {
@@ -86,12 +86,15 @@
 
 // pruneScheduled refuses waiting calls that are no longer likely to be served in time to be of use,
 // each as soon as that is clear.
-func (s *service) pruneScheduled(now time.Time) {
+func (d *Dispatcher) pruneScheduled(now time.Time, s *service) {
+	if !s.schedules(now) {
+		return
+	}
 	v := s.capacityView(now)
 	var tiers []int
 	s.queue.EachTier(func(tier, _ int) { tiers = append(tiers, tier) })
 	for _, tier := range tiers {
-		ahead := 0
+		ahead, due := 0, s.returns.Due(now, onTimeTier(tier))
 		s.queue.EachInOrder(tier, func(t *reservation.Item) {
 			w := s.waiters[t.ID]
 			if w == nil || w.req.Resumed {
@@ -99,13 +102,13 @@
 				return
 			}
 			a := &admission{
-				tier: onTimeTier(tier), ahead: ahead, lateAhead: ahead,
+				tier: onTimeTier(tier), ahead: ahead, lateAhead: ahead + due,
 				target: w.req.Target.Sub(now).Seconds(), leaves: w.req.lastStart().Sub(now).Seconds(),
 			}
 			if isLateTier(tier) {
 				a.target = 0
 			} else if c := v.class(tier); c != nil {
-				a.lateAhead = c.late
+				a.lateAhead = c.late + due
 			}
 			if v.keeps(a) {
 				ahead++
@@ -113,7 +116,8 @@
 			}
 			s.queue.Remove(t.ID)
 			v.remove(tier)
-			s.drop(t.ID, capacityError(a, v.startDelay(a.tier, a.ahead), v.lateDelay(a.tier, a.lateAhead)))
+			err := capacityError(a, v.startDelay(a.tier, a.ahead), v.lateDelay(a.tier, a.lateAhead))
+			s.drop(t.ID, d.refuse(now, s, w, CauseOvertaken, err))
 		})
 	}
 }
--- a/services/dispatch/start_estimate.go
+++ b/services/dispatch/start_estimate.go
@@ -89,8 +89,7 @@
 // not late yet are checked too while all servers back off.
 func (s *service) prune(now time.Time) {
 	if s.schedules(now) {
-		s.pruneScheduled(now)
-		return
+		return // see pruneScheduled
 	}
 	var waiting []*waiter
 	backoff := s.backoffRemaining(now) > 0
--- a/services/dispatch/waiting.go
+++ b/services/dispatch/waiting.go
@@ -101,11 +101,12 @@
 	}
 	delete(s.waiters, w.req.ID)
 	w.late = true
-	if err := s.checkLateAdmission(time.Now(), w); err != nil {
-		return err
+	now := time.Now()
+	if err := s.checkLateAdmission(now, w); err != nil {
+		return d.refuse(now, s, w, CauseTarget, err)
 	}
 	if !d.enqueueLocked(s, w) {
-		w.abandon(runworks.ErrShortage)
+		w.abandon(d.refuse(now, s, w, CauseQueueFull, runworks.ErrShortage))
 	}
 	d.pumpLocked(s) // a late call may use servers that it had to avoid before
 	return nil
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -129,6 +129,10 @@
 	decision quota.Decision
 	// waited is the time spent in the queue.
 	waited time.Duration
+	// retryTime is the time that the caller is told to return after, and retryBasis what it was derived
+	// from for a call that found no capacity; both are unset if none is told.
+	retryTime  time.Duration
+	retryBasis string
 	// sent is when the call was sent to the last server.
 	sent time.Time
 	// firstByte is when the head of the response arrived; zero if it has not.
@@ -150,7 +154,7 @@
 	defer span.End()
 	f.awaitReady(ctx)
 	if failure := c.admit(); failure != nil {
-		c.finish(failure.Outcome, 0, failure.Err)
+		c.finishFailed(failure)
 		return nil, failure
 	}
 	ctx, detach, cancel := f.withAbort(ctx)
@@ -163,7 +167,7 @@
 	detach()
 	if failure != nil {
 		c.releaseTokens(failure)
-		c.finish(failure.Outcome, 0, failure.Err)
+		c.finishFailed(failure)
 		return nil, failure
 	}
 	return reply, nil
@@ -246,7 +250,7 @@
 		if failure != nil {
 			if last != nil && errors.Is(failure, runworks.ErrNoServer) {
 				// All servers have been tried: the last failure says more than the missing server.
-				failure = last
+				failure, c.retryBasis = last, ""
 			}
 			return nil, failure
 		}
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -7,6 +7,17 @@
 	"github.com/runworks/runworks/modules/metrics"
 )
 
+// finishFailed ends a call with a failure.
+func (c *call) finishFailed(failure *runworks.Failure) {
+	if failure.Outcome == runworks.OutcomeNotRun {
+		c.retryTime = failure.RetryAfter
+	}
+	if c.retryTime > 0 && c.retryBasis != "" {
+		metrics.Observe(c.f.Metrics.RetryAfterSeconds, c.retryTime.Seconds(), metrics.Rank(c.rank), metrics.Basis(c.retryBasis))
+	}
+	c.finish(failure.Outcome, 0, failure.Err)
+}
+
 // finish ends a call and writes its log line: what decided it, and how it ended.
 func (c *call) finish(outcome runworks.Outcome, status int, err error) {
 	c.f.active.Add(-1)
@@ -44,6 +55,12 @@
 	if c.in.MaxTokens > 0 {
 		fields = append(fields, "prompt_tokens", c.in.PromptTokens, "max_tokens", c.in.MaxTokens, "expected_tokens", c.in.ExpectedTokens, "subject", c.in.PromptPrefix)
 	}
+	if c.retryTime > 0 {
+		fields = append(fields, "retry_after_ms", c.retryTime.Milliseconds())
+		if c.retryBasis != "" {
+			fields = append(fields, "retry_basis", c.retryBasis)
+		}
+	}
 	if err != nil {
 		fields = append(fields, "cause", err.Error())
 	}
--- a/services/forward/retry_after.go
+++ b/services/forward/retry_after.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/runworks/runworks/services/dispatch"
+	"github.com/runworks/runworks/services/returns"
 )
 
 // Retry-After estimates.
@@ -33,13 +34,18 @@
 func (c *call) retryAfter(err error) time.Duration {
 	var refusal *dispatch.Refusal
 	if errors.As(err, &refusal) && refusal.RetryAfter > 0 {
+		c.retryBasis = refusal.Basis
 		return refusal.RetryAfter
 	}
 	wait := retryNoCapacity + rand.N(retryNoCapacitySpread)
 	if bound := time.Until(c.deadline) / retryTimeLeftDivisor; bound > 0 {
 		wait = min(wait, bound)
 	}
-	return c.backoffOr(wait)
+	if wait := c.backoffOr(0); wait > 0 {
+		return wait
+	}
+	c.retryBasis = string(returns.Spread)
+	return wait
 }
 
 // backoffOr returns the time until the first server's back-off ends, spread, if all servers have
