--- a/daemon/front_scheduler.go
+++ b/daemon/front_scheduler.go
@@ -6,7 +6,6 @@
 	"github.com/runworks/runworks/services/scheduler"
 )
 
-
 // buildScheduler assembles the client and the server of shared scheduling.
 func (d *Front) buildScheduler() {
 	d.slotServer = &scheduler.Server{Dispatcher: d.dispatcher, Ready: d.isInitialized, Logger: d.Logger, Metrics: d.metrics}
--- a/services/dispatch/grant.go
+++ b/services/dispatch/grant.go
@@ -101,6 +101,9 @@
 				s.countedElsewhere--
 				s.ownUnread += lease.unreadTokens
 				lease.scheduler = ""
+				if svc := d.services[lease.service]; svc != nil {
+					svc.measured.recordHold(lease.routeRank)
+				}
 			}
 		}
 	}
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -100,6 +100,9 @@
 		s.countedElsewhere++
 	} else {
 		s.vacated = max(s.vacated-1, 0)
+		if svc := lease.dispatcher.services[lease.service]; svc != nil {
+			svc.measured.recordHold(lease.routeRank)
+		}
 	}
 	s.limit.Consume(now)
 	s.backoff.countSent()
@@ -121,6 +124,9 @@
 		s.countedElsewhere--
 		return
 	}
+	if svc := lease.dispatcher.services[lease.service]; svc != nil {
+		svc.measured.recordEnd(time.Now(), lease.routeRank, lease.began)
+	}
 	s.vacated++
 }
 
--- a/services/dispatch/waiting.go
+++ b/services/dispatch/waiting.go
@@ -37,14 +37,7 @@
 // enqueueLocked puts a call in the queue of its service and reports whether there was room.
 func (d *Dispatcher) enqueueLocked(s *service, w *waiter) bool {
 	s.recordRequest(w.req)
-	t := &reservation.Item{
-		Reservation: runworks.Reservation{
-			ID: w.req.ID, Service: w.req.Service, Tier: queueTier(w.req, w.late), Customer: w.req.Customer,
-			PromptTokens: w.req.PromptTokens, MaxTokens: w.req.MaxTokens,
-		},
-		Deadline:   w.req.Deadline,
-		OrderDelay: s.lengthPenalty(w.req),
-	}
+	t := s.item(w, queueTier(w.req, w.late))
 	verdict, dropped := s.queue.Offer(time.Now(), t, func(int) int { return 0 })
 	if dropped != nil {
 		s.drop(dropped.ID, runworks.ErrShortage)
@@ -56,6 +49,22 @@
 	return true
 }
 
+// item returns the entry of a call in the queue.
+func (s *service) item(w *waiter, tier int) *reservation.Item {
+	t := &reservation.Item{
+		Reservation: runworks.Reservation{
+			ID: w.req.ID, Service: w.req.Service, Tier: tier, Customer: w.req.Customer,
+			PromptTokens: w.req.PromptTokens, MaxTokens: w.req.MaxTokens,
+		},
+		Deadline:   w.req.Deadline,
+		OrderDelay: s.lengthPenalty(w.req),
+	}
+	if s.schedules(time.Now()) {
+		t.OrderDelay += orderTime(w).Sub(t.Deadline)
+	}
+	return t
+}
+
 // drop removes a waiting call, which returns err.
 func (s *service) drop(id runworks.RequestID, err error) {
 	if w := s.waiters[id]; w != nil {
@@ -89,11 +98,12 @@
 	}
 	delete(s.waiters, w.req.ID)
 	w.late = true
-	if err := s.checkLateAdmission(time.Now(), w); err != nil {
-		return err
+	now := time.Now()
+	if err := s.checkLateAdmission(now, w); err != nil {
+		return d.refuse(now, s, w, CauseTarget, err)
 	}
 	if !d.enqueueLocked(s, w) {
-		w.abandon(runworks.ErrShortage)
+		w.abandon(d.refuse(now, s, w, CauseQueueFull, runworks.ErrShortage))
 	}
 	d.pumpLocked(s) // a late call may use servers that it had to avoid before
 	return nil
