Model the performance of one engine

Cause: placement takes a line of the whole service and the time between events of a server, and leaves out the prompts that are already there, so a prompt pauses the streams of a slow engine for longer than callers allow.

Change: services/enginemodel forecasts, for one engine incarnation, the time to a first event and the longest gap between events with all unprocessed prompt tokens. Times of prompts are learned in units of the engine's gap, so that one line serves engines of all speeds and follows a change of speed with the gaps. A gap is bounded by the longest ones seen while prompts were processed without a break, as the size of a chunk is not known.

Nothing uses it yet.

--- /dev/null
+++ b/services/enginemodel/model.go
@@ -0,0 +1,213 @@
+package enginemodel
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// gapWeight is the weight of the newest gap. It averages over some twenty gaps: an engine with
+	// eleven streams sends them within a tenth of a second, and its speed may change for half a
+	// second.
+	gapWeight = 0.05
+	// lateWeight is the weight of the newest gap in the fraction of late ones.
+	lateWeight = 0.01
+	// minGaps is the number of gaps from which their mean is used.
+	minGaps = 5
+	// The longest gap follows the gaps while prompts are processed: quickly upwards and slowly
+	// downwards, so that some nine of ten are shorter. Their maximum would follow single delays of
+	// the network.
+	longestUp, longestDown = 0.2, 0.02
+	// minLongest is the number of such gaps from which the longest one bounds the forecast.
+	minLongest = 10
+)
+
+// Activity is what an engine did during a gap between events.
+type Activity int
+
+// The activities of an engine.
+const (
+	// Mixed is that a part of the gap may have been used to process prompts.
+	Mixed Activity = iota
+	// Generating is that no prompt was processed.
+	Generating
+	// Processing is that prompts were processed during the whole gap.
+	Processing
+)
+
+// Common is what the engines of a service have in common. Its values are the prior of an engine of
+// which less is known. Times of prompts are in units of the engine's gap between events, as a slow
+// engine needs longer for both.
+type Common struct {
+	// Known is false while too little was observed for any forecast.
+	Known bool
+	// Overhead and PerToken are the gaps to the first event that do not depend on the prompts, and
+	// those for each unprocessed prompt token.
+	Overhead, PerToken float64
+	// Gap is the gap in seconds that an engine is taken to have of which nothing was observed or
+	// reported, and UsualGap the gap at a slowness of 1; 0 is unknown.
+	Gap, UsualGap float64
+}
+
+// Fleet learns what the engines of a service have in common. The zero value is ready to use.
+type Fleet struct {
+	line    line
+	samples int
+}
+
+// Common returns what was learned, with the gaps of the given engines.
+func (f *Fleet) Common(now time.Time, engines func(yield func(*Model) bool)) Common {
+	overhead, perToken, ok := f.line.fit()
+	c := Common{Overhead: overhead, PerToken: perToken, Known: ok && f.samples >= minLineSamples}
+	usual, n := 0.0, 0
+	for m := range engines {
+		gap := m.gap(now)
+		if gap == 0 {
+			continue
+		}
+		if c.Gap == 0 || gap < c.Gap {
+			c.Gap = gap
+		}
+		if s := m.slowness.current(now); s > 0 {
+			usual += gap / s
+			n++
+		}
+	}
+	if n > 0 {
+		c.UsualGap = usual / float64(n)
+	}
+	c.Known = c.Known && c.Gap > 0
+	return c
+}
+
+// Model is the model of one incarnation of an engine. The zero value is ready to use.
+type Model struct {
+	// generating is the mean gap in seconds while no prompt is processed, any that of all gaps, and
+	// longest about the longest one while prompts are processed, as a multiple of the mean gap.
+	generating, any, longest average
+	// late is the fraction of gaps that are longer than callers allow.
+	late float64
+	// prompts is the line from unprocessed tokens to the time to the first event, in gaps.
+	prompts  line
+	read     int
+	updated  time.Time
+	slowness slowness
+}
+
+// AddGaps records n consecutive gaps of one stream with their sum, of which some were longer than
+// callers allow.
+func (m *Model) AddGaps(now time.Time, n int, sum time.Duration, activity Activity, late int) {
+	if n <= 0 || sum < 0 || late < 0 || late > n {
+		return
+	}
+	m.updated = now
+	mean := sum.Seconds() / float64(n)
+	m.late += (1 - math.Pow(1-lateWeight, float64(n))) * (float64(late)/float64(n) - m.late)
+	weight := 1 - math.Pow(1-gapWeight, float64(n))
+	m.any.add(mean, weight)
+	switch activity {
+	case Generating:
+		m.slowness.observe(now, mean, m.generating.value)
+		m.generating.add(mean, weight)
+	case Processing:
+		base := m.gap(now)
+		if n > 1 || base == 0 {
+			return
+		}
+		ratio := mean / base
+		if ratio > m.longest.value {
+			m.longest.add(ratio, longestUp)
+		} else {
+			m.longest.add(ratio, longestDown)
+		}
+	case Mixed:
+	}
+}
+
+// AddFirstEvent records the time from the send of a call to its first event, with the prompt tokens
+// that the engine had to process for it: the call's own and those sent before.
+func (m *Model) AddFirstEvent(now time.Time, f *Fleet, tokens int, after time.Duration) {
+	gap := m.gap(now)
+	if tokens <= 0 || after <= 0 || gap == 0 {
+		return
+	}
+	m.updated = now
+	m.read++
+	m.prompts.add(float64(tokens), after.Seconds()/gap)
+	f.line.add(float64(tokens), after.Seconds()/gap)
+	f.samples++
+}
+
+// SetSlowness records that the engine reported its current processing time as a multiple of the
+// usual one.
+func (m *Model) SetSlowness(now time.Time, factor float64) { m.slowness.set(now, factor) }
+
+// ReportsSlowness reports whether the engine reported its slowness.
+func (m *Model) ReportsSlowness() bool { return m.slowness.factor > 0 }
+
+// Late returns the fraction of gaps that are longer than callers allow.
+func (m *Model) Late() float64 { return m.late }
+
+// gap returns the current mean gap in seconds while no prompt is processed; 0 if unknown. Gaps that
+// include some processing are used only where there are no others.
+func (m *Model) gap(now time.Time) float64 {
+	switch {
+	case m.generating.n >= minGaps:
+		return m.slowness.correct(now, m.generating.value)
+	case m.any.n >= minGaps:
+		return m.any.value
+	}
+	return 0
+}
+
+// Gap returns the mean gap in seconds while no prompt is processed: the observed one, that by the
+// reported slowness, or that of the prior; 0 if unknown.
+func (m *Model) Gap(now time.Time, c *Common) float64 {
+	if gap := m.gap(now); gap > 0 {
+		return gap
+	}
+	if s := m.slowness.current(now); s > 0 && c.UsualGap > 0 {
+		return s * c.UsualGap
+	}
+	return c.Gap
+}
+
+// costs returns the seconds to a first event that do not depend on the prompts, and those for each
+// unprocessed token.
+func (m *Model) costs(now time.Time, c *Common) (overhead, perToken float64) {
+	overhead, perToken = c.Overhead, c.PerToken
+	prior := m.prompts.with(priorSamples, 0, overhead).with(priorSamples, priorTokens, overhead+perToken*priorTokens)
+	if o, p, ok := prior.fit(); ok {
+		overhead, perToken = o, p
+	}
+	gap := m.Gap(now, c)
+	return gap * overhead, gap * perToken
+}
+
+// FirstEvent returns in how many seconds the first event of a call is expected that is sent now,
+// with the unprocessed prompt tokens including its own; 0 while too little is known.
+func (m *Model) FirstEvent(now time.Time, c *Common, tokens int) float64 {
+	if !c.Known {
+		return 0
+	}
+	overhead, perToken := m.costs(now, c)
+	return overhead + perToken*float64(tokens)
+}
+
+// LongestGap returns the longest gap in seconds that is expected between two events of a stream
+// while the engine processes the given prompt tokens; 0 while too little is known. A chunk of a
+// prompt is processed between two steps, so a gap holds at most the steps of one event with a chunk
+// each. The size of a chunk is not known; the longest gaps seen while prompts were processed without
+// a break are the bound.
+func (m *Model) LongestGap(now time.Time, c *Common, tokens int) float64 {
+	if !c.Known {
+		return 0
+	}
+	gap := m.Gap(now, c)
+	_, perToken := m.costs(now, c)
+	longest := gap + perToken*float64(tokens)
+	if m.longest.n >= minLongest {
+		longest = min(longest, max(gap*m.longest.value, gap))
+	}
+	return longest
+}
