Place calls by the models of their engines

Cause: prefillGap counts the call's own prompt only, so prompts that join others at a slow engine pause all streams there for longer than callers allow, and a late call waits for one instant's forecast or for none.

Change: where ForecastByEngine is set, or a server of the service reports its slowness, services/enginemodel takes the place of the line of the service. It is learned from gaps and first events with the unread prompts ahead of each call. A call goes to a server whose longest gap with all its unread prompts stays below nine tenths of what callers allow, and that finishes the answer before the deadline; where no server could, to one close to the best. Both limits end 200 ms before the last possible start, so that no call is refused by a forecast. Other services are placed as before.

--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -111,7 +111,7 @@
 func (d *Dispatcher) choose(now time.Time, s *service, open []*server, w *waiter) *server {
 	var best *server
 	var bestScore float64
-	f := s.forecast()
+	f := d.forecast(now, s)
 	typical, fastest := s.paces()
 	for _, one := range s.candidates(now, f, open, w, fastest) {
 		if score := d.score(one, w.req, typical) + f.latencyScore(now, one, w.req); best == nil || score < bestScore {
@@ -130,15 +130,19 @@
 	left := req.Deadline.Sub(now).Seconds()
 	canWait := s.canWait(now, req)
 	feasible := !w.late && w.feasible || s.anyMeetsTarget(now, f, req, canWait)
+	limits := s.limitsFor(now, f, req)
 	var out []*server
 	for _, one := range open {
 		if !req.allows(one) || s.freeSlots(one, tier) <= 0 {
 			continue
 		}
-		if float64(one.meanGap) > fastest*paceTolerance && s.expectedDuration(one, req) > left {
+		if !f.byEngine && float64(one.meanGap) > fastest*paceTolerance && s.expectedDuration(one, req) > left {
 			continue
 		}
-		if feasible && !f.meetsTarget(now, one, req, canWait) {
+		if feasible && !f.meetsTarget(now, one, req, canWait) && !limits.lifted {
+			continue
+		}
+		if f.byEngine && !limits.allow(f, one, req) {
 			continue
 		}
 		out = append(out, one)
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/services/enginemodel"
 	"github.com/runworks/runworks/services/reservation"
 )
 
@@ -91,6 +92,9 @@
 	SendServerNotice func(notice runworks.ServerNotice)
 	// ColdStart returns how the servers of a service behave after their start; nil means as later.
 	ColdStart func(service string) ColdStart
+	// ForecastByEngine places calls by the models of their engines. Without it that applies to the
+	// services whose servers report their slowness.
+	ForecastByEngine bool
 	// RequestPermits is called with a request for permits to be sent to another entry, whose
 	// reply goes to FinishTransfer. Without it no permits are requested.
 	RequestPermits func(transfer *PermitTransfer)
@@ -146,6 +150,10 @@
 	// unknown.
 	tokensPerEvent average
 	permitRequests permitRequests
+	// fleet is what the models of the servers have in common.
+	fleet enginemodel.Fleet
+	// reportsSlowness is set once a server reported its slowness.
+	reportsSlowness bool
 	// grantedAt is when another entry last asked for a slot; zero if none has.
 	grantedAt time.Time
 }
@@ -201,7 +209,7 @@
 	}
 	s.arrivals++
 	w := &waiter{req: req, entry: entry, lease: make(chan *Lease, 1), arrival: s.arrivals}
-	w.feasible = s.anyMeetsTarget(now, s.forecast(), req, s.canWait(now, req))
+	w.feasible = s.anyMeetsTarget(now, d.forecast(now, s), req, s.canWait(now, req))
 	if err := s.checkAdmission(now, w); err != nil {
 		return nil, nil, err
 	}
@@ -270,8 +278,9 @@
 			continue
 		}
 		target.ownUnread += w.req.PromptTokens
+		target.trackUnread(now)
 		s.recordStart(t.Tier)
-		lease := &Lease{Instance: target.Instance, dispatcher: d, server: target, service: s.name, routeRank: routeRank(t.Tier), began: now, unreadTokens: w.req.PromptTokens, entry: w.entry}
+		lease := &Lease{Instance: target.Instance, dispatcher: d, server: target, service: s.name, routeRank: routeRank(t.Tier), began: now, unreadTokens: w.req.PromptTokens, aheadTokens: target.ownUnread + target.peerUnread - w.req.PromptTokens, entry: w.entry}
 		target.addLease(now, lease)
 		w.lease <- lease
 	}
--- a/services/dispatch/grant.go
+++ b/services/dispatch/grant.go
@@ -47,9 +47,11 @@
 		Instance: s.Instance, dispatcher: d, server: s, service: s.Service, routeRank: req.RouteRank, began: now,
 		unreadTokens: req.PromptTokens, scheduler: scheduler, observer: observer,
 	}
+	lease.aheadTokens = s.ownUnread + s.peerUnread
 	if _, live := d.peers[scheduler]; !live {
 		lease.scheduler = ""
 		s.ownUnread += lease.unreadTokens
+		s.trackUnread(now)
 	}
 	s.addLease(now, lease)
 	return lease
@@ -66,6 +68,7 @@
 			case lease.scheduler:
 				s.countedElsewhere--
 				s.ownUnread += lease.unreadTokens
+				s.trackUnread(time.Now())
 				lease.scheduler = ""
 			}
 		}
@@ -88,6 +91,7 @@
 	}
 	l.dispatcher.mu.Lock()
 	defer l.dispatcher.mu.Unlock()
+	l.server.recordGaps(time.Now(), n, sum, late)
 	mean := sum.Seconds() / float64(n)
 	for i := range min(n, maxRemoteGaps) {
 		l.server.meanGap.add(mean, gapWeight)
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -18,6 +18,9 @@
 	began      time.Time
 	// unreadTokens is the number of prompt tokens that the server has not read yet.
 	unreadTokens int
+	// aheadTokens is the number of prompt tokens that the server had to read before when the call was
+	// sent.
+	aheadTokens int
 	// entry is the entry that sends the call, of a slot granted to another one.
 	entry runworks.Incarnation
 	// scheduler is the entry that granted the slot and counts the call; empty if this one does.
@@ -93,6 +96,7 @@
 		stalled = 1
 	}
 	l.server.lateGaps += stallWeight * (stalled - l.server.lateGaps)
+	l.server.recordGaps(l.server.lastReceived, 1, gap, int(stalled))
 	if l.observer != nil {
 		l.observer.ReceivedEvent(gap, stalled > 0)
 	}
@@ -134,6 +138,7 @@
 	l.markReadLocked()
 	if s := l.dispatcher.services[l.service]; s != nil && promptTokens > 0 {
 		s.prefill.add(float64(promptTokens), after.Seconds()/s.forecast().slowdown(l.server))
+		l.server.model.AddFirstEvent(time.Now(), &s.fleet, promptTokens+l.aheadTokens, after)
 	}
 }
 
@@ -141,6 +146,7 @@
 func (l *Lease) markReadLocked() {
 	if l.scheduler == "" {
 		l.server.ownUnread -= l.unreadTokens
+		l.server.trackUnread(time.Now())
 	}
 	l.unreadTokens = 0
 }
--- a/services/dispatch/load_test.go
+++ b/services/dispatch/load_test.go
@@ -23,9 +23,14 @@
 	// slow is the factor by which every step takes longer than at the fastest engine.
 	slow  float64
 	slots int
+	loadSpeed
+	// changes makes the engine take changedSpeed times as long for a time now and then; nil is never.
+	changes *rand.Rand
 
-	mu    sync.Mutex
-	batch []*loadCall
+	mu sync.Mutex
+	// changed is the current factor of such a change.
+	changed float64
+	batch   []*loadCall
 }
 
 // Properties of a fast engine: the durations of a step and of reading a token, the tokens read
@@ -47,13 +52,13 @@
 		chunk := 0
 		for _, c := range e.batch[:n] {
 			if c.unread > 0 {
-				chunk = min(c.unread, loadChunk)
+				chunk = min(c.unread, e.chunk)
 				c.unread -= chunk
 				break
 			}
 		}
 		e.mu.Unlock()
-		step := time.Duration(e.slow * float64(loadStep+time.Duration(chunk)*loadRead))
+		step := time.Duration(e.slow * e.change() * float64(e.step+time.Duration(chunk)*e.read))
 		time.Sleep(step)
 		e.mu.Lock()
 		kept := e.batch[:0]
@@ -97,7 +102,7 @@
 type loadKind struct {
 	rank, prompt, events int
 	perSecond, spread    float64
-	target               time.Duration
+	target, deadline     time.Duration
 	// required is the fraction of its calls that must be on time.
 	required float64
 	rng      *rand.Rand
@@ -112,6 +117,11 @@
 	engines map[string]*loadEngine
 	kinds   []*loadKind
 	work    sync.WaitGroup
+	loadSpeed
+	// maxGap and callerTimeout are those of all calls.
+	maxGap, callerTimeout time.Duration
+	// reports is whether engines report their slowness.
+	reports bool
 }
 
 const (
@@ -189,7 +199,7 @@
 	prompt := c.unread
 	lease, err := front.Acquire(ctx, &Request{
 		ID: runworks.RequestID(id), Service: "llm", RouteRank: k.rank, PromptTokens: prompt, ExpectedTokens: hint,
-		MaxGap: loadMaxGap, Target: arrived.Add(k.target), CallerTimeout: arrived.Add(loadCallerTimeout), Deadline: arrived.Add(loadDeadline),
+		MaxGap: l.maxGap, Target: arrived.Add(k.target), CallerTimeout: arrived.Add(l.callerTimeout), Deadline: arrived.Add(k.deadline),
 	})
 	if err != nil {
 		l.mu.Lock()
@@ -202,7 +212,11 @@
 		return
 	}
 	time.Sleep(loadStart)
-	l.engines[lease.Instance.ID].add(c)
+	engine := l.engines[lease.Instance.ID]
+	engine.add(c)
+	if l.reports {
+		lease.ApplyReport(&runworks.ServerReport{Load: &runworks.ServerLoad{Slowness: engine.slowness()}}, arrived)
+	}
 	var first, longest time.Duration
 	last := arrived
 	for range c.events {
@@ -222,7 +236,7 @@
 	switch {
 	case first > k.target:
 		k.late++
-	case longest > loadMaxGap:
+	case longest > l.maxGap:
 		k.stalled++
 	default:
 		k.onTime++
@@ -233,8 +247,11 @@
 // call, whether at least the required fraction of its calls was on time. The fractions are
 // only logged, as they differ by some hundredths from run to run.
 func TestLoad(t *testing.T) {
-	datadriven.RunTest(t, "testdata/load", func(t *testing.T, d *datadriven.TestData) string {
-		l := &loadSim{engines: map[string]*loadEngine{}}
+	datadriven.RunTest(t, *loadFile, func(t *testing.T, d *datadriven.TestData) string {
+		l := &loadSim{
+			engines: map[string]*loadEngine{}, maxGap: loadMaxGap, callerTimeout: loadCallerTimeout,
+			loadSpeed: loadSpeed{step: loadStep, read: loadRead, chunk: loadChunk},
+		}
 		var fronts, fast, slow, slots, seconds int
 		halls := 1
 		d.MaybeScanArgs(t, "halls", &halls)
@@ -242,6 +259,7 @@
 		d.ScanArgs(t, "fast", &fast)
 		d.ScanArgs(t, "slow", &slow)
 		d.ScanArgs(t, "slots", &slots)
+		l.parseDeployment(t, d)
 		d.ScanArgs(t, "seconds", &seconds)
 		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 			l.kinds = append(l.kinds, parseKind(t, d, line, uint64(len(l.kinds))))
@@ -262,13 +280,19 @@
 
 // parseKind parses a kind of call.
 func parseKind(t *testing.T, d *datadriven.TestData, line string, seed uint64) *loadKind {
-	k := &loadKind{rng: rand.New(rand.NewPCG(1, seed))}
+	k := &loadKind{deadline: loadDeadline, rng: rand.New(rand.NewPCG(*loadSeed, seed))}
 	var target int
 	if _, err := fmt.Sscanf(line, "rank=%d a-second=%f prompt=%d events=%d spread=%f target=%d wanted=%f",
 		&k.rank, &k.perSecond, &k.prompt, &k.events, &k.spread, &target, &k.required); err != nil {
 		d.Fatalf(t, "%s: %v", line, err)
 	}
 	k.target = time.Duration(target) * time.Millisecond
+	if _, deadline, ok := strings.Cut(line, "deadline="); ok {
+		var err error
+		if k.deadline, err = time.ParseDuration(deadline); err != nil {
+			d.Fatalf(t, "%s: %v", line, err)
+		}
+	}
 	return k
 }
 
@@ -286,8 +310,11 @@
 	var list []runworks.Instance
 	var running sync.WaitGroup
 	for i := range fast + slow {
-		e := &loadEngine{slow: 1, slots: slots}
-		if i >= fast {
+		e := &loadEngine{slow: 1, slots: slots, loadSpeed: l.loadSpeed}
+		switch {
+		case l.reports:
+			e.slow, e.changes = loadSpeeds[i%len(loadSpeeds)], rand.New(rand.NewPCG(*loadSeed, uint64(i)))
+		case i >= fast:
 			e.slow = 4.4
 		}
 		id := fmt.Sprint("s", i)
--- a/services/dispatch/model.go
+++ b/services/dispatch/model.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/runworks/runworks/services/enginemodel"
 )
 
 const (
@@ -67,6 +69,20 @@
 	// tokensPerEvent is the mean number of expected tokens that one event accounts for; 0 is
 	// unknown.
 	tokensPerEvent float64
+	// byEngine is set where the models of the servers are used instead, at the time now, with what
+	// they have in common.
+	byEngine bool
+	now      time.Time
+	common   enginemodel.Common
+}
+
+// forecast returns the values of a service, with the models of its servers where those are used.
+func (d *Dispatcher) forecast(now time.Time, s *service) *forecast {
+	f := s.forecast()
+	if d.forecastsByEngine(s) {
+		f.byEngine, f.now, f.common = true, now, s.common(now)
+	}
+	return f
 }
 
 func (s *service) forecast() *forecast {
@@ -93,6 +109,9 @@
 // which reads the unread prompts before it. A server is taken to read as much slower as its
 // time between events is longer. The result is 0 while too little is known.
 func (f *forecast) firstEventDelay(one *server, req *Request) float64 {
+	if f.byEngine {
+		return f.engineDelay(one, req)
+	}
 	if !f.known || req.PromptTokens == 0 {
 		return 0
 	}
@@ -101,8 +120,11 @@
 }
 
 // prefillGap returns for how many seconds the reading of a call's prompt leaves the streams
-// of a server without an event.
+// of a server without an event. It is 0 where engineLimits limits that.
 func (f *forecast) prefillGap(one *server, req *Request) float64 {
+	if f.byEngine {
+		return 0
+	}
 	if !f.known {
 		return 0
 	}
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -47,6 +47,7 @@
 	}
 	if report.Load != nil {
 		s.reportedLoad = report.Load
+		d.recordSlownessLocked(now, s, report.Load.Slowness)
 	}
 	if d.servers[s.incarnation] == nil {
 		d.keepExpired(now, s)
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/services/enginemodel"
 )
 
 const (
@@ -78,6 +79,12 @@
 	steadyGap average
 	// lateGaps is the fraction of events that arrive after a longer gap than callers allow.
 	lateGaps float64
+	// fleet is that of the server's service; nil until the server is listed.
+	fleet *enginemodel.Fleet
+	// model forecasts what the server does with a call, and unread is for how long it has had unread
+	// prompts.
+	model  enginemodel.Model
+	unread unreadState
 	reportState
 }
 
--- a/services/dispatch/server_set.go
+++ b/services/dispatch/server_set.go
@@ -101,6 +101,7 @@
 			d.services[one.Service] = s
 		}
 		s.servers = append(s.servers, one)
+		one.fleet = &s.fleet
 	}
 }
 
--- a/services/enginemodel/model.go
+++ b/services/enginemodel/model.go
@@ -1,6 +1,7 @@
 package enginemodel
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -31,10 +32,16 @@
 	Mixed Activity = iota
 	// Generating is that no prompt was processed.
 	Generating
-	// Processing is that prompts were processed during the whole gap.
+	// Processing is that prompts were processed during the whole gap, one of at least LongPrompt
+	// tokens among them.
 	Processing
 )
 
+// LongPrompt is the number of tokens from which a prompt needs more steps than an event has: chunks
+// have up to 4,096 tokens, and events six. Shorter ones, one after the other, are no measure of the
+// longest gap, as the last chunk of each is shorter.
+const LongPrompt = 6 * 4096
+
 // Common is what the engines of a service have in common. Its values are the prior of an engine of
 // which less is known. Times of prompts are in units of the engine's gap between events, as a slow
 // engine needs longer for both.
@@ -47,18 +54,21 @@
 	// Gap is the gap in seconds that an engine is taken to have of which nothing was observed or
 	// reported, and UsualGap the gap at a slowness of 1; 0 is unknown.
 	Gap, UsualGap float64
+	// Longest is the longest gap while prompts are processed, in gaps; 0 is unknown.
+	Longest float64
 }
 
 // Fleet learns what the engines of a service have in common. The zero value is ready to use.
 type Fleet struct {
 	line    line
 	samples int
+	longest longest
 }
 
 // Common returns what was learned, with the gaps of the given engines.
 func (f *Fleet) Common(now time.Time, engines func(yield func(*Model) bool)) Common {
 	overhead, perToken, ok := f.line.fit()
-	c := Common{Overhead: overhead, PerToken: perToken, Known: ok && f.samples >= minLineSamples}
+	c := Common{Overhead: overhead, PerToken: perToken, Known: ok && f.samples >= minLineSamples, Longest: f.longest.bound()}
 	usual, n := 0.0, 0
 	for m := range engines {
 		gap := m.gap(now)
@@ -82,9 +92,9 @@
 
 // Model is the model of one incarnation of an engine. The zero value is ready to use.
 type Model struct {
-	// generating is the mean gap in seconds while no prompt is processed, any that of all gaps, and
-	// longest about the longest one while prompts are processed, as a multiple of the mean gap.
-	generating, any, longest average
+	// generating is the mean gap in seconds while no prompt is processed, and any that of all gaps.
+	generating, any average
+	longest         longest
 	// late is the fraction of gaps that are longer than callers allow.
 	late float64
 	// prompts is the line from unprocessed tokens to the time to the first event, in gaps.
@@ -96,7 +106,7 @@
 
 // AddGaps records n consecutive gaps of one stream with their sum, of which some were longer than
 // callers allow.
-func (m *Model) AddGaps(now time.Time, n int, sum time.Duration, activity Activity, late int) {
+func (m *Model) AddGaps(now time.Time, f *Fleet, n int, sum time.Duration, activity Activity, late int) {
 	if n <= 0 || sum < 0 || late < 0 || late > n {
 		return
 	}
@@ -110,15 +120,9 @@
 		m.slowness.observe(now, mean, m.generating.value)
 		m.generating.add(mean, weight)
 	case Processing:
-		base := m.gap(now)
-		if n > 1 || base == 0 {
-			return
-		}
-		ratio := mean / base
-		if ratio > m.longest.value {
-			m.longest.add(ratio, longestUp)
-		} else {
-			m.longest.add(ratio, longestDown)
+		if base := m.gap(now); n == 1 && base > 0 {
+			m.longest.add(mean / base)
+			f.longest.add(mean / base)
 		}
 	case Mixed:
 	}
@@ -206,8 +210,27 @@
 	gap := m.Gap(now, c)
 	_, perToken := m.costs(now, c)
 	longest := gap + perToken*float64(tokens)
-	if m.longest.n >= minLongest {
-		longest = min(longest, max(gap*m.longest.value, gap))
+	if bound := cmp.Or(m.longest.bound(), c.Longest); bound > 0 {
+		longest = min(longest, max(gap*bound, gap))
 	}
 	return longest
 }
+
+// longest follows the longest gaps while prompts are processed, in gaps.
+type longest struct{ average }
+
+func (l *longest) add(ratio float64) {
+	if ratio > l.value {
+		l.average.add(ratio, longestUp)
+	} else {
+		l.average.add(ratio, longestDown)
+	}
+}
+
+// bound returns the longest gap, or 0 while too few were seen.
+func (l *longest) bound() float64 {
+	if l.n < minLongest {
+		return 0
+	}
+	return l.value
+}
--- a/services/enginemodel/model_test.go
+++ b/services/enginemodel/model_test.go
@@ -65,11 +65,11 @@
 	for range prompts {
 		tokens := max(1, int(6000*math.Exp(1.2*rng.NormFloat64()-0.72)))
 		for range 10 {
-			m.AddGaps(now, 1, e.gap(), Generating, 0)
+			m.AddGaps(now, f, 1, e.gap(), Generating, 0)
 		}
 		after, longest := e.process(tokens)
-		if tokens > eventTokens*e.chunk {
-			m.AddGaps(now, 1, seconds(longest), Processing, 0)
+		if tokens >= LongPrompt {
+			m.AddGaps(now, f, 1, seconds(longest), Processing, 0)
 		}
 		m.AddFirstEvent(now, f, tokens, seconds(0.002+after)+e.gap())
 	}
@@ -116,8 +116,8 @@
 	is.Equal(m.FirstEvent(now, &c, 50000), 0.0)
 	is.Equal(m.LongestGap(now, &c, 50000), 0.0)
 	m.AddFirstEvent(now, &f, 1000, time.Second) // without a known gap
-	m.AddGaps(now, 1, -time.Second, Generating, 0)
-	m.AddGaps(now, 1, time.Second, Generating, 2)
+	m.AddGaps(now, &f, 1, -time.Second, Generating, 0)
+	m.AddGaps(now, &f, 1, time.Second, Generating, 2)
 	is.Equal(m, Model{})
 }
 
@@ -155,7 +155,7 @@
 	before := m.FirstEvent(now, &c, 6000)
 	e.speed = 2.5
 	for range 40 {
-		m.AddGaps(now, 1, e.gap(), Generating, 0)
+		m.AddGaps(now, &f, 1, e.gap(), Generating, 0)
 	}
 	c = f.Common(now, one(&m))
 	is.True(math.Abs(m.FirstEvent(now, &c, 6000)/before-2.5) < 0.4)
@@ -181,7 +181,7 @@
 				}
 				m.SetSlowness(now, factor)
 				for range 5 {
-					m.AddGaps(now, 1, seconds(gap*0.025), Generating, 0)
+					m.AddGaps(now, &Fleet{}, 1, seconds(gap*0.025), Generating, 0)
 				}
 			}
 			m.SetSlowness(now, 1)
@@ -202,7 +202,7 @@
 	is := is.New(t)
 	var m Model
 	for range 100 {
-		m.AddGaps(time.Now(), 10, time.Second, Mixed, 1)
+		m.AddGaps(time.Now(), &Fleet{}, 10, time.Second, Mixed, 1)
 	}
 	is.True(math.Abs(m.Late()-0.1) < 0.02)
 }
