Share what fronts learn of engines

Cause: what a front has learned of engines is lost with it, and fronts restart often; until it has learned again it sends long prompts to slow engines.

Change: entry.engine_models carries, each second, the estimates of a front's own calls that changed, at most 16, to the fronts of the scope, and all of them after a handshake. A receiver keeps for each engine the estimate that is newer and better known; it is the prior of its own model, and is used instead of own gaps that are two seconds older. Estimates of others are not passed on. Those of unknown incarnations are kept for a minute, 4,096 at most, those older than 30 s are not used, and implausible ones are ignored, logged and counted (runworks.engine_models_rejected). forecast_ms and first_event_ms are logged with each call; runworks.forecast_error_seconds holds their difference.

Not measured with several processes.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -189,6 +189,7 @@
 		Suspects:      func() []runworks.Suspect { return d.quarantine.List(time.Now()) },
 		OnSuspects:    func(_ string, list []runworks.Suspect) { d.quarantine.Apply(time.Now(), list) },
 		ServerNotices: d.dispatcher.ServerNotices, OnServerNotices: d.dispatcher.ApplyNotices, TransferPermits: d.dispatcher.TransferPermits,
+		EngineModels: d.engineModels(),
 	}
 	if err := d.watchState(); err != nil {
 		flushSpans()
--- a/daemon/front_sync.go
+++ b/daemon/front_sync.go
@@ -59,6 +59,7 @@
 	wg.Go(func() { d.limits.Run(ctx) })
 	wg.Go(func() { d.suspects.Run(ctx) })
 	wg.Go(func() { d.watchSuspensions(ctx) })
+	wg.Go(func() { d.shareEngineModels(ctx) })
 }
 
 // state returns this front's state of a subject, for other fronts.
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -30,6 +30,10 @@
 	// FirstByteSeconds is the time from admission to the head of the response, in seconds, by
 	// tier.
 	FirstByteSeconds metric.Float64Histogram
+	// ForecastError is how far the first event of a call was from its forecast, in seconds, by tier.
+	ForecastError metric.Float64Histogram
+	// ModelsRejected counts implausible engine models that other entries sent.
+	ModelsRejected metric.Int64Counter
 	// Claims counts claims by result: granted, gone or lost.
 	Claims metric.Int64Counter
 	// ReservationsRefused counts reservations that an agent refused, by reason.
@@ -77,6 +81,8 @@
 		Refused:             b.counter("runworks.refused", "requests given up on, by tier and cause"),
 		WaitSeconds:         b.seconds("runworks.wait", "time from admission to the grant, by tier"),
 		FirstByteSeconds:    b.seconds("runworks.first_byte", "time from admission to the answer's head, by tier"),
+		ForecastError:       b.seconds("runworks.forecast_error", "how far a first event was from its forecast, by tier"),
+		ModelsRejected:      b.counter("runworks.engine_models_rejected", "implausible engine models of other entries"),
 		Claims:              b.counter("runworks.claims", "claims by result"),
 		ReservationsRefused: b.counter("runworks.tickets_refused", "tickets an agent did not hold, by reason"),
 		Resumes:             b.counter("runworks.resumes", "answer streams picked up again at an offset"),
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -112,6 +112,8 @@
 	listed bool
 	// pendingNotices are notices of servers that are not known yet.
 	pendingNotices map[string]earlyNotice
+	// earlyEstimates are estimates of engines that are not known yet.
+	earlyEstimates map[string]earlyEstimate
 	// expiredReports are reports of servers whose records expired recently.
 	expiredReports map[string]expiredReport
 }
@@ -247,6 +249,7 @@
 	d.watchUnresponsiveLocked(now)
 	d.expireLimitsLocked(now)
 	d.pruneExpiredLocked(now)
+	d.applyEarlyEstimatesLocked(now)
 	for _, s := range d.services {
 		s.prune(now)
 		d.pumpLocked(s)
@@ -277,10 +280,11 @@
 			skipped = append(skipped, w)
 			continue
 		}
+		forecast := d.forecastLocked(now, target, w.req)
 		target.ownUnread += w.req.PromptTokens
 		target.trackUnread(now)
 		s.recordStart(t.Tier)
-		lease := &Lease{Instance: target.Instance, dispatcher: d, server: target, service: s.name, routeRank: routeRank(t.Tier), began: now, unreadTokens: w.req.PromptTokens, aheadTokens: target.ownUnread + target.peerUnread - w.req.PromptTokens, entry: w.entry}
+		lease := &Lease{Instance: target.Instance, dispatcher: d, server: target, service: s.name, routeRank: routeRank(t.Tier), began: now, unreadTokens: w.req.PromptTokens, aheadTokens: target.ownUnread + target.peerUnread - w.req.PromptTokens, entry: w.entry, forecast: forecast}
 		target.addLease(now, lease)
 		w.lease <- lease
 	}
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -21,6 +21,9 @@
 	// aheadTokens is the number of prompt tokens that the server had to read before when the call was
 	// sent.
 	aheadTokens int
+	// forecast is the time to the first event that was expected when the lease was granted; 0 is
+	// unknown.
+	forecast time.Duration
 	// entry is the entry that sends the call, of a slot granted to another one.
 	entry runworks.Incarnation
 	// scheduler is the entry that granted the slot and counts the call; empty if this one does.
--- a/services/dispatch/model.go
+++ b/services/dispatch/model.go
@@ -136,7 +136,11 @@
 	if f.tokensPerEvent == 0 {
 		return 0
 	}
-	return one.lateGaps * float64(req.ExpectedTokens) / f.tokensPerEvent
+	late := one.lateGaps
+	if f.byEngine {
+		late = one.model.Late(f.now)
+	}
+	return late * float64(req.ExpectedTokens) / f.tokensPerEvent
 }
 
 // meetsTarget reports whether a call can meet its target at a server without exceeding the
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -85,6 +85,8 @@
 	// prompts.
 	model  enginemodel.Model
 	unread unreadState
+	// sentEstimate is what was last sent to the other entries of the model.
+	sentEstimate sentEstimate
 	reportState
 }
 
--- a/services/dispatch/server_set.go
+++ b/services/dispatch/server_set.go
@@ -56,6 +56,7 @@
 	d.listed = true
 	d.groupByServiceLocked()
 	d.applyEarlyLocked(now)
+	d.applyEarlyEstimatesLocked(now)
 	// The load of the other entries has to be known before any call is placed.
 	d.sumPeersLocked()
 	return out
--- a/services/enginemodel/line.go
+++ b/services/enginemodel/line.go
@@ -46,6 +46,14 @@
 	return max((l.y-slope*l.x)/l.n, 0), slope, true
 }
 
+// fitWithPrior returns the line with a prior, which counts as priorSamples at each of its anchors.
+func (l line) fitWithPrior(start, slope float64) (float64, float64) {
+	if s, p, ok := l.with(priorSamples, 0, start).with(priorSamples, priorTokens, start+slope*priorTokens).fit(); ok {
+		return s, p
+	}
+	return start, slope
+}
+
 // average is an exponentially weighted moving average; it takes over the first value.
 type average struct {
 	value float64
--- a/services/enginemodel/model.go
+++ b/services/enginemodel/model.go
@@ -70,7 +70,13 @@
 	overhead, perToken, ok := f.line.fit()
 	c := Common{Overhead: overhead, PerToken: perToken, Known: ok && f.samples >= minLineSamples, Longest: f.longest.bound()}
 	usual, n := 0.0, 0
+	var remoteOverhead, remotePerToken, weights float64
 	for m := range engines {
+		if w := m.remote.weight(now); w > 0 && m.remote.perToken > 0 {
+			remoteOverhead += w * m.remote.overhead
+			remotePerToken += w * m.remote.perToken
+			weights += w
+		}
 		gap := m.gap(now)
 		if gap == 0 {
 			continue
@@ -86,6 +92,9 @@
 	if n > 0 {
 		c.UsualGap = usual / float64(n)
 	}
+	if !c.Known && weights > 0 {
+		c.Overhead, c.PerToken, c.Known = remoteOverhead/weights, remotePerToken/weights, true
+	}
 	c.Known = c.Known && c.Gap > 0
 	return c
 }
@@ -98,9 +107,11 @@
 	// late is the fraction of gaps that are longer than callers allow.
 	late float64
 	// prompts is the line from unprocessed tokens to the time to the first event, in gaps.
-	prompts  line
-	read     int
-	updated  time.Time
+	prompts line
+	read    int
+	updated time.Time
+	// remote is what another entry learned.
+	remote   remote
 	slowness slowness
 }
 
@@ -150,11 +161,26 @@
 func (m *Model) ReportsSlowness() bool { return m.slowness.factor > 0 }
 
 // Late returns the fraction of gaps that are longer than callers allow.
-func (m *Model) Late() float64 { return m.late }
+func (m *Model) Late(now time.Time) float64 {
+	if m.any.n < trustedSamples && m.remote.weight(now) > 0 {
+		return m.remote.late
+	}
+	return m.late
+}
 
-// gap returns the current mean gap in seconds while no prompt is processed; 0 if unknown. Gaps that
-// include some processing are used only where there are no others.
+// gap returns the current mean gap in seconds while no prompt is processed, as observed by this entry
+// or, if that is newer or nothing was, by another; 0 if unknown.
 func (m *Model) gap(now time.Time) float64 {
+	own := m.ownGap(now)
+	if m.remote.weight(now) > 0 && (own == 0 || m.remote.at.Sub(m.updated) > staleAfter) {
+		return m.remote.gap
+	}
+	return own
+}
+
+// ownGap returns the gap as observed by this entry. Gaps that include some processing are used only
+// where there are no others.
+func (m *Model) ownGap(now time.Time) float64 {
 	switch {
 	case m.generating.n >= minGaps:
 		return m.slowness.correct(now, m.generating.value)
@@ -180,10 +206,10 @@
 // unprocessed token.
 func (m *Model) costs(now time.Time, c *Common) (overhead, perToken float64) {
 	overhead, perToken = c.Overhead, c.PerToken
-	prior := m.prompts.with(priorSamples, 0, overhead).with(priorSamples, priorTokens, overhead+perToken*priorTokens)
-	if o, p, ok := prior.fit(); ok {
-		overhead, perToken = o, p
+	if m.remote.perToken > 0 && m.remote.weight(now) > 0 {
+		overhead, perToken = m.remote.overhead, m.remote.perToken
 	}
+	overhead, perToken = m.prompts.fitWithPrior(overhead, perToken)
 	gap := m.Gap(now, c)
 	return gap * overhead, gap * perToken
 }
--- a/services/enginemodel/model_test.go
+++ b/services/enginemodel/model_test.go
@@ -204,5 +204,5 @@
 	for range 100 {
 		m.AddGaps(time.Now(), &Fleet{}, 10, time.Second, Mixed, 1)
 	}
-	is.True(math.Abs(m.Late()-0.1) < 0.02)
+	is.True(math.Abs(m.Late(time.Now())-0.1) < 0.02)
 }
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -133,6 +133,8 @@
 	sent time.Time
 	// firstByte is when the head of the response arrived; zero if it has not.
 	firstByte time.Time
+	// firstEvent is when the first event of the last server arrived, and was expected.
+	firstEvent firstEvent
 	// events counts the events of a stream that were passed on, and longestPause is the longest
 	// time between two of them from one server.
 	events       int
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -41,6 +41,7 @@
 		fields = append(fields, "first_byte_ms", c.firstByte.Sub(c.in.Received).Milliseconds(), "events", c.events,
 			"longest_pause_ms", c.longestPause.Milliseconds())
 	}
+	fields = append(fields, c.firstEvent.logFields()...)
 	if c.in.MaxTokens > 0 {
 		fields = append(fields, "prompt_tokens", c.in.PromptTokens, "max_tokens", c.in.MaxTokens, "expected_tokens", c.in.ExpectedTokens, "subject", c.in.PromptPrefix)
 	}
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -109,7 +109,7 @@
 	now := time.Now()
 	if s.lastEventAt.IsZero() {
 		s.firstEventAt = now
-		s.lease.RecordFirstEvent(s.call.in.PromptTokens)
+		s.call.recordFirstEvent(now, s.lease)
 	} else {
 		pause := now.Sub(s.lastEventAt)
 		s.lease.RecordEventGap(pause)
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -126,6 +126,7 @@
 		_ = conn.Close() // maintain dials again
 	}
 	x.setConn(l, conn)
+	x.sendAllEngineModels(l, conn)
 }
 
 func (x *Exchange) setConn(l *link, conn *rpc.Conn) {
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -156,6 +156,7 @@
 	// with those that another entry sent and that entry's name. Both may be nil.
 	ServerNotices   func() []runworks.ServerNotice
 	OnServerNotices func(from string, list []runworks.ServerNotice)
+	EngineModels    EngineModels
 	// TransferPermits gives up at most the given number of permits for a backend server that this
 	// entry does not need itself, and returns how many. May be nil, which returns none.
 	TransferPermits func(server string, permits int) int
--- a/services/peers/receive.go
+++ b/services/peers/receive.go
@@ -48,6 +48,8 @@
 		return nil, x.handleSuspects(params)
 	case MethodServerNotices:
 		return nil, x.handleServerNotices(params)
+	case MethodEngineModels:
+		return nil, x.handleEngineModels(params)
 	case MethodChange:
 		return nil, x.handleChange(params)
 	case MethodChangesSince:
