--- a/daemon/front.go
+++ b/daemon/front.go
@@ -174,6 +174,7 @@
 	self := peers.Member{Name: s.Name, Address: address, Hall: s.Hall, Incarnation: runworks.NewIncarnation(), CPU: s.CPUShare}
 	d.dispatcher = &dispatch.Dispatcher{
 		Self: self.Incarnation, Hall: s.Hall, OnEject: d.onEject, OnUnresponsive: d.onUnresponsive, OnPeerEject: d.onPeerEject, OnRateLimit: d.onRateLimit, RequestPermits: d.requestPermits,
+		ForecastByEngine: d.callersCompete(),
 		OnDraining: d.onDraining, OnBackoff: d.onBackoff, ColdStart: d.coldStart, OnRefuse: d.onRefuse,
 		SendServerNotice: func(notice runworks.ServerNotice) { d.exchange.SendServerNotice(notice) },
 	}
@@ -199,6 +200,7 @@
 		Suspects:      func() []runworks.Suspect { return d.quarantine.List(time.Now()) },
 		OnSuspects:    func(_ string, list []runworks.Suspect) { d.quarantine.Apply(time.Now(), list) },
 		ServerNotices: d.dispatcher.ServerNotices, OnServerNotices: d.dispatcher.ApplyNotices, TransferPermits: d.dispatcher.TransferPermits,
+		EngineModels: d.engineModels(),
 	}
 	d.buildScheduler()
 	if err := d.watchState(); err != nil {
--- a/daemon/front_scheduler.go
+++ b/daemon/front_scheduler.go
@@ -29,5 +29,11 @@
 	if s == nil || s.Kind != runworks.KindEngine {
 		return false
 	}
-	return d.Settings.SharedScheduling || platform.CallersCompete(d.Settings.Contracts) || d.dispatcher.Scheduling(service).ReportsSlowness
+	return d.callersCompete() || d.dispatcher.Scheduling(service).ReportsSlowness
+}
+
+// callersCompete reports whether the settings or the platform's contracts say that callers compete for
+// slots.
+func (d *Front) callersCompete() bool {
+	return d.Settings.SharedScheduling || platform.CallersCompete(d.Settings.Contracts)
 }
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/services/enginemodel"
 	"github.com/runworks/runworks/services/reservation"
 	"github.com/runworks/runworks/services/returns"
 )
@@ -96,6 +97,9 @@
 	// from after which its caller should return. It is called only where this entry schedules the
 	// service.
 	OnRefuse func(rank int, cause RefusalCause, basis string)
+	// ForecastByEngine places calls by the models of their engines. Without it that applies to the
+	// services whose servers report their slowness.
+	ForecastByEngine bool
 	// RequestPermits is called with a request for permits to be sent to another entry, whose
 	// reply goes to FinishTransfer. Without it no permits are requested.
 	RequestPermits func(transfer *PermitTransfer)
@@ -113,6 +117,8 @@
 	listed bool
 	// pendingNotices are notices of servers that are not known yet.
 	pendingNotices map[string]earlyNotice
+	// earlyEstimates are estimates of engines that are not known yet.
+	earlyEstimates map[string]earlyEstimate
 	// expiredReports are reports of servers whose records expired recently.
 	expiredReports map[string]expiredReport
 }
@@ -151,6 +157,8 @@
 	// unknown.
 	tokensPerEvent average
 	permitRequests permitRequests
+	// fleet is what the models of the servers have in common.
+	fleet enginemodel.Fleet
 	// grantedAt is when another entry last asked for a slot; zero if none has.
 	grantedAt time.Time
 	// reportsSlowness is set once a server reported how slow it is.
@@ -215,7 +223,7 @@
 	s.arrivals++
 	s.recordArrival(now, req)
 	w := &waiter{req: req, entry: entry, lease: make(chan *Lease, 1), arrival: s.arrivals}
-	w.feasible = s.anyMeetsTarget(now, s.forecast(), req, s.canWait(now, req))
+	w.feasible = s.anyMeetsTarget(now, d.forecast(now, s), req, s.canWait(now, req))
 	if err := s.checkAdmission(now, w); err != nil {
 		return nil, nil, d.refuse(now, s, w, CauseArrival, err)
 	}
@@ -253,6 +261,7 @@
 	d.watchUnresponsiveLocked(now)
 	d.expireLimitsLocked(now)
 	d.pruneExpiredLocked(now)
+	d.applyEarlyEstimatesLocked(now)
 	for _, s := range d.services {
 		s.prune(now)
 		d.pruneScheduled(now, s)
@@ -284,10 +293,12 @@
 			skipped = append(skipped, w)
 			continue
 		}
+		forecast := d.forecastLocked(now, target, w.req)
 		target.ownUnread += w.req.PromptTokens
+		target.trackUnread(now)
 		s.recordStart(t.Tier)
 		s.measured.recordStart(now, newCallTier(w.req))
-		lease := &Lease{Instance: target.Instance, dispatcher: d, server: target, service: s.name, routeRank: routeRank(t.Tier), began: now, unreadTokens: w.req.PromptTokens, entry: w.entry}
+		lease := &Lease{Instance: target.Instance, dispatcher: d, server: target, service: s.name, routeRank: routeRank(t.Tier), began: now, unreadTokens: w.req.PromptTokens, aheadTokens: target.ownUnread + target.peerUnread - w.req.PromptTokens, entry: w.entry, forecast: forecast}
 		target.addLease(now, lease)
 		w.lease <- lease
 	}
--- a/services/dispatch/grant.go
+++ b/services/dispatch/grant.go
@@ -61,6 +61,8 @@
 	}
 	// The call never waits in the queue here, where these would be recorded.
 	d.services[s.Service].recordRequest(req)
+	lease.forecast = d.forecastLocked(now, s, req)
+	lease.aheadTokens = s.ownUnread + s.peerUnread
 	s.addLease(now, lease)
 	return lease
 }
@@ -100,6 +102,7 @@
 			if lease.scheduler == scheduler {
 				s.countedElsewhere--
 				s.ownUnread += lease.unreadTokens
+				s.trackUnread(time.Now())
 				lease.scheduler = ""
 				if svc := d.services[lease.service]; svc != nil {
 					svc.measured.recordHold(lease.routeRank)
@@ -201,6 +204,7 @@
 	}
 	l.dispatcher.mu.Lock()
 	defer l.dispatcher.mu.Unlock()
+	l.server.recordGaps(time.Now(), n, sum, late)
 	mean := sum.Seconds() / float64(n)
 	for i := range min(n, maxRemoteGaps) {
 		l.server.meanGap.add(mean, gapWeight)
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -55,6 +55,7 @@
 	if c.readerBlocked >= slowReaderAfter {
 		fields = append(fields, "reader_blocked_ms", c.readerBlocked.Milliseconds())
 	}
+	fields = append(fields, c.firstEvent.logFields()...)
 	if c.in.MaxTokens > 0 {
 		fields = append(fields, "prompt_tokens", c.in.PromptTokens, "max_tokens", c.in.MaxTokens, "expected_tokens", c.in.ExpectedTokens, "subject", c.in.PromptPrefix)
 	}
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -148,7 +148,7 @@
 	now := time.Now()
 	if s.lastEventAt.IsZero() {
 		s.firstEventAt = now
-		s.lease.RecordFirstEvent(s.call.in.PromptTokens)
+		s.call.recordFirstEvent(now, s.lease)
 	} else {
 		s.recordGap(now.Sub(s.lastEventAt))
 	}
