--- a/daemon/front.go
+++ b/daemon/front.go
@@ -175,7 +175,7 @@
 	d.dispatcher = &dispatch.Dispatcher{
 		Self: self.Incarnation, Hall: s.Hall, OnEject: d.onEject, OnUnresponsive: d.onUnresponsive, OnPeerEject: d.onPeerEject, OnRateLimit: d.onRateLimit, RequestPermits: d.requestPermits,
 		ForecastByEngine: d.callersCompete(),
-		OnDraining: d.onDraining, OnBackoff: d.onBackoff, ColdStart: d.coldStart, OnRefuse: d.onRefuse,
+		OnDraining:       d.onDraining, OnBackoff: d.onBackoff, ColdStart: d.coldStart, OnRefuse: d.onRefuse,
 		SendServerNotice: func(notice runworks.ServerNotice) { d.exchange.SendServerNotice(notice) },
 	}
 	d.quota = &quota.Quota{Self: self.Incarnation, Window: s.QuotaWindow, Started: time.Now()}
