Share estimates between the fronts of the load tests

Cause: the loads of fronts that exchange loads did not exchange estimates, so they showed no more than their own learning within 6 s.

--- a/services/dispatch/load_speeds_test.go
+++ b/services/dispatch/load_speeds_test.go
@@ -77,3 +77,15 @@
 	l.read = time.Duration(float64(time.Millisecond) * float64(time.Millisecond) / float64(duration))
 	l.maxGap, l.callerTimeout = time.Duration(gap)*time.Millisecond, time.Duration(timeout)*time.Millisecond
 }
+
+// exchangeEstimates sends what each front learned of engines to all others.
+func (l *loadSim) exchangeEstimates() {
+	for _, from := range l.fronts {
+		list := from.ChangedEngineEstimates()
+		for _, to := range l.fronts {
+			if to != from {
+				to.ApplyEngineEstimates(list)
+			}
+		}
+	}
+}
--- a/services/dispatch/load_test.go
+++ b/services/dispatch/load_test.go
@@ -189,7 +189,11 @@
 				}
 			}
 		}
-		time.Sleep(max(loadHeartbeat, time.Duration(n)*loadPerFront))
+		interval := max(loadHeartbeat, time.Duration(n)*loadPerFront)
+		if i%max(1, int(time.Second/interval)) == 0 {
+			l.exchangeEstimates()
+		}
+		time.Sleep(interval)
 	}
 }
 
--- a/services/enginemodel/digest_test.go
+++ b/services/enginemodel/digest_test.go
@@ -86,6 +86,10 @@
 	later = later.Add(5 * time.Second)
 	is.True(m.Merge(later, estimate(90, 50, 0)))
 	is.Equal(m.gap(later), 0.09)
+	// What others sent is not passed on as an observation of this entry.
+	e, ok := m.Estimate(later, &f, "s")
+	is.True(ok)
+	is.Equal(e.GapMs, 70.0)
 }
 
 // TestAbsurdDigest guards against calls that wait or go to the wrong engine because of numbers that
