Ignore impossible gaps and times in engine models

Cause: gaps and first events of granted calls come from other entries, and one impossible number would decide the placement for seconds.

--- a/services/dispatch/engine_model_test.go
+++ b/services/dispatch/engine_model_test.go
@@ -187,6 +187,39 @@
 	})
 }
 
+// TestModelOfGrantedCalls guards against an entry that grants slots for others and knows nothing of its
+// engines because the calls run at those entries: it learns from what they report, and numbers that
+// can't be change nothing.
+func TestModelOfGrantedCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := starting(9, 9)
+		for i := range 40 {
+			for j, slow := range []time.Duration{1, 3} {
+				one := d.servers[fmt.Sprint("s", j)]
+				one.unread.since = time.Now().Add(-time.Second)
+				l := &Lease{dispatcher: d, server: one, service: "llm", entry: "other"}
+				l.RecordRemoteGaps(5, slow*100*time.Millisecond, 0)
+				tokens := 100 * (i + 1)
+				l.RecordRemoteFirstEvent(tokens, slow*(50*time.Millisecond+time.Duration(tokens)*10*time.Microsecond))
+				l.RecordRemoteGaps(1, 100*time.Hour, 1)
+				l.RecordRemoteFirstEvent(tokens, -time.Hour)
+				l.RecordRemoteFirstEvent(tokens, 100*time.Hour)
+			}
+		}
+		held := fillFirst(d)
+		call := acquireAsync(d, requestWithPrompt("call", 12000))
+		is.Equal(len(call), 0)
+		held[0].Release(Served)
+		is.Equal((<-call).Instance.ID, "s0")
+		f := d.forecast(time.Now(), d.services["llm"])
+		is.Equal(f.common.Gap, 0.02)
+		slow := d.servers["s1"].rates
+		is.True(slow.Gap > 0.055 && slow.Gap < 0.065)
+		is.True(slow.FirstEvent(1000) > 0.17 && slow.FirstEvent(1000) < 0.19) // 3 * (50 + 10) ms
+	})
+}
+
 // TestWithoutReportsAsBefore guards against a change of placement in services that neither share
 // scheduling nor report how long work takes: only the call's own prompt counts there.
 func TestWithoutReportsAsBefore(t *testing.T) {
--- a/services/enginemodel/model.go
+++ b/services/enginemodel/model.go
@@ -116,9 +116,9 @@
 }
 
 // AddGaps records n consecutive gaps of one stream with their sum, of which some were longer than
-// callers allow.
+// callers allow. Values that can't be are ignored, as another entry may have sent them.
 func (m *Model) AddGaps(now time.Time, f *Fleet, n int, sum time.Duration, activity Activity, late int) {
-	if n <= 0 || sum < 0 || late < 0 || late > n {
+	if n <= 0 || sum < 0 || late < 0 || late > n || sum/time.Duration(n) > maxTime {
 		return
 	}
 	m.updated = now
@@ -143,7 +143,7 @@
 // that the engine had to process for it: the call's own and those sent before.
 func (m *Model) AddFirstEvent(now time.Time, f *Fleet, tokens int, after time.Duration) {
 	gap := m.gap(now)
-	if tokens <= 0 || after <= 0 || gap == 0 {
+	if tokens <= 0 || after <= 0 || after > maxTime || gap == 0 {
 		return
 	}
 	m.updated = now
--- a/services/enginemodel/model_test.go
+++ b/services/enginemodel/model_test.go
@@ -129,6 +129,8 @@
 	m.AddFirstEvent(now, &f, 1000, time.Second) // without a known gap
 	m.AddGaps(now, &f, 1, -time.Second, Generating, 0)
 	m.AddGaps(now, &f, 1, time.Second, Generating, 2)
+	m.AddGaps(now, &f, 2, time.Hour, Generating, 0)
+	m.AddGaps(now, &f, 0, time.Second, Generating, 0)
 	is.Equal(m, Model{})
 }
 
