--- a/services/dispatch/grant.go
+++ b/services/dispatch/grant.go
@@ -61,7 +61,7 @@
 	}
 	// The call never waits in the queue here, where these would be recorded.
 	d.services[s.Service].recordRequest(req)
-	lease.forecast = d.forecastLocked(now, s, req)
+	lease.forecast = d.forecast(now, d.services[s.Service]).leaseForecast(s, req)
 	lease.aheadTokens = s.ownUnread + s.peerUnread
 	s.addLease(now, lease)
 	return lease
