Order customers by what they consumed at all entries

Cause: fair queueing knows what it served itself. After a change of scheduler, a customer that took most of the capacity is served as if it had taken nothing.

Change: where the entry schedules a service, a customer that becomes active in the queue starts behind by what it consumed in the limits' window beyond the mean of the active customers (Dispatcher.CustomerUse, in daemon the sums of services/quota), at most by what its fair share serves in a second.

Result: at a new scheduler the customer that consumed less is served first (TestNewSchedulerKnowsWhatCustomersConsumed, which fails without the change).

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -169,6 +169,7 @@
 		SendServerNotice: func(notice runworks.ServerNotice) { d.exchange.SendServerNotice(notice) },
 	}
 	d.quota = &quota.Quota{Self: self.Incarnation, Window: s.QuotaWindow, Started: time.Now()}
+	d.dispatcher.CustomerUse = d.quota.Consumed
 	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack, Started: time.Now(), Window: s.RetryWindow}
 	d.quarantine = &quarantine.Quarantine{ExitThreshold: s.QuarantineAfter, Duration: s.QuarantineFor, OnUpdate: d.onSuspect, OnQuarantine: d.onQuarantine, OnRelease: d.onRelease}
 	d.initialized = make(chan struct{})
--- a/services/dispatch/capacity.go
+++ b/services/dispatch/capacity.go
@@ -94,6 +94,19 @@
 	return out
 }
 
+// meanCost returns the mean cost of the calls that arrive.
+func (c *classLoad) meanCost(now time.Time) float64 {
+	rate := c.arrivals.perSecond(now)
+	if rate == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, one := range c.demands(now) {
+		sum += one
+	}
+	return sum / rate
+}
+
 // recordArrival counts an arriving call of a class.
 func (c *capacity) recordArrival(now time.Time, tier int, customer string, cost float64) {
 	if c.classes == nil {
--- a/services/dispatch/contention_test.go
+++ b/services/dispatch/contention_test.go
@@ -27,8 +27,8 @@
 	// rush is the factor by which customer 0 sends more during the burst, instead of all customers.
 	rush float64
 
-	calls, served, onTime, refused, heldAndRefused, returned, refusedTwice, aloneRefused, alone int
-	longest, longestServed                                                                      int
+	calls, served, onTime, refused, heldAndRefused, returned, refusedTwice, othersRefused, othersOnTime, others int
+	longest, longestServed                                                                                      int
 }
 
 // contention simulates callers of a service that one entry schedules for others. A call holds its slot
@@ -101,66 +101,57 @@
 // time.
 func (l *contention) call(ctx context.Context, k *contentionKind, id string, customer, entry int, size, chance float64) {
 	arrived := time.Now()
-	long := size > 3
-	l.count(&k.calls)
-	if long {
-		l.count(&k.longest)
-	}
-	if customer > 0 {
-		l.count(&k.alone)
-	}
+	long, other := size > 3, customer > 0
+	l.count(true, &k.calls)
+	l.count(long, &k.longest)
+	l.count(other, &k.others)
 	for attempt := 1; ; attempt++ {
 		began := time.Now()
-		req := &Request{
+		lease, err := l.acquire(ctx, entry, &Request{
 			ID: runworks.RequestID(fmt.Sprint(id, "-", attempt)), Service: "llm", Rank: k.rank, RouteRank: k.rank, Customer: fmt.Sprint("c", customer),
 			PromptTokens: 100, MaxTokens: 100, Target: began.Add(k.target), CallerTimeout: began.Add(k.leaves), Deadline: arrived.Add(k.timeout),
-		}
-		var lease *Lease
-		var err error
-		if l.unscheduled {
-			lease, err = l.d.Acquire(ctx, req)
-		} else {
-			lease, err = l.d.AcquireFor(ctx, req, runworks.Incarnation(fmt.Sprint("entry-", entry)))
-		}
+		})
+		waited := time.Since(began)
 		if err == nil {
-			waited := time.Since(began)
 			time.Sleep(time.Duration(size * float64(k.seconds)))
 			lease.Release(Served)
-			l.count(&k.served)
-			if waited <= k.target {
-				l.count(&k.onTime)
-			}
-			if long {
-				l.count(&k.longestServed)
-			}
+			l.count(true, &k.served)
+			l.count(waited <= k.target, &k.onTime)
+			l.count(waited <= k.target && other && attempt == 1, &k.othersOnTime)
+			l.count(long, &k.longestServed)
 			return
 		}
-		l.count(&k.refused)
-		if time.Since(began) > k.target/4 {
-			l.count(&k.heldAndRefused)
-		}
-		if attempt == 2 {
-			l.count(&k.refusedTwice)
-			return
-		}
-		if customer > 0 {
-			l.count(&k.aloneRefused)
-		}
+		l.count(true, &k.refused)
+		l.count(waited > k.target/4, &k.heldAndRefused)
+		l.count(other && attempt == 1, &k.othersRefused)
+		l.count(attempt == 2, &k.refusedTwice)
 		left := time.Until(arrived.Add(k.timeout))
-		var told *Refusal
 		wait := min(1500*time.Millisecond+time.Duration(chance*float64(2500*time.Millisecond)), left/3)
+		var told *Refusal
 		if errors.As(err, &told) && told.RetryAfter > 0 {
 			wait = told.RetryAfter
 		}
-		if wait > left/3 {
+		if attempt == 2 || wait > left/3 {
 			return
 		}
 		time.Sleep(wait)
-		l.count(&k.returned)
+		l.count(true, &k.returned)
 	}
 }
 
-func (l *contention) count(n *int) {
+// acquire asks for a slot for a call of an entry.
+func (l *contention) acquire(ctx context.Context, entry int, req *Request) (*Lease, error) {
+	if l.unscheduled {
+		return l.d.Acquire(ctx, req)
+	}
+	return l.d.AcquireFor(ctx, req, runworks.Incarnation(fmt.Sprint("entry-", entry)))
+}
+
+// count adds one to a count if a condition holds.
+func (l *contention) count(holds bool, n *int) {
+	if !holds {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	*n++
@@ -191,7 +182,8 @@
 		out[fmt.Sprint("on-time-", k.rank)] = ratio(k.onTime, k.calls)
 		out[fmt.Sprint("relative-", k.rank)] = served / out["served"]
 		out[fmt.Sprint("longest-", k.rank)] = ratio(k.longestServed, k.longest) / max(served, 0.001)
-		out[fmt.Sprint("others-refused-", k.rank)] = ratio(k.aloneRefused, k.alone)
+		out[fmt.Sprint("others-on-time-", k.rank)] = ratio(k.othersOnTime, k.others)
+		out[fmt.Sprint("others-refused-", k.rank)] = ratio(k.othersRefused, k.others)
 		if i > 0 {
 			out["inversion"] = max(out["inversion"], served-ratio(kinds[i-1].served, kinds[i-1].calls))
 		}
@@ -208,8 +200,9 @@
 	k.heldAndRefused += o.heldAndRefused
 	k.returned += o.returned
 	k.refusedTwice += o.refusedTwice
-	k.aloneRefused += o.aloneRefused
-	k.alone += o.alone
+	k.othersRefused += o.othersRefused
+	k.others += o.others
+	k.othersOnTime += o.othersOnTime
 	k.longest += o.longest
 	k.longestServed += o.longestServed
 }
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -96,6 +96,9 @@
 	// from after which its caller should return. It is called only where this entry schedules the
 	// service.
 	OnRefuse func(rank int, cause RefusalCause, basis string)
+	// CustomerUse returns the tokens that each customer consumed recently at all entries. It orders
+	// waiting calls where this entry schedules a service; nil means that it is unknown.
+	CustomerUse func(now time.Time) map[string]float64
 	// RequestPermits is called with a request for permits to be sent to another entry, whose
 	// reply goes to FinishTransfer. Without it no permits are requested.
 	RequestPermits func(transfer *PermitTransfer)
@@ -109,6 +112,8 @@
 	// unreachable holds since when entries that timed out, and do not count as gone yet, have
 	// been unreachable.
 	unreachable map[runworks.Incarnation]time.Time
+	// use caches CustomerUse.
+	use recentUse
 	// listed is set once a list of servers was received.
 	listed bool
 	// pendingNotices are notices of servers that are not known yet.
@@ -155,6 +160,8 @@
 	grantedAt time.Time
 	// measured holds the measured rates of the service.
 	measured capacity
+	// use returns what customers consumed recently.
+	use func(now time.Time) map[string]float64
 	// owedStart is set while a call is placed that starts by the minimum share of its rank.
 	owedStart bool
 	// returns holds the times at which refused callers were told to return.
--- a/services/dispatch/scheduled.go
+++ b/services/dispatch/scheduled.go
@@ -14,10 +14,15 @@
 // were counted when they first arrived.
 func (s *service) recordArrival(now time.Time, req *Request) {
 	if !req.Resumed && !req.Retry {
-		s.measured.recordArrival(now, newCallTier(req), req.Customer, s.item(&waiter{req: req}, 0).Cost())
+		s.measured.recordArrival(now, newCallTier(req), req.Customer, cost(req))
 	}
 }
 
+// cost returns what fair queueing charges a call's customer, in tokens.
+func cost(req *Request) float64 {
+	return (&runworks.Reservation{PromptTokens: req.PromptTokens, MaxTokens: req.MaxTokens}).Cost()
+}
+
 // newCallTier returns the tier of a call as one that is not resumed and can be on time.
 func newCallTier(req *Request) int {
 	return routeSteps*lateSteps*req.Rank + min(req.RouteRank, routeSteps-1)
--- a/services/dispatch/scheduled_test.go
+++ b/services/dispatch/scheduled_test.go
@@ -1,11 +1,16 @@
 package dispatch
 
 import (
+	"context"
+	"fmt"
 	"math"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
 )
 
 // burstOfTwoRanks is a load of twice the capacity of ten slots, mostly of the higher rank.
@@ -97,3 +102,95 @@
 	is.Equal(fairShare(90, []float64{100, 200, 300}), 30.0)
 	is.Equal(fairShare(100, []float64{10, 20}), math.Inf(1))
 }
+
+// acquireForAsync is acquireAsync for a call of another entry.
+func acquireForAsync(d *Dispatcher, req *Request, entry runworks.Incarnation) <-chan *Lease {
+	out := make(chan *Lease, 1)
+	go func() {
+		lease, err := d.AcquireFor(context.Background(), req, entry)
+		if err != nil {
+			close(out)
+			return
+		}
+		out <- lease
+	}()
+	synctest.Wait()
+	return out
+}
+
+// TestNewSchedulerKnowsWhatCustomersConsumed guards against a customer that took most of the capacity
+// at an earlier scheduler and is served at the next one as if it had taken nothing.
+func TestNewSchedulerKnowsWhatCustomersConsumed(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		use   map[string]float64
+		first string
+	}{
+		{"nothing is known", nil, "a"},
+		{"both consumed the same", map[string]float64{"a": 5000, "b": 5000, "idle": 10}, "a"},
+		{"the first consumed more", map[string]float64{"a": 5000, "b": 100}, "b"},
+		{"the second consumed more", map[string]float64{"a": 100, "b": 5000}, "a"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				d := newDispatcher(2)
+				d.CustomerUse = func(time.Time) map[string]float64 { return c.use }
+				// Both slots are used, and for how long calls hold them is known.
+				var held []*Lease
+				for i := range 6 {
+					for _, lease := range held {
+						time.Sleep(100 * time.Millisecond)
+						lease.Release(Served)
+					}
+					held = nil
+					for j := range 2 {
+						held = append(held, <-acquireForAsync(d, customerRequest(fmt.Sprint("runs-", i, j), "other"), "entry-0"))
+					}
+				}
+				waiting := map[string]<-chan *Lease{}
+				for i, customer := range []string{"a", "b", "a", "b"} {
+					id := fmt.Sprint(customer, i/2)
+					waiting[id] = acquireForAsync(d, customerRequest(id, customer), runworks.Incarnation(fmt.Sprint("entry-", i)))
+				}
+				held[0].Release(Served)
+				synctest.Wait()
+				is.Equal(len(waiting[c.first+"0"]), 1)
+				for id, one := range waiting {
+					if id != c.first+"0" {
+						is.Equal(len(one), 0)
+					}
+				}
+				(<-waiting[c.first+"0"]).Release(Served)
+				held[1].Release(Served)
+				delete(waiting, c.first+"0")
+				for len(waiting) > 0 {
+					synctest.Wait()
+					for id, one := range waiting {
+						if len(one) > 0 {
+							(<-one).Release(Served)
+							delete(waiting, id)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+func customerRequest(id, customer string) *Request {
+	req := newRequest(id, 0)
+	req.Customer, req.PromptTokens, req.MaxTokens = customer, 100, 100
+	req.Target = time.Now().Add(5 * time.Second)
+	return req
+}
+
+// TestCustomerIsNotFarBehind guards against a customer that used what others had left and gets nothing for
+// seconds when they need it.
+func TestCustomerIsNotFarBehind(t *testing.T) {
+	is := is.New(t)
+	is.Equal(behind(300, 1000), 300.0)
+	is.Equal(behind(50000, 1000), 1000.0)
+	is.Equal(behind(-300, 1000), 0.0)
+	is.Equal(behind(300, 0), 0.0) // nothing is known
+}
--- a/services/dispatch/server_set.go
+++ b/services/dispatch/server_set.go
@@ -112,6 +112,7 @@
 	return &service{
 		name: name, waiters: make(map[runworks.RequestID]*waiter),
 		queue:          reservation.Queue{MaxWaiting: maxWaiting},
+		use:            d.customerUseLocked,
 		permitRequests: permitRequests{enabled: d.RequestPermits != nil},
 	}
 }
--- a/services/dispatch/waiting.go
+++ b/services/dispatch/waiting.go
@@ -62,8 +62,9 @@
 		Deadline:   w.req.Deadline,
 		OrderDelay: s.lengthPenalty(w.req),
 	}
-	if s.schedules(time.Now()) {
+	if now := time.Now(); s.schedules(now) {
 		t.OrderDelay += orderTime(w).Sub(t.Deadline)
+		t.Behind = s.customerBehind(now, tier, w.req.Customer)
 	}
 	return t
 }
