Do not charge customers for calls that no free server suits

Cause: a call that is taken from the queue and put back, as no free server suits it, charges its customer each time. At a scheduler that happens with each slot that becomes free, so that a customer whose long prompts wait for a suitable server falls behind the others.

Change: where the entry schedules the service, such calls are restored with their place (Queue.Restore). Rates of arrivals and starts are kept only there too, so that other services keep no state by customer.

Result: TestRestoredReservationKeepsItsPlace, which fails without the change.

--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -272,7 +272,7 @@
 		return
 	}
 	now := time.Now()
-	var skipped []*waiter
+	var skipped []skippedCall
 	for s.queue.Len() > 0 && len(skipped) < maxSkipped {
 		available := d.serversInTurn(now, s, s.available(now))
 		if len(available) == 0 {
@@ -286,26 +286,35 @@
 		delete(s.waiters, t.ID)
 		target := d.choose(now, s, available, w)
 		if target == nil {
-			skipped = append(skipped, w)
+			skipped = append(skipped, skippedCall{waiter: w, item: t})
 			continue
 		}
 		target.ownUnread += w.req.PromptTokens
 		s.recordStart(t.Tier)
-		s.measured.recordStart(now, newCallTier(w.req))
+		s.recordScheduledStart(now, w.req)
 		lease := &Lease{Instance: target.Instance, dispatcher: d, server: target, service: s.name, routeRank: routeRank(t.Tier), began: now, unreadTokens: w.req.PromptTokens, entry: w.entry}
 		target.addLease(now, lease)
 		w.lease <- lease
 	}
-	for _, w := range skipped {
-		if !d.enqueueLocked(s, w) {
-			w.abandon(runworks.ErrShortage)
-		}
-	}
+	d.returnSkippedLocked(now, s, skipped)
 	s.owedStart = false
 	s.measured.noteWaiting(now, s.queue.Len() > 0)
 	d.requestPermitsLocked(now, s)
 }
 
+// returnSkippedLocked puts skipped calls back into the queue.
+func (d *Dispatcher) returnSkippedLocked(now time.Time, s *service, skipped []skippedCall) {
+	if s.schedules(now) {
+		s.restore(skipped)
+		return
+	}
+	for _, one := range skipped {
+		if !d.enqueueLocked(s, one.waiter) {
+			one.waiter.abandon(runworks.ErrShortage)
+		}
+	}
+}
+
 // hasServerFor reports whether there is a backend server to which the call may go. A retry
 // does not wait for a server that is throttled: it has a failure to return, and the slot is
 // of more use to a call that has no answer yet. A stream that is resumed does wait.
--- a/services/dispatch/scheduled.go
+++ b/services/dispatch/scheduled.go
@@ -13,11 +13,34 @@
 // recordArrival counts an arriving call for the rates of its service. A resumed stream and a retry
 // were counted when they first arrived.
 func (s *service) recordArrival(now time.Time, req *Request) {
-	if !req.Resumed && !req.Retry {
+	if s.schedules(now) && !req.Resumed && !req.Retry {
 		s.measured.recordArrival(now, newCallTier(req), req.Customer, cost(req))
 	}
 }
 
+// recordScheduledStart counts a started call for the rates of its service.
+func (s *service) recordScheduledStart(now time.Time, req *Request) {
+	if s.schedules(now) {
+		s.measured.recordStart(now, newCallTier(req))
+	}
+}
+
+// restore puts calls back that no free server suited. Their customers are not charged for them:
+// otherwise a customer whose long prompts wait for a suitable server would fall behind the others
+// with each slot that becomes free.
+func (s *service) restore(skipped []skippedCall) {
+	for _, one := range skipped {
+		s.queue.Restore(one.item)
+		s.waiters[one.waiter.req.ID] = one.waiter
+	}
+}
+
+// skippedCall is a call that was taken from the queue and that no free server suits.
+type skippedCall struct {
+	waiter *waiter
+	item   *reservation.Item
+}
+
 // cost returns what fair queueing charges a call's customer, in tokens.
 func cost(req *Request) float64 {
 	return (&runworks.Reservation{PromptTokens: req.PromptTokens, MaxTokens: req.MaxTokens}).Cost()
@@ -141,13 +164,13 @@
 // there is none. Ranks are served in strict order, except that a rank which is owed a start for its
 // minimum share goes first. Slots that are kept free of lower ranks are open to it: otherwise it
 // would get none while all others are taken. Classes whose calls were skipped are left out.
-func (s *service) pop(now time.Time, open []*server, skipped []*waiter) *reservation.Item {
+func (s *service) pop(now time.Time, open []*server, skipped []skippedCall) *reservation.Item {
 	s.owedStart = false
 	allowed := func(rank int) bool { return s.anyFree(open, rank) }
 	if s.schedules(now) {
 		var without []int
-		for _, w := range skipped {
-			without = append(without, newCallTier(w.req))
+		for _, one := range skipped {
+			without = append(without, newCallTier(one.waiter.req))
 		}
 		if tier := s.capacityView(now).owed(without); tier >= 0 {
 			s.owedStart = true
--- a/services/reservation/order.go
+++ b/services/reservation/order.go
@@ -58,6 +58,28 @@
 	return n
 }
 
+// Restore puts back a reservation that Pop returned and that is not served now. Its customer is not
+// charged for it.
+func (q *Queue) Restore(w *Item) {
+	t := q.tier(w.Tier)
+	c := t.customers[w.Customer]
+	if c == nil {
+		c = w.customer
+		t.customers[w.Customer] = c
+	}
+	w.customer = c
+	q.byID[w.ID] = w
+	heap.Push(&c.waiting, w)
+	c.cost += w.Cost()
+	t.size++
+	c.start -= w.Cost() / c.weight
+	if c.index < 0 {
+		heap.Push(&t.active, c)
+		return
+	}
+	heap.Fix(&t.active, c.index)
+}
+
 // EachInOrder calls f with the waiting reservations of a tier in the order in which they would be
 // served if none arrived.
 func (q *Queue) EachInOrder(rank int, f func(w *Item)) {
--- a/services/reservation/order_test.go
+++ b/services/reservation/order_test.go
@@ -66,3 +66,30 @@
 		is.True(ahead-place <= 6 && place-ahead <= 6)
 	}
 }
+
+// TestRestoredReservationKeepsItsPlace guards against a customer that falls behind as its reservation is
+// taken out and put back while nothing suits it.
+func TestRestoredReservationKeepsItsPlace(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	all := func(int) bool { return true }
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		q := randomQueue(rng, now)
+		var before, after []*Item
+		q.EachInOrder(3, func(w *Item) { before = append(before, w) })
+		for range 5 {
+			var taken []*Item
+			for range 1 + rng.IntN(10) {
+				if w := q.Pop(now, all); w != nil {
+					taken = append(taken, w)
+				}
+			}
+			for _, w := range taken {
+				q.Restore(w)
+			}
+		}
+		q.EachInOrder(3, func(w *Item) { after = append(after, w) })
+		is.Equal(before, after)
+	}
+}
