Show operators why the scheduler refused a call

Cause: the refusal of a call of a customer beyond its share named the calls ahead, which were few, and the metric had no cause for it.

--- a/services/dispatch/contention_test.go
+++ b/services/dispatch/contention_test.go
@@ -44,6 +44,7 @@
 	work                 sync.WaitGroup
 	// unscheduled is set if all calls are of the entry itself, so that it schedules for no other.
 	unscheduled bool
+	onRefuse    func(rank int, cause RefusalCause, basis string)
 }
 
 // simulate plays the load on servers with the given number of slots.
@@ -54,7 +55,7 @@
 		for i := range servers {
 			list = append(list, runworks.Instance{ID: fmt.Sprint("s", i), Service: "llm", Slots: slots})
 		}
-		l.d = &Dispatcher{Self: "scheduler"}
+		l.d = &Dispatcher{Self: "scheduler", OnRefuse: l.onRefuse}
 		l.d.SetServers(list)
 		l.play()
 	})
--- a/services/dispatch/refuse.go
+++ b/services/dispatch/refuse.go
@@ -15,6 +15,9 @@
 const (
 	// CauseArrival means that the call was refused on arrival, as it would not start in time.
 	CauseArrival RefusalCause = "arrival"
+	// CauseCustomerShare means that it was refused on arrival as the waiting calls of its customer use
+	// the customer's share of the capacity.
+	CauseCustomerShare RefusalCause = "customer_share"
 	// CauseOvertaken means that it waited, and calls that are served before it left no capacity.
 	CauseOvertaken RefusalCause = "overtaken"
 	// CauseTarget means that it was still waiting at its target.
@@ -39,6 +42,9 @@
 		})
 		refusal.RetryAfter, refusal.Basis = after, string(basis)
 	}
+	if w.overShare {
+		cause = CauseCustomerShare
+	}
 	if d.OnRefuse != nil {
 		d.OnRefuse(w.req.Rank, cause, refusal.Basis)
 	}
--- a/services/dispatch/scheduled.go
+++ b/services/dispatch/scheduled.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -71,8 +72,8 @@
 		w.late = true
 		return nil
 	}
-	a := s.admission(now, w)
-	verdict, onTime, late := s.capacityView(now).decide(a)
+	a, v := s.admission(now, w), s.capacityView(now)
+	verdict, onTime, late := v.decide(a)
 	switch verdict {
 	case waitForTarget:
 		return nil
@@ -81,7 +82,8 @@
 		return nil
 	case refuseNow:
 	}
-	return capacityError(a, onTime, late)
+	w.overShare = v.backlogDelay(a) > v.startDelay(a.tier, a.ahead)
+	return capacityError(a, w.overShare, onTime, late)
 }
 
 // checkLateCapacity returns an error if a call that missed its target while it waited is not likely
@@ -92,24 +94,26 @@
 	}
 	a := s.admission(now, w)
 	if late := s.capacityView(now).lateDelay(a.tier, a.lateAhead); late > a.leaves {
-		return capacityError(a, math.Inf(1), late)
+		return capacityError(a, false, math.Inf(1), late)
 	}
 	return nil
 }
 
-// capacityError returns the reason for the refusal of a call.
-func capacityError(a *admission, onTime, late float64) error {
-	const never = "no capacity is left for late ones"
-	switch {
-	case a.target > 0 && math.IsInf(late, 1):
-		return errorx.Decorate(runworks.ErrShortage, "%d calls of its rank wait ahead, a start in %s, the target in %.0f ms, and "+never, a.ahead, milliseconds(onTime), a.target*1000)
-	case a.target > 0:
-		return errorx.Decorate(runworks.ErrShortage, "%d calls of its rank wait ahead, a start in %s, the target in %.0f ms, and late in %s, the caller leaves in %.0f ms",
-			a.ahead, milliseconds(onTime), a.target*1000, milliseconds(late), a.leaves*1000)
-	case math.IsInf(late, 1):
-		return errorx.Decorate(runworks.ErrShortage, "the target has passed, and "+never)
-	}
-	return errorx.Decorate(runworks.ErrShortage, "the target has passed, a late start in %s, the caller leaves in %.0f ms", milliseconds(late), a.leaves*1000)
+// capacityError returns the reason for the refusal of a call. It names the calls ahead or, for a call
+// beyond its customer's share, those of its customer.
+func capacityError(a *admission, overShare bool, onTime, late float64) error {
+	start := "the target has passed"
+	if a.target > 0 {
+		ahead := fmt.Sprintf("%d calls of its rank wait ahead", a.ahead)
+		if overShare {
+			ahead = "its customer's calls that wait use its share"
+		}
+		start = fmt.Sprintf("%s, a start in %s, the target in %.0f ms", ahead, milliseconds(onTime), a.target*1000)
+	}
+	if math.IsInf(late, 1) {
+		return errorx.Decorate(runworks.ErrShortage, "%s, and no capacity is left for late calls", start)
+	}
+	return errorx.Decorate(runworks.ErrShortage, "%s, a late start in %s, the caller leaves in %.0f ms", start, milliseconds(late), a.leaves*1000)
 }
 
 // pruneScheduled refuses waiting calls that are no longer likely to be served in time to be of use,
@@ -144,7 +148,7 @@
 			}
 			s.queue.Remove(t.ID)
 			v.remove(tier)
-			err := capacityError(a, v.startDelay(a.tier, a.ahead), v.lateDelay(a.tier, a.lateAhead))
+			err := capacityError(a, false, v.startDelay(a.tier, a.ahead), v.lateDelay(a.tier, a.lateAhead))
 			s.drop(t.ID, d.refuse(now, s, w, CauseOvertaken, err))
 		})
 	}
@@ -188,5 +192,5 @@
 	if math.IsInf(seconds, 1) {
 		return "no foreseeable time"
 	}
-	return time.Duration(seconds * float64(time.Second)).Round(time.Millisecond).String()
+	return fmt.Sprintf("%.0f ms", seconds*1000)
 }
--- a/services/dispatch/scheduled_test.go
+++ b/services/dispatch/scheduled_test.go
@@ -22,7 +22,7 @@
 		}
 	}
 	return &contention{
-		seed: 1, entries: 6, burst: 1, span: 15 * time.Second, unscheduled: unscheduled,
+		seed: 1, entries: 6, burst: 1, span: 15 * time.Second, idle: 20 * time.Second, unscheduled: unscheduled,
 		kinds: []*contentionKind{kind(0, 40), kind(1, 10)},
 	}
 }
--- a/services/dispatch/waiting.go
+++ b/services/dispatch/waiting.go
@@ -26,6 +26,8 @@
 	entry runworks.Incarnation
 	lease chan *Lease
 	late  bool
+	// overShare is set if the call was refused as its customer's waiting calls use its share.
+	overShare bool
 	// arrival numbers calls in the order in which they arrived.
 	arrival int
 	// feasible reports whether some server could let the call meet its target on arrival.
