--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -100,6 +100,9 @@
 	// ForecastByEngine places calls by the models of their engines. Without it that applies to the
 	// services whose servers report their slowness.
 	ForecastByEngine bool
+	// CustomerUse returns the tokens that each customer consumed recently at all entries. It orders
+	// waiting calls where this entry schedules a service; nil means that it is unknown.
+	CustomerUse func(now time.Time) map[string]float64
 	// RequestPermits is called with a request for permits to be sent to another entry, whose
 	// reply goes to FinishTransfer. Without it no permits are requested.
 	RequestPermits func(transfer *PermitTransfer)
@@ -113,6 +116,8 @@
 	// unreachable holds since when entries that timed out, and do not count as gone yet, have
 	// been unreachable.
 	unreachable map[runworks.Incarnation]time.Time
+	// use caches CustomerUse.
+	use recentUse
 	// listed is set once a list of servers was received.
 	listed bool
 	// pendingNotices are notices of servers that are not known yet.
@@ -165,6 +170,8 @@
 	reportsSlowness bool
 	// measured holds the measured rates of the service.
 	measured capacity
+	// use returns what customers consumed recently.
+	use func(now time.Time) map[string]float64
 	// owedStart is set while a call is placed that starts by the minimum share of its rank.
 	owedStart bool
 	// returns holds the times at which refused callers were told to return.
@@ -276,7 +283,7 @@
 		return
 	}
 	now := time.Now()
-	var skipped []*waiter
+	var skipped []skippedCall
 	var f *forecast
 	for s.queue.Len() > 0 && len(skipped) < maxSkipped {
 		available := d.serversInTurn(now, s, s.available(now))
@@ -294,28 +301,37 @@
 		}
 		target := d.choose(now, s, f, available, w)
 		if target == nil {
-			skipped = append(skipped, w)
+			skipped = append(skipped, skippedCall{waiter: w, item: t})
 			continue
 		}
 		forecast := f.leaseForecast(target, w.req)
 		target.ownUnread += w.req.PromptTokens
 		target.trackUnread(now)
 		s.recordStart(t.Tier)
-		s.measured.recordStart(now, newCallTier(w.req))
+		s.recordScheduledStart(now, w.req)
 		lease := &Lease{Instance: target.Instance, dispatcher: d, server: target, service: s.name, routeRank: routeRank(t.Tier), began: now, unreadTokens: w.req.PromptTokens, aheadTokens: target.ownUnread + target.peerUnread - w.req.PromptTokens, entry: w.entry, forecast: forecast}
 		target.addLease(now, lease)
 		w.lease <- lease
 	}
-	for _, w := range skipped {
-		if !d.enqueueLocked(s, w) {
-			w.abandon(runworks.ErrShortage)
-		}
-	}
+	d.returnSkippedLocked(now, s, skipped)
 	s.owedStart = false
 	s.measured.noteWaiting(now, s.queue.Len() > 0)
 	d.requestPermitsLocked(now, s)
 }
 
+// returnSkippedLocked puts skipped calls back into the queue.
+func (d *Dispatcher) returnSkippedLocked(now time.Time, s *service, skipped []skippedCall) {
+	if s.schedules(now) {
+		s.restore(skipped)
+		return
+	}
+	for _, one := range skipped {
+		if !d.enqueueLocked(s, one.waiter) {
+			one.waiter.abandon(runworks.ErrShortage)
+		}
+	}
+}
+
 // hasServerFor reports whether there is a backend server to which the call may go. A retry
 // does not wait for a server that is throttled: it has a failure to return, and the slot is
 // of more use to a call that has no answer yet. A stream that is resumed does wait.
--- a/services/dispatch/scheduled.go
+++ b/services/dispatch/scheduled.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -13,11 +14,39 @@
 // recordArrival counts an arriving call for the rates of its service. A resumed stream and a retry
 // were counted when they first arrived.
 func (s *service) recordArrival(now time.Time, req *Request) {
-	if !req.Resumed && !req.Retry {
-		s.measured.recordArrival(now, newCallTier(req), req.Customer, s.item(&waiter{req: req}, 0).Cost())
+	if s.schedules(now) && !req.Resumed && !req.Retry {
+		s.measured.recordArrival(now, newCallTier(req), req.Customer, cost(req))
 	}
 }
 
+// recordScheduledStart counts a started call for the rates of its service.
+func (s *service) recordScheduledStart(now time.Time, req *Request) {
+	if s.schedules(now) {
+		s.measured.recordStart(now, newCallTier(req))
+	}
+}
+
+// restore puts calls back that no free server suited. Their customers are not charged for them:
+// otherwise a customer whose long prompts wait for a suitable server would fall behind the others
+// with each slot that becomes free.
+func (s *service) restore(skipped []skippedCall) {
+	for _, one := range skipped {
+		s.queue.Restore(one.item)
+		s.waiters[one.waiter.req.ID] = one.waiter
+	}
+}
+
+// skippedCall is a call that was taken from the queue and that no free server suits.
+type skippedCall struct {
+	waiter *waiter
+	item   *reservation.Item
+}
+
+// cost returns what fair queueing charges a call's customer, in tokens.
+func cost(req *Request) float64 {
+	return (&runworks.Reservation{PromptTokens: req.PromptTokens, MaxTokens: req.MaxTokens}).Cost()
+}
+
 // newCallTier returns the tier of a call as one that is not resumed and can be on time.
 func newCallTier(req *Request) int {
 	return routeSteps*lateSteps*req.Rank + min(req.RouteRank, routeSteps-1)
@@ -43,8 +72,8 @@
 		w.late = true
 		return nil
 	}
-	a := s.admission(now, w)
-	verdict, onTime, late := s.capacityView(now).decide(a)
+	a, v := s.admission(now, w), s.capacityView(now)
+	verdict, onTime, late := v.decide(a)
 	switch verdict {
 	case waitForTarget:
 		return nil
@@ -53,7 +82,8 @@
 		return nil
 	case refuseNow:
 	}
-	return capacityError(a, onTime, late)
+	w.overShare = v.backlogDelay(a) > v.startDelay(a.tier, a.ahead)
+	return capacityError(a, w.overShare, onTime, late)
 }
 
 // checkLateCapacity returns an error if a call that missed its target while it waited is not likely
@@ -64,24 +94,26 @@
 	}
 	a := s.admission(now, w)
 	if late := s.capacityView(now).lateDelay(a.tier, a.lateAhead); late > a.leaves {
-		return capacityError(a, math.Inf(1), late)
+		return capacityError(a, false, math.Inf(1), late)
 	}
 	return nil
 }
 
-// capacityError returns the reason for the refusal of a call.
-func capacityError(a *admission, onTime, late float64) error {
-	const never = "no capacity is left for late ones"
-	switch {
-	case a.target > 0 && math.IsInf(late, 1):
-		return errorx.Decorate(runworks.ErrShortage, "%d calls of its rank wait ahead, a start in %s, the target in %.0f ms, and "+never, a.ahead, milliseconds(onTime), a.target*1000)
-	case a.target > 0:
-		return errorx.Decorate(runworks.ErrShortage, "%d calls of its rank wait ahead, a start in %s, the target in %.0f ms, and late in %s, the caller leaves in %.0f ms",
-			a.ahead, milliseconds(onTime), a.target*1000, milliseconds(late), a.leaves*1000)
-	case math.IsInf(late, 1):
-		return errorx.Decorate(runworks.ErrShortage, "the target has passed, and "+never)
-	}
-	return errorx.Decorate(runworks.ErrShortage, "the target has passed, a late start in %s, the caller leaves in %.0f ms", milliseconds(late), a.leaves*1000)
+// capacityError returns the reason for the refusal of a call. It names the calls ahead or, for a call
+// beyond its customer's share, those of its customer.
+func capacityError(a *admission, overShare bool, onTime, late float64) error {
+	start := "the target has passed"
+	if a.target > 0 {
+		ahead := fmt.Sprintf("%d calls of its rank wait ahead", a.ahead)
+		if overShare {
+			ahead = "its customer's calls that wait use its share"
+		}
+		start = fmt.Sprintf("%s, a start in %s, the target in %.0f ms", ahead, milliseconds(onTime), a.target*1000)
+	}
+	if math.IsInf(late, 1) {
+		return errorx.Decorate(runworks.ErrShortage, "%s, and no capacity is left for late calls", start)
+	}
+	return errorx.Decorate(runworks.ErrShortage, "%s, a late start in %s, the caller leaves in %.0f ms", start, milliseconds(late), a.leaves*1000)
 }
 
 // pruneScheduled refuses waiting calls that are no longer likely to be served in time to be of use,
@@ -116,7 +148,7 @@
 			}
 			s.queue.Remove(t.ID)
 			v.remove(tier)
-			err := capacityError(a, v.startDelay(a.tier, a.ahead), v.lateDelay(a.tier, a.lateAhead))
+			err := capacityError(a, false, v.startDelay(a.tier, a.ahead), v.lateDelay(a.tier, a.lateAhead))
 			s.drop(t.ID, d.refuse(now, s, w, CauseOvertaken, err))
 		})
 	}
@@ -136,13 +168,13 @@
 // there is none. Ranks are served in strict order, except that a rank which is owed a start for its
 // minimum share goes first. Slots that are kept free of lower ranks are open to it: otherwise it
 // would get none while all others are taken. Classes whose calls were skipped are left out.
-func (s *service) pop(now time.Time, open []*server, skipped []*waiter) *reservation.Item {
+func (s *service) pop(now time.Time, open []*server, skipped []skippedCall) *reservation.Item {
 	s.owedStart = false
 	allowed := func(rank int) bool { return s.anyFree(open, rank) }
 	if s.schedules(now) {
 		var without []int
-		for _, w := range skipped {
-			without = append(without, newCallTier(w.req))
+		for _, one := range skipped {
+			without = append(without, newCallTier(one.waiter.req))
 		}
 		if tier := s.capacityView(now).owed(without); tier >= 0 {
 			s.owedStart = true
@@ -160,5 +192,5 @@
 	if math.IsInf(seconds, 1) {
 		return "no foreseeable time"
 	}
-	return time.Duration(seconds * float64(time.Second)).Round(time.Millisecond).String()
+	return fmt.Sprintf("%.0f ms", seconds*1000)
 }
