Test the scheduled service with the forecast and slow engines

Cause: testdata/contention has no prompts, and nothing tested admission by capacity together with the forecast, which holds back calls from servers where they would be late.

--- a/services/dispatch/load_test.go
+++ b/services/dispatch/load_test.go
@@ -112,6 +112,9 @@
 	engines map[string]*loadEngine
 	kinds   []*loadKind
 	work    sync.WaitGroup
+	// scheduled is set if the first front schedules the calls of all, and the ranks are also those of
+	// the customers, as where customers have none of their own.
+	scheduled bool
 }
 
 const (
@@ -183,14 +186,24 @@
 	}
 }
 
+// acquire asks for a slot for a call of a front.
+func (l *loadSim) acquire(ctx context.Context, front *Dispatcher, req *Request) (*Lease, error) {
+	if !l.scheduled {
+		return front.Acquire(ctx, req)
+	}
+	req.Rank = req.RouteRank
+	return l.fronts[0].AcquireFor(ctx, req, front.Self)
+}
+
 // call sends one call and records how it ended.
 func (l *loadSim) call(ctx context.Context, front *Dispatcher, id string, k *loadKind, c *loadCall, hint int) {
 	arrived := time.Now()
 	prompt := c.unread
-	lease, err := front.Acquire(ctx, &Request{
+	req := &Request{
 		ID: runworks.RequestID(id), Service: "llm", RouteRank: k.rank, PromptTokens: prompt, ExpectedTokens: hint,
 		MaxGap: loadMaxGap, Target: arrived.Add(k.target), CallerTimeout: arrived.Add(loadCallerTimeout), Deadline: arrived.Add(loadDeadline),
-	})
+	}
+	lease, err := l.acquire(ctx, front, req)
 	if err != nil {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -243,6 +256,7 @@
 		d.ScanArgs(t, "slow", &slow)
 		d.ScanArgs(t, "slots", &slots)
 		d.ScanArgs(t, "seconds", &seconds)
+		l.scheduled = d.HasArg("scheduled")
 		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 			l.kinds = append(l.kinds, parseKind(t, d, line, uint64(len(l.kinds))))
 		}
