--- a/services/dispatch/load_test.go
+++ b/services/dispatch/load_test.go
@@ -122,6 +122,9 @@
 	maxGap, callerTimeout time.Duration
 	// reports is whether engines report their slowness.
 	reports bool
+	// scheduled is set if the first front schedules the calls of all, and the ranks are also those of
+	// the customers, as where customers have none of their own.
+	scheduled bool
 }
 
 const (
@@ -197,14 +200,24 @@
 	}
 }
 
+// acquire asks for a slot for a call of a front.
+func (l *loadSim) acquire(ctx context.Context, front *Dispatcher, req *Request) (*Lease, error) {
+	if !l.scheduled {
+		return front.Acquire(ctx, req)
+	}
+	req.Rank = req.RouteRank
+	return l.fronts[0].AcquireFor(ctx, req, front.Self)
+}
+
 // call sends one call and records how it ended.
 func (l *loadSim) call(ctx context.Context, front *Dispatcher, id string, k *loadKind, c *loadCall, hint int) {
 	arrived := time.Now()
 	prompt := c.unread
-	lease, err := front.Acquire(ctx, &Request{
+	req := &Request{
 		ID: runworks.RequestID(id), Service: "llm", RouteRank: k.rank, PromptTokens: prompt, ExpectedTokens: hint,
 		MaxGap: l.maxGap, Target: arrived.Add(k.target), CallerTimeout: arrived.Add(l.callerTimeout), Deadline: arrived.Add(k.deadline),
-	})
+	}
+	lease, err := l.acquire(ctx, front, req)
 	if err != nil {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -265,6 +278,7 @@
 		d.ScanArgs(t, "slots", &slots)
 		l.parseDeployment(t, d)
 		d.ScanArgs(t, "seconds", &seconds)
+		l.scheduled = d.HasArg("scheduled")
 		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 			l.kinds = append(l.kinds, parseKind(t, d, line, uint64(len(l.kinds))))
 		}
