Keep resumed streams before new calls at a scheduler

Cause: a resumed stream that missed its target was ordered by its last possible start and fell behind new calls of its tier.

Change: it keeps the order of its target, and is not late from the start.

Result: TestResumedStreamWaitsWhereScheduled, which fails without the change.

--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -171,7 +171,8 @@
 // Acquire waits until a backend server is free for the call. It returns ErrNoServer if no
 // server is known, ErrShortage if the queue is full or the call is not likely to start in
 // time, ErrTimeLimit if it has not started by the last moment that CallerTimeout and Deadline
-// allow, and the cause of ctx.
+// allow, and the cause of ctx. ErrShortage is wrapped in a *Refusal where this entry schedules the
+// service for others.
 func (d *Dispatcher) Acquire(ctx context.Context, req *Request) (*Lease, error) {
 	return d.acquire(ctx, req, "")
 }
--- a/services/dispatch/scheduled.go
+++ b/services/dispatch/scheduled.go
@@ -66,10 +66,9 @@
 }
 
 // checkCapacity decides by the capacity of the whole service whether an arriving call waits for its
-// target, waits as a late call, or is refused.
+// target, waits as a late call, or is refused. A resumed stream waits in any case.
 func (s *service) checkCapacity(now time.Time, w *waiter) error {
 	if w.req.Resumed {
-		w.late = true
 		return nil
 	}
 	a, v := s.admission(now, w), s.capacityView(now)
@@ -155,10 +154,11 @@
 }
 
 // orderTime returns the time by which the calls of one customer and tier are ordered: the target, or
-// the last possible start of late calls. By its deadline a returning call, which has less time left,
+// the last possible start of late calls. A resumed stream keeps its place, as it shares its tier with
+// calls that can be on time. By its deadline a returning call, which has less time left,
 // would overtake calls that were admitted before it returned, and those would miss their targets.
 func orderTime(w *waiter) time.Time {
-	if w.late {
+	if w.late && !w.req.Resumed {
 		return w.req.lastStart()
 	}
 	return w.req.Target
--- a/services/dispatch/scheduled_test.go
+++ b/services/dispatch/scheduled_test.go
@@ -199,6 +199,46 @@
 	}
 }
 
+// TestResumedStreamWaitsWhereScheduled guards against an answer that broke off and is given up, as no capacity
+// is left for new calls.
+func TestResumedStreamWaitsWhereScheduled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(1)
+		for i := range 30 { // a slot becomes free each 100 ms, and twice as many calls arrive
+			lease := <-acquireForAsync(d, customerRequest(fmt.Sprint("runs-", i), "a"), "entry-0")
+			time.Sleep(100 * time.Millisecond)
+			lease.Release(Served)
+		}
+		lease := <-acquireForAsync(d, customerRequest("runs", "a"), "entry-0")
+		refused := 0
+		var waiting []<-chan *Lease
+		for i := range 60 {
+			one := acquireForAsync(d, newRequest(fmt.Sprint("waits-", i), 0), "entry-0")
+			select {
+			case <-one:
+				refused++
+			default:
+				waiting = append(waiting, one)
+			}
+		}
+		is.True(refused > 30)
+		broken := newRequest("broken", 0)
+		broken.Resumed, broken.Target = true, time.Now().Add(100*time.Millisecond)
+		resumed := acquireForAsync(d, broken, "entry-1")
+		time.Sleep(300 * time.Millisecond)
+		lease.Release(Served)
+		lease = <-resumed
+		is.True(lease != nil)
+		lease.Release(Served)
+		for _, one := range waiting {
+			if lease := <-one; lease != nil {
+				lease.Release(Served)
+			}
+		}
+	})
+}
+
 func customerRequest(id, customer string) *Request {
 	req := newRequest(id, 0)
 	req.Customer, req.PromptTokens, req.MaxTokens = customer, 100, 100
