--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -50,9 +50,9 @@
 	// so that the other entries still count them as taken.
 	vacated int
 	// lastLoad and lastUnread are the load and the unread prompt tokens when they were last checked,
-	// and freeSince since when both are unchanged and a slot is free; zero if none is.
+	// and unchangedSince since when both are unchanged.
 	lastLoad, lastUnread int
-	freeSince            time.Time
+	unchangedSince       time.Time
 	// unanswered is the number of calls in a row that ended without a complete response.
 	unanswered int
 	// ownErrors is the number of calls in a row that the server answered with an error, and
--- a/services/dispatch/turn.go
+++ b/services/dispatch/turn.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,11 +29,6 @@
 	var own runworks.WaitingCall
 	own.Rank, own.Calls = s.queue.HighestRank()
 	contenders := d.contenders(s.name, own.Rank)
-	for _, one := range s.servers {
-		if !slices.Contains(available, one) {
-			one.freeSince = time.Time{} // no entry could use a turn
-		}
-	}
 	out := available[:0]
 	for _, one := range available {
 		if one.limit.Active(now) {
@@ -106,13 +100,13 @@
 	return (float64(xxhash.Sum64String(server+string(entry))>>11) + 0.5) / (1 << 53)
 }
 
-// unusedTurns returns how many turns passed in which the server had a free slot that could be used
-// and none was. They are counted from the last change of its calls or of the prompts that it has not
-// read, as no entry may be able to use the slot while a long prompt is read.
+// unusedTurns returns how many turns passed in which no slot of the server was used. They are counted
+// from the last change of its calls or of the prompts that it has not read, as no entry may be able to
+// use a slot while a long prompt is read.
 func (s *server) unusedTurns(now time.Time, turn time.Duration) int {
 	load, unread := s.load(), s.ownUnread+s.peerUnread
-	if load != s.lastLoad || unread != s.lastUnread || s.freeSince.IsZero() {
-		s.lastLoad, s.lastUnread, s.freeSince = load, unread, now
+	if load != s.lastLoad || unread != s.lastUnread || s.unchangedSince.IsZero() {
+		s.lastLoad, s.lastUnread, s.unchangedSince = load, unread, now
 	}
-	return int(now.Sub(s.freeSince) / turn)
+	return int(now.Sub(s.unchangedSince) / turn)
 }
--- a/services/dispatch/turn_test.go
+++ b/services/dispatch/turn_test.go
@@ -199,3 +199,30 @@
 		},
 		func(d *Dispatcher) { d.SetPeerLoad("reading", runningLoad(nil)) })
 }
+
+// TestFreeSlotMovesOn guards against a slot that is offered to more entries the longer it stays free:
+// in each turn one of them may use it, and each may within as many turns as there are entries.
+func TestFreeSlotMovesOn(t *testing.T) {
+	is := is.New(t)
+	all := newEntries(8)
+	offers := make([]int, len(all))
+	for passed := range 3 * len(all) {
+		offered := 0
+		for i, d := range all {
+			var others []contender
+			for _, other := range all {
+				if other != d {
+					others = append(others, contender{entry: other.Self, WaitingCall: runworks.WaitingCall{Calls: 1}})
+				}
+			}
+			if d.inTurn(d.servers["s0"], others, runworks.WaitingCall{Calls: 1}, 1, passed) {
+				offered++
+				offers[i]++
+			}
+		}
+		is.Equal(offered, 1)
+	}
+	for _, n := range offers {
+		is.Equal(n, 3)
+	}
+}
--- a/services/peers/slots.go
+++ b/services/peers/slots.go
@@ -55,6 +55,8 @@
 	Cause   string `json:"cause,omitempty"`
 	// RetryAfterMs is when the caller should return; 0 if the scheduler does not say.
 	RetryAfterMs int64 `json:"retry_after_ms,omitempty"`
+	// RetryBasis is what that time was derived from.
+	RetryBasis string `json:"retry_basis,omitempty"`
 	// WaitedMs is for how long the request waited for a slot; 0 if one was free.
 	WaitedMs int64 `json:"waited_ms,omitempty"`
 }
--- a/services/scheduler/wire.go
+++ b/services/scheduler/wire.go
@@ -10,6 +10,7 @@
 	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/services/dispatch"
 	"github.com/runworks/runworks/services/peers"
+	"github.com/runworks/runworks/services/returns"
 )
 
 const (
@@ -85,7 +86,7 @@
 	}
 	var refusal *dispatch.Refusal
 	if errors.As(err, &refusal) {
-		out.RetryAfterMs = refusal.RetryAfter.Milliseconds()
+		out.RetryAfterMs, out.RetryBasis = refusal.RetryAfter.Milliseconds(), refusal.Basis
 	}
 	return out
 }
@@ -110,5 +111,15 @@
 	if wait <= 0 || wait > maxTimeLeft {
 		return err
 	}
-	return &dispatch.Refusal{Err: err, RetryAfter: wait, Basis: "scheduler"}
+	return &dispatch.Refusal{Err: err, RetryAfter: wait, Basis: knownBasis(reply.RetryBasis)}
+}
+
+// knownBasis returns the basis of a retry time, or "scheduler" if this version does not know it: the
+// basis is a label of a metric, whose values must be few.
+func knownBasis(basis string) string {
+	switch b := returns.Basis(basis); b {
+	case returns.Queue, returns.Promised, returns.Spread:
+		return basis
+	}
+	return "scheduler"
 }
