--- a/route.go
+++ b/route.go
@@ -115,6 +115,8 @@
 	Address string
 	// Hall is the hall in which the server is located.
 	Hall string
+	// Version is the version of the server's software; it matters only during a roll-out.
+	Version string
 	// Slots is the number of calls the server runs concurrently.
 	Slots int
 	// Draining is set if the server reported that it will exit; it receives no new calls.
--- a/standin/store_serve.go
+++ b/standin/store_serve.go
@@ -15,6 +15,10 @@
 // headerStoreEra carries the era of the store, which changes when the store is restored.
 const headerStoreEra = "Store-Era"
 
+// paramExpectedEnd is the parameter of an append that must take effect only if the partition ends
+// at this offset.
+const paramExpectedEnd = "ifEnd"
+
 // Handler returns a handler of the store's protocol, with the faults at POST /control, Put at
 // POST /put, Snapshot at POST /copy, Restore at POST /return, and the calls by path at GET /calls.
 func (s *Store) Handler() http.Handler {
@@ -96,6 +100,12 @@
 	}
 	s.mu.Lock()
 	s.setEraLocked(w)
+	t := s.topic(r.URL.Query().Get("topic"))
+	if want := r.URL.Query().Get(paramExpectedEnd); want != "" && want != strconv.FormatInt(t.first+int64(len(t.records)), 10) {
+		s.mu.Unlock()
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
 	offset := int64(-1)
 	for _, record := range records {
 		next := s.appendLocked(r.URL.Query().Get("topic"), record)
