Let a roll-out restrict which servers get calls

Cause: while a version is rolled out, its servers may get a bounded part of the calls, and the answers of both versions have to be compared. Placement knew no such restriction.

Change: Dispatcher.SetGate takes a Gate of four functions: whether a server may get a call now, and notices of arrivals, assigned slots and ended calls. Servers that may get none are left out of service.servers, so that choice, forecasts, capacity and retries need no change of their own; slots that another entry granted are checked in Adopt, and a slot that was assigned before a verdict in Lease.Unavailable, just before the send. A request names its route. Without a gate nothing is called.

--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -25,6 +25,8 @@
 type Request struct {
 	ID      runworks.RequestID
 	Service string
+	// Route is the name of the call's route.
+	Route string
 	// Rank is the customer's rank, or the route's if the customer has none; 0 is the highest.
 	// RouteRank orders calls of the same rank.
 	Rank      int
@@ -96,6 +98,8 @@
 	RequestPermits func(transfer *PermitTransfer)
 
 	mu sync.Mutex
+	// gate restricts the servers during a roll-out; nil if none is ordered.
+	gate *Gate
 	// servers is keyed by incarnation; newest holds the latest incarnation by server ID.
 	servers  map[string]*server
 	newest   map[string]*server
@@ -114,10 +118,11 @@
 
 // service holds the backend servers of a service and the calls that wait for them.
 type service struct {
-	name    string
-	servers []*server
-	queue   reservation.Queue
-	waiters map[runworks.RequestID]*waiter
+	name string
+	// servers are the servers that may get calls now, and all those of the service.
+	servers, all []*server
+	queue        reservation.Queue
+	waiters      map[runworks.RequestID]*waiter
 	// peers is the number of other entries that are reachable.
 	peers int
 	// arrivals counts the calls that arrived.
@@ -190,6 +195,7 @@
 	defer d.mu.Unlock()
 	s := d.services[req.Service]
 	now := time.Now()
+	d.applyGateLocked(s)
 	if s == nil || !s.hasServerFor(now, req) {
 		return nil, nil, runworks.ErrNoServer
 	}
@@ -200,6 +206,7 @@
 		s.grantedAt = now
 	}
 	s.arrivals++
+	d.countArrivalLocked(req)
 	w := &waiter{req: req, entry: entry, lease: make(chan *Lease, 1), arrival: s.arrivals}
 	w.feasible = s.anyMeetsTarget(now, s.forecast(), req, s.canWait(now, req))
 	if err := s.checkAdmission(now, w); err != nil {
@@ -254,6 +261,7 @@
 	now := time.Now()
 	var skipped []*waiter
 	for s.queue.Len() > 0 && len(skipped) < maxSkipped {
+		d.applyGateLocked(s)
 		available := d.serversInTurn(now, s, s.available(now))
 		if len(available) == 0 {
 			break
@@ -271,8 +279,9 @@
 		}
 		target.ownUnread += w.req.PromptTokens
 		s.recordStart(t.Tier)
-		lease := &Lease{Instance: target.Instance, dispatcher: d, server: target, service: s.name, routeRank: routeRank(t.Tier), began: now, unreadTokens: w.req.PromptTokens, entry: w.entry}
+		lease := &Lease{Instance: target.Instance, dispatcher: d, server: target, service: s.name, route: w.req.Route, routeRank: routeRank(t.Tier), began: now, unreadTokens: w.req.PromptTokens, entry: w.entry}
 		target.addLease(now, lease)
+		d.countPlacementLocked(target)
 		w.lease <- lease
 	}
 	for _, w := range skipped {
--- a/services/dispatch/grant.go
+++ b/services/dispatch/grant.go
@@ -40,11 +40,11 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	s := d.servers[server]
-	if s == nil || s.Service != req.Service || s.Draining || s.backoff.active(now) || s.failing(now, d.services[s.Service]) || !req.allows(s) {
+	if s == nil || s.Service != req.Service || s.Draining || s.backoff.active(now) || s.failing(now, d.services[s.Service]) || !req.allows(s) || d.bars(s) {
 		return nil
 	}
 	lease := &Lease{
-		Instance: s.Instance, dispatcher: d, server: s, service: s.Service, routeRank: req.RouteRank, began: now,
+		Instance: s.Instance, dispatcher: d, server: s, service: s.Service, route: req.Route, routeRank: req.RouteRank, began: now,
 		unreadTokens: req.PromptTokens, scheduler: scheduler, observer: observer,
 	}
 	if _, live := d.peers[scheduler]; !live {
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -14,8 +14,11 @@
 	dispatcher *Dispatcher
 	server     *server
 	service    string
+	route      string
 	routeRank  int
 	began      time.Time
+	// progress is what a roll-out is judged by.
+	progress progress
 	// unreadTokens is the number of prompt tokens that the server has not read yet.
 	unreadTokens int
 	// entry is the entry that sends the call, of a slot granted to another one.
@@ -64,6 +67,7 @@
 			l.observer.Released(r)
 		}
 		now := time.Now()
+		l.reportEndLocked(now, r)
 		if wait := l.server.recordResult(now, r); wait > 0 && d.OnEject != nil {
 			d.OnEject(l.server.Instance, l.server.unanswered, wait)
 		}
@@ -86,6 +90,7 @@
 	l.dispatcher.mu.Lock()
 	defer l.dispatcher.mu.Unlock()
 	l.server.lastReceived = time.Now()
+	l.progress.addGap(gap)
 	l.server.meanGap.add(gap.Seconds(), gapWeight)
 	l.server.steadyGap.add(gap.Seconds(), steadyWeight)
 	stalled := 0.0
@@ -123,6 +128,7 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	l.server.lastReceived = now
+	l.progress.first = now.Sub(l.began)
 	l.recordFirstEventLocked(promptTokens, now.Sub(l.began))
 	if l.observer != nil {
 		l.observer.ReceivedFirstEvent(now.Sub(l.began))
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -58,7 +58,7 @@
 func (l *Lease) Unavailable() bool {
 	l.dispatcher.mu.Lock()
 	defer l.dispatcher.mu.Unlock()
-	return l.server.Draining || l.server.backoff.active(time.Now())
+	return l.server.Draining || l.server.backoff.active(time.Now()) || l.dispatcher.bars(l.server)
 }
 
 // applyDrainingLocked marks a server as draining and reports whether that is new. from is the
--- a/services/dispatch/server_set.go
+++ b/services/dispatch/server_set.go
@@ -92,7 +92,7 @@
 		d.services = make(map[string]*service)
 	}
 	for _, s := range d.services {
-		s.servers = nil
+		s.servers, s.all = nil, nil
 	}
 	for _, one := range d.servers {
 		s := d.services[one.Service]
@@ -100,7 +100,11 @@
 			s = d.newService(one.Service)
 			d.services[one.Service] = s
 		}
-		s.servers = append(s.servers, one)
+		s.all = append(s.all, one)
+	}
+	for _, s := range d.services {
+		s.servers = s.all
+		d.applyGateLocked(s)
 	}
 }
 
