--- a/modules/setting/front.go
+++ b/modules/setting/front.go
@@ -35,6 +35,11 @@
 	DefaultQuarantineFor = time.Hour
 	// DefaultColdOverage is by how much a server that starts up may exceed its cold-start rate.
 	DefaultColdOverage = 1
+	// DefaultExposureShare and DefaultExposureSlack bound the calls that a version gets before it is
+	// accepted, and DefaultRollbackAfter the time in which a bad one is rolled back.
+	DefaultExposureShare = 0.1
+	DefaultExposureSlack = 50
+	DefaultRollbackAfter = 5 * time.Second
 	// DefaultLogLinesPerSecond limits the log lines per second.
 	DefaultLogLinesPerSecond = 300
 )
@@ -86,6 +91,13 @@
 	// all fronts together may send in a second to a server that starts up.
 	ColdOverage float64 `yaml:"cold_overage"`
 	ColdSlack   float64 `yaml:"cold_slack"`
+	// ExposureShare of the calls that arrive for a service, plus ExposureSlack, is the most that all
+	// fronts together may send to a version that is being rolled out, before it is accepted.
+	ExposureShare float64 `yaml:"exposure_share"`
+	ExposureSlack float64 `yaml:"exposure_slack"`
+	// RollbackAfter is the time after its 50th bad answer after which a bad version must not get
+	// any call.
+	RollbackAfter OptionalDuration `yaml:"rollback_after"`
 	// MaxBodyBytes limits the body of a call while no routing is active.
 	MaxBodyBytes int64 `yaml:"max_body_bytes"`
 	// Cores limits the processors that the process uses; 0 means all.
@@ -105,7 +117,8 @@
 	s := &Front{
 		Grace: DefaultGrace, StopNotice: DefaultStopNotice, PeerTimeout: DefaultPeerTimeout, RetryRatio: DefaultRetryRatio, RetrySlack: DefaultRetrySlack,
 		RetryWindow: DefaultRetryWindow, QuotaWindow: DefaultQuotaWindow, QuarantineAfter: DefaultQuarantineAfter, QuarantineFor: DefaultQuarantineFor,
-		ColdOverage: DefaultColdOverage, MaxBodyBytes: DefaultMaxBodyBytes, LogLinesPerSecond: DefaultLogLinesPerSecond, Log: Log{JSON: true}, Traces: Traces{Sampled: 1},
+		ColdOverage: DefaultColdOverage, ExposureShare: DefaultExposureShare, ExposureSlack: DefaultExposureSlack, RollbackAfter: OptionalDuration(DefaultRollbackAfter),
+		MaxBodyBytes: DefaultMaxBodyBytes, LogLinesPerSecond: DefaultLogLinesPerSecond, Log: Log{JSON: true}, Traces: Traces{Sampled: 1},
 	}
 	return s, load(file, s, s.check)
 }
@@ -138,12 +151,7 @@
 	if s.QuarantineAfter < 2 {
 		m.add("quarantine_after", "%d is below 2: a single exit can't be attributed to one request", s.QuarantineAfter)
 	}
-	if s.ColdOverage < 1 {
-		m.add("cold_overage", "%g is below 1", s.ColdOverage)
-	}
-	if s.ColdSlack < 0 {
-		m.add("cold_slack", "%g is negative", s.ColdSlack)
-	}
+	s.checkNewServers(m)
 	if s.MaxBodyBytes <= 0 {
 		m.add("max_body_bytes", "%d is not above zero", s.MaxBodyBytes)
 	}
@@ -160,3 +168,20 @@
 	m.traces(&s.Traces)
 	return m.list
 }
+
+// checkNewServers checks the settings for servers that start and versions that are rolled out.
+func (s *Front) checkNewServers(m *mistakes) {
+	if s.ColdOverage < 1 {
+		m.add("cold_overage", "%g is below 1", s.ColdOverage)
+	}
+	if s.ColdSlack < 0 {
+		m.add("cold_slack", "%g is negative", s.ColdSlack)
+	}
+	if s.ExposureShare < 0 || s.ExposureShare > 1 {
+		m.add("exposure_share", "%g is not from 0 to 1", s.ExposureShare)
+	}
+	if s.ExposureSlack < 0 {
+		m.add("exposure_slack", "%g is negative", s.ExposureSlack)
+	}
+	m.positive("rollback_after", time.Duration(s.RollbackAfter))
+}
