Carry out roll-out orders: bounded exposure, verdict, status

Cause: an order op/rollout/SERVICE was ignored. Engines of a new version got as many calls as all others, however bad they were, and no status was written.

Change: services/rollout decides without network or clock. A front sends a share of the calls that arrive at itself to a few engines of the version, so the bound holds for all fronts together without agreement and after restarts; only the slack is divided by the known fronts. It sends nothing if the status was not read lately or most other fronts do not report. Answers of all fronts (entry.rollouts) are judged by cumulative sums for each engine, route and all, and by times against the old engines on the same routes; one bad engine or a crash condemns no version. A good one is accepted from 0.75 of the duration on if its engines can carry the load. daemon reads and writes the status and does nothing while there is no order. The stand-in server can be bad in part, later, under load or on one path. Status, metrics, log lines, pages.

--- a/cmd/runworks/status.go
+++ b/cmd/runworks/status.go
@@ -17,6 +17,7 @@
 
 	"github.com/runworks/runworks/daemon"
 	"github.com/runworks/runworks/services/entry"
+	"github.com/runworks/runworks/services/rollout"
 )
 
 const statusTimeout = 5 * time.Second
@@ -76,7 +77,26 @@
 func printFront(out io.Writer, s *daemon.FrontStatus) error {
 	_, _ = fmt.Fprintf(out, "front: configuration %d, hears %d of %d fronts, %d refuse its fleet key\n", s.RoutingVersion, s.Fronts, s.FrontsKnown, s.FrontsKeyRefused)
 	_, err := fmt.Fprintf(out, "%d backend servers, waiting calls %v\n", len(s.Servers), s.Waiting)
-	return err
+	if err != nil || len(s.Rollouts) == 0 {
+		return err
+	}
+	return printRollouts(out, s.Rollouts)
+}
+
+// printRollouts prints the orders to roll out a version. Figures are over all fronts, as last reported.
+func printRollouts(out io.Writer, list []rollout.Status) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "\nROLL-OUT\tVERSION\tSTATE\tSTEP\tDEADLINE\tCALLS\tEXPOSED\tANSWERS\tFAILED\tINTERRUPTED\tSLOW\tDOUBT\tFRONTS HEARD\tEVIDENCE AGE\tSTATUS AGE\tREASON")
+	for i := range list {
+		r := &list[i]
+		deadline := ""
+		if !r.Deadline.IsZero() {
+			deadline = r.Deadline.Format(time.TimeOnly)
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%d of %d\t%d ms\t%d ms\t%s\n", r.Service, r.TargetVersion, r.State, r.Step, deadline, r.Arrived, r.Exposed,
+			r.Answers.Ended, r.Answers.Failed, r.Answers.Cut, r.Slow, r.Doubt, r.Heard, r.Reports, r.OldestReportMs, r.StatusAgeMs, r.Reason)
+	}
+	return w.Flush()
 }
 
 func printStatus(out io.Writer, s *entry.Status) error {
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -17,6 +17,7 @@
 	"github.com/runworks/runworks/modules/group"
 	"github.com/runworks/runworks/modules/httpconn"
 	"github.com/runworks/runworks/modules/metrics"
+	"github.com/runworks/runworks/modules/notify"
 	"github.com/runworks/runworks/modules/rpc"
 	"github.com/runworks/runworks/modules/setting"
 	"github.com/runworks/runworks/modules/tcp"
@@ -27,6 +28,7 @@
 	"github.com/runworks/runworks/services/peers"
 	"github.com/runworks/runworks/services/quarantine"
 	"github.com/runworks/runworks/services/quota"
+	"github.com/runworks/runworks/services/rollout"
 )
 
 const (
@@ -64,6 +66,11 @@
 	newestReportedRouting atomic.Int64
 	// started is when Run began.
 	started time.Time
+	// rollouts decides about the operators' roll-outs, of which orders holds the records; orders is
+	// guarded by serversMu. wakeRollouts ends the wait for an order.
+	rollouts     *rollout.Rollouts
+	orders       platform.RolloutOrders
+	wakeRollouts notify.Wake
 	// serversMu guards servers, expiryFilter and unrouted.
 	serversMu    sync.Mutex
 	servers      platform.Servers
@@ -168,6 +175,7 @@
 		OnDraining: d.onDraining, OnBackoff: d.onBackoff, ColdStart: d.coldStart,
 		SendServerNotice: func(notice runworks.ServerNotice) { d.exchange.SendServerNotice(notice) },
 	}
+	d.rollouts = d.newRollouts(self.Incarnation)
 	d.quota = &quota.Quota{Self: self.Incarnation, Window: s.QuotaWindow, Started: time.Now()}
 	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack, Started: time.Now(), Window: s.RetryWindow}
 	d.quarantine = &quarantine.Quarantine{ExitThreshold: s.QuarantineAfter, Duration: s.QuarantineFor, OnUpdate: d.onSuspect, OnQuarantine: d.onQuarantine, OnRelease: d.onRelease}
@@ -185,6 +193,7 @@
 		Heartbeat: d.heartbeat, OnHeartbeat: d.onHeartbeat, OnUnreachable: d.onUnreachable, OnReplaced: d.onReplaced, State: d.state, OnChange: d.onChange, ChangesSince: d.changesSince,
 		LimitUpdates:  func() runworks.LimitUse { return d.quota.Updates(time.Now()) },
 		LimitSnapshot: func() runworks.LimitUse { return d.quota.FullUse(time.Now()) },
+		OnRollouts:    d.onRolloutReports,
 		OnHandshake:   d.onHandshake, OnSettled: d.admitHeldCalls,
 		Suspects:      func() []runworks.Suspect { return d.quarantine.List(time.Now()) },
 		OnSuspects:    func(_ string, list []runworks.Suspect) { d.quarantine.Apply(time.Now(), list) },
--- a/daemon/front_servers.go
+++ b/daemon/front_servers.go
@@ -45,6 +45,7 @@
 	if d.serversListed.Load() {
 		d.applyServers(time.Now())
 	}
+	d.applyOrders()
 }
 
 // withRoutes returns the servers whose services the active routing names. The others are logged
@@ -75,6 +76,7 @@
 func (d *Front) applyServers(now time.Time) {
 	list, again := d.expiryFilter.Merge(now, d.withRoutes(d.servers.List()))
 	d.suspendHalls(list)
+	d.rollouts.SetServers(list)
 	change := d.dispatcher.SetServers(list)
 	if again > 0 {
 		d.Logger.Warn("records of backend servers may be lost or outdated; checking again later", "known", len(list), "for_ms", again.Milliseconds())
--- a/daemon/front_status.go
+++ b/daemon/front_status.go
@@ -7,6 +7,7 @@
 
 	"github.com/runworks/runworks/services/dispatch"
 	"github.com/runworks/runworks/services/quarantine"
+	"github.com/runworks/runworks/services/rollout"
 )
 
 // FrontStatus is the status that a front reports to operators.
@@ -26,12 +27,15 @@
 	LimitsUsed map[string]float64 `json:"limits_used"`
 	// Suspects are the requests with attributed server exits, and whether they are quarantined.
 	Suspects []quarantine.Report `json:"suspects"`
+	// Rollouts are the operators' orders to roll out a version.
+	Rollouts []rollout.Status `json:"rollouts,omitempty"`
 }
 
 func (d *Front) status() FrontStatus {
 	reach := d.exchange.Reach()
 	out := FrontStatus{Fronts: reach.Live + 1, FrontsKnown: reach.Known + 1, FrontsKeyRefused: reach.KeyRefused, Servers: d.dispatcher.ServerStatuses(), Waiting: d.dispatcher.WaitingCalls(), LimitsUsed: d.quota.Consumed(time.Now())}
 	out.SuspendedHalls = d.suspendedHalls()
+	out.Rollouts = d.rollouts.Statuses(time.Now())
 	out.Suspects = d.quarantine.Reports(time.Now())
 	if table := d.forwarder.Table.Load(); table != nil {
 		out.RoutingVersion = table.Routing.Version
--- a/daemon/front_suspend.go
+++ b/daemon/front_suspend.go
@@ -21,6 +21,7 @@
 	d.Logger.Warn("host was suspended", "lost_ms", lost.Milliseconds(), "calls", d.forwarder.Active())
 	d.forwarder.AddSuspension(lost)
 	d.exchange.HostSuspended(lost)
+	d.rollouts.HostSuspended(lost)
 	d.store.Client.CloseIdleConnections()
 	for _, w := range d.watches {
 		w.Refresh()
--- a/daemon/front_sync.go
+++ b/daemon/front_sync.go
@@ -21,8 +21,8 @@
 // buildWatches builds the components that follow the topics of the store.
 func (d *Front) buildWatches() {
 	routing := &platform.Watch{Topic: platform.TopicOperators}
-	routing.OnState = func(records []platform.Record, _ bool) { d.onOperators(records, d.halls.Reset) }
-	routing.OnChange = func(records []platform.Record) { d.onOperators(records, d.halls.Apply) }
+	routing.OnState = func(records []platform.Record, _ bool) { d.onOperators(records, d.halls.Reset, d.orders.Reset) }
+	routing.OnChange = func(records []platform.Record) { d.onOperators(records, d.halls.Apply, d.orders.Apply) }
 	servers := &platform.Watch{Topic: platform.TopicServers}
 	servers.OnState = func(records []platform.Record, restored bool) { d.onServers(records, d.servers.Reset, restored) }
 	servers.OnChange = func(records []platform.Record) { d.onServers(records, d.servers.Apply, false) }
@@ -59,6 +59,7 @@
 	wg.Go(func() { d.limits.Run(ctx) })
 	wg.Go(func() { d.suspects.Run(ctx) })
 	wg.Go(func() { d.watchSuspensions(ctx) })
+	wg.Go(func() { d.runRollouts(ctx) })
 }
 
 // state returns this front's state of a subject, for other fronts.
@@ -116,10 +117,12 @@
 	}
 }
 
-// onOperators applies records of the operators: suspended halls and the routing document.
-func (d *Front) onOperators(records []platform.Record, apply func(time.Time, []platform.Record)) {
-	d.onSuspendedHalls(records, apply)
+// onOperators applies records of the operators: suspended halls, the routing document and orders to
+// roll out a version.
+func (d *Front) onOperators(records []platform.Record, applyHalls func(time.Time, []platform.Record), applyOrders func([]platform.Record) []platform.BadRecord) {
+	d.onSuspendedHalls(records, applyHalls)
 	d.onRouting(records)
+	d.onOrders(records, applyOrders)
 }
 
 // onRouting activates the newest routing document of records, and never an older one than the active
@@ -163,6 +166,8 @@
 	}
 	d.members.StoreRestored()
 	d.suspects.StoreRestored()
+	d.rollouts.StoreRestored()
+	d.wakeRollouts.Signal()
 	d.quota.RecordLost(time.Now())
 }
 
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -56,6 +56,10 @@
 	ServerReports metric.Int64Counter
 	// StoreRestores counts how often the store was restored from an older copy.
 	StoreRestores metric.Int64Counter
+	// Rollouts counts the steps of roll-outs, by step, and RolloutCalls the calls that were sent to
+	// versions before they were accepted.
+	Rollouts     metric.Int64Counter
+	RolloutCalls metric.Int64Counter
 	// Keys counts claims of idempotency keys by verdict.
 	Keys metric.Int64Counter
 }
@@ -90,6 +94,8 @@
 		Quarantined:         b.counter("runworks.quarantined", "calls refused as their request ended backend servers, by rank"),
 		ServerReports:       b.counter("runworks.server_words", "backend servers' words that they leave or want rest"),
 		StoreRestores:       b.counter("runworks.store_returns", "returns of the store from an older copy"),
+		Rollouts:            b.counter("runworks.rollout_steps", "steps of roll-outs, by step"),
+		RolloutCalls:        b.counter("runworks.rollout_calls", "calls sent to versions before they were accepted"),
 		Keys:                b.counter("runworks.keys", "claims of idempotency keys, by verdict"),
 	}
 	return s, b.err
@@ -146,6 +152,9 @@
 // Result returns the label for the result of an operation.
 func Result(name string) attribute.KeyValue { return attribute.String("result", name) }
 
+// Step returns the label for a step of a roll-out.
+func Step(name string) attribute.KeyValue { return attribute.String("step", name) }
+
 // ReportKind returns the label for the kind of a server report.
 func ReportKind(name string) attribute.KeyValue { return attribute.String("word", name) }
 
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -11,6 +11,7 @@
 	"github.com/runworks/runworks/modules/group"
 	"github.com/runworks/runworks/modules/pause"
 	"github.com/runworks/runworks/modules/rpc"
+	"github.com/runworks/runworks/services/rollout"
 )
 
 // The RPC methods between entries.
@@ -26,6 +27,9 @@
 	// MethodServerNotices is the notification that carries ServerNotices. Versions that do not
 	// know it ignore it.
 	MethodServerNotices = "entry.server_words"
+	// MethodRollouts is the notification that carries RolloutReports, while a roll-out is ordered.
+	// Versions that do not know it ignore it.
+	MethodRollouts = "entry.rollouts"
 	// MethodChange is the notification that carries a change of a Subject through the entries.
 	// Versions that do not know it receive none.
 	MethodChange = "entry.change"
@@ -163,6 +167,8 @@
 	OnSettled func()
 	// OnReplaced is called with the previous incarnation of an entry that restarted.
 	OnReplaced func(old runworks.Incarnation)
+	// OnRollouts is called with the reports of another entry about roll-outs; nil ignores them.
+	OnRollouts func(from runworks.Incarnation, reports []rollout.Report)
 	// OnChange is called with each change that another entry passed on, and that entry's name.
 	OnChange func(from string, c *Change)
 	// ChangesSince returns the changes of a subject since a position, as the answer to
--- a/services/peers/receive.go
+++ b/services/peers/receive.go
@@ -48,6 +48,8 @@
 		return nil, x.handleSuspects(params)
 	case MethodServerNotices:
 		return nil, x.handleServerNotices(params)
+	case MethodRollouts:
+		return nil, x.handleRollouts(params)
 	case MethodChange:
 		return nil, x.handleChange(params)
 	case MethodChangesSince:
--- /dev/null
+++ b/services/rollout/judge.go
@@ -0,0 +1,353 @@
+package rollout
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+const (
+	// condemnAt is the log likelihood ratio at which a cumulative sum condemns. In theory a sum
+	// exceeds it falsely once in e^10 (22,000) answers if the version is exactly as bad as the
+	// highest share of bad answers that a good one may have, which is twice that of the old one.
+	condemnAt = 10.0
+	// slowCondemnAt is the same for slow answers. They come in bursts, as a long prompt delays all
+	// calls of its engine, so that they are weaker evidence than failures.
+	slowCondemnAt = 14.0
+	// corroborateAt is the fraction of the limit that two servers must reach for the sum over all
+	// servers to count: a single bad server must not condemn its version.
+	corroborateAt = 0.75
+	// suspiciousAt is the fraction of the limit from which a version is not accepted.
+	suspiciousAt = 0.7
+	// minFailed and minSlow are the least shares of bad answers that a good version may have.
+	minFailed = 0.01
+	minSlow   = 0.04
+	// maxNull is the largest share that a good version may have, however bad the
+	// old one is.
+	maxNull = 0.5
+	// cutInterval is the time in which a server's interrupted calls count once: a crash
+	// interrupts all calls that run there.
+	cutInterval = time.Second
+	// maxBad is the number of bad answers at which a version with a share of maxBadFactor times
+	// what a good one may have is condemned. It is below the 50 after which calls must stop.
+	maxBad       = 30
+	maxBadFactor = 2.5
+	// maxCount bounds the counts of one server that another entry may report.
+	maxCount = 1 << 40
+)
+
+// kind is a kind of bad answer.
+type kind int
+
+const (
+	failures kind = iota
+	// slowFirst and slowGaps are answers with a late first event, and with long gaps.
+	slowFirst
+	slowGaps
+)
+
+// timings is the number of kinds that are judged by times.
+const timings = 2
+
+func (k kind) String() string {
+	return [...]string{"failed", "slow at the first event", "slow between events"}[k]
+}
+
+func (k kind) limit() float64 { return [...]float64{condemnAt, slowCondemnAt, slowCondemnAt}[k] }
+
+// alternatives are the shares of bad answers of a bad version that are tested against the null.
+var alternatives = [...]float64{0.05, 0.15, 0.35, 0.7}
+
+// cusum holds a cumulative sum of log likelihood ratios for each alternative. It starts again from 0
+// whenever it is negative, so that a version that turns bad late is found as fast as one that always
+// was.
+type cusum [len(alternatives)]float64
+
+// add adds bad of n answers, where a good version has at most the share null of bad ones.
+func (c *cusum) add(n, bad int, null float64) {
+	for i, p := range alternatives {
+		if p < 2*null {
+			p = min(2*null, 0.5+null/2)
+		}
+		c[i] = max(0, c[i]+float64(bad)*math.Log(p/null)+float64(n-bad)*math.Log((1-p)/(1-null)))
+	}
+}
+
+func (c *cusum) value() float64 {
+	most := 0.0
+	for _, v := range c {
+		most = max(most, v)
+	}
+	return most
+}
+
+// cellKey is a server of the new version, or "" for the old version, and a route.
+type cellKey struct{ server, route string }
+
+// Counts are numbers of answers.
+type Counts struct {
+	// Ended are the answers that were complete or failed; Failed of them were errors, and Cut were
+	// interrupted.
+	Ended  int `json:"n,omitempty"`
+	Failed int `json:"f,omitempty"`
+	Cut    int `json:"c,omitempty"`
+}
+
+func (c *Counts) add(o Counts) {
+	c.Ended += o.Ended
+	c.Failed += o.Failed
+	c.Cut += o.Cut
+}
+
+// plausible reports whether no number contradicts another.
+func (c *Counts) plausible() bool {
+	return c.Failed >= 0 && c.Cut >= 0 && c.Failed+c.Cut <= c.Ended && c.Ended <= maxCount
+}
+
+// atLeast reports whether no number is below that of o.
+func (c *Counts) atLeast(o Counts) bool {
+	return c.Ended >= o.Ended && c.Failed >= o.Failed && c.Cut >= o.Cut
+}
+
+// tally holds the answers of one server on one route.
+type tally struct {
+	Counts
+	// times are those of the first event and between events, relative to the old version's.
+	times [timings]buckets
+}
+
+func (t *tally) add(o *tally) {
+	t.Counts.add(o.Counts)
+	for i := range t.times {
+		t.times[i].add(&o.times[i])
+	}
+}
+
+type seriesKey struct {
+	cellKey
+	kind kind
+}
+
+// judge compares the answers of a new version with those of the old one. All sums are updated from
+// totals over all entries.
+type judge struct {
+	seen   map[cellKey]*tally
+	series map[seriesKey]*cusum
+	// lastCut is when an interrupted call of a server last counted.
+	lastCut map[string]time.Time
+	// total is over all servers of the new version, and slow the number of slow answers.
+	total Counts
+	slow  int
+	// levels are the mean times of the servers of the new version that have enough answers.
+	levels [timings][]float64
+	// answers are the numbers of answers by server.
+	answers map[string]int
+}
+
+// update adds what changed since the last update. totals are the numbers over all entries, and
+// spreads the times of the old version.
+func (j *judge) update(now time.Time, totals map[cellKey]*tally, spreads *[timings]spread) {
+	if j.seen == nil {
+		j.seen, j.series, j.lastCut = make(map[cellKey]*tally), make(map[seriesKey]*cusum), make(map[string]time.Time)
+	}
+	servers := j.byServer(totals)
+	nulls := newNulls(totals)
+	for key, total := range totals {
+		if key.server == "" {
+			continue
+		}
+		last := j.seen[key]
+		if last == nil {
+			last = &tally{}
+		}
+		if !total.atLeast(last.Counts) {
+			continue // the report of an entry is missing for now
+		}
+		j.seen[key] = total
+		j.addFailures(now, key, total.Counts, last.Counts, nulls)
+		for i := range spreads {
+			change := total.times[i].since(&last.times[i])
+			cut, share, ok := spreads[i].cut(&servers[key.server].times[i])
+			if n := change.count(); n > 0 && ok {
+				bad := change.above(cut)
+				j.slow += bad
+				null := min(max(minSlow, 2*share), maxNull)
+				j.addTo(key, slowFirst+kind(i), n, bad, func(string) float64 { return null })
+			}
+		}
+	}
+}
+
+// byServer sums the answers of each server and updates the levels.
+func (j *judge) byServer(totals map[cellKey]*tally) map[string]*tally {
+	out := make(map[string]*tally)
+	for key, t := range totals {
+		if key.server == "" {
+			continue
+		}
+		if out[key.server] == nil {
+			out[key.server] = &tally{}
+		}
+		out[key.server].add(t)
+	}
+	j.answers = make(map[string]int, len(out))
+	j.levels = [timings][]float64{}
+	for server, t := range out {
+		j.answers[server] = t.Ended
+		for i := range t.times {
+			if t.times[i].count() >= minServerAnswers {
+				j.levels[i] = append(j.levels[i], t.times[i].level())
+			}
+		}
+	}
+	return out
+}
+
+// addFailures adds the answers of a server on a route since the last update.
+func (j *judge) addFailures(now time.Time, key cellKey, total, last Counts, nulls *nulls) {
+	change := Counts{Ended: total.Ended - last.Ended, Failed: total.Failed - last.Failed, Cut: total.Cut - last.Cut}
+	if change.Cut > 0 {
+		change.Ended -= change.Cut
+		change.Cut = 0
+		if at, ok := j.lastCut[key.server]; !ok || now.Sub(at) >= cutInterval {
+			j.lastCut[key.server] = now
+			change.Ended, change.Cut = change.Ended+1, 1
+		}
+	}
+	j.total.add(change)
+	if change.Ended > 0 {
+		j.addTo(key, failures, change.Ended, change.Failed+change.Cut, nulls.of)
+	}
+}
+
+// addTo adds answers to the sums of the server, of the route and of all.
+func (j *judge) addTo(key cellKey, k kind, n, bad int, null func(route string) float64) {
+	sums := []cellKey{{server: key.server}, {}}
+	if key.route != "" {
+		sums = append(sums, key, cellKey{route: key.route})
+	}
+	for _, at := range sums {
+		id := seriesKey{at, k}
+		if j.series[id] == nil {
+			j.series[id] = &cusum{}
+		}
+		j.series[id].add(n, bad, null(at.route))
+	}
+}
+
+// level returns the highest sum of a server, or of all servers together if server is "", as a
+// fraction of its limit, with the kind and the route.
+func (j *judge) level(server string) (level float64, k kind, route string) {
+	for _, of := range []kind{failures, slowFirst, slowGaps} {
+		if v, at := j.levelOf(server, of); v > level {
+			level, k, route = v, of, at
+		}
+	}
+	return level, k, route
+}
+
+// levelOf is level for one kind.
+func (j *judge) levelOf(server string, k kind) (level float64, route string) {
+	for id, c := range j.series {
+		if id.server != server || id.kind != k {
+			continue
+		}
+		if v := c.value() / k.limit(); v > level {
+			level, route = v, id.route
+		}
+	}
+	return level, route
+}
+
+// condemned reports whether one server alone is bad.
+func (j *judge) condemned(server string) bool {
+	level, _, _ := j.level(server)
+	return level >= 1
+}
+
+// verdict returns why the version is bad; empty if it is not known to be. targets is the number of
+// its servers.
+func (j *judge) verdict(targets int, spreads *[timings]spread, totals map[cellKey]*tally) string {
+	level, k, route := j.level("")
+	condemned, corroborating := 0, 0
+	for server := range j.answers {
+		if j.condemned(server) {
+			condemned++
+		}
+		if of, _ := j.levelOf(server, k); of >= corroborateAt {
+			corroborating++
+		}
+	}
+	switch {
+	case condemned >= 2, condemned == 1 && targets <= 1, level >= 1 && corroborating >= 2:
+	case j.exceedsMaxBad(totals) && corroborating >= min(2, max(targets, 1)):
+		k, route = failures, ""
+	default:
+		for i := range spreads {
+			if len(j.levels[i]) >= min(minLevelServers, max(targets, 1)) && spreads[i].slower(j.levels[i]) {
+				return fmt.Sprintf("answers are %s at all %d servers that were compared", slowFirst+kind(i), len(j.levels[i]))
+			}
+		}
+		return ""
+	}
+	if route == "" {
+		route = "all routes"
+	}
+	return fmt.Sprintf("too many answers %s on %s, at %d servers: %d failed, %d interrupted and %d slow of %d",
+		k, route, max(condemned, corroborating), j.total.Failed, j.total.Cut, j.slow, j.total.Ended)
+}
+
+// exceedsMaxBad reports whether maxBad answers failed and these are a large share.
+func (j *judge) exceedsMaxBad(totals map[cellKey]*tally) bool {
+	bad := j.total.Failed + j.total.Cut
+	return bad >= maxBad && float64(bad) >= maxBadFactor*newNulls(totals).of("")*float64(j.total.Ended)
+}
+
+// suspicious reports whether the version is too doubtful to be accepted.
+func (j *judge) suspicious() bool {
+	level, _, _ := j.level("")
+	return level >= suspiciousAt
+}
+
+// compared returns the number of servers with enough answers to be accepted.
+func (j *judge) compared() int {
+	n := 0
+	for _, answers := range j.answers {
+		if answers >= minServerAnswers {
+			n++
+		}
+	}
+	return n
+}
+
+// nulls are the largest shares of failed answers that a good version may have: twice those of the
+// old version.
+type nulls struct {
+	old map[string]Counts
+}
+
+func newNulls(totals map[cellKey]*tally) *nulls {
+	out := &nulls{old: make(map[string]Counts)}
+	for key, t := range totals {
+		if key.server != "" {
+			continue
+		}
+		routes := []string{""}
+		if key.route != "" {
+			routes = append(routes, key.route)
+		}
+		for _, route := range routes {
+			sum := out.old[route]
+			sum.add(t.Counts)
+			out.old[route] = sum
+		}
+	}
+	return out
+}
+
+// of returns the share for a route, or for all if route is "". The added answers keep it from
+// being underestimated while few are known.
+func (n *nulls) of(route string) float64 {
+	c := n.old[route]
+	return min(max(minFailed, 2*float64(c.Failed+c.Cut+1)/float64(c.Ended+100)), maxNull)
+}
--- /dev/null
+++ b/services/rollout/race_on_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package rollout
+
+const raceEnabled = true
--- a/standin/routed.go
+++ b/standin/routed.go
@@ -65,6 +65,8 @@
 	arrivals  []RoutedArrival
 	active    int
 	maxActive int
+	// badCalls counts the calls to which RoutedFaults.Bad applied.
+	badCalls int
 }
 
 // Calls returns the executed calls in order of arrival.
@@ -198,6 +200,14 @@
 
 // respond writes the response to a call, with the faults that apply to it.
 func (b *RoutedServer) respond(w http.ResponseWriter, r *http.Request, body []byte) {
+	fails, delay := b.bad(r.URL.Path)
+	if delay > 0 && !waitFor(r, delay) {
+		return
+	}
+	if fails {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if n, err := strconv.Atoi(r.URL.Query().Get("events")); err == nil {
 		b.streamEvents(w, r, n)
 		return
--- a/standin/routed_faults.go
+++ b/standin/routed_faults.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
+	"time"
 )
 
 // RoutedFaults are the faults that a RoutedServer simulates. Each call that a fault applies to
@@ -34,6 +36,40 @@
 	// Backoff, unless 0, rejects each call and asks its front for a back-off of that many
 	// seconds.
 	Backoff float64 `json:"rest"`
+	// Bad makes a part of the calls fail or slow, as those of a bad version.
+	Bad RoutedBadness `json:"bad"`
+}
+
+// RoutedBadness is how the calls of a server of a bad version end. The n-th call is bad if n times
+// the share reaches a new whole number.
+type RoutedBadness struct {
+	// Fails and Slows are the shares of calls that get status 500 and that take SlowMs longer.
+	Fails  float64 `json:"fails"`
+	Slows  float64 `json:"slows"`
+	SlowMs int     `json:"slow_ms"`
+	// After is the number of calls that the server runs well before, Active the number of running
+	// calls from which a call is bad, and Path how the paths of bad calls begin.
+	After  int    `json:"after"`
+	Active int    `json:"active"`
+	Path   string `json:"path"`
+}
+
+// bad reports whether a call fails, and by how much it is delayed.
+func (b *RoutedServer) bad(path string) (fails bool, delay time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f := &b.faults.Bad
+	if f.Fails == 0 && f.Slows == 0 || len(b.calls) <= f.After || b.active < f.Active || !strings.HasPrefix(path, f.Path) {
+		return false, 0
+	}
+	b.badCalls++
+	reaches := func(share float64) bool {
+		return int(share*float64(b.badCalls)) > int(share*float64(b.badCalls-1))
+	}
+	if reaches(f.Slows) {
+		delay = time.Duration(f.SlowMs) * time.Millisecond
+	}
+	return reaches(f.Fails), delay
 }
 
 // SetFaults replaces the simulated faults.
