Look up the highest sum of each server once per update

Cause: a profile of the roll-out simulation showed a third of the time in judge.levelOf, which went over all sums for each server and kind. At 88 servers on four routes that would be about 280,000 steps each 300 ms.

Change: the highest sum by server and kind is found once after an update.

Result: go test ./services/rollout takes 104 s instead of 151 s on the busy machine (148 s instead of 238 s of processor time) and passes.

--- a/services/rollout/judge.go
+++ b/services/rollout/judge.go
@@ -133,6 +133,8 @@
 type judge struct {
 	seen   map[cellKey]*tally
 	series map[seriesKey]*cusum
+	// highest holds the highest sum of each server and kind, with no route in the key.
+	highest map[seriesKey]highestSum
 	// lastCut is when an interrupted call of a server last counted.
 	lastCut map[string]time.Time
 	// total is over all servers of the new version, and slow the number of slow answers.
@@ -176,6 +178,7 @@
 			}
 		}
 	}
+	j.updateHighest()
 }
 
 // byServer sums the answers of each server and updates the levels.
@@ -248,15 +251,25 @@
 
 // levelOf is level for one kind.
 func (j *judge) levelOf(server string, k kind) (level float64, route string) {
+	highest := j.highest[seriesKey{cellKey{server: server}, k}]
+	return highest.level, highest.route
+}
+
+// highestSum is the highest sum of a server, as a fraction of its limit, and its route.
+type highestSum struct {
+	level float64
+	route string
+}
+
+// updateHighest finds the highest sum of each server and kind.
+func (j *judge) updateHighest() {
+	j.highest = make(map[seriesKey]highestSum)
 	for id, c := range j.series {
-		if id.server != server || id.kind != k {
-			continue
-		}
-		if v := c.value() / k.limit(); v > level {
-			level, route = v, id.route
+		key := seriesKey{cellKey{server: id.server}, id.kind}
+		if v := c.value() / id.kind.limit(); v > j.highest[key].level {
+			j.highest[key] = highestSum{v, id.route}
 		}
 	}
-	return level, route
 }
 
 // condemned reports whether one server alone is bad.
