Limit the calls to a version before its times are known to be harmless

A version that is slower within the spread of the old engines can't be recognized by single answers, and the sums needed two engines to be bad each by itself.

Change: the first 48 calls of all fronts go to eight engines in turn, once the old version's times are known; more follow when 0.9 of them have ended and the engines are not clearly slower.

--- a/services/rollout/exposure.go
+++ b/services/rollout/exposure.go
@@ -81,6 +81,7 @@
 	defer r.mu.Unlock()
 	if o := r.orders[server.Service]; o != nil && server.Version == o.TargetVersion && !o.state.Terminal() {
 		o.placed++
+		o.probes[server.ID]++
 		if r.OnPlaced != nil {
 			r.OnPlaced()
 		}
--- a/services/rollout/failure_test.go
+++ b/services/rollout/failure_test.go
@@ -140,6 +140,8 @@
 	r := newRollouts("f1")
 	r.SetServers([]runworks.Instance{oldServer, newServer})
 	r.StatusRead(now, "llm", status(runworks.RolloutRunning), now)
+	is.True(!r.Allows(now, &newServer, false)) // the times of the old version are not known
+	is.NoErr(r.ApplyReport(now, "f2", &Report{Service: "llm", TargetVersion: "v2", Harmless: true}))
 	is.True(r.Allows(now, &newServer, false)) // a part of the slack
 	r.HostSuspended(4 * time.Second)
 	is.True(!r.Allows(now, &newServer, false))
--- a/services/rollout/report.go
+++ b/services/rollout/report.go
@@ -22,9 +22,11 @@
 	State   runworks.RolloutState `json:"state,omitempty"`
 	Verdict runworks.RolloutState `json:"verdict,omitempty"`
 	Reason  string                `json:"reason,omitempty"`
-	Arrived int                   `json:"arrived"`
-	Placed  int                   `json:"placed"`
-	Cells   []Cell                `json:"cells,omitempty"`
+	// Harmless is set once nothing spoke against the version after the first calls.
+	Harmless bool   `json:"harmless,omitempty"`
+	Arrived  int    `json:"arrived"`
+	Placed   int    `json:"placed"`
+	Cells    []Cell `json:"cells,omitempty"`
 }
 
 // Cell holds the answers of one server of the new version, or of the old version if Server is
@@ -64,7 +66,7 @@
 // report returns the report of an order.
 func (o *order) report(now time.Time) Report {
 	out := Report{
-		Service: o.Service, TargetVersion: o.TargetVersion, State: o.state, Verdict: o.verdict, Reason: o.reason,
+		Service: o.Service, TargetVersion: o.TargetVersion, State: o.state, Verdict: o.verdict, Reason: o.reason, Harmless: o.harmless,
 		Arrived: o.arrived, Placed: o.placed, StartedAgo: ago(now, o.started), ConfirmedAgo: ago(now, o.confirmed),
 	}
 	if o.reportsOut%fullReportEvery == 0 {
@@ -173,6 +175,7 @@
 		known = &peerReport{tallies: make(map[cellKey]*tally)}
 		o.reports[from] = known
 	}
+	o.harmless = o.harmless || p.Harmless
 	known.at, known.arrived, known.placed = now, p.Arrived, p.Placed
 	for _, c := range p.Cells {
 		key := cellKey{c.Server, c.Route}
--- a/services/rollout/rollouts.go
+++ b/services/rollout/rollouts.go
@@ -21,6 +21,15 @@
 	// minCanaries is the least number of servers that get calls before the verdict: a single bad
 	// server must be distinguishable from a bad version.
 	minCanaries = 2
+	// probeCalls is the number of calls that all entries together send before the version is known to
+	// be harmless: fewer than the 50 bad answers after which a version must get no more. They go to
+	// probedServers servers, as the differences between servers are what hides a slow version.
+	probeCalls    = 48
+	probedServers = minLevelServers
+	// answeredShare of the first calls must have ended for the version to be known to be harmless.
+	answeredShare = 0.9
+	// probeUntil of the duration, fewer servers are enough: a service has few calls.
+	probeUntil = 0.4
 	// answersInTurn is the number of answers of a server after which others get calls.
 	answersInTurn = 2 * minServerAnswers
 	// statusMaxAge, as a fraction of RollbackAfter, is the age of the newest knowledge of the
@@ -120,7 +129,14 @@
 	spreads         [timings]spread
 	judge           judge
 	judgedAt        time.Time
-	reports         map[runworks.Incarnation]*peerReport
+	// probes are the calls to each server before the version was known to be harmless.
+	probes map[string]int
+	// comparable is set once this entry knows the times of the old version, or waited for long
+	// enough. An answer before that would be one of the first calls, and tell little.
+	comparable bool
+	// harmless is set once nothing spoke against the version after the first calls.
+	harmless bool
+	reports  map[runworks.Incarnation]*peerReport
 
 	// targets and canaries are the servers of the new version that may get calls, after and before
 	// the verdict; old are those of other versions.
@@ -163,7 +179,7 @@
 		if r.orders == nil {
 			r.orders = make(map[string]*order)
 		}
-		o := &order{Rollout: one, tallies: make(map[cellKey]*tally), reports: make(map[runworks.Incarnation]*peerReport)}
+		o := &order{Rollout: one, tallies: make(map[cellKey]*tally), probes: make(map[string]int), reports: make(map[runworks.Incarnation]*peerReport)}
 		r.orders[service] = o
 		r.stepLocked(o, "ordered", "")
 	}
@@ -213,6 +229,9 @@
 		return cmp.Or(cmp.Compare(o.judge.answers[a.ID]/answersInTurn, o.judge.answers[b.ID]/answersInTurn), cmp.Compare(hash(a.ID), hash(b.ID)), cmp.Compare(a.ID, b.ID))
 	})
 	n := max(minCanaries, int(math.Ceil(r.ExposureShare*float64(len(o.old)))))
+	if !o.harmless {
+		n = max(n, probedServers)
+	}
 	o.canaries = make(map[string]bool, n)
 	for _, one := range good[:min(n, len(good))] {
 		o.canaries[one.ID] = true
@@ -249,7 +268,13 @@
 	if o.verdict == runworks.RolloutRolledBack || !o.exposes(now, r) || !o.canaries[server.ID] {
 		return false
 	}
-	return adopted || float64(o.placed)+1 <= o.allowance(r)
+	if adopted {
+		return true
+	}
+	if !o.harmless && (!o.comparable || !o.isNext(server.ID) || o.placed >= max(probeCalls/(r.fronts.known+1), 1)) {
+		return false
+	}
+	return float64(o.placed)+1 <= o.allowance(r)
 }
 
 // exposes reports whether the new version gets calls at all.
@@ -258,6 +283,17 @@
 		now.Sub(o.confirmed) <= r.part(statusMaxAge) && o.connected(now, &r.fronts)
 }
 
+// isNext reports whether no other of the first servers got fewer calls from this entry: a slow one
+// would get few, and the version would seem fast.
+func (o *order) isNext(server string) bool {
+	for id := range o.canaries {
+		if o.probes[id] < o.probes[server] {
+			return false
+		}
+	}
+	return true
+}
+
 // part returns a fraction of RollbackAfter.
 func (r *Rollouts) part(fraction float64) time.Duration {
 	return time.Duration(fraction * float64(r.RollbackAfter))
--- a/services/rollout/spread.go
+++ b/services/rollout/spread.go
@@ -12,6 +12,13 @@
 	recentAnswers   = 500
 	// minServerAnswers is the number of answers after which the level of a server is used.
 	minServerAnswers = 8
+	// minLevelAnswers is the number of answers of a server of the new version after which its level
+	// is compared: the differences between servers are larger than the error of its mean.
+	minLevelAnswers = 3
+	// levelNoise is the variance of the mean of so few answers.
+	levelNoise = 0.12
+	// settledAnswers is the number of answers of a server after which its level is settled.
+	settledAnswers = 12
 	// minOldServers is the number of servers of the old version that must be known, if there are as
 	// many, and half of all.
 	minOldServers = 3
@@ -36,7 +43,7 @@
 	// levelFactor is by how much the servers of a version must be slower on average, and
 	// levelDeviations by how many standard deviations, for the version to be condemned.
 	levelFactor     = 2
-	levelDeviations = 2.9
+	levelDeviations = 2.5
 	// minLevelServers is the number of servers that are compared, if there are as many.
 	minLevelServers = 8
 	// minLevelSpread is the least standard deviation between the levels of servers. It is that of
@@ -220,12 +227,15 @@
 }
 
 // slower reports whether the servers of the new version, of which levels holds the mean ratios, are
-// slower than can be explained by the spread between the old ones.
-func (s *spread) slower(levels []float64) bool {
+// slower than can be explained by the spread between the old ones, by a number of standard deviations.
+func (s *spread) slower(levels []float64, deviations float64) bool {
 	average, deviation, _, n := s.levels()
 	if n < minOldServers || len(levels) == 0 {
 		return false
 	}
+	if deviations > harmlessDeviations && float64(n) < knownShare*float64(s.listed) {
+		return false // without the slow servers, which are known last, the mean is too low
+	}
 	sum, most := 0.0, math.Inf(-1)
 	for _, x := range levels {
 		sum += x
@@ -239,5 +249,5 @@
 	if excess < math.Log(levelFactor) {
 		return false
 	}
-	return excess > levelDeviations*deviation*math.Sqrt(1/float64(compared)+1/float64(n))
+	return excess > deviations*math.Sqrt((deviation*deviation+levelNoise)/float64(compared)+deviation*deviation/float64(n))
 }
--- a/services/rollout/tick.go
+++ b/services/rollout/tick.go
@@ -70,6 +70,7 @@
 		if reason := o.judge.verdict(len(o.targets), &o.spreads, totals); reason != "" {
 			return r.rollBackLocked(o, reason)
 		}
+		o.updateHarmless(now)
 	}
 	r.logProgressLocked(now, o)
 	switch {
@@ -81,6 +82,23 @@
 	return runworks.RolloutRunning, ""
 }
 
+// updateHarmless decides whether more calls follow the first ones.
+func (o *order) updateHarmless(now time.Time) {
+	_, _, known := o.spreads[0].cut(&buckets{})
+	o.comparable = o.comparable || known || o.after(now, probeUntil)
+	enough := min(probedServers, len(o.targets))
+	if o.after(now, probeUntil) {
+		enough = min(enough, minCanaries)
+	}
+	placed := o.placed
+	for _, one := range o.reports {
+		placed += one.placed
+	}
+	// The slow answers arrive last.
+	answered := float64(o.judge.total.Ended) >= answeredShare*float64(placed)
+	o.harmless = o.harmless || answered && o.judge.harmless(enough, &o.spreads)
+}
+
 // after reports whether a fraction of the duration has passed.
 func (o *order) after(now time.Time, fraction float64) bool {
 	return now.Sub(o.started) >= time.Duration(fraction*float64(o.Duration))
@@ -91,7 +109,7 @@
 	late := o.after(now, acceptLate)
 	enough := o.judge.total.Ended >= minAnswers && o.judge.compared() >= min(minLevelServers, len(o.targets))
 	enough = enough && o.after(now, acceptAfter) || late && o.judge.total.Ended >= minLateAnswers
-	return enough && !o.judge.suspicious() && o.carriesLoad(now, late)
+	return enough && !o.judge.suspicious(&o.spreads) && o.carriesLoad(now, late)
 }
 
 // rollBackLocked decides that the version is rolled back. The decision is final at this entry.
@@ -109,7 +127,7 @@
 		return "no server of the version by the deadline"
 	case !o.carriesLoad(now, true):
 		return "the servers of the version can't carry the load by the deadline"
-	case o.judge.suspicious():
+	case o.judge.suspicious(&o.spreads):
 		return "too doubtful by the deadline"
 	case o.judge.total.Ended < minLateAnswers:
 		return "too few answers by the deadline"
@@ -141,6 +159,8 @@
 		r.stepLocked(o, "waiting for servers", "")
 	case !o.exposes(now, r):
 		r.stepLocked(o, "paused", o.pauseReason(now, r))
+	case !o.harmless:
+		r.stepLocked(o, "probing", "")
 	default:
 		r.stepLocked(o, "testing", "")
 	}
