--- a/daemon/front_status.go
+++ b/daemon/front_status.go
@@ -7,6 +7,7 @@
 
 	"github.com/runworks/runworks/services/dispatch"
 	"github.com/runworks/runworks/services/quarantine"
+	"github.com/runworks/runworks/services/rollout"
 )
 
 // FrontStatus is the status that a front reports to operators.
@@ -28,6 +29,8 @@
 	LimitsUsed map[string]float64 `json:"limits_used"`
 	// Suspects are the requests with attributed server exits, and whether they are quarantined.
 	Suspects []quarantine.Report `json:"suspects"`
+	// Rollouts are the operators' orders to roll out a version.
+	Rollouts []rollout.Status `json:"rollouts,omitempty"`
 }
 
 func (d *Front) status() FrontStatus {
@@ -35,6 +38,7 @@
 	out := FrontStatus{Fronts: reach.Live + 1, FrontsKnown: reach.Known + 1, FrontsKeyRefused: reach.KeyRefused, Servers: d.dispatcher.ServerStatuses(), Waiting: d.dispatcher.WaitingCalls(), LimitsUsed: d.quota.Consumed(time.Now())}
 	out.Schedulers = d.slotClient.Schedulers()
 	out.SuspendedHalls = d.suspendedHalls()
+	out.Rollouts = d.rollouts.Statuses(time.Now())
 	out.Suspects = d.quarantine.Reports(time.Now())
 	if table := d.forwarder.Table.Load(); table != nil {
 		out.RoutingVersion = table.Routing.Version
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -74,6 +74,10 @@
 	// RetryAfterSeconds is the time that callers of calls which found no capacity were told to return
 	// after, by rank and basis.
 	RetryAfterSeconds metric.Float64Histogram
+	// Rollouts counts the steps of roll-outs, by step, and RolloutCalls the calls that were sent to
+	// versions before they were accepted.
+	Rollouts     metric.Int64Counter
+	RolloutCalls metric.Int64Counter
 	// Keys counts claims of idempotency keys by verdict.
 	Keys metric.Int64Counter
 }
@@ -114,6 +118,8 @@
 		ScheduleSeconds:     b.seconds("runworks.schedule", "time to the scheduler's answer, of calls that did not wait"),
 		ScheduleRefusals:    b.counter("runworks.schedule_refusals", "calls refused by the scheduler of their service, by rank, cause and basis of the retry time"),
 		RetryAfterSeconds:   b.seconds("runworks.retry_after", "time to return after that was given to callers that found no capacity, by rank and basis"),
+		Rollouts:            b.counter("runworks.rollout_steps", "steps of roll-outs, by step"),
+		RolloutCalls:        b.counter("runworks.rollout_calls", "calls sent to versions before they were accepted"),
 		Keys:                b.counter("runworks.keys", "claims of idempotency keys, by verdict"),
 	}
 	s.ScheduleMessagesIgnored = b.counter("runworks.schedule_messages_ignored", "invalid messages to the scheduler, by cause")
@@ -213,6 +219,9 @@
 // Result returns the label for the result of an operation.
 func Result(name string) attribute.KeyValue { return attribute.String("result", name) }
 
+// Step returns the label for a step of a roll-out.
+func Step(name string) attribute.KeyValue { return attribute.String("step", name) }
+
 // ReportKind returns the label for the kind of a server report.
 func ReportKind(name string) attribute.KeyValue { return attribute.String("word", name) }
 
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -27,6 +27,8 @@
 type Request struct {
 	ID      runworks.RequestID
 	Service string
+	// Route is the name of the call's route.
+	Route string
 	// Rank is the customer's rank, or the route's if the customer has none; 0 is the highest.
 	// RouteRank orders calls of the same rank.
 	Rank      int
@@ -108,6 +110,8 @@
 	RequestPermits func(transfer *PermitTransfer)
 
 	mu sync.Mutex
+	// gate restricts the servers during a roll-out; nil if none is ordered.
+	gate *Gate
 	// servers is keyed by incarnation; newest holds the latest incarnation by server ID.
 	servers  map[string]*server
 	newest   map[string]*server
@@ -130,10 +134,11 @@
 
 // service holds the backend servers of a service and the calls that wait for them.
 type service struct {
-	name    string
-	servers []*server
-	queue   reservation.Queue
-	waiters map[runworks.RequestID]*waiter
+	name string
+	// servers are the servers that may get calls now, and all those of the service.
+	servers, all []*server
+	queue        reservation.Queue
+	waiters      map[runworks.RequestID]*waiter
 	// peers is the number of other entries that are reachable.
 	peers int
 	// arrivals counts the calls that arrived.
@@ -219,6 +224,7 @@
 	defer d.mu.Unlock()
 	s := d.services[req.Service]
 	now := time.Now()
+	d.applyGateLocked(s)
 	if s == nil || !s.hasServerFor(now, req) {
 		return nil, nil, runworks.ErrNoServer
 	}
@@ -230,6 +236,7 @@
 	}
 	s.arrivals++
 	s.recordArrival(now, req)
+	d.countArrivalLocked(req)
 	w := &waiter{req: req, entry: entry, lease: make(chan *Lease, 1), arrival: s.arrivals}
 	w.feasible = s.anyMeetsTarget(now, d.forecast(now, s), req, s.canWait(now, req))
 	if err := s.checkAdmission(now, w); err != nil {
@@ -287,6 +294,7 @@
 	var skipped []skippedCall
 	var f *forecast
 	for s.queue.Len() > 0 && len(skipped) < maxSkipped {
+		d.applyGateLocked(s)
 		available := d.serversInTurn(now, s, s.available(now))
 		if len(available) == 0 {
 			break
@@ -310,8 +318,9 @@
 		target.trackUnread(now)
 		s.recordStart(t.Tier)
 		s.recordScheduledStart(now, w.req)
-		lease := &Lease{Instance: target.Instance, dispatcher: d, server: target, service: s.name, routeRank: routeRank(t.Tier), began: now, unreadTokens: w.req.PromptTokens, aheadTokens: target.ownUnread + target.peerUnread - w.req.PromptTokens, entry: w.entry, forecast: forecast}
+		lease := &Lease{Instance: target.Instance, dispatcher: d, server: target, service: s.name, route: w.req.Route, routeRank: routeRank(t.Tier), began: now, unreadTokens: w.req.PromptTokens, aheadTokens: target.ownUnread + target.peerUnread - w.req.PromptTokens, entry: w.entry, forecast: forecast}
 		target.addLease(now, lease)
+		d.countPlacementLocked(target)
 		w.lease <- lease
 	}
 	d.returnSkippedLocked(now, s, skipped)
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -13,8 +13,11 @@
 	dispatcher *Dispatcher
 	server     *server
 	service    string
+	route      string
 	routeRank  int
 	began      time.Time
+	// progress is what a roll-out is judged by.
+	progress progress
 	// unreadTokens is the number of prompt tokens that the server has not read yet.
 	unreadTokens int
 	// aheadTokens is the number of prompt tokens that the server had to read before when the call was
@@ -73,6 +76,7 @@
 		l.observer.Released(r)
 	}
 	now := time.Now()
+	l.reportEndLocked(now, r)
 	// The errors of a server in the calls of another entry are known from its heartbeats.
 	if l.entry == "" || r != Failed {
 		if wait := l.server.recordResult(now, r); wait > 0 && d.OnEject != nil {
@@ -97,6 +101,7 @@
 	l.dispatcher.mu.Lock()
 	defer l.dispatcher.mu.Unlock()
 	l.server.lastReceived = time.Now()
+	l.progress.addGap(gap)
 	l.server.meanGap.add(gap.Seconds(), gapWeight)
 	l.server.steadyGap.add(gap.Seconds(), steadyWeight)
 	stalled := 0.0
@@ -135,6 +140,7 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	l.server.lastReceived = now
+	l.progress.first = now.Sub(l.began)
 	l.recordFirstEventLocked(promptTokens, now.Sub(l.began))
 	if l.observer != nil {
 		l.observer.ReceivedFirstEvent(now.Sub(l.began))
--- a/services/dispatch/server_set.go
+++ b/services/dispatch/server_set.go
@@ -93,7 +93,7 @@
 		d.services = make(map[string]*service)
 	}
 	for _, s := range d.services {
-		s.servers = nil
+		s.servers, s.all = nil, nil
 	}
 	for _, one := range d.servers {
 		s := d.services[one.Service]
@@ -101,9 +101,13 @@
 			s = d.newService(one.Service)
 			d.services[one.Service] = s
 		}
-		s.servers = append(s.servers, one)
+		s.all = append(s.all, one)
 		one.fleet = &s.fleet
 	}
+	for _, s := range d.services {
+		s.servers = s.all
+		d.applyGateLocked(s)
+	}
 }
 
 func (d *Dispatcher) newService(name string) *service {
--- a/services/peers/receive.go
+++ b/services/peers/receive.go
@@ -55,6 +55,8 @@
 		return nil, x.handleServerNotices(params)
 	case MethodEngineModels:
 		return nil, x.handleEngineModels(params)
+	case MethodRollouts:
+		return nil, x.handleRollouts(params)
 	case MethodChange:
 		return nil, x.handleChange(params)
 	case MethodChangesSince:
