--- a/services/dispatch/admission.go
+++ b/services/dispatch/admission.go
@@ -187,7 +187,13 @@
 		sum += one
 	}
 	rate := v.rankRate(a.tier)
+	if rate == 0 {
+		return math.Inf(1)
+	}
 	capacity := rate * sum / c.arrivals
+	if capacity == 0 {
+		return float64(a.backlog) / rate
+	}
 	return float64(a.backlog) / (rate * min(fairShare(capacity, a.demands)/capacity, 1))
 }
 
--- a/services/dispatch/choose.go
+++ b/services/dispatch/choose.go
@@ -46,6 +46,8 @@
 	for _, one := range s.servers {
 		if one.admits(now, s) && (s.healthy(now, one) || !healthy) {
 			open = append(open, one)
+		} else {
+			one.unchangedSince = time.Time{} // no entry could use a turn
 		}
 	}
 	return open
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -21,6 +21,9 @@
 	// maxSkipped limits the calls that one pass over the queue skips because no free server
 	// suits them.
 	maxSkipped = 32
+	// maxSkippedOfTier is the same for each tier where this entry schedules the service. Its queue holds
+	// the calls of all entries, of which many of one tier may need the same servers.
+	maxSkippedOfTier = 8
 )
 
 // Request describes a call that needs a backend server.
@@ -239,8 +242,9 @@
 	d.countArrivalLocked(req)
 	w := &waiter{req: req, entry: entry, lease: make(chan *Lease, 1), arrival: s.arrivals}
 	w.feasible = s.anyMeetsTarget(now, d.forecast(now, s), req, s.canWait(now, req))
-	if err := s.checkAdmission(now, w); err != nil {
-		return nil, nil, d.refuse(now, s, w, CauseArrival, err)
+	refusal := s.checkAdmission(now, w)
+	if refusal != nil && !d.startsAtOnce(now, s, w) {
+		return nil, nil, d.refuse(now, s, w, CauseArrival, refusal)
 	}
 	if !d.enqueueLocked(s, w) {
 		return nil, nil, d.refuse(now, s, w, CauseQueueFull, runworks.ErrShortage)
@@ -251,8 +255,20 @@
 		lease, err := w.result(lease)
 		return nil, lease, err
 	default:
-		return w, nil, nil
 	}
+	if refusal != nil { // a call that waits took the free server
+		s.queue.Remove(req.ID)
+		delete(s.waiters, req.ID)
+		return nil, nil, d.refuse(now, s, w, CauseArrival, refusal)
+	}
+	return w, nil, nil
+}
+
+// startsAtOnce reports whether a free server suits a call for which there is no capacity behind the
+// calls that wait: these may need other servers, as for long prompts. It is false where this entry
+// does not schedule the service.
+func (d *Dispatcher) startsAtOnce(now time.Time, s *service, w *waiter) bool {
+	return s.schedules(now) && d.choose(now, s, d.forecast(now, s), d.serversInTurn(now, s, s.available(now)), w) != nil
 }
 
 // Run checks the queues at an interval until ctx ends.
@@ -293,9 +309,13 @@
 	now := time.Now()
 	var skipped []skippedCall
 	var f *forecast
-	for s.queue.Len() > 0 && len(skipped) < maxSkipped {
-		d.applyGateLocked(s)
-		available := d.serversInTurn(now, s, s.available(now))
+	var available []*server
+	scheduled := s.schedules(now)
+	for s.queue.Len() > 0 && (scheduled || len(skipped) < maxSkipped) {
+		if available == nil || !scheduled {
+			d.applyGateLocked(s)
+			available = d.serversInTurn(now, s, s.available(now))
+		}
 		if len(available) == 0 {
 			break
 		}
@@ -320,6 +340,7 @@
 		s.recordScheduledStart(now, w.req)
 		lease := &Lease{Instance: target.Instance, dispatcher: d, server: target, service: s.name, route: w.req.Route, routeRank: routeRank(t.Tier), began: now, unreadTokens: w.req.PromptTokens, aheadTokens: target.ownUnread + target.peerUnread - w.req.PromptTokens, entry: w.entry, forecast: forecast}
 		target.addLease(now, lease)
+		available = nil
 		d.countPlacementLocked(target)
 		w.lease <- lease
 	}
--- a/services/dispatch/grant.go
+++ b/services/dispatch/grant.go
@@ -199,7 +199,7 @@
 // RecordRemoteGaps records the gaps between events of a call for which a slot was granted to another
 // entry: their number and sum, and how many of them were longer than callers allow.
 func (l *Lease) RecordRemoteGaps(n int, sum time.Duration, late int) {
-	if n <= 0 || late < 0 || late > n || sum < 0 {
+	if n <= 0 || late < 0 || late > n || sum <= 0 {
 		return
 	}
 	l.dispatcher.mu.Lock()
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -101,6 +101,9 @@
 	l.dispatcher.mu.Lock()
 	defer l.dispatcher.mu.Unlock()
 	l.server.lastReceived = time.Now()
+	if gap <= 0 {
+		return // unknown, as the caller delayed the reading
+	}
 	l.progress.addGap(gap)
 	l.server.meanGap.add(gap.Seconds(), gapWeight)
 	l.server.steadyGap.add(gap.Seconds(), steadyWeight)
--- a/services/dispatch/model.go
+++ b/services/dispatch/model.go
@@ -24,6 +24,9 @@
 	// minUnreadReported is the number of unread prompt tokens from which a server's are reported
 	// to the other entries: fewer are read before the report arrives.
 	minUnreadReported = 4000
+	// minSpread is the least relative spread of the lengths from which a slope is derived: below it,
+	// rounding errors would be.
+	minSpread = 1e-6
 	// minPrefillSamples is the number of prompts from which the model is used.
 	minPrefillSamples = 10
 )
@@ -47,7 +50,7 @@
 // of its tokens; ok is false while there are too few samples.
 func (r *prefillModel) fit() (start, perToken float64, ok bool) {
 	spread := r.n*r.xx - r.x*r.x
-	if r.n < minPrefillSamples || spread <= 0 {
+	if r.n < minPrefillSamples || spread <= minSpread*r.n*r.xx {
 		return 0, 0, false
 	}
 	perToken = max((r.n*r.xy-r.x*r.y)/spread, 0)
--- a/services/dispatch/peer_load.go
+++ b/services/dispatch/peer_load.go
@@ -107,7 +107,11 @@
 		if len(old.ConsecutiveFailures)+len(load.ConsecutiveFailures) > 0 {
 			d.ejectFailingLocked(now, s)
 		}
-		d.pumpLocked(s)
+		// Where this entry schedules the service, the loads of the others free hardly any slot, and
+		// a pass for each of them would cost a fifth of a core with 24 entries and 300 waiting calls.
+		if !s.schedules(now) {
+			d.pumpLocked(s)
+		}
 	}
 }
 
--- a/services/dispatch/scheduled.go
+++ b/services/dispatch/scheduled.go
@@ -173,9 +173,12 @@
 	allowed := func(rank int) bool { return s.anyFree(open, rank) }
 	if s.schedules(now) {
 		var without []int
+		skippedOf := make(map[int]int)
 		for _, one := range skipped {
 			without = append(without, newCallTier(one.waiter.req))
+			skippedOf[one.item.Tier]++
 		}
+		allowed = func(rank int) bool { return skippedOf[rank] < maxSkippedOfTier && s.anyFree(open, rank) }
 		if tier := s.capacityView(now).owed(without); tier >= 0 {
 			s.owedStart = true
 			if t := s.queue.Pop(now, func(rank int) bool { return onTimeTier(rank) == tier && allowed(rank) }); t != nil {
--- a/services/dispatch/turn_test.go
+++ b/services/dispatch/turn_test.go
@@ -226,3 +226,54 @@
 		is.Equal(n, 3)
 	}
 }
+
+// TestTurnsOfFullServerDoNotCount guards against turns that are counted while a server was full, if its
+// load is the same before and after: entries would not agree on whose turn it is.
+func TestTurnsOfFullServerDoNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDispatcher(2)
+		waiting := acquireAsync(d, newRequest("first", 0))
+		(<-waiting).Release(Served)
+		for _, n := range []int{1, 2, 1} {
+			d.SetPeerLoad("elsewhere", runningLoad(runworks.RunningCalls{"s0": n}))
+			s := d.services["llm"]
+			for _, one := range s.available(time.Now()) {
+				is.New(t).Equal(one.unusedTurns(time.Now(), d.turnDuration()), 0)
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+// TestCallStartsBesideWaitingCalls guards against a call that is refused for the calls that wait before
+// it, although a free server suits it and none of them.
+func TestCallStartsBesideWaitingCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(1, 8)
+		d.SetPeerLoad("other", runningLoad(nil))
+		busy := mustAcquire(t, d, "busy")
+		var stuck []<-chan *Lease
+		for i := range 40 { // more than one pass skips of a tier
+			req := newRequest(fmt.Sprint("stuck", i), 0)
+			req.Exclude = []string{"s1"}
+			if busy.Instance.ID == "s1" {
+				req.Exclude = []string{"s0"}
+			}
+			out := make(chan *Lease, 1)
+			go func() {
+				lease, _ := d.AcquireFor(t.Context(), req, "other")
+				out <- lease
+			}()
+			synctest.Wait()
+			stuck = append(stuck, out)
+		}
+		is.True(d.WaitingCalls()["llm"] > maxSkippedOfTier)
+		short := newRequest("short", 1)
+		short.Customer = "b"
+		lease, err := d.AcquireFor(t.Context(), short, "other")
+		is.NoErr(err)
+		lease.Release(Served)
+		time.Sleep(time.Minute) // waiting calls are abandoned
+	})
+}
--- a/services/enginemodel/line.go
+++ b/services/enginemodel/line.go
@@ -35,11 +35,15 @@
 	return line{n: l.n + n, x: l.x + n*x, y: l.y + n*y, xx: l.xx + n*x*x, xy: l.xy + n*x*y}
 }
 
+// minSpread is the least relative spread of the points from which a slope is derived: below it, rounding
+// errors would be.
+const minSpread = 1e-6
+
 // fit returns the value at 0 and the slope; neither is negative. ok is false if the samples
 // determine no line.
 func (l line) fit() (start, slope float64, ok bool) {
 	spread := l.n*l.xx - l.x*l.x
-	if l.n == 0 || spread <= 0 {
+	if l.n == 0 || spread <= minSpread*l.n*l.xx {
 		return 0, 0, false
 	}
 	slope = max((l.n*l.xy-l.x*l.y)/spread, 0)
--- a/services/scheduler/wire.go
+++ b/services/scheduler/wire.go
@@ -40,7 +40,7 @@
 func encodeRequest(now time.Time, req *dispatch.Request, hall string) *peers.AcquireRequest {
 	out := &peers.AcquireRequest{
 		ID: req.ID, Service: req.Service, Rank: req.Rank, RouteRank: req.RouteRank, Customer: req.Customer,
-		PromptTokens: req.PromptTokens, MaxTokens: req.MaxTokens, ExpectedTokens: req.ExpectedTokens, Resumed: req.Resumed, Retry: req.Retry,
+		PromptTokens: clampTokens(req.PromptTokens), MaxTokens: clampTokens(req.MaxTokens), ExpectedTokens: clampTokens(req.ExpectedTokens), Resumed: req.Resumed, Retry: req.Retry,
 		Hall: hall, MaxGapMs: req.MaxGap.Milliseconds(), Exclude: req.Exclude,
 		TargetMs: req.Target.Sub(now).Milliseconds(), DeadlineMs: max(req.Deadline.Sub(now).Milliseconds(), 1),
 	}
@@ -50,6 +50,9 @@
 	return out
 }
 
+// clampTokens bounds a number that a caller states, as the scheduler refuses implausible ones.
+func clampTokens(n int) int { return min(max(n, 0), maxTokens) }
+
 // decodeRequest returns the request of a message of an entry; ok is false if its numbers are
 // implausible. The ID names the entry, as callers choose IDs and may repeat them at another one.
 func decodeRequest(now time.Time, r *peers.AcquireRequest, from runworks.Incarnation) (req *dispatch.Request, ok bool) {
