--- a/services/dispatch/grant.go
+++ b/services/dispatch/grant.go
@@ -70,6 +70,9 @@
 // dropGrantsLocked ends what this entry and a lost one counted for each other: the slots granted to
 // the lost entry are free, its calls wait no longer, and the calls whose slots it granted count here.
 func (d *Dispatcher) dropGrantsLocked(lost runworks.Incarnation) {
+	if lost == "" {
+		return // it would stand for the calls of this entry
+	}
 	for _, s := range d.services {
 		for id, w := range s.waiters {
 			if w.entry == lost {
@@ -193,6 +196,7 @@
 func (l *Lease) RecordRemoteFirstEvent(promptTokens int, after time.Duration) {
 	l.dispatcher.mu.Lock()
 	defer l.dispatcher.mu.Unlock()
+	l.server.lastReceived = time.Now()
 	l.recordFirstEventLocked(promptTokens, after)
 }
 
@@ -204,7 +208,8 @@
 	}
 	l.dispatcher.mu.Lock()
 	defer l.dispatcher.mu.Unlock()
-	l.server.recordGaps(time.Now(), n, sum, late)
+	l.server.lastReceived = time.Now()
+	l.server.recordGaps(l.server.lastReceived, n, sum, late)
 	mean := sum.Seconds() / float64(n)
 	for i := range min(n, maxRemoteGaps) {
 		l.server.meanGap.add(mean, gapWeight)
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -77,8 +77,9 @@
 	}
 	now := time.Now()
 	l.reportEndLocked(now, r)
-	// The errors of a server in the calls of another entry are known from its heartbeats.
-	if l.entry == "" || r != Failed {
+	// The errors of a server in the calls of another entry are known from its heartbeats, and a reused
+	// address, which is kept for good, must have been seen here.
+	if l.entry == "" || r != Failed && r != AddressReused {
 		if wait := l.server.recordResult(now, r); wait > 0 && d.OnEject != nil {
 			d.OnEject(l.server.Instance, l.server.unanswered, wait)
 		}
--- a/services/peers/receive.go
+++ b/services/peers/receive.go
@@ -95,6 +95,10 @@
 		x.Logger.Warn("heartbeat could not be decoded", "error", err.Error())
 		return errorx.Decorate(err, "decode the heartbeat")
 	}
+	if b.From.Name == "" || b.From.Incarnation == "" {
+		x.Logger.Warn("heartbeat names no entry")
+		return errorx.IllegalFormat.New("the heartbeat names no entry")
+	}
 	now := time.Now()
 	if handshake {
 		x.decoder = decoder{from: b.From, relays: b.Relays, schedules: b.Schedules, names: b.Names}
--- a/services/peers/slots.go
+++ b/services/peers/slots.go
@@ -43,6 +43,8 @@
 	RefusedNoServer     = "no_server"
 	RefusedTimeLimit    = "time_limit"
 	RefusedNotScheduler = "not_scheduler"
+	// RefusedInvalid means that this one request can't be granted, whoever schedules the service.
+	RefusedInvalid = "invalid"
 )
 
 // AcquireReply grants a slot or refuses it.
--- a/services/scheduler/client.go
+++ b/services/scheduler/client.go
@@ -51,6 +51,7 @@
 	causeNotScheduler fallback = "not_scheduler"
 	causeNoServer     fallback = "no_server"
 	causeReply        fallback = "reply"
+	causeInvalid      fallback = "invalid"
 	causeServer       fallback = "server"
 )
 
@@ -345,6 +346,8 @@
 	switch reply.Refused {
 	case peers.RefusedNoServer:
 		return nil, causeNoServer
+	case peers.RefusedInvalid:
+		return nil, causeInvalid
 	case peers.RefusedNotScheduler:
 		return nil, c.avoid(r, req.Service, causeNotScheduler)
 	}
--- a/services/scheduler/client_test.go
+++ b/services/scheduler/client_test.go
@@ -342,6 +342,7 @@
 		"no grant number":     {reply(peers.AcquireReply{Server: "s0"}), causeReply, true},
 		"unknown refusal":     {reply(peers.AcquireReply{Refused: "later version"}), causeReply, true},
 		"not the scheduler":   {reply(peers.AcquireReply{Refused: peers.RefusedNotScheduler}), causeNotScheduler, true},
+		"invalid":             {reply(peers.AcquireReply{Refused: peers.RefusedInvalid}), causeInvalid, false},
 		"no server known":     {reply(peers.AcquireReply{Refused: peers.RefusedNoServer}), causeNoServer, false},
 		"server unknown here": {reply(peers.AcquireReply{Server: "s9", Grant: 1}), causeServer, false},
 	} {
--- a/services/scheduler/server.go
+++ b/services/scheduler/server.go
@@ -17,6 +17,10 @@
 	// cancelMemory is for how long a cancellation that arrived before its request is kept. Requests
 	// are handled concurrently, so it may overtake the request, by milliseconds.
 	cancelMemory = time.Second
+	// expiryMargin is how long after its call's deadline a grant that is not reported as ended expires:
+	// several times what the report takes. Grants are checked each sweepInterval.
+	expiryMargin  = 2 * time.Second
+	sweepInterval = time.Second
 	// maxCancellations bounds those of one session.
 	maxCancellations = 1000
 	// ignoredLogInterval is the least time between two log lines about ignored messages.
@@ -40,6 +44,8 @@
 	current map[runworks.Incarnation]*session
 	// lastGrant is the number of the last grant.
 	lastGrant int64
+	// sweptAt is when expired grants were last ended.
+	sweptAt time.Time
 	// ignored counts the messages that were ignored since the last log line about them.
 	ignored       int
 	ignoredLogged time.Time
@@ -64,6 +70,8 @@
 type grant struct {
 	lease        *dispatch.Lease
 	promptTokens int
+	// expires is when the call is over at the latest.
+	expires time.Time
 }
 
 // Opened implements peers.SlotServer. What an older session of the entry holds has ended: the entry
@@ -170,16 +178,17 @@
 	req, ok := decodeRequest(now, r, s.From.Incarnation)
 	if !ok {
 		v.ignore(s, "implausible request")
-		return refuse("implausible request")
+		return refuse(peers.RefusedInvalid, "implausible request")
 	}
 	if !v.Ready() {
-		return refuse("state not read yet")
+		return refuse(peers.RefusedNotScheduler, "state not read yet")
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	one, cause := v.register(now, s, r.ID, cancel)
-	if one == nil {
-		return refuse(cause)
+	v.endExpired(now)
+	one, refusal := v.register(now, s, r.ID, cancel)
+	if refusal != nil {
+		return refusal
 	}
 	lease, err := v.Dispatcher.AcquireFor(ctx, req, s.From.Incarnation)
 	number := v.finish(ctx, one, r, lease)
@@ -188,7 +197,7 @@
 		return encodeRefusal(err)
 	case number == 0:
 		lease.Release(dispatch.Abandoned)
-		return refuse("the request was canceled")
+		return refuse(peers.RefusedInvalid, "the request was canceled")
 	}
 	reply := &peers.AcquireReply{Server: lease.Instance.IncarnationID(), Grant: number}
 	if waited := time.Since(now); waited >= minWait {
@@ -197,31 +206,52 @@
 	return reply
 }
 
-func refuse(cause string) *peers.AcquireReply {
-	return &peers.AcquireReply{Refused: peers.RefusedNotScheduler, Cause: cause}
+func refuse(reason, cause string) *peers.AcquireReply {
+	return &peers.AcquireReply{Refused: reason, Cause: cause}
+}
+
+// endExpired ends grants whose calls are over by their deadlines, once a second. The end of a call may
+// not have been reported: a message is lost if the connection breaks while it is sent.
+func (v *Server) endExpired(now time.Time) {
+	var expired []*dispatch.Lease
+	v.mu.Lock()
+	if now.Sub(v.sweptAt) >= sweepInterval {
+		v.sweptAt = now
+		for _, one := range v.sessions {
+			for number, g := range one.grants {
+				if now.After(g.expires) {
+					delete(one.grants, number)
+					expired = append(expired, g.lease)
+				}
+			}
+		}
+	}
+	v.mu.Unlock()
+	for _, lease := range expired {
+		lease.Release(dispatch.Abandoned)
+	}
 }
 
-// register adds a waiting request to its session. It returns nil and the cause if nothing can be
-// granted to it.
-func (v *Server) register(now time.Time, s *peers.Session, id runworks.RequestID, cancel context.CancelFunc) (one *session, cause string) {
+// register adds a waiting request to its session. It returns a refusal if nothing can be granted to it.
+func (v *Server) register(now time.Time, s *peers.Session, id runworks.RequestID, cancel context.CancelFunc) (one *session, refusal *peers.AcquireReply) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	one = v.sessions[s]
 	if one == nil || one.over {
-		return nil, "the connection is closed"
+		return nil, refuse(peers.RefusedNotScheduler, "the connection is closed")
 	}
 	one.lost = false
 	if at, ok := one.canceled[id]; ok {
 		delete(one.canceled, id)
 		if now.Sub(at) <= cancelMemory {
-			return nil, "the request was canceled"
+			return nil, refuse(peers.RefusedInvalid, "the request was canceled")
 		}
 	}
 	if one.waiting[id] != nil {
-		return nil, "a request with this id waits"
+		return nil, refuse(peers.RefusedInvalid, "a request with this id waits")
 	}
 	one.waiting[id] = cancel
-	return one, ""
+	return one, nil
 }
 
 // finish removes a waiting request and records what was granted to it. It returns the number of the
@@ -235,7 +265,8 @@
 		return 0
 	}
 	v.lastGrant++
-	one.grants[v.lastGrant] = grant{lease: lease, promptTokens: r.PromptTokens}
+	expires := time.Now().Add(time.Duration(r.DeadlineMs)*time.Millisecond + expiryMargin)
+	one.grants[v.lastGrant] = grant{lease: lease, promptTokens: r.PromptTokens, expires: expires}
 	return v.lastGrant
 }
 
