--- a/services/dispatch/grant.go
+++ b/services/dispatch/grant.go
@@ -70,6 +70,9 @@
 // dropGrantsLocked ends what this entry and a lost one counted for each other: the slots granted to
 // the lost entry are free, its calls wait no longer, and the calls whose slots it granted count here.
 func (d *Dispatcher) dropGrantsLocked(lost runworks.Incarnation) {
+	if lost == "" {
+		return // it would stand for the calls of this entry
+	}
 	for _, s := range d.services {
 		for id, w := range s.waiters {
 			if w.entry == lost {
@@ -193,18 +196,20 @@
 func (l *Lease) RecordRemoteFirstEvent(promptTokens int, after time.Duration) {
 	l.dispatcher.mu.Lock()
 	defer l.dispatcher.mu.Unlock()
+	l.server.lastReceived = time.Now()
 	l.recordFirstEventLocked(promptTokens, after)
 }
 
 // RecordRemoteGaps records the gaps between events of a call for which a slot was granted to another
 // entry: their number and sum, and how many of them were longer than callers allow.
 func (l *Lease) RecordRemoteGaps(n int, sum time.Duration, late int) {
-	if n <= 0 || late < 0 || late > n || sum < 0 {
+	if n <= 0 || late < 0 || late > n || sum <= 0 {
 		return
 	}
 	l.dispatcher.mu.Lock()
 	defer l.dispatcher.mu.Unlock()
-	l.server.recordGaps(time.Now(), n, sum, late)
+	l.server.lastReceived = time.Now()
+	l.server.recordGaps(l.server.lastReceived, n, sum, late)
 	mean := sum.Seconds() / float64(n)
 	for i := range min(n, maxRemoteGaps) {
 		l.server.meanGap.add(mean, gapWeight)
