--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -12,10 +12,8 @@
 	"github.com/runworks/runworks/services/returns"
 )
 
-const (
-	// DefaultMaxWaiting is the default limit of calls that wait at an entry for one service.
-	DefaultMaxWaiting = 2000
-)
+// DefaultMaxWaiting is the default limit of calls that wait at an entry for one service.
+const DefaultMaxWaiting = 2000
 
 // Request describes a call that needs a backend server.
 type Request struct {
