Record gaps and recognize the scheduling entry in one place each

Cause: the gaps of own and of granted calls were recorded by two copies of one step, and two constants of 2 s said for how long an entry counts as the scheduler. Change: server.addGap serves both; schedules calls grantsToOthers, and one constant is left. Behavior is the same.

--- a/services/dispatch/capacity.go
+++ b/services/dispatch/capacity.go
@@ -8,10 +8,6 @@
 )
 
 const (
-	// scheduleTimeout is how long after another entry last asked for a slot this one takes its queue
-	// for that of the whole service. Entries ask for each call, so that two seconds without one mean
-	// that they ask another one.
-	scheduleTimeout = 2 * time.Second
 	// flowSpan is the time constant of measured rates: many times the interval between calls of a loaded
 	// service. With 1 s the rates follow a burst so late that 0.078 of the refused calls had waited for
 	// long, instead of 0.016 (short-burst of testdata/contention).
@@ -212,7 +208,7 @@
 // than rate limits or back-offs decide when calls start. Only then does its queue hold the calls of
 // the whole service.
 func (s *service) schedules(now time.Time) bool {
-	return !s.grantedAt.IsZero() && now.Sub(s.grantedAt) <= scheduleTimeout && !s.throttled(now)
+	return s.grantsToOthers(now) && !s.throttled(now)
 }
 
 // capacityView returns what admission knows of the service.
--- a/services/dispatch/grant.go
+++ b/services/dispatch/grant.go
@@ -212,13 +212,11 @@
 	l.server.recordGaps(l.server.lastReceived, n, sum, late)
 	mean := sum.Seconds() / float64(n)
 	for i := range min(n, maxRemoteGaps) {
-		l.server.meanGap.add(mean, gapWeight)
-		l.server.steadyGap.add(mean, steadyWeight)
-		stalled := 0.0
+		stalled := 0
 		if i < late {
 			stalled = 1
 		}
-		l.server.lateGaps += stallWeight * (stalled - l.server.lateGaps)
+		l.server.addGap(mean, stalled)
 	}
 }
 
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -106,14 +106,12 @@
 		return // unknown, as the caller delayed the reading
 	}
 	l.progress.addGap(gap)
-	l.server.meanGap.add(gap.Seconds(), gapWeight)
-	l.server.steadyGap.add(gap.Seconds(), steadyWeight)
-	stalled := 0.0
+	stalled := 0
 	if s := l.dispatcher.services[l.service]; s != nil && s.maxGap > 0 && gap > s.maxGap {
 		stalled = 1
 	}
-	l.server.lateGaps += stallWeight * (stalled - l.server.lateGaps)
-	l.server.recordGaps(l.server.lastReceived, 1, gap, int(stalled))
+	l.server.addGap(gap.Seconds(), stalled)
+	l.server.recordGaps(l.server.lastReceived, 1, gap, stalled)
 	if l.observer != nil {
 		l.observer.ReceivedEvent(gap, stalled > 0)
 	}
--- a/services/dispatch/server.go
+++ b/services/dispatch/server.go
@@ -141,6 +141,13 @@
 	s.vacated++
 }
 
+// addGap records the seconds between two events of a stream; stalled is 1 if callers allow less, else 0.
+func (s *server) addGap(seconds float64, stalled int) {
+	s.meanGap.add(seconds, gapWeight)
+	s.steadyGap.add(seconds, steadyWeight)
+	s.lateGaps += stallWeight * (float64(stalled) - s.lateGaps)
+}
+
 // markRestarted notifies the calls of this entry that the server restarted and lost them.
 func (s *server) markRestarted() {
 	s.restarted = true
