Show whether a silent connection was reused, and which entries are connected but not heard

Live entries below connected ones for longer than a timeout are connections that carry nothing. No logic is changed.

--- a/daemon/front_status.go
+++ b/daemon/front_status.go
@@ -5,6 +5,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/runworks/runworks/modules/metrics"
 	"github.com/runworks/runworks/services/dispatch"
 	"github.com/runworks/runworks/services/quarantine"
 	"github.com/runworks/runworks/services/rollout"
@@ -14,9 +15,11 @@
 type FrontStatus struct {
 	RoutingVersion int64 `json:"routing_version"`
 	// Fronts counts the fronts that were heard recently, with this one, and FrontsKnown also those
-	// that are only listed. FrontsKeyRefused counts those that refuse this front's fleet keys.
+	// that are only listed. FrontsConnected counts those to which a connection is open, without this
+	// one, and FrontsKeyRefused those that refuse this front's fleet keys.
 	Fronts           int                     `json:"fronts"`
 	FrontsKnown      int                     `json:"fronts_known"`
+	FrontsConnected  int                     `json:"fronts_connected"`
 	FrontsKeyRefused int                     `json:"fronts_key_refused,omitempty"`
 	Servers          []dispatch.ServerStatus `json:"servers"`
 	Waiting          map[string]int          `json:"waiting"`
@@ -35,7 +38,7 @@
 
 func (d *Front) status() FrontStatus {
 	reach := d.exchange.Reach()
-	out := FrontStatus{Fronts: reach.Live + 1, FrontsKnown: reach.Known + 1, FrontsKeyRefused: reach.KeyRefused, Servers: d.dispatcher.ServerStatuses(), Waiting: d.dispatcher.WaitingCalls(), LimitsUsed: d.quota.Consumed(time.Now())}
+	out := FrontStatus{Fronts: reach.Live + 1, FrontsKnown: reach.Known + 1, FrontsConnected: reach.Connected, FrontsKeyRefused: reach.KeyRefused, Servers: d.dispatcher.ServerStatuses(), Waiting: d.dispatcher.WaitingCalls(), LimitsUsed: d.quota.Consumed(time.Now())}
 	out.Schedulers = d.slotClient.Schedulers()
 	out.SuspendedHalls = d.suspendedHalls()
 	out.Rollouts = d.rollouts.Statuses(time.Now())
@@ -48,9 +51,9 @@
 
 // watchState exports the state that no event counts as metrics.
 func (d *Front) watchState() error {
-	err := d.metrics.WatchEntries(func() (known, live, keyRefused int) {
+	err := d.metrics.WatchEntries(func() metrics.EntryCounts {
 		r := d.exchange.Reach()
-		return r.Known, r.Live, r.KeyRefused
+		return metrics.EntryCounts{Known: r.Known, Connected: r.Connected, Live: r.Live, KeyRefused: r.KeyRefused}
 	})
 	if err != nil {
 		return errorx.Decorate(err, "count the other entries")
--- a/daemon/front_sync.go
+++ b/daemon/front_sync.go
@@ -173,6 +173,10 @@
 	d.quota.RecordLost(time.Now())
 }
 
+func (d *Front) onNoStoreResponse(c *platform.CallConn) {
+	metrics.Count(d.metrics.StoreTimeouts, metrics.Connection(c.Reused()))
+}
+
 func (d *Front) heartbeat() peers.Heartbeat {
 	b := peers.Heartbeat{Load: d.dispatcher.LocalLoad(), Positions: map[peers.Subject]runworks.Position{}, RoutingVersion: d.routingVersion(), Stopping: d.draining.Load()}
 	for subject, w := range d.watches {
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -60,6 +60,9 @@
 	ServerReports metric.Int64Counter
 	// StoreRestores counts how often the store was restored from an older copy.
 	StoreRestores metric.Int64Counter
+	// StoreTimeouts counts calls to the store that got no response, by whether their connection was
+	// new or reused.
+	StoreTimeouts metric.Int64Counter
 	// Scheduled counts calls of services that one entry schedules, by result: granted, refused, or
 	// local, which has a cause.
 	Scheduled metric.Int64Counter
@@ -114,6 +117,7 @@
 		Quarantined:         b.counter("runworks.quarantined", "calls refused as their request ended backend servers, by rank"),
 		ServerReports:       b.counter("runworks.server_words", "backend servers' words that they leave or want rest"),
 		StoreRestores:       b.counter("runworks.store_returns", "returns of the store from an older copy"),
+		StoreTimeouts:       b.counter("runworks.store_timeouts", "calls to the store without a response, by connection"),
 		Scheduled:           b.counter("runworks.scheduled", "calls of scheduled services by result, and by cause of a local one"),
 		ScheduleSeconds:     b.seconds("runworks.schedule", "time to the scheduler's answer, of calls that did not wait"),
 		ScheduleRefusals:    b.counter("runworks.schedule_refusals", "calls refused by the scheduler of their service, by rank, cause and basis of the retry time"),
@@ -187,13 +191,16 @@
 	return err
 }
 
-// WatchEntries exports how many other entries are known, heard recently, and refuse the fleet keys
-// of this one, as a gauge by state.
-func (s *Set) WatchEntries(count func() (known, live, keyRefused int)) error {
+// EntryCounts are numbers of other entries: known, connected to, heard recently, and those that refuse
+// the fleet keys of this one.
+type EntryCounts struct{ Known, Connected, Live, KeyRefused int }
+
+// WatchEntries exports numbers of other entries as a gauge by state.
+func (s *Set) WatchEntries(count func() EntryCounts) error {
 	_, err := s.meter.Int64ObservableGauge("runworks.entries", metric.WithDescription("other entries by state"),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			known, live, keyRefused := count()
-			for state, n := range map[string]int{"known": known, "live": live, "key_refused": keyRefused} {
+			c := count()
+			for state, n := range map[string]int{"known": c.Known, "connected": c.Connected, "live": c.Live, "key_refused": c.KeyRefused} {
 				o.Observe(int64(n), metric.WithAttributes(attribute.String("state", state)))
 			}
 			return nil
@@ -219,6 +226,14 @@
 // Result returns the label for the result of an operation.
 func Result(name string) attribute.KeyValue { return attribute.String("result", name) }
 
+// Connection returns the label for whether a call's connection was open before.
+func Connection(reused bool) attribute.KeyValue {
+	if reused {
+		return attribute.String("connection", "reused")
+	}
+	return attribute.String("connection", "new")
+}
+
 // Step returns the label for a step of a roll-out.
 func Step(name string) attribute.KeyValue { return attribute.String("step", name) }
 
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -154,8 +154,9 @@
 
 // Reach is how many of the other entries this one can exchange its state with.
 type Reach struct {
-	// Known counts the entries that are listed or were heard, and Live those heard recently.
-	Known, Live int
+	// Known counts the entries that are listed or were heard, Connected those to which a connection is
+	// open, and Live those heard recently.
+	Known, Connected, Live int
 	// KeyRefused counts those that refuse the fleet keys of this entry.
 	KeyRefused int
 }
@@ -166,6 +167,9 @@
 	defer x.mu.Unlock()
 	out := Reach{Known: len(x.links), Live: len(x.peers)}
 	for _, l := range x.links {
+		if l.conn != nil {
+			out.Connected++
+		}
 		if l.keyRefused {
 			out.KeyRefused++
 		}
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -275,7 +275,7 @@
 // logStart logs how many entries this one is connected to since its start.
 func (x *Exchange) logStart() {
 	r := x.Reach()
-	x.Logger.Info("connected to entries since the start", "live", r.Live, "known", r.Known, "key_refused", r.KeyRefused)
+	x.Logger.Info("connected to entries since the start", "live", r.Live, "connected", r.Connected, "known", r.Known, "key_refused", r.KeyRefused)
 }
 
 // ctxLocked returns the context of all connections.
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -321,8 +321,8 @@
 		})
 		rotated.SetMembers([]Member{old.Self, rotated.Self})
 		time.Sleep(time.Second)
-		is.Equal(old.Reach(), Reach{Known: 1, Live: 1})
-		is.Equal(rotated.Reach(), Reach{Known: 1, Live: 1})
+		is.Equal(old.Reach(), Reach{Known: 1, Connected: 1, Live: 1})
+		is.Equal(rotated.Reach(), Reach{Known: 1, Connected: 1, Live: 1})
 		for _, e := range []*entry{old, rotated} {
 			e.cancel()
 			_ = e.server.Close()
--- a/services/peers/receive.go
+++ b/services/peers/receive.go
@@ -173,7 +173,7 @@
 		if now.Sub(one.lastSeen) > timeout {
 			gone = append(gone, id)
 			x.Logger.Warn("entry timed out",
-				"name", one.name, "incarnation", id, "silent_ms", now.Sub(one.lastSeen).Milliseconds())
+				"name", one.name, "incarnation", id, "silent_ms", now.Sub(one.lastSeen).Milliseconds(), "connected", x.connByNameLocked(one.name) != nil)
 			delete(x.peers, id)
 		}
 	}
