Reproduce changes that wait on silent connections

The network in memory can make open connections silent: they discard what is sent, and that an end was closed, while new ones work.

--- a/standin/memnet/memnet.go
+++ b/standin/memnet/memnet.go
@@ -1,12 +1,16 @@
 // Package memnet implements an in-memory network for tests in virtual time. Connections
-// have a latency; any two hosts can be partitioned, healed, and their connections reset.
+// have a latency; any two hosts can be partitioned, healed, and their connections reset or silenced.
 package memnet
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,6 +26,7 @@
 
 	mu         sync.Mutex
 	listeners  map[string]*listener
+	opened     int
 	links      map[*link]struct{}
 	partitions map[[2]string]chan struct{}
 }
@@ -137,6 +142,20 @@
 	}
 }
 
+// Silence makes open connections discard everything from now on without an error, also that an end
+// was closed: those for which match returns true, given the host that opened the connection and the
+// other one. They are passed in the order in which they were opened. New connections work.
+func (n *Network) Silence(match func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	open := slices.SortedFunc(maps.Keys(n.links), func(a, b *link) int { return cmp.Compare(a.id, b.id) })
+	for _, w := range open {
+		if match(w.from, w.to) {
+			w.silent.Store(true)
+		}
+	}
+}
+
 // CloseListener closes the listener at an address, if there is one.
 func (n *Network) CloseListener(address string) {
 	n.mu.Lock()
@@ -168,11 +187,16 @@
 
 // link is a connection: two pipes with a queue between them for each direction.
 type link struct {
-	net    *Network
-	hosts  [2]string
-	inner  [2]net.Conn
-	ctx    context.Context
-	cancel context.CancelCauseFunc
+	net      *Network
+	id       int
+	from, to string
+	hosts    [2]string
+	inner    [2]net.Conn
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	silent   atomic.Bool
+	// closedEnds counts the ends that were closed while silent.
+	closedEnds atomic.Int32
 }
 
 // newLink opens a connection and returns its two ends.
@@ -180,8 +204,10 @@
 	local, localInner := net.Pipe()
 	remote, remoteInner := net.Pipe()
 	ctx, stop := context.WithCancelCause(context.Background())
-	l := &link{net: n, hosts: hostPair(from, to), inner: [2]net.Conn{localInner, remoteInner}, ctx: ctx, cancel: stop}
+	l := &link{net: n, from: from, to: to, hosts: hostPair(from, to), inner: [2]net.Conn{localInner, remoteInner}, ctx: ctx, cancel: stop}
 	n.mu.Lock()
+	n.opened++
+	l.id = n.opened
 	n.links[l] = struct{}{}
 	n.mu.Unlock()
 	l.forward(localInner, remoteInner)
@@ -206,7 +232,7 @@
 }
 
 // forward copies data from one end to the other, after the latency and any partition.
-// The close of one end is delivered in order with its data.
+// The close of one end is delivered in order with its data, unless the link is silent.
 func (l *link) forward(from, to net.Conn) {
 	queue := make(chan packet, maxQueued)
 	go func() {
@@ -224,13 +250,13 @@
 		}
 	}()
 	go func() {
-		defer l.close()
 		for {
 			select {
 			case <-l.ctx.Done():
 				return
 			case p := <-queue:
-				if !l.deliver(to, p) {
+				if !l.discard(p) && !l.deliver(to, p) {
+					l.close()
 					return
 				}
 			}
@@ -238,6 +264,12 @@
 	}()
 }
 
+// discard reports whether a packet is lost because the link is silent. The second end that is closed
+// ends the link.
+func (l *link) discard(p packet) bool {
+	return l.silent.Load() && (p.err == nil || l.closedEnds.Add(1) < 2)
+}
+
 // deliver writes a packet when it is due. It reports false if the connection is to be closed.
 func (l *link) deliver(to net.Conn, p packet) bool {
 	// Do not sleep for zero time: under -race, two goroutines of one synctest bubble
