Replace connections between entries on which nothing is heard

Callers could be served by a replaced configuration, and customers' limits be counted by each front for itself, once a connection between fronts had gone silent: open, no reset, nothing carried. Cause: each entry sends on the connection that it opened and receives on the other one, so the sender of a silent connection never learns of it and the receiver only drops the sender from its live entries.

An entry that was not heard for the peer timeout has its connection closed and opened again, and the handshake asks it to do the same. It costs nothing while all is heard: no acknowledgements, no probes. The receiving end closes the connection that a new one replaces, so that no silent one is left open, and a close does not wait for a write that the peer does not accept. Entries of earlier versions ignore the request and are connected to again until they are heard.

--- a/modules/rpc/frames.go
+++ b/modules/rpc/frames.go
@@ -58,6 +58,12 @@
 	return c.messages.write(append([]byte{frameMarker}, data...), time.Now().Add(frameTimeout))
 }
 
+// Close closes the connection. It does not wait for a write that the peer does not accept.
+func (c *Conn) Close() error {
+	_ = c.messages.Close()
+	return c.Conn.Close()
+}
+
 // messageStream reads and writes length-prefixed messages: JSON texts for JSON-RPC, and frames.
 type messageStream struct {
 	stream  *Stream
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -18,6 +18,11 @@
 	member Member
 	cancel context.CancelFunc
 	conn   *rpc.Conn
+	// openedAt is when the current or last connection was opened, and heardAt when the last message of
+	// the entry arrived, on the connection that it opened itself; zero if none.
+	openedAt, heardAt time.Time
+	// unheard is set if a connection was closed because the entry was not heard, until it is.
+	unheard bool
 	// keyRefused is set while the entry refuses the fleet keys of this one.
 	keyRefused bool
 	// wake ends the wait before the next attempt to connect.
@@ -114,6 +119,7 @@
 	b := x.Heartbeat()
 	b.From, b.Limits = x.Self, x.LimitSnapshot()
 	b.Relays, b.Schedules = true, x.Slots != nil
+	b.Unheard = x.isUnheard(l)
 	b.fillOffsets()
 	b.Names = x.encoder.names[:x.encoder.sent]
 	if x.Suspects != nil {
@@ -134,6 +140,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	l.conn = conn
+	if conn != nil {
+		l.openedAt = time.Now()
+	}
 }
 
 // notifyDisconnected calls OnDisconnected with the latest incarnation of a link's entry.
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -128,6 +128,9 @@
 	Relays bool `json:"relays,omitempty"`
 	// Schedules is set if the entry answers requests for slots. Only handshakes carry it.
 	Schedules bool `json:"schedules,omitempty"`
+	// Unheard is set if the sender opened the connection again because it did not hear the receiver. Only
+	// handshakes carry it.
+	Unheard bool `json:"unheard,omitempty"`
 	// Stopping is set once the entry's planned stop began.
 	Stopping bool `json:"stopping,omitempty"`
 	// Changes holds what the entry read from the store since its last heartbeat. Only frames of
@@ -209,6 +212,8 @@
 	cancel context.CancelFunc
 	links  map[string]*link
 	peers  map[runworks.Incarnation]*peerState
+	// inbounds holds the newest connection that each incarnation of another entry opened.
+	inbounds map[runworks.Incarnation]*inbound
 	// startedAt is when Run started, and membersKnown is set once SetMembers was called.
 	startedAt    time.Time
 	membersKnown bool
@@ -253,6 +258,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		x.removeTimedOut(now)
+		x.closeUnheard(now)
 		if data := x.sendHeartbeat(ctx, last, now.Sub(sent) >= idleInterval); data != nil {
 			last, sent = data, now
 		}
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -191,6 +191,13 @@
 	e.stopping = true
 }
 
+// handshakeCount returns the number of handshakes that the entry received.
+func (e *entry) handshakeCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.handshakes
+}
+
 // lostIDs returns the incarnations of the entries whose connections closed.
 func (e *entry) lostIDs() []runworks.Incarnation {
 	e.mu.Lock()
--- a/services/peers/receive.go
+++ b/services/peers/receive.go
@@ -29,6 +29,7 @@
 	x.mu.Unlock()
 	h := &inbound{Exchange: x, stream: stream}
 	<-rpc.ServeFrames(ctx, stream, h.handle, h.handleFrame).DisconnectNotify()
+	x.removeInbound(h)
 	h.closeSession()
 }
 
@@ -38,6 +39,8 @@
 	*Exchange
 	stream  *rpc.Stream
 	decoder decoder
+	// sender is the incarnation whose handshake arrived last; guarded by Exchange.mu.
+	sender runworks.Incarnation
 	// session is set by the handshake, if this entry grants slots. Calls read it concurrently.
 	session atomic.Pointer[Session]
 }
@@ -102,6 +105,10 @@
 	now := time.Now()
 	if handshake {
 		x.decoder = decoder{from: b.From, relays: b.Relays, schedules: b.Schedules, names: b.Names}
+		x.addInbound(x, b.From.Incarnation)
+		if b.Unheard {
+			x.reopen(now, b.From.Name)
+		}
 		x.OnHandshake(now, &b)
 		x.openSession(b.From)
 		x.receiveSuspects(b.From.Name, b.Suspects)
@@ -132,8 +139,11 @@
 	}
 	// A new incarnation may have another address than the member list.
 	opened := x.ensureLinkLocked(b.From)
-	if l := x.links[b.From.Name]; l != nil && !opened && known == nil {
-		l.reconnect(replaced)
+	if l := x.links[b.From.Name]; l != nil {
+		l.heardAt, l.unheard = now, false
+		if !opened && known == nil {
+			l.reconnect(replaced)
+		}
 	}
 	x.mu.Unlock()
 	if known == nil && !x.starting() {
@@ -162,6 +172,9 @@
 	for _, one := range x.peers {
 		one.lastSeen = one.lastSeen.Add(-d)
 	}
+	for _, l := range x.links {
+		l.heardAt, l.openedAt = l.heardAt.Add(-d), l.openedAt.Add(-d)
+	}
 }
 
 // removeTimedOut removes the entries that exceeded the timeout.
--- a/standin/memnet/memnet.go
+++ b/standin/memnet/memnet.go
@@ -156,6 +156,13 @@
 	}
 }
 
+// Connections returns the number of connections of which at least one end is open.
+func (n *Network) Connections() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.links)
+}
+
 // CloseListener closes the listener at an address, if there is one.
 func (n *Network) CloseListener(address string) {
 	n.mu.Lock()
