Read the store again on a new connection if an open one is silent

Callers could be served by a replaced configuration for more than three seconds: a front that learned from another one that it was behind read the store on an idle connection that carried nothing any more, waited for the whole timeout of two seconds, and could take the next idle connection then.

A read without a response 0.5 s after its wait is sent again on a new connection, and the first response counts: a slow store is not asked more often than twice. Any call without a response drops the idle connections, so that the next one, also of a write, opens a new one. Writes are not repeated here: each may take effect. A read that only the second connection answers is logged and counted.

--- a/daemon/front_sync.go
+++ b/daemon/front_sync.go
@@ -177,6 +177,11 @@
 	metrics.Count(d.metrics.StoreTimeouts, metrics.Connection(c.Reused()))
 }
 
+func (d *Front) onSilentStoreConn(c *platform.CallConn) {
+	d.onNoStoreResponse(c)
+	d.Logger.Warn("connection to the store is silent; using a new one", "connection", c.String())
+}
+
 func (d *Front) heartbeat() peers.Heartbeat {
 	b := peers.Heartbeat{Load: d.dispatcher.LocalLoad(), Positions: map[peers.Subject]runworks.Position{}, RoutingVersion: d.routingVersion(), Stopping: d.draining.Load()}
 	for subject, w := range d.watches {
