Limit the time to write a JSON message between entries

A message may take two seconds; after that its connection is closed, as a part of it may have been written.

--- a/modules/rpc/frames.go
+++ b/modules/rpc/frames.go
@@ -30,6 +30,8 @@
 	// delay the peers that are written to after it. A write normally takes a small fraction
 	// of it.
 	frameTimeout = 300 * time.Millisecond
+	// messageTimeout limits the write of one JSON message, which may be long. Frames wait for it.
+	messageTimeout = 2 * time.Second
 )
 
 // FrameFunc is called with the payload of each received frame; an error closes the connection.
@@ -73,16 +75,21 @@
 	mu sync.Mutex
 }
 
-// WriteObject implements jsonrpc2.ObjectStream.
+// WriteObject implements jsonrpc2.ObjectStream. A failed write closes the connection, as part of the
+// message may have been written.
 func (o *messageStream) WriteObject(obj any) error {
 	data, err := json.Marshal(obj)
 	if err != nil {
 		return errorx.Decorate(err, "encode a message")
 	}
-	return o.write(data, time.Time{})
+	if err := o.write(data, time.Now().Add(messageTimeout)); err != nil {
+		_ = o.Close()
+		return err
+	}
+	return nil
 }
 
-// write writes one complete message. A zero deadline means no timeout.
+// write writes one complete message.
 func (o *messageStream) write(data []byte, deadline time.Time) error {
 	message := binary.AppendUvarint(make([]byte, 0, binary.MaxVarintLen64+len(data)), uint64(len(data)))
 	message = append(message, data...)
--- a/modules/rpc/frames_test.go
+++ b/modules/rpc/frames_test.go
@@ -86,3 +86,33 @@
 		_ = remote.Close()
 	})
 }
+
+// TestStuckPeerEndsMessage guards against a JSON message to a peer that reads nothing: it would hold up
+// the frames to that peer, and with them those to all others, for good.
+func TestStuckPeerEndsMessage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		local, remote := pipe()
+		conn := ServeFrames(t.Context(), local, nil, nil)
+		began := time.Now()
+		is.True(os.IsTimeout(conn.Notify(t.Context(), "m", strings.Repeat("x", 1000))))
+		is.Equal(time.Since(began), messageTimeout)
+		<-conn.DisconnectNotify()
+		is.True(conn.SendFrame([]byte("x")) != nil)
+		_ = remote.Close()
+	})
+}
+
+// TestCloseDuringWrite guards against a close that waits for a write that the peer does not accept.
+func TestCloseDuringWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		local, remote := pipe()
+		conn := ServeFrames(t.Context(), local, nil, nil)
+		go func() { _ = conn.Notify(t.Context(), "m", "x") }()
+		synctest.Wait()
+		began := time.Now()
+		_ = conn.Close()
+		is.New(t).Equal(time.Since(began), time.Duration(0))
+		_ = remote.Close()
+	})
+}
