Close the idle connections to a server that became unresponsive

Callers lost calls one after the other at a server whose open connections had gone silent: each call took the next idle connection from the pool, up to 32 of them, and ran into its time limit, though a new connection worked. Cause: what one call shows about a connection was not applied to those that are as old.

An unresponsive server's idle connections are closed now; the next call opens one.

--- a/daemon/front_servers.go
+++ b/daemon/front_servers.go
@@ -127,6 +127,8 @@
 
 func (d *Front) onUnresponsive(server runworks.Instance, unresponsive bool) {
 	if unresponsive {
+		// The idle connections may be as silent as those of its calls.
+		d.pool.CloseIdle(server.Address)
 		d.Logger.Warn("backend server unresponsive; ejected until it responds", "server", server.ID, "service", server.Service)
 		return
 	}
--- a/tests/soak_proxy_test.go
+++ b/tests/soak_proxy_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -38,6 +39,13 @@
 	mode    proxyMode
 	changed chan struct{}
 	conns   map[net.Conn]struct{}
+	pairs   map[*proxyPair]struct{}
+}
+
+// proxyPair is a connection and the one to the target that it is forwarded to.
+type proxyPair struct {
+	// silent is set if data and closes are discarded in both directions.
+	silent atomic.Bool
 }
 
 func newProxy(t testing.TB, target string) *proxy {
@@ -46,7 +54,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &proxy{listener: l, target: target, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	p := &proxy{listener: l, target: target, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}, pairs: map[*proxyPair]struct{}{}}
 	var work sync.WaitGroup
 	work.Go(func() {
 		for {
@@ -81,6 +89,16 @@
 	}
 }
 
+// silence makes open connections silent for good: both ends stay open and receive nothing more. New
+// connections work.
+func (p *proxy) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for pair := range p.pairs {
+		pair.silent.Store(true)
+	}
+}
+
 // setTarget changes the target of new connections.
 func (p *proxy) setTarget(target string) {
 	p.mu.Lock()
@@ -113,12 +131,28 @@
 	if !p.add(to) {
 		return
 	}
+	pair := p.addPair()
+	defer p.removePair(pair)
 	var both sync.WaitGroup
-	both.Go(func() { p.copy(to, from, proxyBlocksRequests) })
-	both.Go(func() { p.copy(from, to, proxyBlocksAnswers) })
+	both.Go(func() { p.copy(pair, to, from, proxyBlocksRequests) })
+	both.Go(func() { p.copy(pair, from, to, proxyBlocksAnswers) })
 	both.Wait()
 }
 
+func (p *proxy) addPair() *proxyPair {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pair := &proxyPair{}
+	p.pairs[pair] = struct{}{}
+	return pair
+}
+
+func (p *proxy) removePair(pair *proxyPair) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.pairs, pair)
+}
+
 // add records a connection; it returns false if the connection is to be reset.
 func (p *proxy) add(conn net.Conn) bool {
 	p.mu.Lock()
@@ -135,12 +169,15 @@
 }
 
 // copy forwards one direction until an end is closed.
-func (p *proxy) copy(to, from net.Conn, blocked proxyMode) {
+func (p *proxy) copy(pair *proxyPair, to, from net.Conn, blocked proxyMode) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
 			p.delay(blocked)
+			if pair.silent.Load() {
+				n = 0
+			}
 			if _, err := to.Write(buffer[:n]); err != nil {
 				reset(from)
 				return
@@ -148,6 +185,9 @@
 		}
 		if err != nil {
 			p.delay(blocked)
+			if pair.silent.Load() {
+				return
+			}
 			// EOF is forwarded as EOF and a reset as a reset: only EOF completes a
 			// response without a length.
 			if tcp, ok := to.(*net.TCPConn); ok && errors.Is(err, io.EOF) {
