Play connections that go silent in the soak and with separate processes

Changes have to be active three seconds after their acknowledgement again from four seconds after a silence on. A front can advertise another address to the other fronts than the one that it listens on (peers_advertised), so that a forwarder can stand between them.

TestPlatformSilentConnections (four fronts, three silences) failed on the code before the fixes: the fronts did not hear each other again.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -120,7 +120,11 @@
 	if err != nil {
 		return err
 	}
-	flush, err := d.build(ctx, listeners[frontsListener].Addr().String())
+	address := d.Settings.PeersAdvertised
+	if address == "" {
+		address = listeners[frontsListener].Addr().String()
+	}
+	flush, err := d.build(ctx, address)
 	if err != nil {
 		closeAll(listeners)
 		return err
--- a/modules/setting/front.go
+++ b/modules/setting/front.go
@@ -58,6 +58,8 @@
 	Ready string `yaml:"ready"`
 	// Peers is the host:port for connections from the other fronts.
 	Peers string `yaml:"peers"`
+	// PeersAdvertised is the host:port at which the other fronts reach Peers; empty if it is the same.
+	PeersAdvertised string `yaml:"peers_advertised"`
 	// Operators is the host:port for operators.
 	Operators string `yaml:"operators"`
 	// Store is the host:port of the platform's store.
@@ -138,6 +140,9 @@
 	m.address("listen", s.Listen)
 	m.address("ready", s.Ready)
 	m.address("peers", s.Peers)
+	if s.PeersAdvertised != "" {
+		m.address("peers_advertised", s.PeersAdvertised)
+	}
 	m.address("operators", s.Operators)
 	m.address("store", s.Store)
 	m.fleetKeys(s.FleetKeys)
--- a/tests/platform_restore_test.go
+++ b/tests/platform_restore_test.go
@@ -143,7 +143,7 @@
 	p.put("keyed.op", "config", []byte(strings.ReplaceAll(fmt.Sprintf(platformDocument, version), `"yard-key"`, keys)))
 }
 
-func (p *restoreSite) wait(d time.Duration) {
+func (p *platformSite) wait(d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	<-timer.C
--- a/tests/platform_silence_test.go
+++ b/tests/platform_silence_test.go
@@ -11,6 +11,59 @@
 	"github.com/matryer/is"
 )
 
+// silentSite is a site whose fronts reach the store and each other through proxies.
+type silentSite struct {
+	*platformSite
+	names   []string
+	proxies []*proxy
+}
+
+func newSilentSite(t *testing.T, fronts int) *silentSite {
+	t.Helper()
+	p := &silentSite{platformSite: newBarePlatformSite(t)}
+	p.putDocument()
+	p.addServer("app-1")
+	for i := range fronts {
+		name := fmt.Sprint("front-", i)
+		store, peers := newProxy(t, p.store.address("standin")), newProxy(t, "")
+		text := strings.Replace(p.frontSettings(name), p.store.address("standin"), store.address(), 1)
+		text += "\npeers_advertised: " + peers.address() + "\n"
+		p.fronts[name] = startProcess(t, name, "runworks", "front", "--settings", p.settingsFile(name, text))
+		peers.setTarget(p.fronts[name].address("fronts"))
+		p.names = append(p.names, name)
+		p.proxies = append(p.proxies, store, peers)
+	}
+	for _, name := range p.names {
+		p.waitReady(name, fronts)
+	}
+	return p
+}
+
+// TestPlatformSilentConnections guards against fronts that neither learn of a change in time nor hear
+// each other again once their open connections went silent.
+func TestPlatformSilentConnections(t *testing.T) {
+	const fronts, rounds = 4, 3
+	p := newSilentSite(t, fronts)
+	for version := int64(2); version < 2+rounds; version++ {
+		silent := time.Now()
+		for _, one := range p.proxies {
+			one.silence()
+		}
+		p.wait(soakReconnectBound - applyBound)
+		p.put("keyed.op", "config", fmt.Appendf(nil, platformDocument, version))
+		p.awaitVersion(p.names, version)
+		if took := time.Since(silent); took > soakReconnectBound {
+			t.Errorf("version %d was active %s after the silence", version, took)
+		}
+		for _, name := range p.names {
+			p.waitReady(name, fronts)
+		}
+		if took := time.Since(silent); took > soakReconnectBound {
+			t.Errorf("the fronts heard each other %s after the silence", took)
+		}
+	}
+}
+
 // TestPlatformSilentServerConnections guards against calls that are lost one after the other on idle
 // connections to a server that went silent: after the first, a new connection is used.
 func TestPlatformSilentServerConnections(t *testing.T) {
--- a/tests/soak_faults_test.go
+++ b/tests/soak_faults_test.go
@@ -59,6 +59,9 @@
 	if s.restoresStore() {
 		steps = append(steps, s.restoreFaults()...)
 	}
+	if s.goesSilent() {
+		steps = append(steps, s.silenceFaults()...)
+	}
 	sort.SliceStable(steps, func(i, j int) bool { return steps[i].at < steps[j].at })
 	return steps
 }
--- a/tests/soak_restore_test.go
+++ b/tests/soak_restore_test.go
@@ -22,7 +22,9 @@
 )
 
 // restoresStore reports whether the store is restored from older copies.
-func (s *soak) restoresStore() bool { return s.seed >= soakRestoreSeeds && !s.contends() }
+func (s *soak) restoresStore() bool {
+	return s.seed >= soakRestoreSeeds && s.seed < soakContentionSeeds
+}
 
 // storeKey identifies a record on the store.
 type storeKey struct{ topic, key string }
@@ -84,13 +86,18 @@
 			acked = r.rewritten
 		}
 	}
-	return acked.Add(soakApplyBound)
+	return s.afterSilences(acked.Add(soakApplyBound))
+}
+
+// checksVersions reports whether only planned work and faults with a known bound for changes are played.
+func (s *soak) checksVersions() bool {
+	return s.planned && (s.restoresStore() || s.goesSilent())
 }
 
 // checkVersions checks that calls with keys that change with the version were handled by a
 // version that had to be active, or by a newer one.
 func (s *soak) checkVersions() {
-	if !s.restoresStore() || !s.planned {
+	if !s.checksVersions() {
 		return
 	}
 	checked := 0
@@ -123,7 +130,7 @@
 				c.id, c.front, c.key, c.status, c.sent.Sub(s.began).Seconds(), oldest, newest)
 		}
 	}
-	s.t.Logf("%d restores of the store, %d calls with changing keys", len(s.restores), checked)
+	s.t.Logf("%d restores of the store, %d silences, %d calls with changing keys", len(s.restores), len(s.silences), checked)
 }
 
 // checkVersionOrder checks that no front process went back to an older version.
@@ -178,7 +185,7 @@
 			t.Errorf("%+v: %q", one, caught.errs)
 		}
 	}
-	if !slices.IsSorted([]int{soakGenerationSeeds, soakLimitSeeds, soakReportSeeds, soakRestoreSeeds}) {
+	if !slices.IsSorted([]int{soakGenerationSeeds, soakLimitSeeds, soakReportSeeds, soakRestoreSeeds, soakContentionSeeds, soakSilenceSeeds}) {
 		t.Error("the ranges of seeds overlap")
 	}
 }
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -111,6 +111,8 @@
 	written     map[storeKey][]byte
 	publishedAt map[int]time.Time
 	restores    []*storeRestore
+	// silences holds when open connections went silent, in order.
+	silences []time.Time
 	// limits are those that servers reported, and excluded the times in which what servers
 	// receive is not checked.
 	limits   []*soakServerLimit
@@ -119,8 +121,10 @@
 
 // soakFront is a front of the site across its restarts.
 type soakFront struct {
-	name     string
-	store    *proxy
+	name  string
+	store *proxy
+	// peers is the way of the other fronts to this one; nil if they connect directly.
+	peers    *proxy
 	process  atomic.Pointer[process]
 	stopping bool
 }
@@ -168,6 +172,9 @@
 	}
 	for i := range 3 {
 		f := &soakFront{name: fmt.Sprint("front-", i), store: newProxy(t, s.store.address("standin"))}
+		if s.goesSilent() {
+			f.peers = newProxy(t, "")
+		}
 		s.fronts = append(s.fronts, f)
 		s.startFront(f)
 	}
@@ -233,8 +240,14 @@
 // startFront starts a front, or restarts it.
 func (s *soak) startFront(f *soakFront) {
 	text := strings.Replace(s.frontSettings(f.name), s.store.address("standin"), f.store.address(), 1)
+	if f.peers != nil {
+		text += "\npeers_advertised: " + f.peers.address() + "\n"
+	}
 	p := startProcess(s.t, f.name, "runworks", "front", "--settings", s.settingsFile(f.name, text))
 	f.stopping = false
+	if f.peers != nil {
+		f.peers.setTarget(p.address("fronts"))
+	}
 	p.address("callers")
 	f.process.Store(p)
 }
