--- a/daemon/front_sync.go
+++ b/daemon/front_sync.go
@@ -179,7 +179,7 @@
 
 func (d *Front) onSilentStoreConn(c *platform.CallConn) {
 	d.onNoStoreResponse(c)
-	d.Logger.Warn("connection to the store is silent; using a new one", "connection", c.String())
+	d.Logger.Warn("the store responded on a new connection only", "first", c.String())
 }
 
 func (d *Front) heartbeat() peers.Heartbeat {
