Test calls that wait for a scheduler on a connection that went silent

While only the connections to the scheduler are silent, what it sends still arrives, so calls waited for a reply that could not come until their time was up. The replacement of unheard connections ends that within the peer timeout.

--- a/tests/platform_silence_test.go
+++ b/tests/platform_silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -14,15 +15,20 @@
 // silentSite is a site whose fronts reach the store and each other through proxies.
 type silentSite struct {
 	*platformSite
-	names   []string
-	proxies []*proxy
+	names []string
+	// stores and peers are the ways of each front to the store, and of the others to it.
+	stores, peers []*proxy
 }
 
-func newSilentSite(t *testing.T, fronts int) *silentSite {
+// newSilentSite starts the site; settings are added to those of the fronts, as YAML lines.
+func newSilentSite(t *testing.T, fronts int, settings string) *silentSite {
 	t.Helper()
 	p := &silentSite{platformSite: newBarePlatformSite(t)}
+	p.extraSettings = settings
 	p.putDocument()
-	p.addServer("app-1")
+	for _, name := range []string{"app-1", "llm-1", "llm-2"} {
+		p.addServer(name)
+	}
 	for i := range fronts {
 		name := fmt.Sprint("front-", i)
 		store, peers := newProxy(t, p.store.address("standin")), newProxy(t, "")
@@ -31,7 +37,7 @@
 		p.fronts[name] = startProcess(t, name, "runworks", "front", "--settings", p.settingsFile(name, text))
 		peers.setTarget(p.fronts[name].address("fronts"))
 		p.names = append(p.names, name)
-		p.proxies = append(p.proxies, store, peers)
+		p.stores, p.peers = append(p.stores, store), append(p.peers, peers)
 	}
 	for _, name := range p.names {
 		p.waitReady(name, fronts)
@@ -39,16 +45,21 @@
 	return p
 }
 
+// silence makes the open connections of all fronts to the store and to each other silent.
+func (p *silentSite) silence() {
+	for _, one := range slices.Concat(p.stores, p.peers) {
+		one.silence()
+	}
+}
+
 // TestPlatformSilentConnections guards against fronts that neither learn of a change in time nor hear
 // each other again once their open connections went silent.
 func TestPlatformSilentConnections(t *testing.T) {
 	const fronts, rounds = 4, 3
-	p := newSilentSite(t, fronts)
+	p := newSilentSite(t, fronts, "")
 	for version := int64(2); version < 2+rounds; version++ {
 		silent := time.Now()
-		for _, one := range p.proxies {
-			one.silence()
-		}
+		p.silence()
 		p.wait(soakReconnectBound - applyBound)
 		p.put("keyed.op", "config", fmt.Appendf(nil, platformDocument, version))
 		p.awaitVersion(p.names, version)
@@ -64,6 +75,46 @@
 	}
 }
 
+// TestPlatformSilentScheduler guards against calls that wait for a scheduler on a connection to it that
+// went silent, while what the scheduler sends still arrives.
+func TestPlatformSilentScheduler(t *testing.T) {
+	const fronts = 3
+	p := newSilentSite(t, fronts, "shared_scheduling: true")
+	call := func(i int) {
+		c := platformCall{id: fmt.Sprint("chat-", i), method: http.MethodPost, target: fmt.Sprintf("/chat/%d?events=3", i), key: "yard-key"}
+		began := time.Now()
+		res, _, err := p.do(p.names[i%fronts], c)
+		if err != nil || res.StatusCode != http.StatusOK || time.Since(began) > soakReconnectBound {
+			t.Errorf("%s: %v, %s", c.id, err, time.Since(began))
+		}
+	}
+	for i := range fronts {
+		call(i) // chooses the scheduler
+	}
+	p.peers[p.scheduler()].silence()
+	var wg sync.WaitGroup
+	for i := range 4 * fronts {
+		wg.Go(func() { call(fronts + i) })
+	}
+	wg.Wait()
+}
+
+// scheduler returns the index of the front that schedules the engines' service, as the first one knows.
+func (p *silentSite) scheduler() int {
+	p.t.Helper()
+	var status struct {
+		Schedulers map[string]string `json:"schedulers"`
+	}
+	if !getJSON("http://"+p.fronts[p.names[0]].address("operators")+"/status", &status) {
+		p.t.Fatal("the status could not be read")
+	}
+	i := slices.Index(p.names, status.Schedulers["llm"])
+	if i < 0 {
+		p.t.Fatalf("no scheduler: %v", status.Schedulers)
+	}
+	return i
+}
+
 // TestPlatformSilentServerConnections guards against calls that are lost one after the other on idle
 // connections to a server that went silent: after the first, a new connection is used.
 func TestPlatformSilentServerConnections(t *testing.T) {
