--- a/services/agent/agent_test.go
+++ b/services/agent/agent_test.go
@@ -38,11 +38,16 @@
 	calls int
 	err   error
 	body  string
+	// release, if not nil, holds the answer until it is closed.
+	release chan struct{}
 }
 
 // Do implements runworks.Backend.
 func (b *fakeBackend) Do(context.Context, runworks.RequestID, *runworks.Call) (*runworks.Reply, error) {
 	b.calls++
+	if b.release != nil {
+		<-b.release
+	}
 	if b.err != nil {
 		return nil, b.err
 	}
@@ -91,7 +96,7 @@
 func TestRunsOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		backend := &fakeBackend{body: "answer"}
+		backend := &fakeBackend{body: "answer", release: make(chan struct{})}
 		a, _ := newTestAgent(t, backend)
 		defer a.Close()
 		other := a.runRequest("1.1")
@@ -100,6 +105,7 @@
 		wantState(t, a.StartRun(t.Context(), a.runRequest("2.1")), control.StateUnknown)
 		is.NoErr(a.StartRun(t.Context(), a.runRequest("1.1")))
 		wantState(t, a.StartRun(t.Context(), a.runRequest("1.1")), control.StateRunning)
+		close(backend.release)
 		synctest.Wait()
 		wantState(t, a.StartRun(t.Context(), a.runRequest("1.1")), control.StateEnded)
 		is.Equal(backend.calls, 1)
