--- a/tests/platform_silence_test.go
+++ b/tests/platform_silence_test.go
@@ -32,8 +32,7 @@
 	for i := range fronts {
 		name := fmt.Sprint("front-", i)
 		store, peers := newProxy(t, p.store.address("standin")), newProxy(t, "")
-		text := strings.Replace(p.frontSettings(name), p.store.address("standin"), store.address(), 1)
-		text += "\npeers_advertised: " + peers.address() + "\n"
+		text := p.proxiedSettings(name, store, peers)
 		p.fronts[name] = startProcess(t, name, "runworks", "front", "--settings", p.settingsFile(name, text))
 		peers.setTarget(p.fronts[name].address("fronts"))
 		p.names = append(p.names, name)
--- a/tests/platform_site_test.go
+++ b/tests/platform_site_test.go
@@ -131,6 +131,16 @@
 %s`, name, p.store.address("standin"), processFleetKey, p.extraSettings)
 }
 
+// proxiedSettings returns the settings of a front that reaches the store through a proxy, and that the
+// other fronts reach through another one unless that is nil.
+func (p *platformSite) proxiedSettings(name string, store, peers *proxy) string {
+	text := strings.Replace(p.frontSettings(name), p.store.address("standin"), store.address(), 1)
+	if peers != nil {
+		text += "\npeers_advertised: " + peers.address() + "\n"
+	}
+	return text
+}
+
 func (p *platformSite) startFront(name string) {
 	p.t.Helper()
 	p.fronts[name] = startProcess(p.t, name, "runworks", "front", "--settings", p.settingsFile(name, p.frontSettings(name)))
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -239,10 +239,7 @@
 
 // startFront starts a front, or restarts it.
 func (s *soak) startFront(f *soakFront) {
-	text := strings.Replace(s.frontSettings(f.name), s.store.address("standin"), f.store.address(), 1)
-	if f.peers != nil {
-		text += "\npeers_advertised: " + f.peers.address() + "\n"
-	}
+	text := s.proxiedSettings(f.name, f.store, f.peers)
 	p := startProcess(s.t, f.name, "runworks", "front", "--settings", s.settingsFile(f.name, text))
 	f.stopping = false
 	if f.peers != nil {
@@ -266,12 +263,6 @@
 	s.check(calm, after)
 }
 
-func (s *soak) wait(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	<-timer.C
-}
-
 // run runs the steps of a schedule at their times.
 func (s *soak) run(steps []soakStep) {
 	for _, one := range steps {
