Log how a server's response was delimited and where it ended

The line of a call could not tell a stream that was cut off from a complete one: both were logged as done. close_delimited says that the server's response had neither a length nor chunks, unfinished_event_bytes that it ended inside an event.

--- a/modules/httpconn/do.go
+++ b/modules/httpconn/do.go
@@ -124,7 +124,7 @@
 			x.conn.readKeepAlive(res)
 			return res, nil
 		}
-		if res.Close || res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		if res.Close || CloseDelimited(res) {
 			return nil, errorx.ExternalError.New("the answer to another request took this one's place")
 		}
 		if _, err := io.CopyN(io.Discard, res.Body, maxMismatchedBytes); !errors.Is(err, io.EOF) {
@@ -169,8 +169,13 @@
 	})
 }
 
+// CloseDelimited reports whether a response has neither a length nor chunks, so that only the end of
+// its connection ends it.
+func CloseDelimited(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Request.Method != http.MethodHead
+}
+
 // reusable reports whether the next request may use the connection.
 func (x *exchange) reusable(res *http.Response) bool {
-	framed := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
-	return framed && !res.Close && x.written.Load() && x.conn.br.Buffered() == 0
+	return !CloseDelimited(res) && !res.Close && x.written.Load() && x.conn.br.Buffered() == 0
 }
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -146,6 +146,11 @@
 	// time between two of them from one server.
 	events       int
 	longestPause time.Duration
+	// closeDelimited is set if only the end of its connection ends the last server's response.
+	closeDelimited bool
+	// unfinishedEvent is the size in bytes of the event inside which the response ended; 0 if it
+	// ended between events.
+	unfinishedEvent int
 	// lastEvent is when the last event was passed on; zero before the first.
 	lastEvent time.Time
 	// readerBlocked is the time that a stream waited for its caller to read.
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -52,6 +52,12 @@
 		fields = append(fields, "first_byte_ms", c.firstByte.Sub(c.in.Received).Milliseconds(), "events", c.events,
 			"longest_pause_ms", c.longestPause.Milliseconds())
 	}
+	if c.closeDelimited {
+		fields = append(fields, "close_delimited", true)
+	}
+	if c.unfinishedEvent > 0 {
+		fields = append(fields, "unfinished_event_bytes", c.unfinishedEvent)
+	}
 	if c.readerBlocked >= slowReaderAfter {
 		fields = append(fields, "reader_blocked_ms", c.readerBlocked.Milliseconds())
 	}
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -91,6 +91,9 @@
 	n, err := s.body.Read(s.readBuf)
 	s.reader.recordServerWait(time.Since(start))
 	s.splitEvents(s.readBuf[:n])
+	if err != nil {
+		s.call.unfinishedEvent = len(s.partial)
+	}
 	switch {
 	case errors.Is(err, io.EOF):
 		// Data after the last event is part of a complete response.
