--- a/services/forward/stream_test.go
+++ b/services/forward/stream_test.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,6 +41,43 @@
 	})
 }
 
+// TestStreamEndingInsideEventIsNotComplete guards against a cut stream that looks complete because its
+// connection was closed and not reset.
+func TestStreamEndingInsideEventIsNotComplete(t *testing.T) {
+	const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	for _, c := range []struct {
+		name, rest string
+		complete   bool
+	}{
+		{"between events", "", true},
+		{"after a comment", ": ping\n", true},
+		{"after blank lines", "\n\r\n", true},
+		{"inside a field", "id: 3\nda", false},
+		{"after a field", "id: 3\ndata: c\n", false},
+		{"inside a comment", ": pi", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				first := reply{body: events + c.rest}
+				var out bytes.Buffer
+				_, body, err := serve(context.Background(), newForwarder(t, &sender{replies: []reply{first}}, &out), "stream")
+				is.Equal(err == nil, c.complete)
+				is.True(strings.HasPrefix(body, events))
+				is.Equal(strings.Contains(out.String(), `"outcome":"done"`), c.complete)
+
+				s := &sender{replies: []reply{first, restOfStream}}
+				_, body, err = serve(context.Background(), newForwarder(t, s, io.Discard), "resumable")
+				is.NoErr(err)
+				if !c.complete {
+					is.Equal(body, events+restOfStream.body)
+					is.Equal(s.sends[1].LastEventID, "2")
+				}
+			})
+		})
+	}
+}
+
 // TestResumedStreamRequest checks that a resumed stream is queued with times counted from its last
 // event: its target is the pause that the caller allows, and the caller timeout restarts.
 func TestResumedStreamRequest(t *testing.T) {
--- a/standin/routed.go
+++ b/standin/routed.go
@@ -251,6 +251,10 @@
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set(HeaderRoutedSignature, b.Instance)
+	if b.closeDelimited() {
+		// With this encoding net/http sends neither a length nor chunks.
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	w.WriteHeader(http.StatusOK)
 	controller := http.NewResponseController(w)
 	for n := last + 1; n <= events; n++ {
--- a/standin/routed_faults.go
+++ b/standin/routed_faults.go
@@ -28,6 +28,9 @@
 	BreakAt int `json:"break_at"`
 	// Breaks is the number of streams that BreakAt applies to.
 	Breaks int `json:"breaks"`
+	// CloseDelimited has streams sent without length or chunks: the end of the connection ends
+	// them, and a break looks the same.
+	CloseDelimited bool `json:"close_delimited"`
 	// Limit, unless empty, is the reported rate limit in requests per second, from all fronts
 	// together. The server does not enforce it.
 	Limit string `json:"limit"`
@@ -115,6 +118,13 @@
 	_ = conn.Close()
 }
 
+// closeDelimited reports whether streams are sent without length or chunks.
+func (b *RoutedServer) closeDelimited() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.faults.CloseDelimited
+}
+
 // consumeBreak reports whether to abort a stream inside event n, and counts it.
 func (b *RoutedServer) consumeBreak(n int) bool {
 	b.mu.Lock()
--- a/tests/platform_test.go
+++ b/tests/platform_test.go
@@ -81,10 +81,7 @@
 	}
 	want := standin.RoutedResponseBody(c.id, c.method, c.target, c.body)
 	if kind.events > 0 {
-		want = nil
-		for n := 1; n <= kind.events; n++ {
-			want = append(want, standin.RoutedEvent(c.target, n)...)
-		}
+		want = platformEvents(c.target, kind.events)
 	}
 	if res.StatusCode != http.StatusOK || !bytes.Equal(data, want) || res.Header.Get(standin.HeaderRoutedID) != c.id {
 		t.Errorf("%s %s: %s, id %q, body %q, not %q", c.id, c.target, res.Status, res.Header.Get(standin.HeaderRoutedID), data, want)
@@ -126,6 +123,32 @@
 	is.Equal(strings.Count(string(data), "\n\n"), 6)
 }
 
+// TestPlatformCutStreamIsNotComplete guards against a stream without length or chunks that is cut inside
+// an event and reaches its caller as a complete one.
+func TestPlatformCutStreamIsNotComplete(t *testing.T) {
+	is := is.New(t)
+	p := newPlatformSite(t, "front-1")
+	for _, name := range []string{"llm-1", "llm-2"} {
+		p.setFaults(p.backends[name], standin.RoutedFaults{BreakAt: 4, Breaks: 2, CloseDelimited: true})
+	}
+	_, data, err := p.do("front-1", platformCall{id: "cut", method: http.MethodPost, target: "/chat/1?events=6", key: "yard-key"})
+	is.True(err != nil) // the response must not look complete
+	is.Equal(string(data), string(platformEvents("/chat/1?events=6", 3)))
+	target := "/chat/long/2?events=6"
+	_, data, err = p.do("front-1", platformCall{id: "resumed", method: http.MethodPost, target: target, key: "yard-key"})
+	is.NoErr(err)
+	is.Equal(string(data), string(platformEvents(target, 6)))
+}
+
+// platformEvents returns the first n events of a target's stream.
+func platformEvents(target string, n int) []byte {
+	var out []byte
+	for i := 1; i <= n; i++ {
+		out = append(out, standin.RoutedEvent(target, i)...)
+	}
+	return out
+}
+
 // TestPlatformRefusals sends calls that are refused, from a data file with method, target, key,
 // and sizes of the body and a header, and checks the response's status and whether it has a
 // Retry-After.
