Do not pass on a stream that ends inside an event as complete

Callers got a short body that was framed as complete: status 200, the server's signature, and the end of a whole response, 2 ms after the server had crashed.

Cause: a response without length and chunks ends with its connection. When its server exits, the kernel closes the connection, and the front took that for the end of the stream; the half event was passed on as 'data after the last event'. The class: the transport's end of a response is taken for the response's own end.

Change: a stream that ends inside an event has been cut, however it was delimited, and so has one without length and chunks that ends before its first event. The caller's connection is aborted after the last whole event; a resumable stream continues at another server. Trailing comments and blank lines still belong to a complete stream.

TestEmptyStreamIsNotComplete is new. The fixture of a good response in services/forward was no event stream and now is one; what the tests compare is the same.

--- a/routers/callers/response.go
+++ b/routers/callers/response.go
@@ -5,12 +5,12 @@
 	"errors"
 	"io"
 	"math"
-	"mime"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/eventstream"
 	"github.com/runworks/runworks/services/entry"
 )
 
@@ -24,7 +24,7 @@
 // writeResponse forwards a response to the caller. If it fails after its header was written, the
 // connection is aborted, so that the caller cannot take the response for complete.
 func writeResponse(w http.ResponseWriter, id runworks.RequestID, res *entry.Response) {
-	if isEventStream(res) {
+	if eventstream.IsEventStream(http.Header(res.Head.Header)) {
 		writeHead(w, res)
 		_ = http.NewResponseController(w).Flush()
 		abortOnError(w, id, copyEvents(w, res), true)
@@ -43,11 +43,6 @@
 	abortOnError(w, id, err, false)
 }
 
-func isEventStream(res *entry.Response) bool {
-	mediaType, _, _ := mime.ParseMediaType(http.Header(res.Head.Header).Get("Content-Type"))
-	return mediaType == "text/event-stream"
-}
-
 func writeHead(w http.ResponseWriter, res *entry.Response) {
 	for name, values := range withoutHopHeaders(res.Head.Header) {
 		w.Header()[name] = values
--- a/services/forward/budgets_test.go
+++ b/services/forward/budgets_test.go
@@ -83,7 +83,7 @@
 		f.Budgets = &Budgets{}
 		_, data, err := serve(t.Context(), f, "once")
 		is.NoErr(err)
-		is.Equal(data, "good")
+		is.Equal(data, good.body)
 		is.Equal(len(s.sends), 3)
 	})
 }
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -37,6 +37,8 @@
 	broken error
 	// pause is the time from the body's last byte to its end.
 	pause time.Duration
+	// closeDelimited reports that only the end of the connection ends the response.
+	closeDelimited bool
 	// hang waits for the end of the call's context.
 	hang bool
 	// exited reports that the server's process has exited afterwards.
@@ -82,7 +84,7 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
-	return &runworks.ServerReply{Reply: runworks.Reply{Status: status, Header: http.Header{}, Body: body}, NotRun: r.notRun, AddressReused: r.addressReused, Report: r.report, ReportErr: r.reportErr}, nil
+	return &runworks.ServerReply{Reply: runworks.Reply{Status: status, Header: http.Header{}, Body: body, CloseDelimited: r.closeDelimited}, NotRun: r.notRun, AddressReused: r.addressReused, Report: r.report, ReportErr: r.reportErr}, nil
 }
 
 // WatchExit implements runworks.Sender for the server of the last send.
@@ -178,7 +180,7 @@
 	unreachable  = reply{err: errorx.Decorate(runworks.ErrNotDispatched, "refused")}
 	lost         = reply{err: errorx.Decorate(runworks.ErrBackend, "reset")}
 	failed       = reply{status: 500, body: "sorry"}
-	good         = reply{body: "good"}
+	good         = reply{body: "data: good\n\n"}
 	truncated    = reply{body: "go", broken: errReset}
 	brokenStream = reply{body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda", broken: errReset}
 	restOfStream = reply{body: "id: 3\ndata: c\n\n"}
@@ -196,17 +198,17 @@
 		body    string
 		outcome runworks.Outcome
 	}{
-		{"rejected, then served", "once", []reply{rejected, good}, 2, 200, "good", ""},
-		{"address reused, then served", "once", []reply{moved, good}, 2, 200, "good", ""},
-		{"unreachable, then served", "once", []reply{unreachable, good}, 2, 200, "good", ""},
+		{"rejected, then served", "once", []reply{rejected, good}, 2, 200, good.body, ""},
+		{"address reused, then served", "once", []reply{moved, good}, 2, 200, good.body, ""},
+		{"unreachable, then served", "once", []reply{unreachable, good}, 2, 200, good.body, ""},
 		{"rejected everywhere", "once", []reply{rejected}, 3, 0, "", runworks.OutcomeNotRun},
 		{"lost: may have run", "once", []reply{lost, good}, 1, 0, "", runworks.OutcomeUnknown},
 		{"truncated response", "once", []reply{truncated, good}, 1, 0, "", runworks.OutcomeUnknown},
 		{"server's failure is passed on", "once", []reply{failed, good}, 1, 500, "sorry", ""},
 		{"rejected, then lost", "once", []reply{rejected, lost, good}, 2, 0, "", runworks.OutcomeUnknown},
-		{"repeatable and lost", "safe", []reply{lost, good}, 2, 200, "good", ""},
-		{"repeatable and truncated", "safe", []reply{truncated, good}, 2, 200, "good", ""},
-		{"repeatable and failed", "safe", []reply{failed, good}, 2, 200, "good", ""},
+		{"repeatable and lost", "safe", []reply{lost, good}, 2, 200, good.body, ""},
+		{"repeatable and truncated", "safe", []reply{truncated, good}, 2, 200, good.body, ""},
+		{"repeatable and failed", "safe", []reply{failed, good}, 2, 200, good.body, ""},
 		{"repeatable, failed twice: server's own response", "safe", []reply{failed, lost, good}, 2, 500, "sorry", ""},
 		{"no more attempts than the route allows", "safe", []reply{lost, lost, good}, 2, 0, "", runworks.OutcomeUnknown},
 		{"a stream runs once", "stream", []reply{lost, good}, 1, 0, "", runworks.OutcomeUnknown},
@@ -551,7 +553,7 @@
 			is.True(time.Since(began) < 500*time.Millisecond)
 			if name != "once" {
 				is.NoErr(err)
-				is.Equal(text, "good")
+				is.Equal(text, good.body)
 				is.Equal(s.sends[1].To.Generation, int64(200)) // the new incarnation does not know the call
 				return
 			}
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -5,11 +5,13 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/joomcode/errorx"
 
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/eventstream"
 	"github.com/runworks/runworks/modules/metrics"
 	"github.com/runworks/runworks/services/dispatch"
 )
@@ -25,10 +27,13 @@
 	freeBuffers = 64 << 10
 )
 
-var eventEnd = []byte("\n\n")
-
-// errEventTooLong is returned if an event is longer than maxEvent.
-var errEventTooLong = errors.New("stream event exceeds the size limit")
+var (
+	// errEventTooLong is returned if an event is longer than maxEvent.
+	errEventTooLong = errors.New("stream event exceeds the size limit")
+	// errCutStream means that the server ended its stream inside an event, or that the connection
+	// ended before any event.
+	errCutStream = errors.New("the backend server ended the stream inside an event, or before the first one")
+)
 
 // stream is the body of a streamed response. It passes on whole events only, so that another server
 // can resume a broken stream after the last of them.
@@ -37,6 +42,8 @@
 	ctx   context.Context
 	lease *dispatch.Lease
 	body  io.ReadCloser
+	// events is set unless the response names another content type than that of event streams.
+	events bool
 
 	// readBuf is the read buffer. It, pending and partial are reused: an event then leaves 208
 	// bytes of garbage instead of 4,435 (BenchmarkEvent of package platform).
@@ -91,16 +98,17 @@
 	n, err := s.body.Read(s.readBuf)
 	s.reader.recordServerWait(time.Since(start))
 	s.splitEvents(s.readBuf[:n])
-	if err != nil {
-		s.call.unfinishedEvent = len(s.partial)
+	if errors.Is(err, io.EOF) && s.isCut() {
+		err = errCutStream
 	}
 	switch {
 	case errors.Is(err, io.EOF):
-		// Data after the last event is part of a complete response.
+		// Comments after the last event are part of a complete response.
 		s.pending.Write(s.partial)
 		s.partial = nil
 		s.err = io.EOF
 	case err != nil:
+		s.call.unfinishedEvent = len(s.partial)
 		s.partial = nil
 		s.err = s.resume(err)
 	case len(s.partial) > maxEvent:
@@ -111,6 +119,17 @@
 	}
 }
 
+// isCut reports whether a response that has ended is incomplete. Its framing does not show that: a
+// server that exits ends a response without length or chunks like a complete one.
+func (s *stream) isCut() bool {
+	if !s.events {
+		return false
+	}
+	var t eventstream.Tracker
+	t.Track(s.partial)
+	return t.InsideEvent() || s.call.closeDelimited && s.call.events == 0
+}
+
 // reserveBuffers reserves memory for buffers beyond freeBuffers and reports whether there is enough.
 func (s *stream) reserveBuffers() bool {
 	more := int64(s.pending.Cap()+cap(s.partial)-freeBuffers) - s.reserved
@@ -127,18 +146,13 @@
 // splitEvents moves the whole events of data to pending.
 func (s *stream) splitEvents(data []byte) {
 	s.partial = append(s.partial, data...)
-	i := bytes.LastIndex(s.partial, eventEnd)
-	if i < 0 {
-		return
-	}
-	whole := s.partial[:i+len(eventEnd)]
-	for _, event := range bytes.SplitAfter(whole, eventEnd) {
-		if len(event) > 0 {
-			s.recordEvent(event)
-		}
+	event, rest, ok := eventstream.Cut(s.partial)
+	for ok {
+		s.recordEvent(event)
+		s.pending.Write(event)
+		event, rest, ok = eventstream.Cut(rest)
 	}
-	s.pending.Write(whole)
-	s.partial = append(s.partial[:0], s.partial[i+len(eventEnd):]...)
+	s.partial = append(s.partial[:0], rest...)
 }
 
 // recordEvent records an event's id and the time since the previous one.
@@ -229,7 +243,7 @@
 		}
 		s.lease = lease
 		if reply.Status < 300 {
-			s.body, s.answeredAt = reply.Body, time.Now()
+			s.body, s.answeredAt, s.events = reply.Body, time.Now(), holdsEvents(reply.Header)
 			s.firstEventAt, s.lastEventAt = time.Time{}, time.Time{}
 			s.meanGap, s.gaps = 0, 0
 			s.reader.restart()
@@ -241,6 +255,11 @@
 	}
 }
 
+// holdsEvents reports whether the response to a stream call is an event stream.
+func holdsEvents(header http.Header) bool {
+	return header.Get("Content-Type") == "" || eventstream.IsEventStream(header)
+}
+
 // Close implements io.Closer. It releases the slot and logs the end of the call.
 func (s *stream) Close() error {
 	if s.closed {
--- a/services/forward/stream_test.go
+++ b/services/forward/stream_test.go
@@ -78,6 +78,23 @@
 	}
 }
 
+// TestEmptyStreamIsNotComplete guards against a stream that was cut before its first event and looks
+// complete.
+func TestEmptyStreamIsNotComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		empty := reply{closeDelimited: true}
+		_, body, err := serve(context.Background(), newForwarder(t, &sender{replies: []reply{empty}}, io.Discard), "stream")
+		is.True(err != nil)
+		is.Equal(body, "")
+		// A resumed stream may have no further event.
+		s := &sender{replies: []reply{brokenStream, empty}}
+		_, body, err = serve(context.Background(), newForwarder(t, s, io.Discard), "resumable")
+		is.NoErr(err)
+		is.Equal(body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	})
+}
+
 // TestResumedStreamRequest checks that a resumed stream is queued with times counted from its last
 // event: its target is the pause that the caller allows, and the caller timeout restarts.
 func TestResumedStreamRequest(t *testing.T) {
--- a/tests/platform_test.go
+++ b/tests/platform_test.go
@@ -129,7 +129,7 @@
 	is := is.New(t)
 	p := newPlatformSite(t, "front-1")
 	for _, name := range []string{"llm-1", "llm-2"} {
-		p.setFaults(p.backends[name], standin.RoutedFaults{BreakAt: 4, Breaks: 2, CloseDelimited: true})
+		p.setFaults(p.backends[name], standin.RoutedFaults{BreakAt: 4, Breaks: 1, CloseDelimited: true})
 	}
 	_, data, err := p.do("front-1", platformCall{id: "cut", method: http.MethodPost, target: "/chat/1?events=6", key: "yard-key"})
 	is.True(err != nil) // the response must not look complete
