Do not take the exit of a server for the end of its response

Callers could get a plain response, or a stream cut between two events, as a complete one: without length and chunks nothing in it shows that it is short.

The kernel closes the connections of a process that exits, which looks like the end of such a response.

Change: at the end of a response without length and chunks the pool opens a connection to the server. If it is refused, the process has exited and the response counts as broken off: it is repeated or resumed where that is allowed, and otherwise ends with a failure. A connection that is accepted serves the next request. A timeout or a reset proves nothing, as before, so a host that is gone at the same moment is not recognized. A server that exits right after a complete response of this kind costs its caller that response; a wrong failure is preferred to a wrong success.

TestResponseOfExitedServerIsNotComplete failed before (a nil error for half a body).

--- a/modules/httpconn/do.go
+++ b/modules/httpconn/do.go
@@ -23,6 +23,10 @@
 	maxInlineBody = 8 << 10
 )
 
+// errServerExited is the error of a body that only the end of its connection ends, if the server's
+// process has exited: the kernel closes the connection then, wherever the body is.
+var errServerExited = errors.New("the server exited at the end of a response without length or chunks")
+
 // Do sends a request once to address (host:port). If beforeSend is not nil, it is called when
 // a connection is available, just before the first byte is written; if it fails, nothing is
 // sent and Do returns its error. Other errors are ErrNotDispatched if no byte can have been
@@ -40,7 +44,7 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	x := &exchange{pool: p, conn: c, req: req, stop: stop}
+	x := &exchange{ctx: ctx, pool: p, conn: c, req: req, stop: stop}
 	res, err := x.run()
 	if err != nil {
 		stop()
@@ -56,6 +60,8 @@
 
 // exchange is one request on one connection.
 type exchange struct {
+	// ctx is the context that was passed to Do.
+	ctx  context.Context
 	pool *Pool
 	conn *conn
 	req  *http.Request
@@ -146,9 +152,14 @@
 // Read implements io.Reader; it returns io.EOF only at the end of a complete body.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.reader.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.finish(true)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if x := b.exchange; CloseDelimited(b.res) && x.pool.hasExited(x.ctx, x.conn.address) {
+		b.finish(false)
+		return n, errServerExited
 	}
+	b.finish(true)
 	return n, err
 }
 
--- a/modules/httpconn/exit.go
+++ b/modules/httpconn/exit.go
@@ -37,6 +37,20 @@
 	}
 }
 
+// hasExited reports whether the process that listens at address is known to have exited. Unlike
+// WatchExit, it does not watch a connection that is accepted.
+func (p *Pool) hasExited(ctx context.Context, address string) bool {
+	c, err := p.probe(ctx, address)
+	if errors.Is(err, syscall.ECONNRESET) {
+		c, err = p.probe(ctx, address)
+	}
+	if err != nil {
+		return isRefused(err)
+	}
+	p.put(c)
+	return false
+}
+
 // watchConn returns a connection that stays open to the pool, and probes again if it does not.
 func (p *Pool) watchConn(c *conn, onExit func()) {
 	if c.staysOpen() {
--- a/modules/httpconn/exit_test.go
+++ b/modules/httpconn/exit_test.go
@@ -1,8 +1,11 @@
 package httpconn
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"syscall"
 	"testing"
@@ -116,3 +119,37 @@
 		is.Equal(reportsExit(t, p, l.Addr().String(), exits), exits)
 	}
 }
+
+// TestResponseOfExitedServerIsNotComplete guards against a response without length or chunks that looks
+// complete because the exit of its server closed the connection.
+func TestResponseOfExitedServerIsNotComplete(t *testing.T) {
+	for _, exits := range []bool{true, false} {
+		is := is.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if exits {
+				_ = l.Close()
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+			_ = c.Close()
+		}()
+		p := newPool()
+		p.ProbeTimeout, p.MatchResponse = 30*time.Second, nil
+		defer p.Close()
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+l.Addr().String()+"/", nil)
+		is.NoErr(err)
+		res, err := p.Do(t.Context(), l.Addr().String(), req, nil)
+		is.NoErr(err)
+		data, err := io.ReadAll(res.Body)
+		is.NoErr(res.Body.Close())
+		is.Equal(string(data), "half")
+		is.Equal(err != nil, exits)
+	}
+}
