Reset the connection of an HTTP/1.0 caller whose response breaks off

An HTTP/1.0 caller got a broken response as a complete one: it has no chunks there, and the aborted handler closed its connection in order, which is how a complete one ends.

Change: tcp.ResetOnAbort makes the close of such a connection a reset, at fronts and at the entries of the product's own interface. Callers of HTTP/1.1 see the missing last chunk, as before, and lose nothing that was already sent to them.

--- a/daemon/front_listen.go
+++ b/daemon/front_listen.go
@@ -49,7 +49,7 @@
 func (d *Front) buildServers(listeners []net.Listener) []*http.Server {
 	operatorRoutes := &operators.Routes{Ready: d.ready, Metrics: d.metrics, Status: func() any { return d.status() }, Release: d.release}
 	handlers := []http.Handler{
-		callersListener: d.front, balancerListener: platform.ReadyHandler(d.ready), frontsListener: d.exchange, operatorsListener: operatorRoutes.Handler(),
+		callersListener: tcp.ResetOnAbort(d.front), balancerListener: platform.ReadyHandler(d.ready), frontsListener: d.exchange, operatorsListener: operatorRoutes.Handler(),
 	}
 	out := make([]*http.Server, len(listeners))
 	for i, handler := range handlers {
--- /dev/null
+++ b/modules/tcp/abort.go
@@ -0,0 +1,42 @@
+package tcp
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+)
+
+// ResetOnAbort returns a handler that resets the connection of an HTTP/1.0 request if h panics with
+// http.ErrAbortHandler. Such a response may end with its connection, and the server's orderly close
+// would then look like its complete end. The server needs WithConn as its ConnContext.
+func ResetOnAbort(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoAtLeast(1, 1) {
+			h.ServeHTTP(w, r)
+			return
+		}
+		defer func() {
+			p := recover()
+			if p == nil {
+				return
+			}
+			if err, ok := p.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+				resetOnClose(r.Context())
+			}
+			panic(p)
+		}()
+		h.ServeHTTP(w, r)
+	})
+}
+
+// resetOnClose makes the close of a request's connection a reset, which discards what was not sent.
+func resetOnClose(ctx context.Context) {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	if idle, ok := c.(*idleConn); ok {
+		c = idle.Conn
+	}
+	if conn, ok := c.(interface{ SetLinger(sec int) error }); ok {
+		_ = conn.SetLinger(0) // fails only if the connection is closed already
+	}
+}
--- a/routers/callers/routes.go
+++ b/routers/callers/routes.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/tcp"
 	"github.com/runworks/runworks/services/admission"
 	"github.com/runworks/runworks/services/entry"
 )
@@ -58,7 +59,7 @@
 // Server returns an HTTP server for the handler with the limits for callers.
 func Server(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, MaxHeaderBytes: MaxHeaderBytes,
+		Handler: tcp.ResetOnAbort(handler), ConnContext: tcp.WithConn, MaxHeaderBytes: MaxHeaderBytes,
 		ReadHeaderTimeout: ReadHeaderTimeout, IdleTimeout: idleTimeout,
 	}
 }
--- a/tests/platform_test.go
+++ b/tests/platform_test.go
@@ -1,8 +1,11 @@
 package tests
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -140,6 +143,27 @@
 	is.Equal(string(data), string(platformEvents(target, 6)))
 }
 
+// TestPlatformCutStreamOfOldCaller guards against a broken stream that a caller of HTTP/1.0 takes for a
+// complete one.
+func TestPlatformCutStreamOfOldCaller(t *testing.T) {
+	is := is.New(t)
+	p := newPlatformSite(t, "front-1")
+	for _, name := range []string{"llm-1", "llm-2"} {
+		p.setFaults(p.backends[name], standin.RoutedFaults{BreakAt: 4, Breaks: 1})
+	}
+	c, err := net.Dial("tcp", p.fronts["front-1"].address("callers"))
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = fmt.Fprintf(c, "POST /chat/1?events=6 HTTP/1.0\r\nHost: yard.example\r\nX-Request-Id: old\r\nX-Credential: yard-key\r\nContent-Length: 0\r\n\r\n")
+	is.NoErr(err)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err == nil {
+		is.Equal(res.StatusCode, http.StatusOK)
+		_, err = io.ReadAll(res.Body)
+	}
+	is.True(err != nil)
+}
+
 // platformEvents returns the first n events of a target's stream.
 func platformEvents(target string, n int) []byte {
 	var out []byte
