Do not remember a cut stream as a complete one at agents

Callers of the product's own interface got a cut response as a complete one, and those that joined it under its idempotency key later got the same: the agent read the response of its server to the end of the connection and reported its run as done.

Change: an event stream that ends inside an event broke off, whatever its framing says; the agent resumes it at the engine, as after a reset, or reports the run as failed.

TestStreamEndingInsideEventIsNotComplete (services/agent) and TestResponseOfExitedServerIsNotComplete (modules/backend) failed before: nil errors for half an event and half a body.

--- a/modules/backend/http_test.go
+++ b/modules/backend/http_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -177,3 +178,34 @@
 	err = do(t, h, &runworks.Call{Method: http.MethodPost, Path: "/marked", Body: []byte("x")})
 	is.True(errors.Is(err, runworks.ErrBackend))
 }
+
+// TestResponseOfExitedServerIsNotComplete guards against a response without length or chunks that looks
+// complete because the exit of its server closed the connection.
+func TestResponseOfExitedServerIsNotComplete(t *testing.T) {
+	for _, exits := range []bool{true, false} {
+		is := is.New(t)
+		l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if exits {
+				_ = l.Close()
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+			_ = c.Close()
+		}()
+		h := New(runworks.KindPlain, "http://"+l.Addr().String(), nil)
+		defer h.Close()
+		reply, err := h.Do(t.Context(), "1", &runworks.Call{Method: http.MethodPost, Path: "/", Body: []byte("x")})
+		is.NoErr(err)
+		data, err := io.ReadAll(reply.Body)
+		is.NoErr(reply.Body.Close())
+		is.Equal(string(data), "half")
+		is.Equal(err != nil, exits)
+	}
+}
--- a/services/agent/agent_test.go
+++ b/services/agent/agent_test.go
@@ -38,6 +38,8 @@
 	calls int
 	err   error
 	body  string
+	// contentType is the content type of the response; empty for none.
+	contentType string
 	// release, if not nil, holds the answer until it is closed.
 	release chan struct{}
 }
@@ -51,11 +53,15 @@
 	if b.err != nil {
 		return nil, b.err
 	}
-	return &runworks.Reply{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(b.body))}, nil
+	header := http.Header{}
+	if b.contentType != "" {
+		header.Set("Content-Type", b.contentType)
+	}
+	return &runworks.Reply{Status: http.StatusOK, Header: header, Body: io.NopCloser(strings.NewReader(b.body))}, nil
 }
 
 // newTestAgent returns a started agent with one claimed request, 1.1.
-func newTestAgent(t *testing.T, backend *fakeBackend) (a *Agent, claimed *run) {
+func newTestAgent(t *testing.T, backend runworks.Backend) (a *Agent, claimed *run) {
 	t.Helper()
 	set, err := metrics.New()
 	if err != nil {
@@ -215,6 +221,58 @@
 	})
 }
 
+// resumingBackend is a fakeBackend that serves rest to a resume.
+type resumingBackend struct {
+	fakeBackend
+	rest string
+	from int64
+}
+
+// Resume implements runworks.Backend.
+func (b *resumingBackend) Resume(_ context.Context, _ runworks.RequestID, from int64) (*runworks.Reply, error) {
+	b.from = from
+	return &runworks.Reply{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader(b.rest))}, nil
+}
+
+// TestStreamEndingInsideEventIsNotComplete guards against a cut stream that is remembered, and read by
+// later callers, as a complete one.
+func TestStreamEndingInsideEventIsNotComplete(t *testing.T) {
+	for _, c := range []struct {
+		name, contentType, body, rest string
+		complete                      bool
+	}{
+		{"whole", "text/event-stream", "data: a\n\n", "", true},
+		{"cut", "text/event-stream; charset=utf-8", "data: a\n\nda", "", false},
+		{"cut and resumed", "text/event-stream", "data: a\n\nda", "ta: b\n\n", true},
+		{"no event stream", "application/json", "{}", "", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				backend := &resumingBackend{fakeBackend: fakeBackend{body: c.body, contentType: c.contentType}, rest: c.rest}
+				a, _ := newTestAgent(t, backend)
+				defer a.Close()
+				is.NoErr(a.StartRun(t.Context(), a.runRequest("1.1")))
+				synctest.Wait()
+				for range 2 { // the first caller, and one that joins the ended run
+					reader, err := a.Open("1.1", a.incarnation)
+					is.NoErr(err)
+					data, _, err := reader.Next(t.Context(), 0)
+					is.NoErr(err)
+					is.Equal(string(data), c.body+c.rest)
+					_, end, err := reader.Next(t.Context(), int64(len(data)))
+					is.True(end)
+					is.Equal(err == nil, c.complete)
+					reader.Close()
+				}
+				if c.rest != "" {
+					is.Equal(backend.from, int64(len(c.body)))
+				}
+			})
+		})
+	}
+}
+
 // TestConfigureReconnects checks that the backend is replaced if the address or the kind of
 // the backend server changes, and only then.
 func TestConfigureReconnects(t *testing.T) {
--- a/services/agent/dispatch.go
+++ b/services/agent/dispatch.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/eventstream"
 	"github.com/runworks/runworks/modules/metrics"
 	"github.com/runworks/runworks/modules/tracing"
 	"github.com/runworks/runworks/services/control"
@@ -69,15 +70,19 @@
 		return err
 	}
 	a.setHead(r, &control.ReplyHead{Status: reply.Status, Header: reply.Header})
-	return a.copyWithResume(ctx, r, backend, reply.Body)
+	return a.copyWithResume(ctx, r, backend, reply)
 }
 
 // copyWithResume copies the response. If it breaks off, it is resumed up to maxResumes times,
 // so that the work which the engine has done for it is not lost.
-func (a *Agent) copyWithResume(ctx context.Context, r *run, backend runworks.Backend, body io.ReadCloser) error {
-	from := int64(0)
+func (a *Agent) copyWithResume(ctx context.Context, r *run, backend runworks.Backend, reply *runworks.Reply) error {
+	var events *eventstream.Tracker
+	if eventstream.IsEventStream(reply.Header) {
+		events = &eventstream.Tracker{}
+	}
+	body, from := reply.Body, int64(0)
 	for resumes := 0; ; resumes++ {
-		n, err := a.copyResponse(ctx, r, body)
+		n, err := a.copyResponse(ctx, r, body, events)
 		_ = body.Close()
 		from += n
 		if err == nil || ctx.Err() != nil {
@@ -96,18 +101,25 @@
 }
 
 // copyResponse copies a response until it ends or breaks off and returns the number of bytes
-// copied.
-func (a *Agent) copyResponse(ctx context.Context, r *run, body io.Reader) (copied int64, err error) {
+// copied. events, unless nil, tracks the events of the whole response, across resumes: one that ends
+// inside an event broke off, whatever its framing says.
+func (a *Agent) copyResponse(ctx context.Context, r *run, body io.Reader, events *eventstream.Tracker) (copied int64, err error) {
 	p := make([]byte, readBufferSize)
 	for {
 		n, err := body.Read(p)
 		copied += int64(n)
+		if events != nil {
+			events.Track(p[:n])
+		}
 		if n > 0 {
 			if werr := r.response.Write(ctx, p[:n]); werr != nil {
 				return copied, errorx.Decorate(runworks.ErrBackend, "keep the answer: %v", werr)
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			if events != nil && events.InsideEvent() {
+				return copied, errorx.Decorate(runworks.ErrBackend, "the stream ended inside an event")
+			}
 			return copied, nil
 		}
 		if err != nil {
