Log the versions at which a stream runs and the stream that a caller takes up

The line of a call named neither the software versions that ran it nor the stream that its caller takes up, so that a stream continued at another version could not be told from others, nor whether the front or the caller had moved it. No decision changes.

--- a/inbound.go
+++ b/inbound.go
@@ -36,6 +36,12 @@
 	// PromptPrefix is the ID of the last segment of the prompt's prefix. Calls with the same
 	// ID share an engine's prompt cache. Empty if not stated.
 	PromptPrefix string
+	// LastEventID is the ID of the last event that the caller has of a stream that it takes up
+	// again; empty for a new call.
+	LastEventID string
+	// Resumes is the ID of the caller's attempt that brought the first event of that stream; empty
+	// if not stated.
+	Resumes RequestID
 	// CallerDisconnected reports whether the caller closed its connection; nil if unknown.
 	CallerDisconnected func() bool
 }
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -44,6 +44,7 @@
 		return nil, c.notRunFailure(errorx.Decorate(runworks.ErrRejected, "%s answered %d", lease.Instance.ID, reply.Status))
 	}
 	c.ran++
+	c.versions = append(c.versions, lease.Instance.Version)
 	c.closeDelimited, c.unfinishedEvent = reply.CloseDelimited, 0
 	lease.RecordHeaders()
 	return reply, nil
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -146,6 +146,8 @@
 	// time between two of them from one server.
 	events       int
 	longestPause time.Duration
+	// versions are the software versions of the servers that responded, in order.
+	versions []string
 	// closeDelimited is set if only the end of its connection ends the last server's response.
 	closeDelimited bool
 	// unfinishedEvent is the size in bytes of the event inside which the response ended; 0 if it
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -52,6 +52,12 @@
 		fields = append(fields, "first_byte_ms", c.firstByte.Sub(c.in.Received).Milliseconds(), "events", c.events,
 			"longest_pause_ms", c.longestPause.Milliseconds())
 	}
+	if c.in.LastEventID != "" {
+		fields = append(fields, "resumes", c.in.Resumes, "caller_last_event", c.in.LastEventID)
+	}
+	if len(c.versions) > 0 {
+		fields = append(fields, "versions", c.versions)
+	}
 	if c.closeDelimited {
 		fields = append(fields, "close_delimited", true)
 	}
