--- a/services/dispatch/server_set.go
+++ b/services/dispatch/server_set.go
@@ -129,6 +129,7 @@
 	Generation int64  `json:"born,omitempty"`
 	Service    string `json:"service"`
 	Hall       string `json:"hall"`
+	Version    string `json:"version,omitempty"`
 	Slots      int    `json:"slots"`
 	// OwnCalls and PeerCalls are the calls that this entry and the others run at the server.
 	OwnCalls     int       `json:"own"`
@@ -156,7 +157,7 @@
 	for _, s := range d.servers {
 		limit, _ := s.limit.Reported()
 		out = append(out, ServerStatus{
-			ID: s.ID, Generation: s.Generation, Service: s.Service, Hall: s.Hall, Slots: s.Slots,
+			ID: s.ID, Generation: s.Generation, Service: s.Service, Hall: s.Hall, Version: s.Version, Slots: s.Slots,
 			OwnCalls: s.ownCalls, PeerCalls: s.peerCalls, Draining: s.Draining, Suspended: s.Suspended, EjectedUntil: s.ejectedUntil,
 			Limit: limit, LimitShare: s.limit.Share().PerSecond,
 			ReportedDraining: s.draining, BackoffUntil: s.backoff.until, ReportedLoad: s.reportedLoad,
--- a/services/forward/stream_test.go
+++ b/services/forward/stream_test.go
@@ -95,6 +95,27 @@
 	})
 }
 
+// TestResumedStreamStaysAtItsVersion guards against a broken stream that a front continues at another
+// software version than the one that began it.
+func TestResumedStreamStaysAtItsVersion(t *testing.T) {
+	for _, versions := range [][]string{{"v1", "v2", "v1", "v2"}, {"v1", "v1", "v2", "v2"}, {"v1", "v2", "v2", "v1"}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := &sender{replies: []reply{brokenStream, restOfStream}}
+			f := newForwarder(t, s, io.Discard)
+			servers := append(threeServers("s"), runworks.Instance{ID: "s3", Service: "app", Slots: 4})
+			for i, version := range versions {
+				servers[i].Version = version
+			}
+			f.Dispatcher.SetServers(servers)
+			_, _, err := serve(context.Background(), f, "resumable")
+			is.NoErr(err)
+			is.Equal(s.sends[1].To.Version, s.sends[0].To.Version)
+			is.True(s.sends[1].To.ID != s.sends[0].To.ID)
+		})
+	}
+}
+
 // TestResumedStreamRequest checks that a resumed stream is queued with times counted from its last
 // event: its target is the pause that the caller allows, and the caller timeout restarts.
 func TestResumedStreamRequest(t *testing.T) {
