Continue a stream only at the software version that began it

The class: what was decided at the begin of a response binds its continuation, and has to be known wherever it is continued.

Change: the version of a stream's first event is part of each further choice of a server, here and at a scheduler. services/streamorigin knows the origins of streams; while a service has servers of several versions, fronts send each other those of new streams, and all in a handshake. A caller that takes up a stream which nobody knows is refused as not run while several versions serve, or did so 30 s ago; otherwise the only version continues it.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -214,8 +214,11 @@
 		Suspects:      func() []runworks.Suspect { return d.quarantine.List(time.Now()) },
 		OnSuspects:    func(_ string, list []runworks.Suspect) { d.quarantine.Apply(time.Now(), list) },
 		ServerNotices: d.dispatcher.ServerNotices, OnServerNotices: d.dispatcher.ApplyNotices, TransferPermits: d.dispatcher.TransferPermits,
-		EngineModels: d.engineModels(),
+		StreamOrigins:   func() []runworks.StreamOrigin { return d.forwarder.Origins.List(time.Now()) },
+		OnStreamOrigins: func(list []runworks.StreamOrigin) { d.forwarder.Origins.Apply(time.Now(), list) },
+		EngineModels:    d.engineModels(),
 	}
+	d.forwarder.Origins.Send = d.exchange.SendStreamOrigins
 	d.buildScheduler()
 	if err := d.watchState(); err != nil {
 		flushSpans()
--- a/daemon/front_servers.go
+++ b/daemon/front_servers.go
@@ -77,6 +77,7 @@
 	list, again := d.expiryFilter.Merge(now, d.withRoutes(d.servers.List()))
 	d.suspendHalls(list)
 	d.rollouts.SetServers(list)
+	d.forwarder.Origins.SetServers(now, list)
 	change := d.dispatcher.SetServers(list)
 	if again > 0 {
 		d.Logger.Warn("records of backend servers may be lost or outdated; checking again later", "known", len(list), "for_ms", again.Milliseconds())
--- a/daemon/front_status.go
+++ b/daemon/front_status.go
@@ -32,6 +32,8 @@
 	LimitsUsed map[string]float64 `json:"limits_used"`
 	// Suspects are the requests with attributed server exits, and whether they are quarantined.
 	Suspects []quarantine.Report `json:"suspects"`
+	// StreamOrigins is the number of streams whose service and version this front knows.
+	StreamOrigins int `json:"stream_origins"`
 	// Rollouts are the operators' orders to roll out a version.
 	Rollouts []rollout.Status `json:"rollouts,omitempty"`
 }
@@ -42,6 +44,7 @@
 	out.Schedulers = d.slotClient.Schedulers()
 	out.SuspendedHalls = d.suspendedHalls()
 	out.Rollouts = d.rollouts.Statuses(time.Now())
+	out.StreamOrigins = d.forwarder.Origins.Len()
 	out.Suspects = d.quarantine.Reports(time.Now())
 	if table := d.forwarder.Table.Load(); table != nil {
 		out.RoutingVersion = table.Routing.Version
--- a/errors.go
+++ b/errors.go
@@ -26,6 +26,9 @@
 	ErrNoRoute = sentinel("no_route", "no route fits this host and path")
 	// ErrNoServer means that no backend server of the service is known.
 	ErrNoServer = sentinel("no_server", "no backend server of this service is known")
+	// ErrUnknownStream means that it is not known which software version began the stream that a caller
+	// takes up.
+	ErrUnknownStream = sentinel("unknown_stream", "the software version that began the stream is not known")
 	// ErrRejected means that the backend servers tried so far rejected the call.
 	ErrRejected = sentinel("turned_away", "the backend servers turned the call away")
 	// ErrLimit means that the customer reached one of its limits.
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -49,13 +49,15 @@
 	Exclude []string
 	// Hall is the hall of the entry that sends the call; empty is that of this entry.
 	Hall string
+	// Version is the only software version of servers that may run the call; empty means all.
+	Version string
 	// AllowsHall reports whether the call may run in a hall; nil means in all.
 	AllowsHall func(hall string) bool
 }
 
 // allows reports whether the call may be sent to a server.
 func (a *Request) allows(one *server) bool {
-	return !slices.Contains(a.Exclude, one.incarnation) && (a.AllowsHall == nil || a.AllowsHall(one.Hall))
+	return !slices.Contains(a.Exclude, one.incarnation) && (a.Version == "" || a.Version == one.Version) && (a.AllowsHall == nil || a.AllowsHall(one.Hall))
 }
 
 // Dispatcher assigns the calls of one entry to backend servers. The exported fields must be
--- a/services/forward/dispatch_request.go
+++ b/services/forward/dispatch_request.go
@@ -21,8 +21,8 @@
 	return &dispatch.Request{
 		ID: c.in.ID, Service: c.service, Route: c.route.Name, Rank: c.rank, RouteRank: c.route.Rank, Customer: c.customerName(),
 		PromptTokens: c.in.PromptTokens, MaxTokens: c.in.MaxTokens, ExpectedTokens: c.in.ExpectedTokens,
-		Resumed: !c.lastEvent.IsZero(), Retry: c.ran > 0, MaxGap: c.route.MaxGap, Target: target, CallerTimeout: c.callerTimeout(), Deadline: c.deadline, Exclude: slices.Clone(c.tried),
-		AllowsHall: c.allowsHall(),
+		Resumed: c.resumed(), Retry: c.ran > 0, MaxGap: c.route.MaxGap, Target: target, CallerTimeout: c.callerTimeout(), Deadline: c.deadline, Exclude: slices.Clone(c.tried),
+		Version: c.origin.Version, AllowsHall: c.allowsHall(),
 	}
 }
 
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -19,6 +19,7 @@
 	"github.com/runworks/runworks/services/quarantine"
 	"github.com/runworks/runworks/services/quota"
 	"github.com/runworks/runworks/services/route"
+	"github.com/runworks/runworks/services/streamorigin"
 )
 
 const (
@@ -64,7 +65,9 @@
 	// Quarantine holds the requests that make backend servers exit.
 	Quarantine *quarantine.Quarantine
 	// Memory bounds what is held for calls.
-	Memory  Memory
+	Memory Memory
+	// Origins holds which software version began each resumable stream.
+	Origins streamorigin.Table
 	Sender  runworks.Sender
 	Logger  hclog.Logger
 	Metrics *metrics.Set
@@ -146,6 +149,8 @@
 	// time between two of them from one server.
 	events       int
 	longestPause time.Duration
+	// origin is the origin of a resumable stream; empty until its first event.
+	origin runworks.StreamOrigin
 	// versions are the software versions of the servers that responded, in order.
 	versions []string
 	// closeDelimited is set if only the end of its connection ends the last server's response.
@@ -167,7 +172,7 @@
 	ctx, span := f.Tracer.Start(ctx, tracing.SpanEntry)
 	defer span.End()
 	f.awaitReady(ctx)
-	if failure := c.admit(); failure != nil {
+	if failure := c.admit(ctx); failure != nil {
 		c.finishFailed(failure)
 		return nil, failure
 	}
@@ -188,7 +193,7 @@
 }
 
 // admit finds the route, the customer and the service, and reserves tokens of the customer's limit.
-func (c *call) admit() *runworks.Failure {
+func (c *call) admit(ctx context.Context) *runworks.Failure {
 	now := time.Now()
 	if c.table = c.f.Table.Load(); c.table == nil {
 		return runworks.NotRun(runworks.ErrNotReady, retryNotReady)
@@ -208,6 +213,10 @@
 		metrics.Count(c.f.Metrics.Quarantined, metrics.Rank(c.rank))
 		return runworks.NotRun(runworks.ErrQuarantined, wait)
 	}
+	c.service = route.PickService(c.route, c.in.ID)
+	if failure := c.resolveOrigin(ctx); failure != nil {
+		return failure
+	}
 	if c.customer != nil {
 		if c.customer.Rank != nil {
 			c.rank = *c.customer.Rank
@@ -216,7 +225,6 @@
 			return failure
 		}
 	}
-	c.service = route.PickService(c.route, c.in.ID)
 	c.deadline = c.in.Received.Add(c.timeout())
 	c.f.Budgets.RecordCall(c.service)
 	return nil
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -52,18 +52,7 @@
 		fields = append(fields, "first_byte_ms", c.firstByte.Sub(c.in.Received).Milliseconds(), "events", c.events,
 			"longest_pause_ms", c.longestPause.Milliseconds())
 	}
-	if c.in.LastEventID != "" {
-		fields = append(fields, "resumes", c.in.Resumes, "caller_last_event", c.in.LastEventID)
-	}
-	if len(c.versions) > 0 {
-		fields = append(fields, "versions", c.versions)
-	}
-	if c.closeDelimited {
-		fields = append(fields, "close_delimited", true)
-	}
-	if c.unfinishedEvent > 0 {
-		fields = append(fields, "unfinished_event_bytes", c.unfinishedEvent)
-	}
+	fields = append(fields, c.streamFields()...)
 	if c.readerBlocked >= slowReaderAfter {
 		fields = append(fields, "reader_blocked_ms", c.readerBlocked.Milliseconds())
 	}
@@ -82,3 +71,21 @@
 	}
 	c.f.Logger.Info("call ended", fields...)
 }
+
+// streamFields returns the log fields that only streams, or responses that are cut, have.
+func (c *call) streamFields() []any {
+	var fields []any
+	if c.in.LastEventID != "" {
+		fields = append(fields, "resumes", c.in.Resumes, "caller_last_event", c.in.LastEventID)
+	}
+	if len(c.versions) > 0 {
+		fields = append(fields, "versions", c.versions)
+	}
+	if c.closeDelimited {
+		fields = append(fields, "close_delimited", true)
+	}
+	if c.unfinishedEvent > 0 {
+		fields = append(fields, "unfinished_event_bytes", c.unfinishedEvent)
+	}
+	return fields
+}
--- /dev/null
+++ b/services/forward/origin.go
@@ -0,0 +1,55 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/services/route"
+)
+
+// originMargin is how much longer than its caller waits the origin of a stream is kept: the caller
+// counts from its first attempt, and its clock may differ.
+const originMargin = 5 * time.Second
+
+// takesUp reports whether the caller takes up a stream that began with an earlier attempt.
+func (c *call) takesUp() bool { return c.route.Resumable && c.in.LastEventID != "" }
+
+// resumed reports whether the call continues a stream of which its caller has events.
+func (c *call) resumed() bool { return !c.lastEvent.IsZero() || c.takesUp() }
+
+// resolveOrigin finds the service and version that began the stream which the caller takes up. What
+// another version writes does not continue it, so that it is refused if they are not known.
+func (c *call) resolveOrigin(ctx context.Context) *runworks.Failure {
+	if !c.takesUp() {
+		return nil
+	}
+	if c.in.Resumes != "" {
+		c.service = route.PickService(c.route, c.in.Resumes)
+	}
+	origin, err := c.f.Origins.Await(ctx, c.in.Resumes, c.service)
+	if err != nil {
+		return runworks.NotRun(err, retryRejected)
+	}
+	if !slices.ContainsFunc(c.route.Shares, func(one runworks.ServiceShare) bool { return one.Service == origin.Service }) {
+		return runworks.NotRun(errorx.Decorate(runworks.ErrNoServer, "the stream began at %s, which the route no longer uses", origin.Service), 0)
+	}
+	c.service, c.origin = origin.Service, origin
+	return nil
+}
+
+// recordOrigin records the version that brings the first event of a resumable stream. From now on no
+// other one continues it.
+func (c *call) recordOrigin(now time.Time, server runworks.Instance) {
+	if !c.route.Resumable {
+		return
+	}
+	if !c.takesUp() {
+		c.origin = runworks.StreamOrigin{Stream: c.in.ID, Service: c.service}
+	}
+	c.origin.Version = server.Version
+	c.f.Origins.Record(now, c.origin, max(c.in.Timeout, c.timeout())+originMargin)
+}
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -163,6 +163,9 @@
 		}
 	}
 	now := time.Now()
+	if s.call.events == 0 {
+		s.call.recordOrigin(now, s.lease.Instance)
+	}
 	if s.lastEventAt.IsZero() {
 		s.firstEventAt = now
 		s.call.recordFirstEvent(now, s.lease)
--- a/services/forward/stream_test.go
+++ b/services/forward/stream_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -116,6 +118,52 @@
 	}
 }
 
+// TestTakenUpStreamGoesToItsOrigin guards against a stream that its caller takes up and that runs at
+// another version, or another service of its route, than the one that began it.
+func TestTakenUpStreamGoesToItsOrigin(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name            string
+		resumes         runworks.RequestID
+		origin          runworks.StreamOrigin
+		version         string
+		err             error
+		lastEvent, path string
+	}{
+		{"known", "1", runworks.StreamOrigin{Stream: "1", Service: "app", Version: "v2"}, "v2", nil, "3", "/resumable/x"},
+		{"unknown", "2", runworks.StreamOrigin{Stream: "1", Service: "app", Version: "v2"}, "", runworks.ErrUnknownStream, "3", "/resumable/x"},
+		{"not named", "", runworks.StreamOrigin{Stream: "1", Service: "app", Version: "v2"}, "", runworks.ErrUnknownStream, "3", "/resumable/x"},
+		{"begun at a version that is gone", "1", runworks.StreamOrigin{Stream: "1", Service: "app", Version: "v0"}, "", runworks.ErrNoServer, "3", "/resumable/x"},
+		{"begun at a service that is no longer routed", "1", runworks.StreamOrigin{Stream: "1", Service: "old", Version: "v2"}, "", runworks.ErrNoServer, "3", "/resumable/x"},
+		{"new", "", runworks.StreamOrigin{Stream: "1", Service: "app", Version: "v2"}, "any", nil, "", "/resumable/x"},
+		{"of a route whose streams can't be resumed", "", runworks.StreamOrigin{Stream: "1", Service: "app", Version: "v2"}, "any", nil, "3", "/stream/x"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &sender{replies: []reply{restOfStream}}
+				f := newForwarder(t, s, io.Discard)
+				servers := threeServers("s")
+				servers[0].Version, servers[1].Version, servers[2].Version = "v1", "v2", "v1"
+				f.Dispatcher.SetServers(servers)
+				f.Origins.SetServers(now, servers)
+				f.Origins.Record(time.Now(), c.origin, time.Minute)
+				in := &runworks.Inbound{ID: "9", Method: http.MethodPost, Host: "h", Path: c.path, Target: c.path, Received: time.Now(), LastEventID: c.lastEvent, Resumes: c.resumes}
+				res, err := f.Serve(t.Context(), in)
+				if c.err != nil {
+					is.True(errors.Is(err, c.err))
+					is.Equal(failureOf(is, err).Outcome, runworks.OutcomeNotRun)
+					is.Equal(len(s.sends), 0)
+					return
+				}
+				is.NoErr(err)
+				is.NoErr(res.Body.Close())
+				is.True(c.version == "any" || s.sends[0].To.Version == c.version)
+			})
+		})
+	}
+}
+
 // TestResumedStreamRequest checks that a resumed stream is queued with times counted from its last
 // event: its target is the pause that the caller allows, and the caller timeout restarts.
 func TestResumedStreamRequest(t *testing.T) {
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -128,6 +128,9 @@
 	if x.ServerNotices != nil {
 		b.ServerNotices = x.ServerNotices()
 	}
+	if x.StreamOrigins != nil {
+		b.StreamOrigins = x.StreamOrigins()
+	}
 	if err := conn.Notify(ctx, MethodHandshake, b); err != nil {
 		x.Logger.Warn("handshake could not be sent", "name", l.member.Name, "error", err.Error())
 		_ = conn.Close() // maintain dials again
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -27,6 +27,9 @@
 	// MethodServerNotices is the notification that carries ServerNotices. Versions that do not
 	// know it ignore it.
 	MethodServerNotices = "entry.server_words"
+	// MethodStreamOrigins is the notification that carries StreamOrigins. Versions that do not know it
+	// ignore it.
+	MethodStreamOrigins = "entry.stream_origins"
 	// MethodRollouts is the notification that carries RolloutReports, while a roll-out is ordered.
 	// Versions that do not know it ignore it.
 	MethodRollouts = "entry.rollouts"
@@ -141,6 +144,9 @@
 	Suspects []runworks.Suspect `json:"suspects,omitempty"`
 	// ServerNotices holds the current notices of all backend servers. Only handshakes carry it.
 	ServerNotices []runworks.ServerNotice `json:"server_words,omitempty"`
+	// StreamOrigins holds known streams of services whose servers have several versions. Only handshakes
+	// carry it.
+	StreamOrigins []runworks.StreamOrigin `json:"stream_origins,omitempty"`
 	// Names holds the names that the frames after a handshake refer to, by index.
 	Names []string `json:"names,omitempty"`
 }
@@ -173,6 +179,10 @@
 	// with those that another entry sent and that entry's name. Both may be nil.
 	ServerNotices   func() []runworks.ServerNotice
 	OnServerNotices func(from string, list []runworks.ServerNotice)
+	// StreamOrigins returns the streams that a handshake carries, and OnStreamOrigins is called with
+	// those that another entry sent. Both may be nil.
+	StreamOrigins   func() []runworks.StreamOrigin
+	OnStreamOrigins func(list []runworks.StreamOrigin)
 	EngineModels    EngineModels
 	// TransferPermits gives up at most the given number of permits for a backend server that this
 	// entry does not need itself, and returns how many. May be nil, which returns none.
@@ -223,6 +233,10 @@
 	// goroutine sends them.
 	pendingNotices map[string]pendingNotice
 	sendingNotices bool
+	// pendingOrigins holds the origins of streams to send. sendingOrigins is set while a goroutine
+	// sends them.
+	pendingOrigins []runworks.StreamOrigin
+	sendingOrigins bool
 }
 
 // peerState is what is known of one incarnation of another entry.
--- a/services/peers/receive.go
+++ b/services/peers/receive.go
@@ -56,6 +56,8 @@
 		return nil, x.handleSuspects(params)
 	case MethodServerNotices:
 		return nil, x.handleServerNotices(params)
+	case MethodStreamOrigins:
+		return nil, x.handleStreamOrigins(params)
 	case MethodEngineModels:
 		return nil, x.handleEngineModels(params)
 	case MethodRollouts:
@@ -113,6 +115,7 @@
 		x.openSession(b.From)
 		x.receiveSuspects(b.From.Name, b.Suspects)
 		x.receiveServerNotices(b.From.Name, b.ServerNotices)
+		x.receiveStreamOrigins(b.StreamOrigins)
 	}
 	x.receive(now, &b)
 	return nil
--- a/services/peers/slots.go
+++ b/services/peers/slots.go
@@ -23,6 +23,8 @@
 	ExpectedTokens int                `json:"expected_tokens,omitempty"`
 	Resumed        bool               `json:"resumed,omitempty"`
 	Retry          bool               `json:"retry,omitempty"`
+	// Version is the only software version of servers that may run the call; empty means all.
+	Version string `json:"version,omitempty"`
 	// Hall is the hall of the requesting entry.
 	Hall string `json:"hall,omitempty"`
 	// MaxGapMs is the longest pause between two events; 0 is no limit.
--- /dev/null
+++ b/services/peers/stream_origins.go
@@ -0,0 +1,72 @@
+package peers
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/pause"
+)
+
+// originInterval is the least time between two messages with the origins of streams. It bounds their
+// number for an entry that begins hundreds of streams per second, and is far below the time in which a
+// caller can take up a stream.
+const originInterval = 10 * time.Millisecond
+
+// StreamOrigins is the message with streams that began at the sending entry.
+type StreamOrigins struct {
+	// From is the name of the sending entry.
+	From string                  `json:"from"`
+	List []runworks.StreamOrigin `json:"list"`
+}
+
+// SendStreamOrigins sends the origins of streams to all connected entries, immediately or
+// originInterval after the last message. Their callers may take them up at any entry.
+func (x *Exchange) SendStreamOrigins(list []runworks.StreamOrigin) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.pendingOrigins = append(x.pendingOrigins, list...)
+	if x.sendingOrigins {
+		return
+	}
+	ctx := x.ctxLocked()
+	x.sendingOrigins = x.work.Go(func() {
+		for {
+			list := x.takePendingOrigins()
+			if len(list) == 0 {
+				return
+			}
+			x.notifyAll(MethodStreamOrigins, &StreamOrigins{From: x.Self.Name, List: list})
+			pause.For(ctx, originInterval)
+		}
+	})
+}
+
+// takePendingOrigins returns and clears the origins to send. If there are none, the sending goroutine
+// returns.
+func (x *Exchange) takePendingOrigins() []runworks.StreamOrigin {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := x.pendingOrigins
+	x.pendingOrigins, x.sendingOrigins = nil, len(out) > 0
+	return out
+}
+
+// handleStreamOrigins processes the origins of another entry's streams.
+func (x *inbound) handleStreamOrigins(params json.RawMessage) error {
+	var m StreamOrigins
+	if err := json.Unmarshal(params, &m); err != nil {
+		x.Logger.Warn("origins of streams could not be decoded", "error", err.Error())
+		return errorx.Decorate(err, "decode the origins of streams")
+	}
+	x.receiveStreamOrigins(m.List)
+	return nil
+}
+
+func (x *Exchange) receiveStreamOrigins(list []runworks.StreamOrigin) {
+	if x.OnStreamOrigins != nil && len(list) > 0 {
+		x.OnStreamOrigins(list)
+	}
+}
--- a/services/scheduler/wire.go
+++ b/services/scheduler/wire.go
@@ -41,7 +41,7 @@
 	out := &peers.AcquireRequest{
 		ID: req.ID, Service: req.Service, Rank: req.Rank, RouteRank: req.RouteRank, Customer: req.Customer,
 		PromptTokens: clampTokens(req.PromptTokens), MaxTokens: clampTokens(req.MaxTokens), ExpectedTokens: clampTokens(req.ExpectedTokens), Resumed: req.Resumed, Retry: req.Retry,
-		Hall: hall, MaxGapMs: req.MaxGap.Milliseconds(), Exclude: req.Exclude,
+		Version: req.Version, Hall: hall, MaxGapMs: req.MaxGap.Milliseconds(), Exclude: req.Exclude,
 		TargetMs: req.Target.Sub(now).Milliseconds(), DeadlineMs: max(req.Deadline.Sub(now).Milliseconds(), 1),
 	}
 	if !req.CallerTimeout.IsZero() {
@@ -68,7 +68,7 @@
 	req = &dispatch.Request{
 		ID: runworks.RequestID(from) + "/" + r.ID, Service: r.Service, Rank: r.Rank, RouteRank: r.RouteRank, Customer: r.Customer,
 		PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, ExpectedTokens: r.ExpectedTokens, Resumed: r.Resumed, Retry: r.Retry,
-		Hall: r.Hall, MaxGap: time.Duration(r.MaxGapMs) * time.Millisecond, Exclude: r.Exclude, Target: left(r.TargetMs), Deadline: left(r.DeadlineMs),
+		Version: r.Version, Hall: r.Hall, MaxGap: time.Duration(r.MaxGapMs) * time.Millisecond, Exclude: r.Exclude, Target: left(r.TargetMs), Deadline: left(r.DeadlineMs),
 	}
 	if r.CallerMs > 0 {
 		req.CallerTimeout = left(r.CallerMs)
--- /dev/null
+++ b/services/streamorigin/table.go
@@ -0,0 +1,238 @@
+package streamorigin
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/notify"
+)
+
+const (
+	// maxOrigins bounds the known streams to some 15 MB; the oldest are dropped.
+	maxOrigins = 1 << 16
+	// maxListed bounds the streams of List.
+	maxListed = 1 << 12
+	// versionMemory is how long a version counts after its last server was removed: longer than most
+	// streams. Its streams may still be taken up.
+	versionMemory = 30 * time.Second
+	// arrivalTimeout is how long Await waits: several times as long as a message takes between two
+	// entries of different regions.
+	arrivalTimeout = 100 * time.Millisecond
+)
+
+// Table holds the origins of streams at one entry. The zero value is usable. Send must be set before
+// use; a nil Send keeps all origins here.
+type Table struct {
+	// Send sends origins to the other entries. It is called with a lock held and must not block.
+	Send func(list []runworks.StreamOrigin)
+
+	mu sync.Mutex
+	// arrived is signaled when origins of other entries arrive.
+	arrived notify.Change
+	// origins holds the origin of each known stream, and order their IDs from the oldest on.
+	origins map[runworks.RequestID]origin
+	order   []runworks.RequestID
+	// versions holds, by service and version, until when the version counts.
+	versions map[string]map[string]time.Time
+	// listed holds the versions that have servers now, by service.
+	listed map[string]map[string]bool
+}
+
+// origin is what is known of a stream.
+type origin struct {
+	service, version string
+	// expires is until when the caller may take the stream up.
+	expires time.Time
+	// own is set if the stream began at this entry.
+	own bool
+}
+
+// SetServers sets the listed backend servers. The other entries receive the streams of a service as
+// soon as its servers have several versions; until then they need not know them.
+func (t *Table) SetServers(now time.Time, servers []runworks.Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := t.mixedLocked(now)
+	if t.versions == nil {
+		t.versions = make(map[string]map[string]time.Time)
+	}
+	t.listed = make(map[string]map[string]bool)
+	for i := range servers {
+		service, version := servers[i].Service, servers[i].Version
+		if t.listed[service] == nil {
+			t.listed[service] = make(map[string]bool)
+		}
+		if t.versions[service] == nil {
+			t.versions[service] = make(map[string]time.Time)
+		}
+		t.listed[service][version] = true
+		t.versions[service][version] = time.Time{}
+	}
+	for service, versions := range t.versions {
+		for version, until := range versions {
+			if until.IsZero() && !t.listed[service][version] {
+				versions[version] = now.Add(versionMemory)
+			}
+		}
+		maps.DeleteFunc(versions, func(_ string, until time.Time) bool { return !until.IsZero() && !now.Before(until) })
+		if len(versions) == 0 {
+			delete(t.versions, service)
+		}
+	}
+	for service := range t.mixedLocked(now) {
+		if !before[service] {
+			t.sendLocked(t.listLocked(now, func(o origin) bool { return o.own && o.service == service }))
+		}
+	}
+}
+
+// mixedLocked returns the services that have, or recently had, servers of several versions.
+func (t *Table) mixedLocked(now time.Time) map[string]bool {
+	out := make(map[string]bool)
+	for service := range t.versions {
+		if t.isMixedLocked(now, service) {
+			out[service] = true
+		}
+	}
+	return out
+}
+
+func (t *Table) isMixedLocked(now time.Time, service string) bool {
+	n := 0
+	for _, until := range t.versions[service] {
+		if until.IsZero() || now.Before(until) {
+			n++
+		}
+	}
+	return n > 1
+}
+
+// Record records a stream that began, or that is taken up, at this entry. keep is how long its caller may take it up.
+func (t *Table) Record(now time.Time, o runworks.StreamOrigin, keep time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o.LeftMs = keep.Milliseconds()
+	if t.addLocked(now, o, true) && t.isMixedLocked(now, o.Service) {
+		t.sendLocked([]runworks.StreamOrigin{o})
+	}
+}
+
+// Apply records streams that began at other entries.
+func (t *Table) Apply(now time.Time, list []runworks.StreamOrigin) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, o := range list {
+		t.addLocked(now, o, false)
+	}
+	t.arrived.Signal()
+}
+
+// addLocked adds a stream and reports whether it was unknown. What is known of a stream stays: its first
+// event decides its version.
+func (t *Table) addLocked(now time.Time, o runworks.StreamOrigin, own bool) bool {
+	t.pruneLocked(now)
+	if _, known := t.origins[o.Stream]; known || o.Stream == "" || o.LeftMs <= 0 {
+		return false
+	}
+	if t.origins == nil {
+		t.origins = make(map[runworks.RequestID]origin)
+	}
+	t.origins[o.Stream] = origin{service: o.Service, version: o.Version, expires: now.Add(time.Duration(o.LeftMs) * time.Millisecond), own: own}
+	t.order = append(t.order, o.Stream)
+	return true
+}
+
+// pruneLocked drops the oldest streams while they are expired or too many.
+func (t *Table) pruneLocked(now time.Time) {
+	n := 0
+	for n < len(t.order) && (len(t.order)-n >= maxOrigins || !now.Before(t.origins[t.order[n]].expires)) {
+		delete(t.origins, t.order[n])
+		n++
+	}
+	t.order = t.order[n:]
+}
+
+// List returns the newest known streams of services whose servers have several versions.
+func (t *Table) List(now time.Time) []runworks.StreamOrigin {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	mixed := t.mixedLocked(now)
+	return t.listLocked(now, func(o origin) bool { return mixed[o.service] })
+}
+
+// listLocked returns the newest streams that match, from the oldest on.
+func (t *Table) listLocked(now time.Time, match func(o origin) bool) []runworks.StreamOrigin {
+	var out []runworks.StreamOrigin
+	for _, id := range slices.Backward(t.order) {
+		o := t.origins[id]
+		if !now.Before(o.expires) || !match(o) {
+			continue
+		}
+		out = append(out, runworks.StreamOrigin{Stream: id, Service: o.service, Version: o.version, LeftMs: max(o.expires.Sub(now).Milliseconds(), 1)})
+		if len(out) == maxListed {
+			break
+		}
+	}
+	slices.Reverse(out)
+	return out
+}
+
+func (t *Table) sendLocked(list []runworks.StreamOrigin) {
+	if t.Send != nil && len(list) > 0 {
+		t.Send(list)
+	}
+}
+
+// Resolve returns the service and version that began a stream which a caller takes up. service is the
+// one that the stream has by its route. The version of an unknown stream is that of all servers of the
+// service. If these have several, the error is ErrUnknownStream. The version is empty if no server is
+// listed.
+func (t *Table) Resolve(now time.Time, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if o, ok := t.origins[stream]; ok && now.Before(o.expires) {
+		return runworks.StreamOrigin{Stream: stream, Service: o.service, Version: o.version}, nil
+	}
+	out := runworks.StreamOrigin{Stream: stream, Service: service}
+	if t.isMixedLocked(now, service) {
+		return out, errorx.Decorate(runworks.ErrUnknownStream, "servers of %s have %d versions", service, len(t.versions[service]))
+	}
+	for version := range t.listed[service] {
+		out.Version = version
+	}
+	return out, nil
+}
+
+// Await is Resolve that waits for the origin of an unknown stream, as it may be on its way from the
+// entry where the stream began.
+func (t *Table) Await(ctx context.Context, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
+	ctx, cancel := context.WithTimeout(ctx, arrivalTimeout)
+	defer cancel()
+	for {
+		t.mu.Lock()
+		arrived := t.arrived.Wait()
+		t.mu.Unlock()
+		out, err := t.Resolve(time.Now(), stream, service)
+		if err == nil || stream == "" {
+			return out, err
+		}
+		select {
+		case <-arrived:
+		case <-ctx.Done():
+			return out, err
+		}
+	}
+}
+
+// Len returns the number of known streams.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.origins)
+}
