Assume what unheard entries admit when a limit reopens from their whole history

Cause: up to 0.3 s after its last message an entry was assumed to consume what it did before, nothing while the limit was used up; later what this entry admits, in the proportion of the window before, which is empty once the burst has left it.

Change: the proportion is that of all that both consumed, also of what has left the window; and before an entry is overdue it is assumed to admit like this one what goes beyond the limit's rate.

--- a/services/quota/assumed.go
+++ b/services/quota/assumed.go
@@ -21,12 +21,12 @@
 
 // assumed returns an estimate of what the other entries consumed of a customer's limit since their last
 // messages, and the number of other entries. Without it a customer that requests far more than its
-// limit would exceed it by all that the entries consume between two messages.
-func (q *Quota) assumed(now time.Time, c *runworks.RoutedCustomer) (float64, int) {
-	others := q.otherEntries(now)
+// limit would exceed it by all that the entries consume between two messages. passing is the part of the
+// estimate that the next messages correct, overdueAfter from now at the latest.
+func (q *Quota) assumed(now time.Time, c *runworks.RoutedCustomer) (sum, passing float64, others int) {
+	others = q.otherEntries(now)
 	share := c.TokensPerSecond / float64(others+1)
 	overdue := max(overdueAfter, time.Duration(others)*overduePerEntry)
-	sum := 0.0
 	for _, inc := range q.incarnations {
 		if !inc.mayConsume(now) {
 			continue
@@ -41,28 +41,38 @@
 		}
 		consumed := rate * min(silence, reconnectTime).Seconds()
 		if silence > overdue {
-			consumed = max(consumed, q.likeOwn(inc, c.Name))
+			consumed = max(consumed, q.likeOwn(inc, c.Name, 0, true))
+		} else {
+			// What the limit's rate admits may all come to this entry.
+			spared := c.TokensPerSecond * (silence + bucketWidth).Seconds()
+			like := q.likeOwn(inc, c.Name, spared, false)
+			passing += max(like-consumed, 0)
+			consumed = max(consumed, like)
 		}
 		sum += consumed + share*max(silence-reconnectTime, 0).Seconds()
 	}
-	return sum, others
+	return sum, passing, others
 }
 
-// likeOwn returns the tokens of a customer that an entry that is not heard consumed in reconnectTime
-// since its last message, if its part of the customer's calls compared with this entry's is what it was
-// before. A customer that begins to call just then is known from this entry's own calls alone.
-func (q *Quota) likeOwn(inc *incarnation, customer string) float64 {
-	other, own := inc.accounts[customer], q.ownIncarnation().accounts[customer]
-	if other == nil || own == nil {
+// likeOwn returns the tokens of a customer that another entry consumed in reconnectTime since its last
+// message, if its part of the customer's calls compared with this entry's is what it was before: when a
+// burst leaves the window, all entries admit calls at the same moment. Only what this entry consumed
+// beyond spared counts. Of a customer that begins to call just then an overdue entry is assumed to have
+// an equal part.
+func (q *Quota) likeOwn(inc *incarnation, customer string, spared float64, overdue bool) float64 {
+	own := q.ownIncarnation().accounts[customer]
+	if own == nil {
 		return 0
 	}
-	seen := q.bucketAt(inc.lastSeen)
-	before := own.recent.between(own.recent.first-1, seen-1)
-	since := own.recent.between(seen-1, seen+int64(reconnectTime/bucketWidth))
-	if before == 0 {
-		return 0
+	seen, last := q.bucketAt(inc.lastSeen), q.bucketAt(inc.lastSeen.Add(reconnectTime))
+	since := own.recent.between(seen-1, last)
+	if before := own.consumed - since; before > 0 {
+		return max(since-spared, 0) * min(inc.consumedEver(customer)/before, 2)
+	}
+	if overdue {
+		return own.recent.between(seen, last)
 	}
-	return since * min(other.recent.sum()/before, 2)
+	return 0
 }
 
 // rateBefore returns the tokens per second of a customer that another entry consumed in the last
--- a/services/quota/incarnation.go
+++ b/services/quota/incarnation.go
@@ -18,6 +18,24 @@
 	// ended means that it consumes nothing more.
 	ended    bool
 	accounts map[string]*account
+	// past holds what was consumed of accounts that left the window, by customer.
+	past map[string]pastUse
+}
+
+// pastUse is what an incarnation consumed up to a time, in tokens.
+type pastUse struct {
+	consumed float64
+	at       time.Time
+}
+
+// consumedEver returns what the incarnation consumed of a customer's limit, in tokens, as far as it is
+// remembered.
+func (inc *incarnation) consumedEver(customer string) float64 {
+	sum := inc.past[customer].consumed
+	if a := inc.accounts[customer]; a != nil {
+		sum += a.consumed
+	}
+	return sum
 }
 
 // account is what an incarnation used of one customer's limit, in tokens.
@@ -67,17 +85,32 @@
 	}
 }
 
-// sweep drops what left the window and reports whether nothing remains.
-func (inc *incarnation) sweep(oldest int64) bool {
+// sweep drops what left the window, remembers what was consumed of it for the given time, and reports
+// whether nothing remains.
+func (inc *incarnation) sweep(now time.Time, oldest int64, remember time.Duration) bool {
 	for customer, a := range inc.accounts {
 		a.recent.trim(oldest)
 		if len(a.recent.counts) == 0 && a.reserved == 0 {
+			inc.remember(now, customer)
 			delete(inc.accounts, customer)
 		}
 	}
+	for customer, p := range inc.past {
+		if now.Sub(p.at) > remember {
+			delete(inc.past, customer)
+		}
+	}
 	return len(inc.accounts) == 0
 }
 
+// remember keeps what the incarnation consumed of a customer's limit.
+func (inc *incarnation) remember(now time.Time, customer string) {
+	if inc.past == nil {
+		inc.past = make(map[string]pastUse)
+	}
+	inc.past[customer] = pastUse{consumed: inc.consumedEver(customer), at: now}
+}
+
 // update applies a heartbeat and calls onConsumed with the tokens that are new in it. What was
 // consumed since the previous heartbeat is counted in the bucket number. For a customer without
 // an account that is the sender's whole window.
--- a/services/quota/lag_test.go
+++ b/services/quota/lag_test.go
@@ -124,3 +124,36 @@
 		}
 	}
 }
+
+// TestLimitReopensWhileEntriesAreUnheard guards against a limit that each entry opens for itself as a
+// short burst leaves the window, at a moment when it does not hear others.
+func TestLimitReopensWhileEntriesAreUnheard(t *testing.T) {
+	for _, requested := range []float64{4_000_000, 14_000_000} {
+		for _, start := range []time.Duration{7600 * time.Millisecond, 7900 * time.Millisecond, 8100 * time.Millisecond, 8200 * time.Millisecond} {
+			checkReopening(t, 3, requested, start)
+			checkReopening(t, 5, requested, start)
+		}
+	}
+	checkReopening(t, 27, 4_000_000, 8100*time.Millisecond)
+}
+
+// TestLimitReopensAtManyUnheardEntries guards against the same with many entries and a burst of a fifth
+// of a second.
+func TestLimitReopensAtManyUnheardEntries(t *testing.T) {
+	checkReopening(t, 27, 14_000_000, 8200*time.Millisecond)
+}
+
+// checkReopening plays a customer whose entries do not hear each other from a time on, and checks what
+// they admit together.
+func checkReopening(t *testing.T, entries int, requested float64, start time.Duration) {
+	t.Helper()
+	// overage and slack are what a platform allows beyond a limit, of the limit and in tokens.
+	const overage, slack = 0.1, 72_000 / (280_000*8 + 680_000.0)
+	for _, unheardFor := range []time.Duration{300 * time.Millisecond, 1600 * time.Millisecond} {
+		o := &overload{entries: entries, heartbeat: 50 * time.Millisecond, requested: requested, seed: uint64(start)}
+		o.heard = func(at time.Duration, _, _ int) bool { return at < start || at >= start+unheardFor }
+		if used := o.maxConsumed(); used > 1+overage+slack {
+			t.Errorf("%d entries, %.0f tokens/s, unheard from %s on for %s: %.3f of the limit", entries, requested, start, unheardFor, used)
+		}
+	}
+}
--- a/services/quota/updates.go
+++ b/services/quota/updates.go
@@ -14,6 +14,8 @@
 	updateFraction = 1.0 / 32
 	// nearFraction is the part of a limit from which on every change is reported at once.
 	nearFraction = 15.0 / 16
+	// historyWindows is for how many windows the past use of a limit is remembered.
+	historyWindows = 4
 	// sweepInterval is how often incarnations that left the window are removed.
 	sweepInterval = time.Second
 	// unreportedSpan is the number of buckets in which an incarnation may have consumed without a
@@ -87,7 +89,7 @@
 		if now.Sub(inc.lastSeen) > UnreachableAfter {
 			inc.consumeReserved(q.bucketAt(now), unreachableSpan)
 		}
-		empty := inc.sweep(oldest)
+		empty := inc.sweep(now, oldest, historyWindows*q.window())
 		if empty && (inc.ended || now.Sub(inc.lastSeen) > runworks.EntryTimeout) {
 			delete(q.incarnations, id)
 		}
