Do not resume a stream whose events have no ID

Callers could get events twice: a resumable stream whose events carry no ID was continued by a server that can't know the last event, and that began it again.

Such a stream now ends where it broke, with a failure, once an event was passed on. TestStreamWithoutIDsIsNotResumed failed before (no error, the first event twice); its mutant is caught.

--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -224,6 +224,12 @@
 	}
 }
 
+// resumable reports whether another server can continue the stream. After events without an ID it would
+// begin again.
+func (s *stream) resumable() bool {
+	return s.call.route.Resumable && (s.lastEventID != "" || s.call.events == 0)
+}
+
 // resume continues a broken stream at another server. It returns nil if the stream continues, and
 // otherwise the error with which it ends.
 func (s *stream) resume(cause error) error {
@@ -231,7 +237,7 @@
 	_ = s.body.Close()
 	s.recordBreak()
 	for {
-		if !c.route.Resumable || !c.mayRetry(s.ctx, cause) {
+		if !s.resumable() || !c.mayRetry(s.ctx, cause) {
 			return c.interruptedFailure(s.ctx, cause)
 		}
 		metrics.Count(c.f.Metrics.Resumes)
--- a/services/forward/stream_test.go
+++ b/services/forward/stream_test.go
@@ -97,6 +97,19 @@
 	})
 }
 
+// TestStreamWithoutIDsIsNotResumed guards against events that come twice because a server that can't know
+// the last one begins the stream again.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &sender{replies: []reply{{body: "data: a\n\nda", broken: errReset}, {body: "data: a\n\ndata: b\n\n"}}}
+		_, body, err := serve(context.Background(), newForwarder(t, s, io.Discard), "resumable")
+		is.True(err != nil)
+		is.Equal(body, "data: a\n\n")
+		is.Equal(len(s.sends), 1)
+	})
+}
+
 // TestResumedStreamStaysAtItsVersion guards against a broken stream that a front continues at another
 // software version than the one that began it.
 func TestResumedStreamStaysAtItsVersion(t *testing.T) {
