--- a/services/forward/stream_test.go
+++ b/services/forward/stream_test.go
@@ -94,6 +94,12 @@
 		_, body, err = serve(context.Background(), newForwarder(t, s, io.Discard), "resumable")
 		is.NoErr(err)
 		is.Equal(body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+		in := &runworks.Inbound{ID: "2", Method: http.MethodPost, Host: "h", Path: "/resumable/x", Target: "/resumable/x", Received: time.Now(), LastEventID: "2", Resumes: "1"}
+		res, err := newForwarder(t, &sender{replies: []reply{empty}}, io.Discard).Serve(t.Context(), in)
+		is.NoErr(err)
+		_, err = io.ReadAll(res.Body)
+		is.NoErr(res.Body.Close())
+		is.NoErr(err)
 	})
 }
 
