--- a/modules/backend/http.go
+++ b/modules/backend/http.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/httpconn"
 	"github.com/runworks/runworks/modules/rpc"
 )
 
@@ -32,6 +34,8 @@
 
 	reuse *http.Transport
 	fresh *http.Transport
+	// probes opens the connections that show whether the server has exited.
+	probes *httpconn.Pool
 }
 
 // New returns a client for the backend server at the base URL address. A nil dial means the
@@ -40,6 +44,10 @@
 	h := &HTTP{Kind: kind, Address: address, Dial: dial}
 	h.reuse = h.transport(false)
 	h.fresh = h.transport(true)
+	h.probes = &httpconn.Pool{Dial: dial, MaxIdle: -1}
+	if dial == nil {
+		h.probes.Dial = (&net.Dialer{}).DialContext
+	}
 	return h
 }
 
--- a/modules/eventstream/eventstream.go
+++ b/modules/eventstream/eventstream.go
@@ -5,13 +5,13 @@
 	"net/http"
 )
 
-// MediaType is the content type of an event stream.
-const MediaType = "text/event-stream"
+// eventStreamType is the media type of an event stream.
+const eventStreamType = "text/event-stream"
 
 // IsEventStream reports whether a response with the header is an event stream.
 func IsEventStream(header http.Header) bool {
 	mediaType, _, _ := mime.ParseMediaType(header.Get("Content-Type"))
-	return mediaType == MediaType
+	return mediaType == eventStreamType
 }
 
 // Cut returns the first event of p, up to and including the blank line that ends it, and the rest.
@@ -33,7 +33,7 @@
 }
 
 // Tracker follows a stream and knows whether it has ended inside an event. The zero value is at the
-// begin of a stream.
+// beginning of a stream.
 type Tracker struct {
 	// inLine is set inside a line, and inComment if that line is a comment.
 	inLine, inComment bool
--- a/modules/httpconn/do.go
+++ b/modules/httpconn/do.go
@@ -23,9 +23,9 @@
 	maxInlineBody = 8 << 10
 )
 
-// errServerExited is the error of a body that only the end of its connection ends, if the server's
+// ErrServerExited is the error of a body that only the end of its connection ends, if the server's
 // process has exited: the kernel closes the connection then, wherever the body is.
-var errServerExited = errors.New("the server exited at the end of a response without length or chunks")
+var ErrServerExited = errors.New("the server exited at the end of a response without length or chunks")
 
 // Do sends a request once to address (host:port). If beforeSend is not nil, it is called when
 // a connection is available, just before the first byte is written; if it fails, nothing is
@@ -155,9 +155,9 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if x := b.exchange; CloseDelimited(b.res) && x.pool.hasExited(x.ctx, x.conn.address) {
+	if x := b.exchange; CloseDelimited(b.res) && x.pool.HasExited(x.ctx, x.conn.address) {
 		b.finish(false)
-		return n, errServerExited
+		return n, ErrServerExited
 	}
 	b.finish(true)
 	return n, err
--- a/modules/httpconn/exit.go
+++ b/modules/httpconn/exit.go
@@ -37,9 +37,9 @@
 	}
 }
 
-// hasExited reports whether the process that listens at address is known to have exited. Unlike
+// HasExited reports whether the process that listens at address is known to have exited. Unlike
 // WatchExit, it does not watch a connection that is accepted.
-func (p *Pool) hasExited(ctx context.Context, address string) bool {
+func (p *Pool) HasExited(ctx context.Context, address string) bool {
 	c, err := p.probe(ctx, address)
 	if errors.Is(err, syscall.ECONNRESET) {
 		c, err = p.probe(ctx, address)
--- a/modules/httpconn/pool.go
+++ b/modules/httpconn/pool.go
@@ -38,7 +38,8 @@
 	// IdleTimeout limits how long an unused connection is kept; zero means DefaultIdleTimeout.
 	// A shorter Keep-Alive timeout of the server takes precedence.
 	IdleTimeout time.Duration
-	// MaxIdle limits the unused connections to one address; zero means DefaultMaxIdle.
+	// MaxIdle limits the unused connections to one address; zero means DefaultMaxIdle, and a negative
+	// value keeps none.
 	MaxIdle int
 	// ProbeTimeout limits the opening of each connection by WatchExit; zero means
 	// DefaultProbeTimeout.
