Test a customer whose calls move to one entry

The estimate for entries that are not yet overdue must not cost a customer its limit where it calls one entry only.

--- a/services/quota/lag_test.go
+++ b/services/quota/lag_test.go
@@ -157,3 +157,56 @@
 		}
 	}
 }
+
+// TestLimitWhereCallsMoveToOneEntry guards against a customer that gets less than its limit because the
+// other entries, which it no longer calls, are assumed to admit as many of its calls as this one.
+func TestLimitWhereCallsMoveToOneEntry(t *testing.T) {
+	// A limit may be exceeded by a tenth; no more of it is withheld.
+	const withheld = 0.1
+	for _, requested := range []float64{1.05, 1.2, 2, 4} {
+		alone, among := admittedAfterMove(1, requested), admittedAfterMove(27, requested)
+		if among < (1-withheld)*alone {
+			t.Errorf("%g times the rate: %.0f tokens admitted, %.0f by an entry alone", requested, among, alone)
+		}
+	}
+}
+
+// admittedAfterMove returns the tokens that entries admit of a customer in the ten seconds after its
+// calls, at a multiple of its rate, moved to one of them. The others send a heartbeat as when they are idle.
+func admittedAfterMove(entries int, requested float64) float64 {
+	const (
+		step  = 5 * time.Millisecond
+		moves = 10 * time.Second
+		end   = 20 * time.Second
+		call  = 1000.0
+	)
+	c := &runworks.RoutedCustomer{Name: "yard", TokensPerSecond: 100_000, TokenBurst: 100_000}
+	o := &overload{entries: entries, heartbeat: 250 * time.Millisecond}
+	all := make([]*Quota, entries)
+	for i := range all {
+		all[i] = running(runworks.Incarnation(fmt.Sprint(i)))
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	admitted, due := 0.0, 0.0
+	for at := time.Duration(0); at < end; at += step {
+		now := begin.Add(at)
+		for due += requested * c.TokensPerSecond * step.Seconds(); due >= call; due -= call {
+			to := 0
+			if at < moves {
+				to = rng.IntN(entries)
+			}
+			if v := all[to].Reserve(now, c, call); v.Wait == 0 {
+				v.Debit.Commit(now)
+				if at >= moves {
+					admitted += call
+				}
+			}
+		}
+		for i := range all {
+			if (at/step+time.Duration(i))%(o.heartbeat/step) == 0 {
+				o.send(at, all, i)
+			}
+		}
+	}
+	return admitted
+}
