Count the running calls of a lost scheduler before waiting ones continue

A front whose connection to its scheduler closed could send a server one call more than it has slots: a call that waited continued here before the running ones, whose slots the scheduler had counted, counted here.

Traced: lose woke the waiting calls before CountGrants. It wakes them after it now.

--- a/services/scheduler/remote.go
+++ b/services/scheduler/remote.go
@@ -200,7 +200,6 @@
 	if r != nil {
 		delete(c.remotes, id)
 		r.gone, r.cause, r.closed = true, cause, closed
-		close(r.lost)
 		if closed {
 			r.pending = nil
 		}
@@ -212,6 +211,9 @@
 	}
 	c.mu.Unlock()
 	c.Dispatcher.CountGrants(id)
+	if r != nil {
+		close(r.lost) // the waiting calls continue here, and must find the slots of the running ones taken
+	}
 	time.AfterFunc(forgetTime, func() {
 		if c.Transport.LastSeen(id).Before(lostAt) {
 			c.Dispatcher.ForgetRunning(id)
