Close the connection between two looks of the client in TestSchedulerCloses

The test closed the connection at the same moment of virtual time at which the client looks at its schedulers. It now closes it half an interval later, so that no look falls between.

--- a/services/scheduler/client_test.go
+++ b/services/scheduler/client_test.go
@@ -427,13 +427,16 @@
 // running calls that count nowhere: both continue at this front at once, and the calls that the
 // scheduler reported are forgotten once the other fronts report them.
 func TestSchedulerCloses(t *testing.T) {
+	// closesAfter is between two looks of the client at its schedulers: one that misses the scheduler
+	// before the connection is closed reports to it.
+	const closesAfter = watchInterval + watchInterval/2
 	withClient(t, func(c *clientTest, _ func()) {
 		c.transport.answer = granted
 		running := c.mustAcquire("running")
 		c.transport.answer = nil
 		c.Dispatcher.SetPeerLoad("b-life", runworks.EntryLoad{Running: runworks.RunningCalls{"s0": 1}})
 		waiting := c.start(context.Background(), request("waiting"))
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(closesAfter)
 		c.is.Equal(c.counted(), [2]int{})
 		c.transport.mu.Lock()
 		delete(c.transport.states, "b-life")
@@ -444,7 +447,7 @@
 		c.is.Equal(len(waiting), 0) // both slots count as taken: by the call, and by the scheduler's report
 		r := <-waiting
 		c.is.NoErr(r.err)
-		c.is.Equal(r.after, 50*time.Millisecond+forgetTime)
+		c.is.Equal(r.after, closesAfter+forgetTime)
 		c.is.Equal(c.counted(), [2]int{2, 18000})
 		close(c.transport.release) // a grant that arrives late
 		running.RecordFirstEvent(9000)
