--- a/errors.go
+++ b/errors.go
@@ -27,7 +27,7 @@
 	// ErrNoServer means that no backend server of the service is known.
 	ErrNoServer = sentinel("no_server", "no backend server of this service is known")
 	// ErrUnknownStream means that it is not known which software version began the stream that a caller
-	// takes up.
+	// resumes.
 	ErrUnknownStream = sentinel("unknown_stream", "the software version that began the stream is not known")
 	// ErrRejected means that the backend servers tried so far rejected the call.
 	ErrRejected = sentinel("turned_away", "the backend servers turned the call away")
--- a/inbound.go
+++ b/inbound.go
@@ -36,8 +36,8 @@
 	// PromptPrefix is the ID of the last segment of the prompt's prefix. Calls with the same
 	// ID share an engine's prompt cache. Empty if not stated.
 	PromptPrefix string
-	// LastEventID is the ID of the last event that the caller has of a stream that it takes up
-	// again; empty for a new call.
+	// LastEventID is the ID of the last event that the caller has of a stream that it resumes; empty
+	// for a new call.
 	LastEventID string
 	// Resumes is the ID of the caller's attempt that brought the first event of that stream; empty
 	// if not stated.
--- a/services/forward/origin.go
+++ b/services/forward/origin.go
@@ -15,16 +15,16 @@
 // counts from its first attempt, and its clock may differ.
 const originMargin = 5 * time.Second
 
-// takesUp reports whether the caller takes up a stream that began with an earlier attempt.
-func (c *call) takesUp() bool { return c.route.Resumable && c.in.LastEventID != "" }
+// resumedByCaller reports whether the caller resumes a stream that began with an earlier attempt.
+func (c *call) resumedByCaller() bool { return c.route.Resumable && c.in.LastEventID != "" }
 
 // resumed reports whether the call continues a stream of which its caller has events.
-func (c *call) resumed() bool { return !c.lastEvent.IsZero() || c.takesUp() }
+func (c *call) resumed() bool { return !c.lastEvent.IsZero() || c.resumedByCaller() }
 
-// resolveOrigin finds the service and version that began the stream which the caller takes up. What
+// resolveOrigin finds the service and version that began the stream which the caller resumes. What
 // another version writes does not continue it, so that it is refused if they are not known.
 func (c *call) resolveOrigin(ctx context.Context) *runworks.Failure {
-	if !c.takesUp() {
+	if !c.resumedByCaller() {
 		return nil
 	}
 	if c.in.Resumes != "" {
@@ -47,7 +47,7 @@
 	if !c.route.Resumable {
 		return
 	}
-	if !c.takesUp() {
+	if !c.resumedByCaller() {
 		c.origin = runworks.StreamOrigin{Stream: c.in.ID, Service: c.service}
 	}
 	c.origin.Version = server.Version
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -127,7 +127,7 @@
 	}
 	var t eventstream.Tracker
 	t.Track(s.partial)
-	return t.InsideEvent() || s.call.closeDelimited && s.call.events == 0 && !s.call.takesUp()
+	return t.InsideEvent() || s.call.closeDelimited && s.call.events == 0 && !s.call.resumedByCaller()
 }
 
 // reserveBuffers reserves memory for buffers beyond freeBuffers and reports whether there is enough.
--- a/services/forward/stream_test.go
+++ b/services/forward/stream_test.go
@@ -137,9 +137,9 @@
 	}
 }
 
-// TestTakenUpStreamGoesToItsOrigin guards against a stream that its caller takes up and that runs at
+// TestStreamResumedByCallerGoesToItsOrigin guards against a stream that its caller resumes and that runs at
 // another version, or another service of its route, than the one that began it.
-func TestTakenUpStreamGoesToItsOrigin(t *testing.T) {
+func TestStreamResumedByCallerGoesToItsOrigin(t *testing.T) {
 	now := time.Now()
 	for _, c := range []struct {
 		name            string
--- a/services/peers/stream_origins.go
+++ b/services/peers/stream_origins.go
@@ -12,7 +12,7 @@
 
 // originInterval is the least time between two messages with the origins of streams. It bounds their
 // number for an entry that begins hundreds of streams per second, and is far below the time in which a
-// caller can take up a stream.
+// caller can resume a stream.
 const originInterval = 10 * time.Millisecond
 
 // StreamOrigins is the message with streams that began at the sending entry.
@@ -23,7 +23,7 @@
 }
 
 // SendStreamOrigins sends the origins of streams to all connected entries, immediately or
-// originInterval after the last message. Their callers may take them up at any entry.
+// originInterval after the last message. Their callers may resume them at any entry.
 func (x *Exchange) SendStreamOrigins(list []runworks.StreamOrigin) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/services/streamorigin/table.go
+++ b/services/streamorigin/table.go
@@ -19,7 +19,7 @@
 	// maxListed bounds the streams of List.
 	maxListed = 1 << 12
 	// versionMemory is how long a version counts after its last server was removed: longer than most
-	// streams. Its streams may still be taken up.
+	// streams. Its streams may still be resumed.
 	versionMemory = 30 * time.Second
 	// arrivalTimeout is how long Await waits: several times as long as a message takes between two
 	// entries of different regions.
@@ -47,7 +47,7 @@
 // origin is what is known of a stream.
 type origin struct {
 	service, version string
-	// expires is until when the caller may take the stream up.
+	// expires is until when the caller may resume the stream.
 	expires time.Time
 	// own is set if the stream began at this entry.
 	own bool
@@ -113,7 +113,8 @@
 	return n > 1
 }
 
-// Record records a stream that began, or that is taken up, at this entry. keep is how long its caller may take it up.
+// Record records a stream that began, or that is resumed, at this entry. keep is how long its caller may
+// resume it.
 func (t *Table) Record(now time.Time, o runworks.StreamOrigin, keep time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -189,7 +190,7 @@
 	}
 }
 
-// Resolve returns the service and version that began a stream which a caller takes up. service is the
+// Resolve returns the service and version that began a stream which a caller resumes. service is the
 // one that the stream has by its route. The version of an unknown stream is that of all servers of the
 // service. If these have several, the error is ErrUnknownStream. The version is empty if no server is
 // listed.
--- a/services/streamorigin/table_test.go
+++ b/services/streamorigin/table_test.go
@@ -46,7 +46,7 @@
 	return o.Version
 }
 
-// TestStreamContinuesAtItsVersion guards against a stream that is taken up elsewhere at another version:
+// TestStreamContinuesAtItsVersion guards against a stream that is resumed elsewhere at another version:
 // it began before, while, or after the service had several versions.
 func TestStreamContinuesAtItsVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -72,7 +72,7 @@
 		is.Equal(versionAt(b, "1"), "v1")
 		is.Equal(versionAt(b, "3"), "?") // v1 may have begun it
 		time.Sleep(versionMemory)
-		is.Equal(versionAt(b, "1"), "v2") // it can't be taken up any more
+		is.Equal(versionAt(b, "1"), "v2") // it can't be resumed any more
 		is.Equal(versionAt(b, "3"), "v2")
 	})
 }
--- a/stream_origin.go
+++ b/stream_origin.go
@@ -7,6 +7,6 @@
 	Stream  RequestID `json:"stream"`
 	Service string    `json:"service"`
 	Version string    `json:"version"`
-	// LeftMs is for how much longer the caller may take the stream up, in milliseconds.
+	// LeftMs is for how much longer the caller may resume the stream, in milliseconds.
 	LeftMs int64 `json:"left_ms"`
 }
--- a/tests/platform_versions_test.go
+++ b/tests/platform_versions_test.go
@@ -108,9 +108,9 @@
 	}
 }
 
-// TestPlatformStreamTakenUpAtNewFront guards against streams that are refused or change their version
+// TestPlatformStreamResumedAtNewFront guards against streams that are refused or change their version
 // because a front started after they began, also where the front that began them is gone.
-func TestPlatformStreamTakenUpAtNewFront(t *testing.T) {
+func TestPlatformStreamResumedAtNewFront(t *testing.T) {
 	is := is.New(t)
 	p, versions := newMixedVersions(t, "front-1", "front-2")
 	const streams = 6
@@ -144,7 +144,7 @@
 	}
 }
 
-// TestPlatformUnknownStreamIsRefused guards against a stream that is taken up at any version because its
+// TestPlatformUnknownStreamIsRefused guards against a stream that is resumed at any version because its
 // front does not know which one began it.
 func TestPlatformUnknownStreamIsRefused(t *testing.T) {
 	is := is.New(t)
