--- a/modules/tcp/abort.go
+++ b/modules/tcp/abort.go
@@ -33,10 +33,7 @@
 // resetOnClose makes the close of a request's connection a reset, which discards what was not sent.
 func resetOnClose(ctx context.Context) {
 	c, _ := ctx.Value(connKey{}).(net.Conn)
-	if idle, ok := c.(*idleConn); ok {
-		c = idle.Conn
-	}
-	if conn, ok := c.(interface{ SetLinger(sec int) error }); ok {
+	if conn, ok := unwrap(c).(interface{ SetLinger(sec int) error }); ok {
 		_ = conn.SetLinger(0) // fails only if the connection is closed already
 	}
 }
--- a/modules/tcp/idle.go
+++ b/modules/tcp/idle.go
@@ -56,3 +56,11 @@
 	}
 	return nil
 }
+
+// unwrap returns the connection that an IdleListener wrapped, or c itself.
+func unwrap(c net.Conn) net.Conn {
+	if idle, ok := c.(*idleConn); ok {
+		return idle.Conn
+	}
+	return c
+}
--- a/modules/tcp/state.go
+++ b/modules/tcp/state.go
@@ -22,10 +22,7 @@
 // PeekState returns the current state of a connection from the operating system, without
 // waiting for a blocked read. A connection that is not a socket is reported as Idle.
 func PeekState(c net.Conn) State {
-	if idle, ok := c.(*idleConn); ok {
-		c = idle.Conn
-	}
-	sc, ok := c.(syscall.Conn)
+	sc, ok := unwrap(c).(syscall.Conn)
 	if !ok {
 		return Idle
 	}
