Send batches between entries by one loop

Server notices and origins of streams were sent by two copies of the same loop: what has accumulated, immediately and then each interval, until there is nothing. Both use startBatchesLocked now. No behaviour changes; the tests of services/peers pass.

--- a/services/peers/notify.go
+++ b/services/peers/notify.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/runworks/runworks/modules/pause"
 	"github.com/runworks/runworks/modules/rpc"
 )
 
@@ -20,6 +22,18 @@
 	})
 }
 
+// startBatchesLocked sends what take returns to all connected entries, immediately and then each
+// interval, until take returns nil. It reports whether it started.
+func (x *Exchange) startBatchesLocked(method string, interval time.Duration, take func() any) bool {
+	ctx := x.ctxLocked()
+	return x.work.Go(func() {
+		for message := take(); message != nil; message = take() {
+			x.notifyAll(method, message)
+			pause.For(ctx, interval)
+		}
+	})
+}
+
 // notify sends a notification to one entry.
 func (x *Exchange) notify(conn *rpc.Conn, method string, message any) {
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
--- a/services/peers/server_notices.go
+++ b/services/peers/server_notices.go
@@ -9,7 +9,6 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/runworks/runworks"
-	"github.com/runworks/runworks/modules/pause"
 )
 
 // noticeInterval is the least time between two sends of server notices. With hundreds of servers
@@ -45,23 +44,12 @@
 		notice: notice.Merge(older.notice.AgedBy(now.Sub(older.at))), at: now,
 	}
 	if !x.sendingNotices {
-		ctx := x.ctxLocked()
-		x.sendingNotices = x.work.Go(func() {
-			for {
-				list := x.takePendingNotices()
-				if len(list) == 0 {
-					return
-				}
-				x.notifyAll(MethodServerNotices, &ServerNotices{From: x.Self.Name, List: list})
-				pause.For(ctx, noticeInterval)
-			}
-		})
+		x.sendingNotices = x.startBatchesLocked(MethodServerNotices, noticeInterval, x.takePendingNotices)
 	}
 }
 
-// takePendingNotices returns and clears the notices to send. If there are none, the sending
-// goroutine returns.
-func (x *Exchange) takePendingNotices() []runworks.ServerNotice {
+// takePendingNotices returns and clears the notices to send as a message; nil if there are none.
+func (x *Exchange) takePendingNotices() any {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	var out []runworks.ServerNotice
@@ -71,7 +59,10 @@
 	slices.SortFunc(out, func(a, b runworks.ServerNotice) int { return strings.Compare(a.Server, b.Server) })
 	x.pendingNotices = nil
 	x.sendingNotices = len(out) > 0
-	return out
+	if len(out) == 0 {
+		return nil
+	}
+	return &ServerNotices{From: x.Self.Name, List: out}
 }
 
 // handleServerNotices processes the server notices of another entry.
--- a/services/peers/stream_origins.go
+++ b/services/peers/stream_origins.go
@@ -7,7 +7,6 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/runworks/runworks"
-	"github.com/runworks/runworks/modules/pause"
 )
 
 // originInterval is the least time between two messages with the origins of streams. It bounds their
@@ -28,30 +27,21 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.pendingOrigins = append(x.pendingOrigins, list...)
-	if x.sendingOrigins {
-		return
+	if !x.sendingOrigins {
+		x.sendingOrigins = x.startBatchesLocked(MethodStreamOrigins, originInterval, x.takePendingOrigins)
 	}
-	ctx := x.ctxLocked()
-	x.sendingOrigins = x.work.Go(func() {
-		for {
-			list := x.takePendingOrigins()
-			if len(list) == 0 {
-				return
-			}
-			x.notifyAll(MethodStreamOrigins, &StreamOrigins{From: x.Self.Name, List: list})
-			pause.For(ctx, originInterval)
-		}
-	})
 }
 
-// takePendingOrigins returns and clears the origins to send. If there are none, the sending goroutine
-// returns.
-func (x *Exchange) takePendingOrigins() []runworks.StreamOrigin {
+// takePendingOrigins returns and clears the origins to send as a message; nil if there are none.
+func (x *Exchange) takePendingOrigins() any {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	out := x.pendingOrigins
 	x.pendingOrigins, x.sendingOrigins = nil, len(out) > 0
-	return out
+	if len(out) == 0 {
+		return nil
+	}
+	return &StreamOrigins{From: x.Self.Name, List: out}
 }
 
 // handleStreamOrigins processes the origins of another entry's streams.
