Derive which versions have servers from when they stop counting

The table of stream origins kept the versions that have servers twice: a version without an end has servers. SetServers is split by its two steps.

--- a/services/streamorigin/table.go
+++ b/services/streamorigin/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -38,10 +37,8 @@
 	// origins holds the origin of each known stream, and order their IDs from the oldest on.
 	origins map[runworks.RequestID]origin
 	order   []runworks.RequestID
-	// versions holds, by service and version, until when the version counts.
+	// versions holds, by service and version, until when the version counts; zero while it has servers.
 	versions map[string]map[string]time.Time
-	// listed holds the versions that have servers now, by service.
-	listed map[string]map[string]bool
 }
 
 // origin is what is known of a stream.
@@ -59,36 +56,38 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before := t.mixedLocked(now)
-	if t.versions == nil {
-		t.versions = make(map[string]map[string]time.Time)
-	}
-	t.listed = make(map[string]map[string]bool)
-	for i := range servers {
-		service, version := servers[i].Service, servers[i].Version
-		if t.listed[service] == nil {
-			t.listed[service] = make(map[string]bool)
-		}
-		if t.versions[service] == nil {
-			t.versions[service] = make(map[string]time.Time)
+	t.setVersionsLocked(now, servers)
+	for service := range t.mixedLocked(now) {
+		if !before[service] {
+			t.sendLocked(t.listLocked(now, func(o origin) bool { return o.own && o.service == service }))
 		}
-		t.listed[service][version] = true
-		t.versions[service][version] = time.Time{}
 	}
+}
+
+// setVersionsLocked sets the versions that have servers. The others count for versionMemory more.
+func (t *Table) setVersionsLocked(now time.Time, servers []runworks.Instance) {
 	for service, versions := range t.versions {
 		for version, until := range versions {
-			if until.IsZero() && !t.listed[service][version] {
+			switch {
+			case until.IsZero():
 				versions[version] = now.Add(versionMemory)
+			case !now.Before(until):
+				delete(versions, version)
 			}
 		}
-		maps.DeleteFunc(versions, func(_ string, until time.Time) bool { return !until.IsZero() && !now.Before(until) })
 		if len(versions) == 0 {
 			delete(t.versions, service)
 		}
 	}
-	for service := range t.mixedLocked(now) {
-		if !before[service] {
-			t.sendLocked(t.listLocked(now, func(o origin) bool { return o.own && o.service == service }))
+	if t.versions == nil {
+		t.versions = make(map[string]map[string]time.Time)
+	}
+	for i := range servers {
+		service, version := servers[i].Service, servers[i].Version
+		if t.versions[service] == nil {
+			t.versions[service] = make(map[string]time.Time)
 		}
+		t.versions[service][version] = time.Time{}
 	}
 }
 
@@ -204,8 +203,10 @@
 	if t.isMixedLocked(now, service) {
 		return out, errorx.Decorate(runworks.ErrUnknownStream, "servers of %s have %d versions", service, len(t.versions[service]))
 	}
-	for version := range t.listed[service] {
-		out.Version = version
+	for version, until := range t.versions[service] {
+		if until.IsZero() {
+			out.Version = version
+		}
 	}
 	return out, nil
 }
