Pick the service of a resumed stream once

admit picked a service by the attempt's ID, and resolveOrigin again by the ID of the attempt that began the stream. The ID is chosen first now. No behaviour changes; the tests of services/forward pass unchanged.

--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -213,7 +213,7 @@
 		metrics.Count(c.f.Metrics.Quarantined, metrics.Rank(c.rank))
 		return runworks.NotRun(runworks.ErrQuarantined, wait)
 	}
-	c.service = route.PickService(c.route, c.in.ID)
+	c.service = route.PickService(c.route, c.streamID())
 	if failure := c.resolveOrigin(ctx); failure != nil {
 		return failure
 	}
--- a/services/forward/origin.go
+++ b/services/forward/origin.go
@@ -8,7 +8,6 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/runworks/runworks"
-	"github.com/runworks/runworks/services/route"
 )
 
 // originMargin is how much longer than its caller waits the origin of a stream is kept: the caller
@@ -21,15 +20,21 @@
 // resumed reports whether the call continues a stream of which its caller has events.
 func (c *call) resumed() bool { return !c.lastEvent.IsZero() || c.resumedByCaller() }
 
+// streamID returns the ID by which the route picks the call's service: of a stream that the caller
+// resumes, that of the attempt that began it.
+func (c *call) streamID() runworks.RequestID {
+	if c.resumedByCaller() && c.in.Resumes != "" {
+		return c.in.Resumes
+	}
+	return c.in.ID
+}
+
 // resolveOrigin finds the service and version that began the stream which the caller resumes. What
 // another version writes does not continue it, so that it is refused if they are not known.
 func (c *call) resolveOrigin(ctx context.Context) *runworks.Failure {
 	if !c.resumedByCaller() {
 		return nil
 	}
-	if c.in.Resumes != "" {
-		c.service = route.PickService(c.route, c.in.Resumes)
-	}
 	origin, err := c.f.Origins.Await(ctx, c.in.Resumes, c.service)
 	if err != nil {
 		return runworks.NotRun(err, retryRejected)
