Share the server that exits inside a response between two tests

The tests of modules/httpconn and modules/backend had a copy each, and those of services/streamorigin repeated the set-up of two entries.

--- a/modules/backend/http_test.go
+++ b/modules/backend/http_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/standin"
 )
 
 // breakingServer is a server that responds to the first request on each connection and closes
@@ -187,18 +188,7 @@
 		l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 		is.NoErr(err)
 		t.Cleanup(func() { _ = l.Close() })
-		go func() {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if exits {
-				_ = l.Close()
-			}
-			_, _ = http.ReadRequest(bufio.NewReader(c))
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
-			_ = c.Close()
-		}()
+		go standin.ServeHalfResponse(l, exits)
 		h := New(runworks.KindPlain, "http://"+l.Addr().String(), nil)
 		defer h.Close()
 		reply, err := h.Do(t.Context(), "1", &runworks.Call{Method: http.MethodPost, Path: "/", Body: []byte("x")})
--- a/modules/httpconn/exit_test.go
+++ b/modules/httpconn/exit_test.go
@@ -1,7 +1,6 @@
 package httpconn
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -12,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/runworks/runworks/standin"
 )
 
 // reportsExit reports whether WatchExit reports an exit. If one is expected, the timeouts allow
@@ -128,18 +129,7 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
 		t.Cleanup(func() { _ = l.Close() })
-		go func() {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if exits {
-				_ = l.Close()
-			}
-			_, _ = http.ReadRequest(bufio.NewReader(c))
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
-			_ = c.Close()
-		}()
+		go standin.ServeHalfResponse(l, exits)
 		p := newPool()
 		p.ProbeTimeout, p.MatchResponse = 30*time.Second, nil
 		defer p.Close()
--- a/services/streamorigin/table_test.go
+++ b/services/streamorigin/table_test.go
@@ -28,10 +28,12 @@
 	return runworks.StreamOrigin{Stream: stream, Service: "llm", Version: version}
 }
 
-// entries returns two tables that send each other their origins.
-func entries(t *testing.T) (a, b *Table) {
+// entries returns two tables that send each other their origins, and that know servers of the versions.
+func entries(t *testing.T, versions ...string) (a, b *Table) {
 	t.Helper()
 	a, b = &Table{}, &Table{}
+	a.SetServers(time.Now(), servers(versions...))
+	b.SetServers(time.Now(), servers(versions...))
 	a.Send = func(list []runworks.StreamOrigin) { go b.Apply(time.Now(), list) }
 	b.Send = func(list []runworks.StreamOrigin) { go a.Apply(time.Now(), list) }
 	return a, b
@@ -82,8 +84,7 @@
 func TestFirstEventDecides(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		a, _ := entries(t)
-		a.SetServers(time.Now(), servers("v1", "v2"))
+		a, _ := entries(t, "v1", "v2")
 		a.Record(time.Now(), begun("1", "v1"), kept)
 		late := begun("1", "v2")
 		late.LeftMs = 1000
@@ -97,9 +98,7 @@
 func TestRestartedEntryKnowsStreams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		a, b := entries(t)
-		a.SetServers(time.Now(), servers("v1", "v2"))
-		b.SetServers(time.Now(), servers("v1", "v2"))
+		a, b := entries(t, "v1", "v2")
 		a.Record(time.Now(), begun("1", "v1"), kept)
 		synctest.Wait()
 		restarted := &Table{}
