Limit what many entries spare of a limit that was used up

Cause: up to 0.3 s after their last message others are assumed to consume nothing as long as this entry admits no more than the limit's rate, as all calls of a customer may come to one entry. 27 entries then admit it 27 times.

Change: where a customer nearly used up its limit within the last window, an entry spares only its equal part of the rate. So that this does not refuse calls that moved to one entry, the proportion between two entries is that of the last tokens they consumed, a thirty-second of what the rate admits in a window or five calls, and no longer of all that is remembered.

A customer below its limit loses nothing, wherever its calls go.

--- a/services/quota/assumed.go
+++ b/services/quota/assumed.go
@@ -17,15 +17,29 @@
 	// Entries that do not hear each other replace their connections within it; one that still is not
 	// heard may reach no other, and keeps to an equal share of the limit's rate.
 	reconnectTime = 2 * time.Second
+	// sampleFraction, of what a limit's rate admits in a window, and sampleCalls, as multiples of one
+	// call, are the tokens from which the ratio of two entries is derived. Older ones say nothing where
+	// a customer's calls moved, and fewer calls are a matter of chance.
+	sampleFraction = 1.0 / 32
+	sampleCalls    = 5
+	// maxRatio bounds that ratio, as one of an entry that hardly consumed anything is arbitrary.
+	maxRatio = 2
 )
 
 // assumed returns an estimate of what the other entries consumed of a customer's limit since their last
 // messages, and the number of other entries. Without it a customer that requests far more than its
 // limit would exceed it by all that the entries consume between two messages. passing is the part of the
-// estimate that the next messages correct, overdueAfter from now at the latest.
-func (q *Quota) assumed(now time.Time, c *runworks.RoutedCustomer) (sum, passing float64, others int) {
+// estimate that the next messages correct, overdueAfter from now at the latest. tokens are those of the
+// call in question.
+func (q *Quota) assumed(now time.Time, c *runworks.RoutedCustomer, tokens float64) (sum, passing float64, others int) {
 	others = q.otherEntries(now)
 	share := c.TokensPerSecond / float64(others+1)
+	// What a limit's rate admits may all come to this entry, unless the customer requested more.
+	sparedRate := c.TokensPerSecond
+	if now.Sub(q.recorder.limits[c.Name].nearAt) <= q.window() {
+		sparedRate = share
+	}
+	sample := max(sampleFraction*c.TokensPerSecond*q.window().Seconds(), sampleCalls*tokens)
 	overdue := max(overdueAfter, time.Duration(others)*overduePerEntry)
 	for _, inc := range q.incarnations {
 		if !inc.mayConsume(now) {
@@ -41,11 +55,10 @@
 		}
 		consumed := rate * min(silence, reconnectTime).Seconds()
 		if silence > overdue {
-			consumed = max(consumed, q.likeOwn(inc, c.Name, 0, true))
+			consumed = max(consumed, q.likeOwn(inc, c.Name, sample, 0, true))
 		} else {
-			// What the limit's rate admits may all come to this entry.
-			spared := c.TokensPerSecond * (silence + bucketWidth).Seconds()
-			like := q.likeOwn(inc, c.Name, spared, false)
+			spared := sparedRate * (silence + bucketWidth).Seconds()
+			like := q.likeOwn(inc, c.Name, sample, spared, false)
 			passing += max(like-consumed, 0)
 			consumed = max(consumed, like)
 		}
@@ -59,15 +72,18 @@
 // burst leaves the window, all entries admit calls at the same moment. Only what this entry consumed
 // beyond spared counts. Of a customer that begins to call just then an overdue entry is assumed to have
 // an equal part.
-func (q *Quota) likeOwn(inc *incarnation, customer string, spared float64, overdue bool) float64 {
+func (q *Quota) likeOwn(inc *incarnation, customer string, sample, spared float64, overdue bool) float64 {
 	own := q.ownIncarnation().accounts[customer]
 	if own == nil {
 		return 0
 	}
 	seen, last := q.bucketAt(inc.lastSeen), q.bucketAt(inc.lastSeen.Add(reconnectTime))
 	since := own.recent.between(seen-1, last)
-	if before := own.consumed - since; before > 0 {
-		return max(since-spared, 0) * min(inc.consumedEver(customer)/before, 2)
+	if since <= spared {
+		return 0
+	}
+	if ratio, ok := inc.ratioTo(own, customer, seen, sample); ok {
+		return (since - spared) * min(ratio, maxRatio)
 	}
 	if overdue {
 		return own.recent.between(seen, last)
--- a/services/quota/incarnation.go
+++ b/services/quota/incarnation.go
@@ -38,6 +38,27 @@
 	return sum
 }
 
+// ratioTo returns how much of a customer's limit the incarnation consumed as a multiple of what this
+// entry did: of the last tokens that both consumed before a bucket, or of all that is remembered if those
+// in the window are fewer. ok is false if this entry consumed nothing.
+func (inc *incarnation) ratioTo(own *account, customer string, before int64, tokens float64) (ratio float64, ok bool) {
+	var here, there float64
+	a := inc.accounts[customer]
+	for n := before - 1; n >= own.recent.first && here+there < tokens; n-- {
+		here += own.recent.between(n-1, n)
+		if a != nil {
+			there += a.recent.between(n-1, n)
+		}
+	}
+	if here+there < tokens {
+		here, there = own.consumed-own.recent.from(before), inc.consumedEver(customer)
+	}
+	if here <= 0 {
+		return 0, false
+	}
+	return there / here, true
+}
+
 // account is what an incarnation used of one customer's limit, in tokens.
 type account struct {
 	recent   usage
--- a/services/quota/lag_test.go
+++ b/services/quota/lag_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -19,7 +20,9 @@
 	// requested is the customer's tokens per second, and risesAt, if not zero, when they triple.
 	requested float64
 	risesAt   time.Duration
-	seed      uint64
+	// call is the mean size of a call in tokens; 0 means 3,000.
+	call float64
+	seed uint64
 	// heard reports whether a heartbeat that one entry sends to another arrives; nil means always.
 	heard func(at time.Duration, from, to int) bool
 }
@@ -29,8 +32,8 @@
 	const (
 		step = 5 * time.Millisecond
 		span = 12 * time.Second
-		call = 3000.0
 	)
+	call := cmp.Or(o.call, 3000)
 	c := &runworks.RoutedCustomer{Name: "yard", TokensPerSecond: 280_000, TokenBurst: 680_000}
 	rng := rand.New(rand.NewPCG(1, o.seed))
 	all := make([]*Quota, o.entries)
@@ -130,30 +133,39 @@
 func TestLimitReopensWhileEntriesAreUnheard(t *testing.T) {
 	for _, requested := range []float64{4_000_000, 14_000_000} {
 		for _, start := range []time.Duration{7600 * time.Millisecond, 7900 * time.Millisecond, 8100 * time.Millisecond, 8200 * time.Millisecond} {
-			checkReopening(t, 3, requested, start)
-			checkReopening(t, 5, requested, start)
+			checkReopening(t, &overload{entries: 3, requested: requested}, start)
+			checkReopening(t, &overload{entries: 5, requested: requested}, start)
 		}
 	}
-	checkReopening(t, 27, 4_000_000, 8100*time.Millisecond)
+	checkReopening(t, &overload{entries: 27, requested: 4_000_000}, 8100*time.Millisecond)
+}
+
+// TestLimitReopensForLargeCalls guards against the same where an entry saw so few calls that its part of
+// them is a matter of chance.
+func TestLimitReopensForLargeCalls(t *testing.T) {
+	for _, start := range []time.Duration{7600 * time.Millisecond, 7900 * time.Millisecond, 8100 * time.Millisecond, 8200 * time.Millisecond} {
+		checkReopening(t, &overload{entries: 3, requested: 14_000_000, call: 10_000}, start)
+		checkReopening(t, &overload{entries: 3, requested: 14_000_000, call: 20_000}, start)
+	}
 }
 
 // TestLimitReopensAtManyUnheardEntries guards against the same with many entries and a burst of a fifth
 // of a second.
 func TestLimitReopensAtManyUnheardEntries(t *testing.T) {
-	checkReopening(t, 27, 14_000_000, 8200*time.Millisecond)
+	checkReopening(t, &overload{entries: 27, requested: 14_000_000}, 8200*time.Millisecond)
 }
 
 // checkReopening plays a customer whose entries do not hear each other from a time on, and checks what
 // they admit together.
-func checkReopening(t *testing.T, entries int, requested float64, start time.Duration) {
+func checkReopening(t *testing.T, o *overload, start time.Duration) {
 	t.Helper()
 	// overage and slack are what a platform allows beyond a limit, of the limit and in tokens.
 	const overage, slack = 0.1, 72_000 / (280_000*8 + 680_000.0)
 	for _, unheardFor := range []time.Duration{300 * time.Millisecond, 1600 * time.Millisecond} {
-		o := &overload{entries: entries, heartbeat: 50 * time.Millisecond, requested: requested, seed: uint64(start)}
+		o.heartbeat, o.seed = 50*time.Millisecond, uint64(start)
 		o.heard = func(at time.Duration, _, _ int) bool { return at < start || at >= start+unheardFor }
 		if used := o.maxConsumed(); used > 1+overage+slack {
-			t.Errorf("%d entries, %.0f tokens/s, unheard from %s on for %s: %.3f of the limit", entries, requested, start, unheardFor, used)
+			t.Errorf("%d entries, %.0f tokens/s, unheard from %s on for %s: %.3f of the limit", o.entries, o.requested, start, unheardFor, used)
 		}
 	}
 }
@@ -171,35 +183,69 @@
 	}
 }
 
+// TestLimitWhereCallsMoveAllTheTime guards against the same for a customer below its limit.
+func TestLimitWhereCallsMoveAllTheTime(t *testing.T) {
+	is := is.New(t)
+	for _, every := range []time.Duration{500 * time.Millisecond, time.Second, 3 * time.Second} {
+		m := &movingCalls{requested: 0.9, entries: 27, to: func(at time.Duration) int {
+			return rand.New(rand.NewPCG(1, uint64(at/every))).IntN(27)
+		}}
+		requested, admitted := m.run(0)
+		is.Equal(admitted, requested) // no call is refused
+	}
+}
+
 // admittedAfterMove returns the tokens that entries admit of a customer in the ten seconds after its
-// calls, at a multiple of its rate, moved to one of them. The others send a heartbeat as when they are idle.
+// calls, at a multiple of its rate, moved to one of them.
 func admittedAfterMove(entries int, requested float64) float64 {
+	const moves = 10 * time.Second
+	rng := rand.New(rand.NewPCG(1, 2))
+	m := &movingCalls{requested: requested, entries: entries, to: func(at time.Duration) int {
+		if at < moves {
+			return rng.IntN(entries)
+		}
+		return 0
+	}}
+	_, admitted := m.run(moves)
+	return admitted
+}
+
+// movingCalls is a customer whose calls, at a multiple of its rate, go to one entry at a time. All entries
+// send heartbeats as when they are idle.
+type movingCalls struct {
+	requested float64
+	entries   int
+	to        func(at time.Duration) int
+}
+
+// run returns the tokens of the calls in the 20 seconds that are sent from a time on, and those of the
+// admitted ones.
+func (m *movingCalls) run(from time.Duration) (requested, admitted float64) {
 	const (
-		step  = 5 * time.Millisecond
-		moves = 10 * time.Second
-		end   = 20 * time.Second
-		call  = 1000.0
+		step = 5 * time.Millisecond
+		end  = 20 * time.Second
+		call = 1000.0
 	)
 	c := &runworks.RoutedCustomer{Name: "yard", TokensPerSecond: 100_000, TokenBurst: 100_000}
-	o := &overload{entries: entries, heartbeat: 250 * time.Millisecond}
-	all := make([]*Quota, entries)
+	o := &overload{entries: m.entries, heartbeat: 250 * time.Millisecond}
+	all := make([]*Quota, m.entries)
 	for i := range all {
 		all[i] = running(runworks.Incarnation(fmt.Sprint(i)))
 	}
-	rng := rand.New(rand.NewPCG(1, 2))
-	admitted, due := 0.0, 0.0
+	due := 0.0
 	for at := time.Duration(0); at < end; at += step {
 		now := begin.Add(at)
-		for due += requested * c.TokensPerSecond * step.Seconds(); due >= call; due -= call {
-			to := 0
-			if at < moves {
-				to = rng.IntN(entries)
-			}
-			if v := all[to].Reserve(now, c, call); v.Wait == 0 {
+		for due += m.requested * c.TokensPerSecond * step.Seconds(); due >= call; due -= call {
+			v := all[m.to(at)].Reserve(now, c, call)
+			if v.Wait == 0 {
 				v.Debit.Commit(now)
-				if at >= moves {
-					admitted += call
-				}
+			}
+			if at < from {
+				continue
+			}
+			requested += call
+			if v.Wait == 0 {
+				admitted += call
 			}
 		}
 		for i := range all {
@@ -208,5 +254,5 @@
 			}
 		}
 	}
-	return admitted
+	return requested, admitted
 }
--- a/services/quota/quota.go
+++ b/services/quota/quota.go
@@ -90,12 +90,12 @@
 	total, reserved := q.total(now, c.Name)
 	v := Decision{Consumed: total.sum(), Reserved: reserved, Allowed: q.allowed(now, c)}
 	var passing float64
-	v.Assumed, passing, v.OtherEntries = q.assumed(now, c)
+	v.Assumed, passing, v.OtherEntries = q.assumed(now, c, tokens)
 	if !q.completeLocked(now) && v.Consumed+v.Reserved > 0 {
 		// What was consumed after the last record: up to the rate times the record interval.
 		v.Assumed += c.TokensPerSecond * RecordInterval.Seconds()
 	}
-	q.recorder.observe(c.Name, &v)
+	q.recorder.observe(now, c.Name, &v)
 	// A call larger than the whole limit is admitted when nothing else was consumed.
 	if over := v.Consumed + v.Reserved + v.Assumed + min(tokens, v.Allowed) - v.Allowed; over > 0 {
 		v.Wait = q.waitFor(now, total, over)
--- a/services/quota/record.go
+++ b/services/quota/record.go
@@ -48,13 +48,21 @@
 	allowed float64
 	// near means that little of it was left.
 	near bool
+	// nearAt is when little of it was left last, not counting assumed consumption.
+	nearAt time.Time
 }
 
-func (r *recorder) observe(customer string, v *Decision) {
+func (r *recorder) observe(now time.Time, customer string, v *Decision) {
 	if r.limits == nil {
 		r.limits = make(map[string]observedLimit)
 	}
-	r.limits[customer] = observedLimit{allowed: v.Allowed, near: v.Consumed+v.Reserved+v.Assumed >= nearFraction*v.Allowed}
+	limit := r.limits[customer]
+	limit.allowed = v.Allowed
+	limit.near = v.Consumed+v.Reserved+v.Assumed >= nearFraction*v.Allowed
+	if v.Consumed+v.Reserved >= nearFraction*v.Allowed {
+		limit.nearAt = now
+	}
+	r.limits[customer] = limit
 }
 
 func (r *recorder) consumed(customer string, tokens float64) {
--- a/services/quota/usage.go
+++ b/services/quota/usage.go
@@ -71,3 +71,8 @@
 	}
 	return sum
 }
+
+// from returns the sum of the buckets from a number on.
+func (u *usage) from(number int64) float64 {
+	return u.between(number-1, u.first+int64(len(u.counts)))
+}
