Probe the address that a request was sent to

The end of each response without length or chunks parsed the server's base URL again, and took a URL that could not be parsed for a server that runs. The response's request holds the address. No behavior changes: a request can't be built from such a URL.

--- a/modules/backend/exit.go
+++ b/modules/backend/exit.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/url"
 
 	"github.com/runworks/runworks/modules/httpconn"
 )
@@ -16,27 +15,23 @@
 	if !httpconn.CloseDelimited(res) {
 		return res.Body
 	}
-	return &closeDelimitedBody{ReadCloser: res.Body, ctx: ctx, server: h}
+	return &closeDelimitedBody{ReadCloser: res.Body, ctx: ctx, probes: h.probes, address: res.Request.URL.Host}
 }
 
 // closeDelimitedBody is the body of a response that only the end of its connection ends.
 type closeDelimitedBody struct {
 	io.ReadCloser
 	ctx    context.Context
-	server *HTTP
+	probes *httpconn.Pool
+	// address is host:port of the server.
+	address string
 }
 
 // Read implements io.Reader.
 func (b *closeDelimitedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) && b.server.hasExited(b.ctx) {
+	if errors.Is(err, io.EOF) && b.probes.HasExited(b.ctx, b.address) {
 		err = httpconn.ErrServerExited
 	}
 	return n, err
 }
-
-// hasExited reports whether the server's process is known to have exited.
-func (h *HTTP) hasExited(ctx context.Context) bool {
-	target, err := url.Parse(h.Address)
-	return err == nil && h.probes.HasExited(ctx, target.Host)
-}
