Move CloseDelimited from Reply to ServerReply

Only the front's sender sets it and only the forwarder reads it; in the Reply of an agent's backend it was always false, which looked like a statement about the response. No behavior changes; the tests of services/forward and platform pass.

--- a/backend.go
+++ b/backend.go
@@ -11,9 +11,6 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
-	// CloseDelimited is set if the response has neither a length nor chunks: only the end of its
-	// connection ends it.
-	CloseDelimited bool
 }
 
 // Backend sends calls to a backend server, each at most once.
--- a/inbound.go
+++ b/inbound.go
@@ -96,6 +96,9 @@
 // Body.
 type ServerReply struct {
 	Reply
+	// CloseDelimited is set if the response has neither a length nor chunks: only the end of its
+	// connection ends it.
+	CloseDelimited bool
 	// NotRun is set if the backend server reported that it did not run the call.
 	NotRun bool
 	// AddressReused is set if another backend server now has this address.
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -84,7 +84,7 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
-	return &runworks.ServerReply{Reply: runworks.Reply{Status: status, Header: http.Header{}, Body: body, CloseDelimited: r.closeDelimited}, NotRun: r.notRun, AddressReused: r.addressReused, Report: r.report, ReportErr: r.reportErr}, nil
+	return &runworks.ServerReply{Reply: runworks.Reply{Status: status, Header: http.Header{}, Body: body}, CloseDelimited: r.closeDelimited, NotRun: r.notRun, AddressReused: r.addressReused, Report: r.report, ReportErr: r.reportErr}, nil
 }
 
 // WatchExit implements runworks.Sender for the server of the last send.
