Decode notifications between entries in one place

Suspects, server notices, reports of roll-outs, heartbeats and, since this change, origins of streams repeated the same decoding, log line and error. Their texts are as before.

--- a/services/peers/receive.go
+++ b/services/peers/receive.go
@@ -82,6 +82,15 @@
 	return rejectCall(ctx, method, params)
 }
 
+// decodeMessage decodes the parameters of a notification. what names its content in the log and the error.
+func (x *inbound) decodeMessage(params json.RawMessage, what string, out any) error {
+	if err := json.Unmarshal(params, out); err != nil {
+		x.Logger.Warn(what+" could not be decoded", "error", err.Error())
+		return errorx.Decorate(err, "decode the %s", what)
+	}
+	return nil
+}
+
 // handleFrame processes a heartbeat that arrived as a frame.
 func (x *inbound) handleFrame(data []byte) error {
 	b, err := x.decoder.decode(data)
@@ -96,9 +105,8 @@
 // handleHeartbeat processes a heartbeat or handshake that arrived as JSON.
 func (x *inbound) handleHeartbeat(params json.RawMessage, handshake bool) error {
 	var b Heartbeat
-	if err := json.Unmarshal(params, &b); err != nil {
-		x.Logger.Warn("heartbeat could not be decoded", "error", err.Error())
-		return errorx.Decorate(err, "decode the heartbeat")
+	if err := x.decodeMessage(params, "heartbeat", &b); err != nil {
+		return err
 	}
 	if b.From.Name == "" || b.From.Incarnation == "" {
 		x.Logger.Warn("heartbeat names no entry")
--- a/services/peers/rollouts.go
+++ b/services/peers/rollouts.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 
-	"github.com/joomcode/errorx"
-
 	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/services/rollout"
 )
@@ -24,9 +22,8 @@
 // handleRollouts processes the reports of another entry.
 func (x *inbound) handleRollouts(params json.RawMessage) error {
 	var m RolloutReports
-	if err := json.Unmarshal(params, &m); err != nil {
-		x.Logger.Warn("reports of roll-outs could not be decoded", "error", err.Error())
-		return errorx.Decorate(err, "decode the reports of roll-outs")
+	if err := x.decodeMessage(params, "reports of roll-outs", &m); err != nil {
+		return err
 	}
 	if x.OnRollouts != nil && m.From != "" {
 		x.OnRollouts(m.From, m.List)
--- a/services/peers/server_notices.go
+++ b/services/peers/server_notices.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"github.com/runworks/runworks"
 )
 
@@ -68,9 +66,8 @@
 // handleServerNotices processes the server notices of another entry.
 func (x *inbound) handleServerNotices(params json.RawMessage) error {
 	var w ServerNotices
-	if err := json.Unmarshal(params, &w); err != nil {
-		x.Logger.Warn("server notices could not be decoded", "error", err.Error())
-		return errorx.Decorate(err, "decode the server notices")
+	if err := x.decodeMessage(params, "server notices", &w); err != nil {
+		return err
 	}
 	x.receiveServerNotices(w.From, w.List)
 	return nil
--- a/services/peers/stream_origins.go
+++ b/services/peers/stream_origins.go
@@ -4,8 +4,6 @@
 	"encoding/json"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"github.com/runworks/runworks"
 )
 
@@ -47,9 +45,8 @@
 // handleStreamOrigins processes the origins of another entry's streams.
 func (x *inbound) handleStreamOrigins(params json.RawMessage) error {
 	var m StreamOrigins
-	if err := json.Unmarshal(params, &m); err != nil {
-		x.Logger.Warn("origins of streams could not be decoded", "error", err.Error())
-		return errorx.Decorate(err, "decode the origins of streams")
+	if err := x.decodeMessage(params, "origins of streams", &m); err != nil {
+		return err
 	}
 	x.receiveStreamOrigins(m.List)
 	return nil
--- a/services/peers/suspects.go
+++ b/services/peers/suspects.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 
-	"github.com/joomcode/errorx"
-
 	"github.com/runworks/runworks"
 )
 
@@ -24,9 +22,8 @@
 // handleSuspects processes the suspects of another entry.
 func (x *inbound) handleSuspects(params json.RawMessage) error {
 	var s Suspects
-	if err := json.Unmarshal(params, &s); err != nil {
-		x.Logger.Warn("suspects could not be decoded", "error", err.Error())
-		return errorx.Decorate(err, "decode the suspects")
+	if err := x.decodeMessage(params, "suspects", &s); err != nil {
+		return err
 	}
 	x.receiveSuspects(s.From, s.List)
 	return nil
