--- a/services/quota/lag_test.go
+++ b/services/quota/lag_test.go
@@ -128,11 +128,14 @@
 	}
 }
 
+// reopeningStarts are times just before and while the first burst of an overload leaves the window.
+var reopeningStarts = []time.Duration{7600 * time.Millisecond, 7900 * time.Millisecond, 8100 * time.Millisecond, 8200 * time.Millisecond}
+
 // TestLimitReopensWhileEntriesAreUnheard guards against a limit that each entry opens for itself as a
 // short burst leaves the window, at a moment when it does not hear others.
 func TestLimitReopensWhileEntriesAreUnheard(t *testing.T) {
 	for _, requested := range []float64{4_000_000, 14_000_000} {
-		for _, start := range []time.Duration{7600 * time.Millisecond, 7900 * time.Millisecond, 8100 * time.Millisecond, 8200 * time.Millisecond} {
+		for _, start := range reopeningStarts {
 			checkReopening(t, &overload{entries: 3, requested: requested}, start)
 			checkReopening(t, &overload{entries: 5, requested: requested}, start)
 		}
@@ -143,7 +146,7 @@
 // TestLimitReopensForLargeCalls guards against the same where an entry saw so few calls that its part of
 // them is a matter of chance.
 func TestLimitReopensForLargeCalls(t *testing.T) {
-	for _, start := range []time.Duration{7600 * time.Millisecond, 7900 * time.Millisecond, 8100 * time.Millisecond, 8200 * time.Millisecond} {
+	for _, start := range reopeningStarts {
 		checkReopening(t, &overload{entries: 3, requested: 14_000_000, call: 10_000}, start)
 		checkReopening(t, &overload{entries: 3, requested: 14_000_000, call: 20_000}, start)
 	}
