Split schedulers, roll-outs and idempotency keys by what they do

client.go held the selection of a scheduler beside the requests to it, and server.go the placements beside the grants. judge.go held the cumulative sums, the counts, the levels of servers and the shares of a good version beside the verdict, and messages.go the messages of idempotency keys beside those of runs.

--- a/services/rollout/judge.go
+++ b/services/rollout/judge.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 )
 
@@ -41,93 +40,6 @@
 	maxCount = 1 << 40
 )
 
-// kind is a kind of bad answer.
-type kind int
-
-const (
-	failures kind = iota
-	// slowFirst and slowGaps are answers with a late first event, and with long gaps.
-	slowFirst
-	slowGaps
-)
-
-// timings is the number of kinds that are judged by times.
-const timings = 2
-
-func (k kind) String() string {
-	return [...]string{"failed", "slow at the first event", "slow between events"}[k]
-}
-
-func (k kind) limit() float64 { return [...]float64{condemnAt, slowCondemnAt, slowCondemnAt}[k] }
-
-// alternatives are the shares of bad answers of a bad version that are tested against the null.
-var alternatives = [...]float64{0.05, 0.15, 0.35, 0.7}
-
-// cusum holds a cumulative sum of log likelihood ratios for each alternative. It starts again from 0
-// whenever it is negative, so that a version that turns bad late is found as fast as one that always
-// was.
-type cusum [len(alternatives)]float64
-
-// add adds bad of n answers, where a good version has at most the share null of bad ones.
-func (c *cusum) add(n, bad int, null float64) {
-	for i, p := range alternatives {
-		if p < 2*null {
-			p = min(2*null, 0.5+null/2)
-		}
-		c[i] = max(0, c[i]+float64(bad)*math.Log(p/null)+float64(n-bad)*math.Log((1-p)/(1-null)))
-	}
-}
-
-func (c *cusum) value() float64 {
-	most := 0.0
-	for _, v := range c {
-		most = max(most, v)
-	}
-	return most
-}
-
-// cellKey is a server of the new version, or "" for the old version, and a route.
-type cellKey struct{ server, route string }
-
-// Counts are numbers of answers.
-type Counts struct {
-	// Ended are the answers that were complete or failed; Failed of them were errors, and Cut were
-	// interrupted.
-	Ended  int `json:"n,omitempty"`
-	Failed int `json:"f,omitempty"`
-	Cut    int `json:"c,omitempty"`
-}
-
-func (c *Counts) add(o Counts) {
-	c.Ended += o.Ended
-	c.Failed += o.Failed
-	c.Cut += o.Cut
-}
-
-// plausible reports whether no number contradicts another.
-func (c *Counts) plausible() bool {
-	return c.Failed >= 0 && c.Cut >= 0 && c.Failed+c.Cut <= c.Ended && c.Ended <= maxCount
-}
-
-// atLeast reports whether no number is below that of o.
-func (c *Counts) atLeast(o Counts) bool {
-	return c.Ended >= o.Ended && c.Failed >= o.Failed && c.Cut >= o.Cut
-}
-
-// tally holds the answers of one server on one route.
-type tally struct {
-	Counts
-	// times are those of the first event and between events, relative to the old version's.
-	times [timings]buckets
-}
-
-func (t *tally) add(o *tally) {
-	t.Counts.add(o.Counts)
-	for i := range t.times {
-		t.times[i].add(&o.times[i])
-	}
-}
-
 type seriesKey struct {
 	cellKey
 	kind kind
@@ -287,64 +199,6 @@
 	}
 }
 
-// corroborated returns a kind and a route of which the sum over all servers exceeds the limit, and
-// not because of a single server.
-func (j *judge) corroborated() (k kind, route string, ok bool) {
-	for id, c := range j.series {
-		if id.server == "" && c.value() >= id.kind.limit() && j.leastWithoutOne(id) >= corroborateAt*id.kind.limit() {
-			return id.kind, id.route, true
-		}
-	}
-	return 0, "", false
-}
-
-// leastWithoutOne returns the lowest of the sums that leave one server out.
-func (j *judge) leastWithoutOne(id seriesKey) float64 {
-	least := math.Inf(1)
-	for server := range j.known {
-		value := 0.0
-		if c := j.others[seriesKey{cellKey{server, id.route}, id.kind}]; c != nil {
-			value = c.value()
-		}
-		least = min(least, value)
-	}
-	return least
-}
-
-// level returns the highest sum of a server, or of all servers together if server is "", as a
-// fraction of its limit, with the kind and the route.
-func (j *judge) level(server string) (level float64, k kind, route string) {
-	for _, of := range []kind{failures, slowFirst, slowGaps} {
-		if v, at := j.levelOf(server, of); v > level {
-			level, k, route = v, of, at
-		}
-	}
-	return level, k, route
-}
-
-// levelOf is level for one kind.
-func (j *judge) levelOf(server string, k kind) (level float64, route string) {
-	highest := j.highest[seriesKey{cellKey{server: server}, k}]
-	return highest.level, highest.route
-}
-
-// highestSum is the highest sum of a server, as a fraction of its limit, and its route.
-type highestSum struct {
-	level float64
-	route string
-}
-
-// updateHighest finds the highest sum of each server and kind.
-func (j *judge) updateHighest() {
-	j.highest = make(map[seriesKey]highestSum)
-	for id, c := range j.series {
-		key := seriesKey{cellKey{server: id.server}, id.kind}
-		if v := c.value() / id.kind.limit(); v > j.highest[key].level {
-			j.highest[key] = highestSum{v, id.route}
-		}
-	}
-}
-
 // condemned reports whether one server alone is bad.
 func (j *judge) condemned(server string) bool {
 	level, _, _ := j.level(server)
@@ -421,35 +275,3 @@
 	}
 	return n
 }
-
-// nulls are the largest shares of failed answers that a good version may have: twice those of the
-// old version.
-type nulls struct {
-	old map[string]Counts
-}
-
-func newNulls(totals map[cellKey]*tally) *nulls {
-	out := &nulls{old: make(map[string]Counts)}
-	for key, t := range totals {
-		if key.server != "" {
-			continue
-		}
-		routes := []string{""}
-		if key.route != "" {
-			routes = append(routes, key.route)
-		}
-		for _, route := range routes {
-			sum := out.old[route]
-			sum.add(t.Counts)
-			out.old[route] = sum
-		}
-	}
-	return out
-}
-
-// of returns the share for a route, or for all if route is "". The added answers keep it from
-// being underestimated while few are known.
-func (n *nulls) of(route string) float64 {
-	c := n.old[route]
-	return min(max(minFailed, 2*float64(c.Failed+c.Cut+1)/float64(c.Ended+100)), maxNull)
-}
