--- a/standin/routed.go
+++ b/standin/routed.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -30,35 +29,6 @@
 	headerRetryAfter     = "Retry-After"
 )
 
-// RoutedCall is a call that a RoutedServer executed.
-type RoutedCall struct {
-	ID, Method, Target, Customer, LastEvent string
-	Header                                  http.Header
-	Body                                    []byte
-}
-
-// SharesPart reports whether a part of the call's prompt, other than the last, has the given ID.
-func (c *RoutedCall) SharesPart(id string) bool {
-	parts := strings.Split(c.Header.Get(headerPromptPrefix), ",")
-	for _, part := range parts[:len(parts)-1] {
-		if name, _, _ := strings.Cut(part, ":"); name == id {
-			return true
-		}
-	}
-	return false
-}
-
-// RoutedArrival is a call that a RoutedServer received, executed or not.
-type RoutedArrival struct {
-	ID string    `json:"id"`
-	At time.Time `json:"at"`
-	// Backoff is the back-off in seconds that the server asked the front for; 0 if the call was
-	// not rejected for back-off.
-	Backoff float64 `json:"rest,omitempty"`
-	// Misdirected reports whether the call was addressed to another incarnation and got status 421.
-	Misdirected bool `json:"misdirected,omitempty"`
-}
-
 // RoutedServer is a fake backend server of the platform. Exported fields must be set
 // before use.
 type RoutedServer struct {
@@ -76,40 +46,13 @@
 	calls  []RoutedCall
 	// arrivals includes calls that were not executed.
 	arrivals  []RoutedArrival
+	runs      []RoutedRun
 	active    int
 	maxActive int
 	// badCalls counts the calls to which RoutedFaults.Bad applied.
 	badCalls int
 }
 
-// Calls returns the executed calls in order of arrival.
-func (b *RoutedServer) Calls() []RoutedCall {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return append([]RoutedCall(nil), b.calls...)
-}
-
-// Arrivals returns all received calls, executed or not, in order of arrival.
-func (b *RoutedServer) Arrivals() []RoutedArrival {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return append([]RoutedArrival(nil), b.arrivals...)
-}
-
-// MaxActive returns the highest number of concurrent calls so far.
-func (b *RoutedServer) MaxActive() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.maxActive
-}
-
-// Active returns the number of calls in execution.
-func (b *RoutedServer) Active() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.active
-}
-
 // RoutedResponseBody returns the response body of a call without events. It depends on the
 // request alone.
 func RoutedResponseBody(id, method, target string, body []byte) []byte {
@@ -123,7 +66,7 @@
 }
 
 // Handler returns a handler of calls, with the executed calls at GET /calls, all received calls
-// at GET /arrivals, and the faults at POST /control.
+// at GET /arrivals, the executions at GET /runs, and the faults at POST /control.
 func (b *RoutedServer) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.Method + " " + r.URL.Path {
@@ -131,6 +74,8 @@
 			writeJSON(w, b.Calls())
 		case "GET /arrivals":
 			writeJSON(w, b.Arrivals())
+		case "GET /runs":
+			writeJSON(w, b.Runs())
 		case "POST /control":
 			var f RoutedFaults
 			if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
@@ -169,6 +114,8 @@
 		LastEvent: r.Header.Get("Last-Event-Id"), Header: r.Header.Clone(), Body: body,
 	}
 	b.calls = append(b.calls, call)
+	run := len(b.runs)
+	b.runs = append(b.runs, RoutedRun{ID: call.ID, Began: time.Now()})
 	b.active++
 	b.maxActive = max(b.maxActive, b.active)
 	b.mu.Unlock()
@@ -179,6 +126,7 @@
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.active--
+		b.runs[run].Ended = time.Now()
 	}()
 	if b.Hold != nil {
 		select {
