Test that a starved front ends the work of callers which left

The test reproduces it with separate processes: a front with one thread gets its processor for 10 of 200 ms by SIGSTOP and SIGCONT, runs 80 streams and 20 plain calls, and receives 400 streams a second more, while all callers leave one after the other.

--- /dev/null
+++ b/tests/starved_front_test.go
@@ -0,0 +1,256 @@
+package tests
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/runworks/runworks/modules/pause"
+	"github.com/runworks/runworks/standin"
+)
+
+const (
+	// goneBound is within which time of a caller's disconnect its work must end.
+	goneBound = 500 * time.Millisecond
+	// maxLateArrivals is how many calls may reach a server later than goneBound after their callers left.
+	maxLateArrivals = 3
+	// maxGoneFraction is the highest fraction of the runs that may go on for goneBound after their callers
+	// left, of those that would have lasted so long.
+	maxGoneFraction = 0.25
+)
+
+// pulse gives a process the processor for run of each period only, until stop is called.
+func (p *process) pulse(run, period time.Duration) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			p.signalIfAlive(syscall.SIGSTOP)
+			pause.For(ctx, period-run)
+			p.signalIfAlive(syscall.SIGCONT)
+			pause.For(ctx, run)
+		}
+	})
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+// leavingCaller is a caller of one call, which it leaves once leave is closed or leaveAfter has passed
+// since the send.
+type leavingCaller struct {
+	call platformCall
+	// lasts is the time for which a server runs the call.
+	lasts      time.Duration
+	leave      chan struct{}
+	leaveAfter time.Duration
+
+	// left is when it left; zero if it did not. complete is set if it received the whole response.
+	left     time.Time
+	complete bool
+}
+
+// newStream returns a caller of a stream whose events come at intervals of gap.
+func newStream(id string, events int, gap time.Duration) *leavingCaller {
+	target := fmt.Sprintf("/chat/%s?events=%d", id, events)
+	return &leavingCaller{call: platformCall{id: id, method: http.MethodPost, target: target, key: "yard-key"}, lasts: time.Duration(events) * gap}
+}
+
+// run sends the call to an address, leaves as planned, and calls answered with the first byte of the
+// response body.
+func (c *leavingCaller) run(address string, answered func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done, gone := make(chan struct{}), make(chan struct{})
+	defer func() { <-gone }()
+	defer close(done)
+	var after <-chan time.Time
+	if c.leaveAfter > 0 {
+		timer := time.NewTimer(c.leaveAfter)
+		defer timer.Stop()
+		after = timer.C
+	}
+	go func() {
+		defer close(gone)
+		select {
+		case <-c.leave:
+		case <-after:
+		case <-done:
+			return
+		}
+		c.left = time.Now()
+		cancel()
+	}()
+	req, err := c.call.request(ctx, address, 15*time.Second)
+	if err != nil {
+		return
+	}
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	res, err := transport.RoundTrip(req)
+	if err != nil {
+		return
+	}
+	defer func() { _ = res.Body.Close() }()
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(res.Body, first); err != nil {
+		return
+	}
+	answered()
+	_, err = io.Copy(io.Discard, res.Body)
+	c.complete = err == nil && res.StatusCode == http.StatusOK
+}
+
+// goneCount counts what servers did for callers that had left.
+type goneCount struct {
+	// wentOn is how many of the runs that would have lasted longer than goneBound after their callers left
+	// did so; lateArrivals is how many calls arrived later than that.
+	lasting, wentOn, lateArrivals int
+	longest                       time.Duration
+	ran, served                   int
+}
+
+// runs returns the runs of a backend server.
+func (p *platformSite) runs(server string) []standin.RoutedRun {
+	p.t.Helper()
+	var out []standin.RoutedRun
+	if !getJSON("http://"+p.backends[server].address("standin")+"/runs", &out) {
+		p.t.Fatalf("%s: no runs", server)
+	}
+	return out
+}
+
+// goneCount compares the callers with what servers ran.
+func (p *platformSite) goneCount(callers []*leavingCaller) goneCount {
+	byID := map[string]*leavingCaller{}
+	var out goneCount
+	for _, c := range callers {
+		byID[c.call.id] = c
+		if c.complete {
+			out.served++
+		}
+	}
+	for server := range p.backends {
+		for _, run := range p.runs(server) {
+			out.ran++
+			c := byID[run.ID]
+			if c == nil || c.left.IsZero() {
+				continue
+			}
+			if run.Began.Sub(c.left) > goneBound {
+				out.lateArrivals++
+			}
+			if run.Began.Add(c.lasts).Sub(c.left) <= goneBound {
+				continue
+			}
+			out.lasting++
+			if run.Ended.Sub(c.left) > goneBound {
+				out.wentOn++
+				out.longest = max(out.longest, run.Ended.Sub(c.left))
+			}
+		}
+	}
+	return out
+}
+
+// TestPlatformStarvedFrontEndsWorkOfGoneCallers guards against servers that go on with the calls of
+// callers which have left, as the front gets too little of its processor to learn of it in time.
+func TestPlatformStarvedFrontEndsWorkOfGoneCallers(t *testing.T) {
+	for _, share := range []struct {
+		name        string
+		run, period time.Duration
+	}{
+		{"a twentieth of a core", 10 * time.Millisecond, 200 * time.Millisecond},
+		{"a seventh of a core", 20 * time.Millisecond, 140 * time.Millisecond},
+	} {
+		t.Run(share.name, func(t *testing.T) {
+			is := is.New(t)
+			n := playStarvedFront(t, share.run, share.period)
+			is.True(n.lasting > 0)
+			is.True(n.lateArrivals <= maxLateArrivals)
+			is.True(float64(n.wentOn) <= maxGoneFraction*float64(n.lasting))
+		})
+	}
+}
+
+// playStarvedFront has callers of streams and of plain calls leave one after the other, while their front
+// has the processor for run of each period only and receives more calls than it can read.
+func playStarvedFront(t *testing.T, run, period time.Duration) goneCount {
+	const (
+		streams, plain = 80, 20
+		gap            = 50 * time.Millisecond
+		plainDelay     = 4500 * time.Millisecond
+		perSecond      = 400
+		leaveEvery     = 30 * time.Millisecond
+	)
+	p := newBarePlatformSite(t)
+	p.extraSettings = "cores: 1\n"
+	p.putDocument()
+	for name, delay := range map[string]time.Duration{"llm-1": gap, "llm-2": gap, "app-1": plainDelay} {
+		p.addServer(name, "--delay", delay.String())
+		record := bytes.Replace(p.record(name, "ready", 0), []byte(`"slots": 8`), []byte(`"slots": 60`), 1)
+		p.put("keyed.servers", name, record)
+	}
+	p.startFront("front-1")
+	p.waitReady("front-1", 1)
+	address := p.fronts["front-1"].address("callers")
+
+	var callers []*leavingCaller
+	for i := range streams {
+		callers = append(callers, newStream(fmt.Sprint("stream-", i), 200, gap))
+	}
+	for i := range plain {
+		c := platformCall{id: fmt.Sprint("plain-", i), method: http.MethodGet, target: fmt.Sprint("/safe/", i), key: "yard-key"}
+		callers = append(callers, &leavingCaller{call: c, lasts: plainDelay})
+	}
+	var wg sync.WaitGroup
+	for _, c := range callers {
+		c.leave = make(chan struct{})
+		wg.Go(func() { c.run(address, func() {}) })
+	}
+	p.waitFor("all calls run", func() bool {
+		n := 0
+		for name := range p.backends {
+			n += len(p.runs(name))
+		}
+		return n == len(callers)
+	})
+	stop := p.fronts["front-1"].pulse(run, period)
+	defer stop()
+	ticker := time.NewTicker(time.Second / perSecond)
+	defer ticker.Stop()
+	began := time.Now()
+	for left := 0; left < streams+plain; <-ticker.C {
+		if time.Since(began) > leaveEvery*time.Duration(left+1) {
+			close(callers[left].leave)
+			left++
+		}
+		c := newStream(fmt.Sprint("late-", len(callers)), 100, gap)
+		c.leaveAfter = 300*time.Millisecond + leaveEvery*time.Duration(left)
+		callers = append(callers, c)
+		wg.Go(func() { c.run(address, func() {}) })
+	}
+	wg.Wait()
+	p.waitFor("all runs have ended", func() bool {
+		for name := range p.backends {
+			for _, one := range p.runs(name) {
+				if one.Ended.IsZero() {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	n := p.goneCount(callers)
+	t.Logf("%+v of %d callers", n, len(callers))
+	return n
+}
