Notice callers that leave ahead of other work

Servers went on with calls whose callers had left, seconds longer than allowed, at fronts with a twentieth of a core. Cause: the runtime reports a close behind all goroutines that are ready to run, in the order of the run queue; a front short of processor has hundreds of them. The class: what must be acted on first is learned last. Ruled out by trials: a timer's goroutine does not go first either (4.6 s between two runs, as many timers expire together), and a goroutine that handles a list of closes may be preempted amid it.

A watcher asks the kernel for closes of callers' connections (epoll), on whichever goroutine next uses one of them, at most each 50 ms, and ends the server's connection from there. Closes are taken one at a time, so that a preempted goroutine holds up one of them only. The server's connection is guarded before the last check of the caller's, so that no close is lost between them.

TestCloseIsNoticedByOtherConnections and TestClosesAreHandledBesideSlowOne guard it.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -131,7 +131,10 @@
 	}
 	defer flush()
 	servers := d.buildServers(listeners)
-	listeners[callersListener] = &tcp.IdleListener{Listener: listeners[callersListener], IdleTimeout: d.idleLimit, MaxOpen: d.maxCallers, OnClose: d.onCallerClosed}
+	listeners[callersListener] = &tcp.IdleListener{
+		Listener: listeners[callersListener], IdleTimeout: d.idleLimit, MaxOpen: d.maxCallers, OnClose: d.onCallerClosed,
+		Watcher: d.newCloseWatcher(),
+	}
 	var work conc.WaitGroup
 	d.startSync(ctx, &work)
 	for i, server := range servers {
--- a/daemon/front_listen.go
+++ b/daemon/front_listen.go
@@ -61,6 +61,17 @@
 	return int(callersFraction * float64(n))
 }
 
+// newCloseWatcher returns the watcher of callers' connections, or nil if the kernel has none to give: calls
+// still end when the server's own reads notice a close.
+func (d *Front) newCloseWatcher() *tcp.CloseWatcher {
+	w, err := tcp.NewCloseWatcher()
+	if err != nil {
+		d.Logger.Error("callers that leave are noticed late", "error", err.Error())
+		return nil
+	}
+	return w
+}
+
 // onCallerClosed logs a connection of a caller that is closed as too many are open.
 func (d *Front) onCallerClosed(c net.Conn, idle bool, open int) {
 	result := "refused"
--- a/modules/httpconn/do.go
+++ b/modules/httpconn/do.go
@@ -11,6 +11,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/tcp"
 )
 
 const (
@@ -31,19 +32,21 @@
 // a connection is available, just before the first byte is written; if it fails, nothing is
 // sent and Do returns its error. Other errors are ErrNotDispatched if no byte can have been
 // sent, and ErrBackend otherwise. The caller must close the body of the response. When ctx is
-// done, the connection is closed.
+// done, or the caller whose request ctx belongs to closes its connection, this one is closed.
 func (p *Pool) Do(ctx context.Context, address string, req *http.Request, beforeSend func() error) (*http.Response, error) {
 	c, err := p.get(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	stop := closeWhenDone(ctx, c)
 	if beforeSend != nil {
 		if err := beforeSend(); err != nil {
-			p.put(c)
+			if stop() {
+				p.put(c)
+			}
 			return nil, err
 		}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	x := &exchange{ctx: ctx, pool: p, conn: c, req: req, stop: stop}
 	res, err := x.run()
 	if err != nil {
@@ -58,6 +61,29 @@
 	return res, nil
 }
 
+// closeWhenDone closes a connection when ctx is done, or as soon as the caller whose request ctx belongs to
+// closes its own, unless stop is called before. stop reports whether the connection stays open.
+func closeWhenDone(ctx context.Context, c *conn) (stop func() bool) {
+	const (
+		armed int32 = iota
+		stopped
+		closed
+	)
+	var state atomic.Int32
+	closeNow := func() {
+		if state.CompareAndSwap(armed, closed) {
+			_ = c.Close()
+		}
+	}
+	stopCaller := tcp.AfterPeerClose(ctx, closeNow)
+	stopCtx := context.AfterFunc(ctx, closeNow)
+	return func() bool {
+		stopCaller()
+		stopCtx()
+		return state.CompareAndSwap(armed, stopped) || state.Load() == stopped
+	}
+}
+
 // exchange is one request on one connection.
 type exchange struct {
 	// ctx is the context that was passed to Do.
--- /dev/null
+++ b/modules/tcp/close_watcher_test.go
@@ -0,0 +1,104 @@
+package tcp
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// watchedPair returns a connection of a watched listener, the context of its requests, and its peer.
+func watchedPair(t *testing.T, l net.Listener) (c net.Conn, ctx context.Context, peer net.Conn) {
+	t.Helper()
+	peer, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = peer.Close(), c.Close() })
+	return c, WithConn(context.Background(), c), peer
+}
+
+// watchedListener returns a listener whose connections are watched.
+func watchedListener(t *testing.T) net.Listener {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w, err := NewCloseWatcher()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = inner.Close(), w.Close() })
+	return &IdleListener{Listener: inner, IdleTimeout: func() time.Duration { return time.Minute }, Watcher: w}
+}
+
+// writeUntil writes to a connection until a condition holds.
+func writeUntil(t *testing.T, c net.Conn, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !cond(); {
+		if _, err := c.Write([]byte{0}); err != nil || time.Now().After(end) {
+			t.Fatalf("condition does not hold, last write: %v", err)
+		}
+	}
+}
+
+// TestCloseIsNoticedByOtherConnections guards against a close that is noticed only once the goroutine runs
+// that reads from its connection: here there is none.
+func TestCloseIsNoticedByOtherConnections(t *testing.T) {
+	is := is.New(t)
+	l := watchedListener(t)
+	_, ctx, peer := watchedPair(t, l)
+	other, _, _ := watchedPair(t, l)
+	var order []int
+	AfterPeerClose(ctx, func() { order = append(order, 1) })
+	AfterPeerClose(ctx, func() { order = append(order, 2) })()
+	AfterPeerClose(ctx, func() { order = append(order, 3) })
+	is.True(!PeerClosed(ctx))
+	is.NoErr(peer.Close())
+	writeUntil(t, other, func() bool { return len(order) == 2 })
+	is.Equal(order, []int{1, 3}) // in order, without the one that was stopped
+	is.True(PeerClosed(ctx))
+	AfterPeerClose(ctx, func() { order = append(order, 4) })
+	is.Equal(order, []int{1, 3, 4}) // at once, as it is closed
+}
+
+// TestClosesAreHandledBesideSlowOne guards against closes that wait for a goroutine which handles another
+// one and is preempted meanwhile.
+func TestClosesAreHandledBesideSlowOne(t *testing.T) {
+	is := is.New(t)
+	l := watchedListener(t)
+	var closed []net.Conn
+	entered, release := make(chan bool, 2), make(chan struct{})
+	for range 2 {
+		_, ctx, peer := watchedPair(t, l)
+		closed = append(closed, peer)
+		AfterPeerClose(ctx, func() {
+			entered <- true
+			<-release
+		})
+	}
+	first, _, _ := watchedPair(t, l)
+	second, _, _ := watchedPair(t, l)
+	for _, peer := range closed {
+		is.NoErr(peer.Close())
+	}
+	for _, c := range []net.Conn{first, second} {
+		go func() {
+			for {
+				if _, err := c.Write([]byte{0}); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	for range 2 {
+		<-entered
+	}
+	close(release)
+}
--- a/modules/tcp/idle.go
+++ b/modules/tcp/idle.go
@@ -23,6 +23,8 @@
 	// OnClose is called with a connection that is closed for MaxOpen, whether it was idle, and the
 	// number of those that are open; nil is never. It must not block.
 	OnClose func(c net.Conn, idle bool, open int)
+	// Watcher watches the connections for AfterPeerClose and PeerClosed; nil watches none.
+	Watcher *CloseWatcher
 
 	mu   sync.Mutex
 	open int
@@ -37,8 +39,12 @@
 		if err != nil {
 			return nil, err
 		}
+		l.Watcher.checkDue()
 		c := &idleConn{Conn: conn, listener: l}
 		if l.admit(c) {
+			if l.Watcher != nil {
+				c.watch = l.Watcher.add(conn)
+			}
 			return c, nil
 		}
 	}
@@ -89,6 +95,8 @@
 	net.Conn
 	listener *IdleListener
 	idle     atomic.Bool
+	// watch tells of the peer's close; nil if the connection is not watched.
+	watch *peerWatch
 	// entry is the connection's place in the listener's list, and closed is set once it no longer
 	// counts; both are guarded by the listener's mutex.
 	entry  *list.Element
@@ -113,6 +121,19 @@
 	}
 }
 
+// Read implements net.Conn.
+func (c *idleConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.listener.Watcher.checkDue()
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *idleConn) Write(p []byte) (int, error) {
+	c.listener.Watcher.checkDue()
+	return c.Conn.Write(p)
+}
+
 // Close implements net.Conn.
 func (c *idleConn) Close() error {
 	c.listener.mu.Lock()
@@ -122,6 +143,9 @@
 		c.listener.open--
 	}
 	c.listener.mu.Unlock()
+	if c.watch != nil {
+		c.watch.watcher.remove(c.watch)
+	}
 	return c.Conn.Close()
 }
 
--- a/modules/tcp/state.go
+++ b/modules/tcp/state.go
@@ -62,5 +62,11 @@
 // little CPU time.
 func PeerClosed(ctx context.Context) bool {
 	c, ok := ctx.Value(connKey{}).(net.Conn)
-	return ok && PeekState(c) == Closed
+	if !ok {
+		return false
+	}
+	if watched, ok := c.(*idleConn); ok && watched.watch != nil && watched.watch.isClosed() {
+		return true
+	}
+	return PeekState(c) == Closed
 }
