End a server's connection without waiting for its reader

Cause: the runtime closes a connection only once the goroutine that reads from it has run, and Close blocks until then; that goroutine waits in the run queue with hundreds of others, as events made it ready to run. The goroutine that handled the close was blocked as well.

Both directions of the connection are shut down instead, which the kernel does at once; the exchange closes it when it ends. A response that only the end of its connection ends would look complete then, so the guard of the connection tells that it was aborted.

TestAbortWaitsForNoReader (blocked before), TestAbortedBodyIsNotComplete (fails without the check).

--- a/modules/httpconn/do.go
+++ b/modules/httpconn/do.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,7 +12,6 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/runworks/runworks"
-	"github.com/runworks/runworks/modules/tcp"
 )
 
 const (
@@ -38,19 +38,21 @@
 	if err != nil {
 		return nil, err
 	}
-	stop := closeWhenDone(ctx, c)
+	guard := abortWhenDone(ctx, c)
 	if beforeSend != nil {
 		if err := beforeSend(); err != nil {
-			if stop() {
+			if guard.stop() {
 				p.put(c)
+			} else {
+				_ = c.Close()
 			}
 			return nil, err
 		}
 	}
-	x := &exchange{ctx: ctx, pool: p, conn: c, req: req, stop: stop}
+	x := &exchange{ctx: ctx, pool: p, conn: c, req: req, guard: guard}
 	res, err := x.run()
 	if err != nil {
-		stop()
+		guard.stop()
 		_ = c.Close()
 		if !x.dispatched.Load() {
 			return nil, errorx.Decorate(runworks.ErrNotDispatched, "write to %s: %v", address, err)
@@ -61,29 +63,6 @@
 	return res, nil
 }
 
-// closeWhenDone closes a connection when ctx is done, or as soon as the caller whose request ctx belongs to
-// closes its own, unless stop is called before. stop reports whether the connection stays open.
-func closeWhenDone(ctx context.Context, c *conn) (stop func() bool) {
-	const (
-		armed int32 = iota
-		stopped
-		closed
-	)
-	var state atomic.Int32
-	closeNow := func() {
-		if state.CompareAndSwap(armed, closed) {
-			_ = c.Close()
-		}
-	}
-	stopCaller := tcp.AfterPeerClose(ctx, closeNow)
-	stopCtx := context.AfterFunc(ctx, closeNow)
-	return func() bool {
-		stopCaller()
-		stopCtx()
-		return state.CompareAndSwap(armed, stopped) || state.Load() == stopped
-	}
-}
-
 // exchange is one request on one connection.
 type exchange struct {
 	// ctx is the context that was passed to Do.
@@ -91,7 +70,8 @@
 	pool *Pool
 	conn *conn
 	req  *http.Request
-	stop func() bool
+	// guard aborts the connection when the request is over before its response.
+	guard *guard
 	// dispatched is set once a byte of the request may have been sent.
 	dispatched atomic.Bool
 	// written is set once the complete request has been written.
@@ -181,9 +161,15 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if x := b.exchange; CloseDelimited(b.res) && x.pool.HasExited(x.ctx, x.conn.address) {
-		b.finish(false)
-		return n, ErrServerExited
+	if x := b.exchange; CloseDelimited(b.res) {
+		switch {
+		case x.guard.aborted():
+			b.finish(false)
+			return n, net.ErrClosed
+		case x.pool.HasExited(x.ctx, x.conn.address):
+			b.finish(false)
+			return n, ErrServerExited
+		}
 	}
 	b.finish(true)
 	return n, err
@@ -198,7 +184,7 @@
 func (b *body) finish(complete bool) {
 	b.once.Do(func() {
 		x := b.exchange
-		if x.stop() && complete && x.reusable(b.res) {
+		if x.guard.stop() && complete && x.reusable(b.res) {
 			x.pool.put(x.conn)
 			return
 		}
--- a/modules/httpconn/pool_test.go
+++ b/modules/httpconn/pool_test.go
@@ -291,6 +291,32 @@
 	is.NoErr(res.Body.Close())
 }
 
+// TestAbortedBodyIsNotComplete guards against a response that only the end of its connection ends and that
+// looks complete as this side ended the connection.
+func TestAbortedBodyIsNotComplete(t *testing.T) {
+	is := is.New(t)
+	held := make(chan struct{})
+	defer close(held)
+	s := serveConns(t, func(c net.Conn, br *bufio.Reader, _ int32) {
+		readRequest(br)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nhalf")
+		<-held
+	})
+	p := newPool()
+	defer p.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	res, err := p.Do(ctx, s.address, request(t, http.MethodGet, s.address, ""), nil)
+	is.NoErr(err)
+	half := make([]byte, 4)
+	_, err = io.ReadFull(res.Body, half)
+	is.NoErr(err)
+	cancel()
+	_, err = io.ReadAll(res.Body)
+	is.True(err != nil)
+	is.NoErr(res.Body.Close())
+}
+
 // TestBeforeSendError checks that nothing is sent if beforeSend fails, and that the connection
 // is kept for the next request.
 func TestBeforeSendError(t *testing.T) {
--- a/modules/tcp/abort.go
+++ b/modules/tcp/abort.go
@@ -5,8 +5,25 @@
 	"errors"
 	"net"
 	"net/http"
+	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
+// Abort ends a connection at once: its peer sees the end, and reads and writes in progress fail. Unlike Close
+// it does not wait until the goroutines that are blocked in them have run; Close must still be called.
+func Abort(c net.Conn) {
+	sc, ok := unwrap(c).(syscall.Conn)
+	if !ok {
+		_ = c.Close()
+		return
+	}
+	// Errors mean that the connection has ended already.
+	if raw, err := sc.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = unix.Shutdown(int(fd), unix.SHUT_RDWR) })
+	}
+}
+
 // ResetOnAbort returns a handler that resets the connection of an HTTP/1.0 request if h panics with
 // http.ErrAbortHandler. Such a response may end with its connection, and the server's orderly close
 // would then look like its complete end. The server needs WithConn as its ConnContext.
--- a/modules/tcp/close_watcher_test.go
+++ b/modules/tcp/close_watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -102,3 +103,24 @@
 	}
 	close(release)
 }
+
+// TestAbortWaitsForNoReader guards against a connection that stays open to its peer, and a goroutine that is
+// blocked in ending it, until the one that reads from the connection runs again.
+func TestAbortWaitsForNoReader(t *testing.T) {
+	is := is.New(t)
+	c, _, peer := watchedPair(t, watchedListener(t))
+	raw, err := unwrap(c).(syscall.Conn).SyscallConn()
+	is.NoErr(err)
+	reading, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	go func() {
+		_ = raw.Read(func(uintptr) bool {
+			close(reading)
+			<-release
+			return true
+		})
+	}()
+	<-reading
+	Abort(c)
+	waitState(t, peer, Closed)
+}
