Send heartbeats to all while a handshake to one entry is written

Cause, one of several: an entry holds the lock of its heartbeats while it writes its whole state to an entry that reads slowly, for up to two seconds, and all others take it for silent, connect again and receive and send whole states in turn. The class: one slow peer delays what all others need.

A message takes its place in the order of a connection under the lock and is written without it; frames are queued behind it, at most 1 MB.

--- a/modules/rpc/frames.go
+++ b/modules/rpc/frames.go
@@ -30,8 +30,11 @@
 	// delay the peers that are written to after it. A write normally takes a small fraction
 	// of it.
 	frameTimeout = 300 * time.Millisecond
-	// messageTimeout limits the write of one JSON message, which may be long. Frames wait for it.
+	// messageTimeout limits the write of one JSON message, which may be long. Frames are queued behind it.
 	messageTimeout = 2 * time.Second
+	// maxQueuedFrames limits the frames in bytes that are queued behind a message: many times those that
+	// are sent to one peer in messageTimeout.
+	maxQueuedFrames = 1 << 20
 )
 
 // FrameFunc is called with the payload of each received frame; an error closes the connection.
@@ -54,10 +57,20 @@
 	return &Conn{Conn: newConn(ctx, o, handle), messages: o, SupportsFrames: stream.peerFrames}
 }
 
-// SendFrame writes a frame with the given payload. After an error the connection must be
-// closed, as part of a frame may have been written.
+// SendFrame writes a frame with the given payload, or queues it behind a message that is being written.
+// After an error the connection must be closed, as part of a frame may have been written.
 func (c *Conn) SendFrame(data []byte) error {
-	return c.messages.write(append([]byte{frameMarker}, data...), time.Now().Add(frameTimeout))
+	return c.messages.sendFrame(append([]byte{frameMarker}, data...))
+}
+
+// StartNotify orders a notification before all that is sent later, and returns the function that writes it.
+// That must be called; its error has closed the connection.
+func (c *Conn) StartNotify(method string, params any) (write func() error, err error) {
+	req := &jsonrpc2.Request{Method: method, Notif: true}
+	if err := req.SetParams(params); err != nil {
+		return nil, errorx.Decorate(err, "encode the parameters of %s", method)
+	}
+	return c.messages.start(req)
 }
 
 // Close closes the connection. It does not wait for a write that the peer does not accept.
@@ -71,31 +84,113 @@
 	stream  *Stream
 	reader  *bufio.Reader
 	onFrame FrameFunc
-	// mu serializes writes, so that messages do not interleave.
+
 	mu sync.Mutex
+	// writing is set while a message is written, and queue holds those to be written after it, in order.
+	writing bool
+	queue   []*queuedMessage
+	// queuedBytes is the length of the frames in queue.
+	queuedBytes int
+}
+
+// queuedMessage waits until those before it have been written: a frame, which the writer of the message
+// before it writes too, or the turn of another writer.
+type queuedMessage struct {
+	frame []byte
+	turn  chan struct{}
 }
 
 // WriteObject implements jsonrpc2.ObjectStream. A failed write closes the connection, as part of the
 // message may have been written.
 func (o *messageStream) WriteObject(obj any) error {
+	write, err := o.start(obj)
+	if err != nil {
+		return err
+	}
+	return write()
+}
+
+// start takes the next turn to write for a JSON message, and returns the function that writes it.
+func (o *messageStream) start(obj any) (write func() error, err error) {
 	data, err := json.Marshal(obj)
 	if err != nil {
-		return errorx.Decorate(err, "encode a message")
+		return nil, errorx.Decorate(err, "encode a message")
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	turn := make(chan struct{})
+	if o.writing {
+		o.queue = append(o.queue, &queuedMessage{turn: turn})
+	} else {
+		o.writing = true
+		close(turn)
 	}
-	if err := o.write(data, time.Now().Add(messageTimeout)); err != nil {
-		_ = o.Close()
+	return func() error {
+		<-turn
+		err := o.write(data, messageTimeout)
+		if err != nil {
+			_ = o.Close()
+		}
+		o.passTurn()
 		return err
+	}, nil
+}
+
+// sendFrame writes a frame, or queues it behind a message that is being written: a peer that reads slowly
+// must not hold up the frames to the others for longer than frameTimeout.
+func (o *messageStream) sendFrame(data []byte) error {
+	o.mu.Lock()
+	if o.writing {
+		defer o.mu.Unlock()
+		if o.queuedBytes += len(data); o.queuedBytes > maxQueuedFrames {
+			return errorx.IllegalState.New("the peer reads too slowly: more than %d bytes of frames are queued", maxQueuedFrames)
+		}
+		o.queue = append(o.queue, &queuedMessage{frame: data})
+		return nil
 	}
-	return nil
+	o.writing = true
+	o.mu.Unlock()
+	err := o.write(data, frameTimeout)
+	o.passTurn()
+	return err
 }
 
-// write writes one complete message.
-func (o *messageStream) write(data []byte, deadline time.Time) error {
-	message := binary.AppendUvarint(make([]byte, 0, binary.MaxVarintLen64+len(data)), uint64(len(data)))
-	message = append(message, data...)
+// passTurn writes the frames that are queued next and passes the turn on to the writer after them.
+func (o *messageStream) passTurn() {
+	for {
+		m := o.next()
+		switch {
+		case m == nil:
+			return
+		case m.turn != nil:
+			close(m.turn)
+			return
+		}
+		if err := o.write(m.frame, frameTimeout); err != nil {
+			_ = o.Close()
+		}
+	}
+}
+
+// next returns the first queued message, or nil if there is none, which ends the writing.
+func (o *messageStream) next() *queuedMessage {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if err := o.stream.SetWriteDeadline(deadline); err != nil {
+	if len(o.queue) == 0 {
+		o.writing = false
+		return nil
+	}
+	m := o.queue[0]
+	o.queue = o.queue[1:]
+	o.queuedBytes -= len(m.frame)
+	return m
+}
+
+// write writes one complete message; only the one whose turn it is may call it.
+func (o *messageStream) write(data []byte, timeout time.Duration) error {
+	message := binary.AppendUvarint(make([]byte, 0, binary.MaxVarintLen64+len(data)), uint64(len(data)))
+	message = append(message, data...)
+	if err := o.stream.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
 		return err
 	}
 	_, err := o.stream.Write(message)
--- a/modules/rpc/frames_test.go
+++ b/modules/rpc/frames_test.go
@@ -103,6 +103,51 @@
 	})
 }
 
+// TestFramesQueueBehindMessage guards against frames that wait for a message to a peer which reads slowly,
+// and with them those to all other peers, and against frames that overtake it.
+func TestFramesQueueBehindMessage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		local, remote := pipe()
+		got := make(chan string, 10)
+		conn := ServeFrames(t.Context(), local, nil, nil)
+		write, err := conn.StartNotify("m", 1)
+		is.NoErr(err)
+		is.NoErr(conn.SendFrame([]byte("two")))
+		second, err := conn.StartNotify("m", 3)
+		is.NoErr(err)
+		is.NoErr(conn.SendFrame([]byte("four")))
+		done := make(chan error, 2)
+		go func() { done <- second() }()
+		go func() { done <- write() }()
+		synctest.Wait()
+		ServeFrames(t.Context(), remote,
+			func(_ context.Context, _ string, params json.RawMessage) (any, error) {
+				got <- string(params)
+				return nil, nil
+			},
+			func(data []byte) error {
+				got <- string(data)
+				return nil
+			})
+		for _, want := range []string{"1", "two", "3", "four"} {
+			is.Equal(<-got, want)
+		}
+		is.NoErr(<-done)
+		is.NoErr(<-done)
+		is.NoErr(conn.SendFrame([]byte("five"))) // directly again
+		is.Equal(<-got, "five")
+		var limit error
+		again, err := conn.StartNotify("m", 6)
+		is.NoErr(err)
+		for limit == nil {
+			limit = conn.SendFrame(make([]byte, maxQueuedFrames/4))
+		}
+		_ = conn.Close()
+		is.True(again() != nil)
+	})
+}
+
 // TestCloseDuringWrite guards against a close that waits for a write that the peer does not accept.
 func TestCloseDuringWrite(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -94,7 +94,7 @@
 		}
 		wait = minRedialWait
 		conn := rpc.ServeFrames(ctx, stream, rejectCall, nil)
-		x.handshake(ctx, l, conn)
+		x.handshake(l, conn)
 		if !x.starting() {
 			x.Logger.Info("dependency regained", "dependency", "entry", "name", l.member.Name, "address", l.member.Address)
 		}
@@ -110,10 +110,24 @@
 	}
 }
 
-// handshake sends the full state to an entry, and enables heartbeats on its connection.
-func (x *Exchange) handshake(ctx context.Context, l *link, conn *rpc.Conn) {
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
-	defer cancel()
+// handshake sends the full state to an entry, and enables heartbeats on its connection. Those that are sent
+// while the handshake is written are queued behind it: an entry that reads slowly delays none to the others.
+func (x *Exchange) handshake(l *link, conn *rpc.Conn) {
+	write, err := x.startHandshake(l, conn)
+	if err == nil {
+		err = write()
+	}
+	if err != nil {
+		x.Logger.Warn("handshake could not be sent", "name", l.member.Name, "error", err.Error())
+		_ = conn.Close() // maintain dials again
+		return
+	}
+	x.sendAllEngineModels(l, conn)
+}
+
+// startHandshake prepares the full state for an entry and enables heartbeats on its connection. The returned
+// function writes the handshake.
+func (x *Exchange) startHandshake(l *link, conn *rpc.Conn) (write func() error, err error) {
 	x.sendMu.Lock()
 	defer x.sendMu.Unlock()
 	b := x.Heartbeat()
@@ -131,12 +145,8 @@
 	if x.StreamOrigins != nil {
 		b.StreamOrigins = x.StreamOrigins()
 	}
-	if err := conn.Notify(ctx, MethodHandshake, b); err != nil {
-		x.Logger.Warn("handshake could not be sent", "name", l.member.Name, "error", err.Error())
-		_ = conn.Close() // maintain dials again
-	}
-	x.setConn(l, conn)
-	x.sendAllEngineModels(l, conn)
+	defer x.setConn(l, conn)
+	return conn.StartNotify(MethodHandshake, b)
 }
 
 func (x *Exchange) setConn(l *link, conn *rpc.Conn) {
