Do not take a late entry for a silent connection

The cause that started it: silence was judged by an entry's own clock alone. An entry that is late reads late, and then takes all others for silent although their messages wait in its sockets; one that sends late is taken for silent by all others, connects to all of them again at their request, and is later still. The class is that of the calls of callers which left: what is learned late is taken for what happens now.

An entry whose messages wait to be read is neither silent nor gone. One that knows that it sent late keeps its connections when it is told that it is not heard. A connection that was silent and then carried messages again is given twice that time for ten seconds. An entry logs when it connects again to one that it does not hear.

TestUnreadMessagesAreNoSilence, TestLateEntryIsNotConnectedAgain and TestLateSendIsRecorded; each of the three parts was removed by hand, and its test failed. The tests of silent connections pass unchanged.

--- a/modules/rpc/rpc.go
+++ b/modules/rpc/rpc.go
@@ -15,6 +15,8 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/runworks/runworks/modules/tcp"
 )
 
 // Path is the URL path at which control connections are requested.
@@ -84,6 +86,11 @@
 	return n, err
 }
 
+// HasUnread reports whether bytes have arrived that this process has not read from the socket.
+func (s *Stream) HasUnread() bool {
+	return tcp.PeekState(s.Conn) == tcp.Readable
+}
+
 func (s *Stream) count(read, written int) {
 	if s.OnBytes != nil {
 		s.OnBytes(read, written)
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -21,6 +21,10 @@
 	// openedAt is when the current or last connection was opened, and heardAt when the last message of
 	// the entry arrived, on the connection that it opened itself; zero if none.
 	openedAt, heardAt time.Time
+	// longestPause is the longest time for which an open connection of the entry recently carried nothing,
+	// and pausedAt is when that ended.
+	longestPause time.Duration
+	pausedAt     time.Time
 	// unheard is set if a connection was closed because the entry was not heard, until it is.
 	unheard bool
 	// keyRefused is set while the entry refuses the fleet keys of this one.
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -120,6 +120,9 @@
 	cancel context.CancelFunc
 	links  map[string]*link
 	peers  map[runworks.Incarnation]*peerState
+	// sendAt is when a heartbeat was last due, and sentLateAt when one was last sent so late that other
+	// entries may have taken this one for silent.
+	sendAt, sentLateAt time.Time
 	// inbounds holds the newest connection that each incarnation of another entry opened.
 	inbounds map[runworks.Incarnation]*inbound
 	// startedAt is when Run started, and membersKnown is set once SetMembers was called.
@@ -169,6 +172,7 @@
 	var sent time.Time
 	for ctx.Err() == nil {
 		now := time.Now()
+		x.recordSend(now)
 		x.removeTimedOut(now)
 		x.closeUnheard(now)
 		if data := x.sendHeartbeat(ctx, last, now.Sub(sent) >= idleInterval); data != nil {
--- a/services/peers/receive.go
+++ b/services/peers/receive.go
@@ -39,6 +39,8 @@
 	*Exchange
 	stream  *rpc.Stream
 	decoder decoder
+	// lastMessage is when the last heartbeat arrived; zero before the first.
+	lastMessage time.Time
 	// sender is the incarnation whose handshake arrived last; guarded by Exchange.mu.
 	sender runworks.Incarnation
 	// session is set by the handshake, if this entry grants slots. Calls read it concurrently.
@@ -102,6 +104,19 @@
 	return nil
 }
 
+// receive records the time since the previous message on this connection, and processes the heartbeat.
+func (x *inbound) receive(now time.Time, b *Heartbeat) {
+	if last := x.lastMessage; !last.IsZero() {
+		x.mu.Lock()
+		if l := x.links[b.From.Name]; l != nil {
+			l.recordPauseLocked(now, now.Sub(last))
+		}
+		x.mu.Unlock()
+	}
+	x.lastMessage = now
+	x.Exchange.receive(now, b)
+}
+
 // handleHeartbeat processes a heartbeat or handshake that arrived as JSON.
 func (x *inbound) handleHeartbeat(params json.RawMessage, handshake bool) error {
 	var b Heartbeat
@@ -188,13 +203,14 @@
 	}
 }
 
-// removeTimedOut removes the entries that exceeded the timeout.
+// removeTimedOut removes the entries that exceeded the timeout. Those whose messages wait to be read stay, as
+// this one is late.
 func (x *Exchange) removeTimedOut(now time.Time) {
 	x.mu.Lock()
 	var gone []runworks.Incarnation
 	timeout := x.peerTimeoutLocked()
 	for id, one := range x.peers {
-		if now.Sub(one.lastSeen) > timeout {
+		if now.Sub(one.lastSeen) > timeout && !x.hasUnreadLocked(id) {
 			gone = append(gone, id)
 			x.Logger.Warn("entry timed out",
 				"name", one.name, "incarnation", id, "silent_ms", now.Sub(one.lastSeen).Milliseconds(), "connected", x.connByNameLocked(one.name) != nil)
--- a/services/peers/silence.go
+++ b/services/peers/silence.go
@@ -6,25 +6,55 @@
 	"github.com/runworks/runworks"
 )
 
+// pauseMemory is how long an entry that sends late is remembered as such.
+const pauseMemory = 10 * time.Second
+
 // A connection may carry nothing any more while it seems open to both ends. Each entry sends on the
 // connection that it opened itself, so a sender does not notice; the receiver notices that it hears
 // nothing. It then opens its own connection again, as that may be silent as well, and its handshake
 // asks the other entry to do the same.
 
 // closeUnheard closes the connections to entries that were not heard for the peer timeout, also since
-// the connection was opened. They are opened again at once.
+// the connection was opened. They are opened again at once. An entry whose messages wait to be read is not
+// silent: this one is late.
 func (x *Exchange) closeUnheard(now time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	timeout := x.peerTimeoutLocked()
-	for _, l := range x.links {
-		if l.conn != nil && now.Sub(l.heardAt) > timeout && now.Sub(l.openedAt) > timeout {
-			l.unheard = true
-			_ = l.conn.Close()
+	for name, l := range x.links {
+		timeout := x.silenceTimeoutLocked(now, l)
+		if l.conn == nil || now.Sub(l.heardAt) <= timeout || now.Sub(l.openedAt) <= timeout || x.hasUnreadLocked(x.incarnations[name]) {
+			continue
 		}
+		x.Logger.Warn("entry is not heard; connecting again", "name", name, "silent_ms", now.Sub(l.heardAt).Milliseconds(), "open_ms", now.Sub(l.openedAt).Milliseconds())
+		l.unheard = true
+		_ = l.conn.Close()
+	}
+}
+
+// silenceTimeoutLocked returns the time without a message of an entry after which its connection is taken for
+// silent. An entry short of processor sends late, and connecting to it again delays it further: so it is
+// twice the longest time for which an open connection was recently silent and then carried messages again.
+func (x *Exchange) silenceTimeoutLocked(now time.Time, l *link) time.Duration {
+	timeout := x.peerTimeoutLocked()
+	if now.Sub(l.pausedAt) < pauseMemory {
+		timeout = max(timeout, 2*l.longestPause)
+	}
+	return timeout
+}
+
+// recordPauseLocked records the time between two messages of an entry on the same connection.
+func (l *link) recordPauseLocked(now time.Time, pause time.Duration) {
+	if pause >= l.longestPause || now.Sub(l.pausedAt) >= pauseMemory {
+		l.longestPause, l.pausedAt = pause, now
 	}
 }
 
+// hasUnreadLocked reports whether messages of an incarnation have arrived that were not read yet.
+func (x *Exchange) hasUnreadLocked(from runworks.Incarnation) bool {
+	h := x.inbounds[from]
+	return h != nil && h.stream.HasUnread()
+}
+
 // isUnheard reports whether the previous connection to an entry was closed because it was not heard,
 // and it was not heard since.
 func (x *Exchange) isUnheard(l *link) bool {
@@ -34,18 +64,29 @@
 }
 
 // reopen opens the connection to an entry again that does not hear this one. It keeps a connection that
-// is too new to be the reason.
+// is too new to be the reason, and all while this entry sends late itself.
 func (x *Exchange) reopen(now time.Time, name string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	l := x.links[name]
-	if l == nil || l.conn == nil || now.Sub(l.openedAt) < minPeerTimeout {
+	if l == nil || l.conn == nil || now.Sub(l.openedAt) < minPeerTimeout || now.Sub(x.sentLateAt) < pauseMemory {
 		return
 	}
 	x.Logger.Warn("entry does not hear this one; connecting again", "name", name, "open_ms", now.Sub(l.openedAt).Milliseconds())
 	_ = l.conn.Close()
 }
 
+// recordSend records that a heartbeat is sent, if any is due, and whether that is so late that other entries
+// may take this one for silent.
+func (x *Exchange) recordSend(now time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.sendAt.IsZero() && now.Sub(x.sendAt) >= x.peerTimeoutLocked()/2 {
+		x.sentLateAt = now
+	}
+	x.sendAt = now
+}
+
 // addInbound records the connection on which a handshake of an incarnation arrived, and closes the one
 // that it replaces: its other end may have been closed without this one noticing.
 func (x *Exchange) addInbound(h *inbound, from runworks.Incarnation) {
--- a/services/peers/silence_test.go
+++ b/services/peers/silence_test.go
@@ -6,12 +6,15 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
+	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/modules/rpc"
 	"github.com/runworks/runworks/standin/memnet"
 )
@@ -87,3 +90,87 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestLateEntryIsNotConnectedAgain guards against connections to an entry short of processor that are opened
+// again and again as it sends late, which delays it further.
+func TestLateEntryIsNotConnectedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := memnet.New(time.Millisecond)
+		a := startEntry(t, network, "a", "key")
+		late := startWithInterval(t, network, 2*time.Second, "late", "late", "key", "late-life")
+		a.SetMembers([]Member{late.Self})
+		for range 60 {
+			late.Exchange.mu.Lock()
+			late.sentLateAt = time.Now()
+			late.Exchange.mu.Unlock()
+			time.Sleep(time.Second)
+		}
+		// Those of the start, and one of a before it knows that the other one is late.
+		is.True(a.handshakeCount()+late.handshakeCount() <= 3)
+		late.setRunning(5)
+		time.Sleep(3 * time.Second)
+		is.Equal(a.runningAt("late"), 5)
+		for _, e := range []*entry{a, late} {
+			e.cancel()
+			_ = e.server.Close()
+		}
+		network.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestLateSendIsRecorded checks that an entry knows when it sends so late that others may take it for silent.
+func TestLateSendIsRecorded(t *testing.T) {
+	is := is.New(t)
+	var x Exchange
+	now := time.Now()
+	x.recordSend(now)
+	x.recordSend(now.Add(idleInterval))
+	is.True(x.sentLateAt.IsZero())
+	now = now.Add(minPeerTimeout)
+	x.recordSend(now)
+	is.Equal(x.sentLateAt, now)
+}
+
+// TestUnreadMessagesAreNoSilence guards against an entry that takes all others for silent, and connects to
+// them again, while it is itself late in reading what they sent.
+func TestUnreadMessagesAreNoSilence(t *testing.T) {
+	for _, unread := range []bool{false, true} {
+		is := is.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		dialed := make(chan struct{})
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { //nolint:gosec // a test's server
+			if stream, err := rpc.Accept(w, r); err == nil && unread {
+				<-dialed
+				_, _ = stream.Write([]byte{200, 1}) // the length of a message
+			}
+		})}
+		go func() { _ = server.Serve(l) }()
+		stream, err := rpc.Dial(t.Context(), (&net.Dialer{}).DialContext, l.Addr().String(), rpc.FleetKeys{"key"})
+		is.NoErr(err)
+		close(dialed)
+		for unread && !stream.HasUnread() {
+			runtime.Gosched()
+		}
+		outbound, err := rpc.Dial(t.Context(), (&net.Dialer{}).DialContext, l.Addr().String(), rpc.FleetKeys{"key"})
+		is.NoErr(err)
+		conn := rpc.ServeFrames(t.Context(), outbound, rejectCall, nil)
+		old := time.Now().Add(-time.Minute)
+		x := &Exchange{
+			Logger: hclog.NewNullLogger(), OnUnreachable: func(runworks.Incarnation) {},
+			links:        map[string]*link{"b": {conn: conn, heardAt: old, openedAt: old}},
+			inbounds:     map[runworks.Incarnation]*inbound{"b-life": {stream: stream}},
+			incarnations: map[string]runworks.Incarnation{"b": "b-life"},
+			peers:        map[runworks.Incarnation]*peerState{"b-life": {name: "b", lastSeen: old}},
+		}
+		x.closeUnheard(time.Now())
+		x.removeTimedOut(time.Now())
+		is.Equal(x.links["b"].unheard, !unread)
+		is.Equal(x.LiveCount() == 1, unread)
+		is.NoErr(stream.Close())
+		is.NoErr(server.Close())
+		_ = conn.Close()
+	}
+}
