Date a call from when it arrived, not from when it was read

In the users' record a call reached a server 4.5 s after its caller had sent it, and 0.3 s before that caller left. A front short of processor reads a call late, so the later it was, the longer it believed that callers would wait.

The time for which a caller sends its body still does not count. The log line of a call has unread_ms.

TestArrivalIsNotTheTimeOfReading.

--- a/inbound.go
+++ b/inbound.go
@@ -24,8 +24,10 @@
 	Body   []byte
 	// APIKey identifies the customer; empty if none was sent.
 	APIKey string
-	// Received is the time at which the call had been read.
+	// Received is when the whole call had arrived, as far as that is known; a busy entry reads it later.
 	Received time.Time
+	// Unread is how long the call then waited to be read.
+	Unread time.Duration
 	// Timeout is how long the caller waits, counted from Received; 0 means unknown.
 	Timeout time.Duration
 	// PromptTokens and MaxTokens are the sizes stated by the caller; 0 if not stated.
--- a/modules/tcp/close_watcher.go
+++ b/modules/tcp/close_watcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -80,7 +79,11 @@
 		}
 		w.mu.Lock()
 		for _, e := range events[:n] {
-			if p := w.conns[eventID(e)]; p != nil {
+			switch p := w.conns[eventID(e)]; {
+			case p == nil:
+			case e.Events&^unix.EPOLLIN == 0:
+				p.recordArrival()
+			default:
 				w.closed = append(w.closed, p)
 			}
 		}
@@ -108,8 +111,8 @@
 func eventID(e unix.EpollEvent) int64 { return int64(e.Pad)<<32 | int64(uint32(e.Fd)) } //nolint:gosec // two halves of one number
 
 // add watches a connection until remove. It returns nil for one that is not a socket.
-func (w *CloseWatcher) add(c net.Conn) *peerWatch {
-	sc, ok := c.(syscall.Conn)
+func (w *CloseWatcher) add(c *idleConn) *peerWatch {
+	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil
 	}
@@ -120,8 +123,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.nextID++
-	p := &peerWatch{watcher: w, id: w.nextID}
-	event := unix.EpollEvent{Events: unix.EPOLLRDHUP | unix.EPOLLET, Fd: int32(p.id), Pad: int32(p.id >> 32)} //nolint:gosec // two halves of one number
+	p := &peerWatch{watcher: w, id: w.nextID, conn: c}
+	event := unix.EpollEvent{Events: unix.EPOLLIN | unix.EPOLLRDHUP | unix.EPOLLET, Fd: int32(p.id), Pad: int32(p.id >> 32)} //nolint:gosec // two halves of one number
 	added := false
 	err = raw.Control(func(fd uintptr) { added = unix.EpollCtl(w.epoll, unix.EPOLL_CTL_ADD, int(fd), &event) == nil })
 	if err != nil || !added {
@@ -142,6 +145,10 @@
 type peerWatch struct {
 	watcher *CloseWatcher
 	id      int64
+	conn    *idleConn
+	// arrivedAt is when a request was first seen to have arrived on the idle connection, in nanoseconds
+	// since the watcher started; 0 if none was.
+	arrivedAt atomic.Int64
 
 	mu     sync.Mutex
 	closed bool
@@ -164,6 +171,22 @@
 	}
 }
 
+// recordArrival records that bytes have arrived. On an idle connection they begin a request.
+func (p *peerWatch) recordArrival() {
+	if p.conn.idle.Load() {
+		p.arrivedAt.CompareAndSwap(0, int64(time.Since(p.watcher.started)))
+	}
+}
+
+// takeArrival returns when the request that is being read was seen to have arrived; zero if it was not seen
+// before it was read.
+func (p *peerWatch) takeArrival() time.Time {
+	if at := p.arrivedAt.Swap(0); at != 0 {
+		return p.watcher.started.Add(time.Duration(at))
+	}
+	return time.Time{}
+}
+
 func (p *peerWatch) isClosed() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/modules/tcp/close_watcher_test.go
+++ b/modules/tcp/close_watcher_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"runtime"
 	"syscall"
 	"testing"
 	"time"
@@ -124,3 +126,32 @@
 	Abort(c)
 	waitState(t, peer, Closed)
 }
+
+// kernelTick is the longest interval in which a kernel counts the age of what a socket received.
+const kernelTick = 10 * time.Millisecond
+
+// TestArrivalIsNotTheTimeOfReading guards against a call that is taken for newer than it is, as its entry read
+// it late: it would be sent although its caller is about to leave.
+func TestArrivalIsNotTheTimeOfReading(t *testing.T) {
+	is := is.New(t)
+	l := watchedListener(t)
+	c, ctx, peer := watchedPair(t, l)
+	other, otherCtx, _ := watchedPair(t, l)
+	AfterPeerClose(otherCtx, func() {})
+	TrackIdle(c, http.StateIdle)
+	before := time.Now()
+	_, err := peer.Write([]byte("request"))
+	is.NoErr(err)
+	watch := c.(*idleConn).watch
+	writeUntil(t, other, func() bool { return watch.arrivedAt.Load() != 0 })
+	seen := time.Now()
+	for time.Since(seen) < 20*time.Millisecond { // not read meanwhile
+		runtime.Gosched()
+	}
+	at := ArrivedAt(ctx, time.Now())
+	is.True(!at.Before(before.Add(-kernelTick)))
+	is.True(!at.After(seen))
+	is.True(watch.takeArrival().IsZero())
+	now := time.Now()
+	is.Equal(ArrivedAt(context.Background(), now), now)
+}
--- a/modules/tcp/idle.go
+++ b/modules/tcp/idle.go
@@ -43,7 +43,7 @@
 		c := &idleConn{Conn: conn, listener: l}
 		if l.admit(c) {
 			if l.Watcher != nil {
-				c.watch = l.Watcher.add(conn)
+				c.watch = l.Watcher.add(c)
 			}
 			return c, nil
 		}
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -27,7 +27,7 @@
 	metrics.Count(c.f.Metrics.Requests, metrics.Rank(c.rank), metrics.Result(string(outcome)))
 	fields := []any{
 		"request", c.in.ID, "outcome", outcome, "status", status,
-		"took_ms", time.Since(c.in.Received).Milliseconds(), "waited_ms", c.waited.Milliseconds(),
+		"took_ms", time.Since(c.in.Received).Milliseconds(), "unread_ms", c.in.Unread.Milliseconds(), "waited_ms", c.waited.Milliseconds(),
 	}
 	if c.table != nil {
 		fields = append(fields, "routing_version", c.table.Routing.Version)
