--- a/services/peers/silence.go
+++ b/services/peers/silence.go
@@ -69,24 +69,33 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	l := x.links[name]
-	if l == nil || l.conn == nil || now.Sub(l.openedAt) < minPeerTimeout || now.Sub(x.sentLateAt) < pauseMemory {
+	if l == nil || l.conn == nil || now.Sub(l.openedAt) < minPeerTimeout || x.sendsLateLocked(now) {
 		return
 	}
 	x.Logger.Warn("entry does not hear this one; connecting again", "name", name, "open_ms", now.Sub(l.openedAt).Milliseconds())
 	_ = l.conn.Close()
 }
 
-// recordSend records that a heartbeat is sent, if any is due, and whether that is so late that other entries
-// may take this one for silent.
+// recordSend records that a heartbeat is sent, if any is due, and whether that is late.
 func (x *Exchange) recordSend(now time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if !x.sendAt.IsZero() && now.Sub(x.sendAt) >= x.peerTimeoutLocked()/2 {
+	if x.isSendOverdueLocked(now) {
 		x.sentLateAt = now
 	}
 	x.sendAt = now
 }
 
+// isSendOverdueLocked reports whether the next heartbeat is so late that others may take this entry for silent.
+func (x *Exchange) isSendOverdueLocked(now time.Time) bool {
+	return !x.sendAt.IsZero() && now.Sub(x.sendAt) >= x.peerTimeoutLocked()/2
+}
+
+// sendsLateLocked reports whether this entry sends late now, or did so recently.
+func (x *Exchange) sendsLateLocked(now time.Time) bool {
+	return x.isSendOverdueLocked(now) || now.Sub(x.sentLateAt) < pauseMemory
+}
+
 // addInbound records the connection on which a handshake of an incarnation arrived, and closes the one
 // that it replaces: its other end may have been closed without this one noticing.
 func (x *Exchange) addInbound(h *inbound, from runworks.Incarnation) {
--- a/services/peers/silence_test.go
+++ b/services/peers/silence_test.go
@@ -128,9 +128,17 @@
 	x.recordSend(now)
 	x.recordSend(now.Add(idleInterval))
 	is.True(x.sentLateAt.IsZero())
+	is.True(!x.sendsLateLocked(now))
 	now = now.Add(minPeerTimeout)
+	is.True(x.sendsLateLocked(now)) // while the late one is still to be sent
 	x.recordSend(now)
 	is.Equal(x.sentLateAt, now)
+	now = now.Add(idleInterval)
+	x.recordSend(now)
+	is.True(x.sendsLateLocked(now))
+	now = now.Add(pauseMemory)
+	x.sendAt = now
+	is.True(!x.sendsLateLocked(now))
 }
 
 // TestUnreadMessagesAreNoSilence guards against an entry that takes all others for silent, and connects to
