--- a/modules/rpc/frames_test.go
+++ b/modules/rpc/frames_test.go
@@ -21,12 +21,9 @@
 	return &Stream{Conn: a, reader: bufio.NewReader(a)}, &Stream{Conn: b, reader: bufio.NewReader(b)}
 }
 
-// TestFramesKeepOrder checks that frames and notifications are delivered in the order in which
-// they were sent.
-func TestFramesKeepOrder(t *testing.T) {
-	is := is.New(t)
-	local, remote := pipe()
-	got := make(chan string, 10)
+// receiveAll sends what arrives on a stream to got: the parameters of notifications and the payloads of
+// frames.
+func receiveAll(t *testing.T, remote *Stream, got chan<- string) {
 	ServeFrames(t.Context(), remote,
 		func(_ context.Context, _ string, params json.RawMessage) (any, error) {
 			got <- string(params)
@@ -36,6 +33,15 @@
 			got <- string(data)
 			return nil
 		})
+}
+
+// TestFramesKeepOrder checks that frames and notifications are delivered in the order in which
+// they were sent.
+func TestFramesKeepOrder(t *testing.T) {
+	is := is.New(t)
+	local, remote := pipe()
+	got := make(chan string, 10)
+	receiveAll(t, remote, got)
 	conn := ServeFrames(t.Context(), local, nil, nil)
 	is.NoErr(conn.SendFrame([]byte("one")))
 	is.NoErr(conn.Notify(t.Context(), "m", 2))
@@ -121,15 +127,7 @@
 		go func() { done <- second() }()
 		go func() { done <- write() }()
 		synctest.Wait()
-		ServeFrames(t.Context(), remote,
-			func(_ context.Context, _ string, params json.RawMessage) (any, error) {
-				got <- string(params)
-				return nil, nil
-			},
-			func(data []byte) error {
-				got <- string(data)
-				return nil
-			})
+		receiveAll(t, remote, got)
 		for _, want := range []string{"1", "two", "3", "four"} {
 			is.Equal(<-got, want)
 		}
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -226,15 +226,20 @@
 		a.SetMembers([]Member{a.Self, b.Self})
 		time.Sleep(time.Second)
 		test(is.New(t), network, a, b)
-		for _, e := range []*entry{a, b} {
-			e.cancel()
-			_ = e.server.Close()
-		}
-		network.Close()
-		time.Sleep(time.Minute)
+		endNetwork(network, a, b)
 	})
 }
 
+// endNetwork stops entries and waits until their goroutines have ended.
+func endNetwork(network *memnet.Network, entries ...*entry) {
+	for _, e := range entries {
+		e.cancel()
+		_ = e.server.Close()
+	}
+	network.Close()
+	time.Sleep(time.Minute)
+}
+
 // TestEntriesExchangeHeartbeats checks that an unlisted entry is connected back, and that changes
 // arrive within a heartbeat interval.
 func TestEntriesExchangeHeartbeats(t *testing.T) {
--- a/services/peers/silence_test.go
+++ b/services/peers/silence_test.go
@@ -82,12 +82,7 @@
 			time.Sleep(2 * DefaultInterval)
 			is.Equal(b.runningAt("a"), running)
 		}
-		for _, e := range []*entry{a, b} {
-			e.cancel()
-			_ = e.server.Close()
-		}
-		network.Close()
-		time.Sleep(time.Minute)
+		endNetwork(network, a, b)
 	})
 }
 
@@ -111,12 +106,7 @@
 		late.setRunning(5)
 		time.Sleep(3 * time.Second)
 		is.Equal(a.runningAt("late"), 5)
-		for _, e := range []*entry{a, late} {
-			e.cancel()
-			_ = e.server.Close()
-		}
-		network.Close()
-		time.Sleep(time.Minute)
+		endNetwork(network, a, late)
 	})
 }
 
