Play the loads of the dispatcher side by side

The tests of services/dispatch take up to 490 of the 600 s that a package may take, with the race detector on a busy machine; TestLoad alone is 29 of their 54 s without it. Only the plays of one load ran side by side.

--- a/services/dispatch/load_test.go
+++ b/services/dispatch/load_test.go
@@ -293,12 +293,10 @@
 // only logged, as they differ by some hundredths from run to run. The fractions of a load with plays
 // are those of so many runs together.
 func TestLoad(t *testing.T) {
+	kinds := playLoads(t)
 	datadriven.RunTest(t, *loadFile, func(t *testing.T, d *datadriven.TestData) string {
-		plays := 1
-		d.MaybeScanArgs(t, "plays", &plays)
-		kinds := runLoad(t, d, plays)
 		var out strings.Builder
-		for _, k := range kinds {
+		for _, k := range kinds[d.Cmd] {
 			t.Logf("%s: %s", d.Cmd, k)
 			verdict := "met"
 			if k.fraction(k.onTime) < k.required {
@@ -310,20 +308,33 @@
 	})
 }
 
-// runLoad simulates a load a number of times side by side and returns how the calls of all ended.
-func runLoad(t *testing.T, d *datadriven.TestData, plays int) []*loadKind {
-	var all []*loadKind
-	t.Run(d.Cmd, func(t *testing.T) {
-		for i := range plays {
+// playLoads simulates all loads side by side, each as often as it says, and returns how their calls ended, by
+// the name of the load.
+func playLoads(t *testing.T) map[string][]*loadKind {
+	kinds, plays, simulations := map[string][]*loadKind{}, map[string]int{}, map[string]func(*testing.T){}
+	datadriven.RunTest(t, *loadFile, func(t *testing.T, d *datadriven.TestData) string {
+		n := 1
+		d.MaybeScanArgs(t, "plays", &n)
+		plays[d.Cmd] = n
+		for i := range n {
 			l, simulate := parseLoad(t, d)
-			all = append(all, l.kinds...)
-			t.Run(fmt.Sprint("play-", i), func(t *testing.T) {
+			kinds[d.Cmd] = append(kinds[d.Cmd], l.kinds...)
+			simulations[fmt.Sprint(d.Cmd, "/play-", i)] = simulate
+		}
+		return d.Expected
+	})
+	t.Run("plays", func(t *testing.T) {
+		for name, simulate := range simulations {
+			t.Run(name, func(t *testing.T) {
 				t.Parallel()
 				synctest.Test(t, simulate)
 			})
 		}
 	})
-	return mergeKinds(all, len(all)/plays)
+	for name, n := range plays {
+		kinds[name] = mergeKinds(kinds[name], len(kinds[name])/n)
+	}
+	return kinds
 }
 
 // parseLoad parses a load and returns it, and a function that simulates it.
