Review: a stream cut short by a crash behind a cut ends as complete

A stream with neither a length nor chunks ends with its connection. At that end the front asks whether anything listens at the server's address; the next incarnation does, after a crash behind a cut. The front then ends the stream as complete, with 10 of 25 events (ORDER).

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -21,7 +21,8 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(*site) (broken bool, err error){
-	"garbage": playGarbage,
+	"garbage":   playGarbage,
+	"truncated": playTruncated,
 }
 
 func main() {
