Review: streams change their version after the exit of all fronts

A front that starts takes a stream it does not know for one of the only version that it finds listed.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(*site) (broken bool, err error){
 	"garbage":   playGarbage,
 	"truncated": playTruncated,
+	"versions":  playVersions,
 }
 
 func main() {
