Review: times and ports of the cases

Ports are taken below the range of the kernel's: one run of case 3 could not start as a port was taken. Callers heed Connection: close.

--- a/review/cases/caller.go
+++ b/review/cases/caller.go
@@ -32,11 +32,12 @@
 // answer is what a caller received.
 type answer struct {
 	status int
-	header http.Header
 	body   []byte
 	// complete is set if the answer ended as the protocol says.
 	complete bool
-	err      error
+	// closes is set if the front asks the caller to close the channel.
+	closes bool
+	err    error
 }
 
 // open opens a channel. A new one is given a second to come up.
@@ -70,7 +71,7 @@
 		return answer{err: err}
 	}
 	defer func() { _ = res.Body.Close() }()
-	a := answer{status: res.StatusCode, header: res.Header}
+	a := answer{status: res.StatusCode, closes: res.Close}
 	buffer := make([]byte, 4<<10)
 	for {
 		n, err := res.Body.Read(buffer)
--- a/review/cases/garbage.go
+++ b/review/cases/garbage.go
@@ -166,7 +166,7 @@
 		kept := ch.served > 0
 		a := ch.do(one, nil)
 		c.judge(one, kept, &a)
-		if !a.complete || a.header.Get("Connection") == "close" {
+		if !a.complete || a.closes {
 			ch.close()
 			ch = nil
 		}
--- a/review/cases/site.go
+++ b/review/cases/site.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -33,12 +34,12 @@
 	frontTemplate  = "platform/front.yaml"
 )
 
-// document is the manifest; %d is its version.
+// document is the manifest, with routes like those of the site kcs-yards; %d is its version.
 const document = `{"version": %d,
  "routes": [
   {"name": "gate-in", "host": "yard.example", "pathPrefix": "/gate/", "kind": "unsafe", "timeoutMs": 1000, "sloMs": 150, "priority": 2, "service": "yard-app", "maxAttempts": 1},
-  {"name": "chat", "host": "yard.example", "pathPrefix": "/chat/", "kind": "streaming", "timeoutMs": 15000, "sloMs": 1000, "priority": 2, "service": "yard-llm", "maxAttempts": 1, "gapTargetMs": 400},
-  {"name": "compliance", "host": "yard.example", "pathPrefix": "/compliance/", "kind": "streaming", "timeoutMs": 15000, "sloMs": 1000, "priority": 1, "service": "yard-llm", "maxAttempts": 2, "resumable": true, "gapTargetMs": 400}],
+  {"name": "chat", "host": "yard.example", "pathPrefix": "/chat/", "kind": "streaming", "timeoutMs": 15000, "sloMs": 600, "priority": 2, "service": "yard-llm", "maxAttempts": 1, "gapTargetMs": 400},
+  {"name": "compliance", "host": "yard.example", "pathPrefix": "/compliance/", "kind": "streaming", "timeoutMs": 4000, "sloMs": 800, "priority": 1, "service": "yard-llm", "maxAttempts": 2, "resumable": true, "gapTargetMs": 400}],
  "services": [{"name": "yard-app", "maxConns": 110}, {"name": "yard-llm", "maxConns": 630, "engine": {"slots": 7}}],
  "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
  "tenants": [{"name": "yard", "apiKeys": ["yard-key"], "unit": "tokens", "plainTokens": 200}]}`
@@ -188,16 +189,28 @@
 	return nil
 }
 
-// freeAddress returns a loopback address with a free port.
+// freeAddress returns a loopback address with a free port, below those that the kernel gives to connections:
+// one of them could take the port before its process listens.
 func freeAddress() string {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		return ""
+	const first, number, tries = 20000, 12000, 100
+	for range tries {
+		address := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(number))
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		if !givenAddresses[address] {
+			givenAddresses[address] = true
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return ""
 }
 
+// givenAddresses are those that freeAddress returned.
+var givenAddresses = make(map[string]bool)
+
 // gap is a gap of a template of settings.
 var gap = regexp.MustCompile(`\{\{[^}]*\}\}`)
 
--- a/review/cases/truncated.go
+++ b/review/cases/truncated.go
@@ -16,8 +16,8 @@
 	// after that.
 	cutAfter    = 800 * time.Millisecond
 	crashAfter  = 300 * time.Millisecond
-	rebornAfter = 1500 * time.Millisecond
-	cutFor      = 3 * time.Second
+	rebornAfter = 1200 * time.Millisecond
+	cutFor      = 2500 * time.Millisecond
 )
 
 // playTruncated plays an engine that crashes behind a cut and starts again, while it sends streams with
--- a/review/cases/versions.go
+++ b/review/cases/versions.go
@@ -9,16 +9,18 @@
 
 const (
 	// resumedStreams is the number of streams, of resumedEvents events each, resumedGap apart.
-	resumedStreams = 12
+	resumedStreams = 14
 	resumedEvents  = 40
-	resumedGap     = 100 * time.Millisecond
+	resumedGap     = 60 * time.Millisecond
+	// resumedTimeout is how long a caller waits, with both attempts.
+	resumedTimeout = 4 * time.Second
 	// releaseAfter is when the new engine of the release starts, removedAfter when the entry of the old one
 	// goes, and herdKillAfter when all fronts are killed, each after the previous step. They start again
 	// herdDownFor later.
-	releaseAfter  = 500 * time.Millisecond
-	removedAfter  = 500 * time.Millisecond
-	herdKillAfter = 700 * time.Millisecond
-	herdDownFor   = time.Second
+	releaseAfter  = 200 * time.Millisecond
+	removedAfter  = 200 * time.Millisecond
+	herdKillAfter = 500 * time.Millisecond
+	herdDownFor   = 800 * time.Millisecond
 	// retryWait is the time between two attempts to open a channel while no front listens.
 	retryWait = 100 * time.Millisecond
 	// allowedMixed is the number of streams that may hold events of two versions by the rule.
@@ -96,7 +98,8 @@
 
 // follow reads a stream and resumes it once, at the other front, if it is broken off. It returns the events.
 func (s *site) follow(i int) string {
-	first := &call{id: fmt.Sprintf("stream-%d-1", i), method: "POST", path: fmt.Sprintf("/compliance/%d?events=%d", i, resumedEvents), timeout: chatTimeout, body: "{}"}
+	first := &call{id: fmt.Sprintf("stream-%d-1", i), method: "POST", path: fmt.Sprintf("/compliance/%d?events=%d", i, resumedEvents), timeout: resumedTimeout, body: "{}"}
+	began := time.Now()
 	a := s.attempt(s.fronts[i%len(s.fronts)], first)
 	if a.complete {
 		return string(a.body)
@@ -107,6 +110,7 @@
 	}
 	again := *first
 	again.id = fmt.Sprintf("stream-%d-2", i)
+	again.timeout = resumedTimeout - time.Since(began)
 	again.header = map[string]string{"Last-Event-Id": fmt.Sprint(events([]byte(body))), "Resumes": first.id}
 	a = s.attempt(s.fronts[(i+1)%len(s.fronts)], &again)
 	if a.status != 200 {
