--- a/review/cases/engine.go
+++ b/review/cases/engine.go
@@ -56,11 +56,9 @@
 	e.runs[id] = time.Now()
 	e.mu.Unlock()
 	w.Header().Set("X-Response-Signature", e.id+"."+id)
-	if n, err := strconv.Atoi(r.URL.Query().Get("events")); err == nil {
-		e.stream(w, r, n)
-		return
-	}
-	if !pause(r.Context(), e.work/2+rand.N(e.work)) {
+	n, err := strconv.Atoi(r.URL.Query().Get("events"))
+	streams := err == nil
+	if !streams && !pause(r.Context(), e.work/2+rand.N(e.work)) {
 		return
 	}
 	if e.spoils != nil && e.spoils(int(e.answers.Add(1))) {
@@ -71,6 +69,10 @@
 		}
 		return
 	}
+	if streams {
+		e.stream(w, r, n)
+		return
+	}
 	_, _ = fmt.Fprintf(w, "%s ran %s %s\n", e.id, id, r.RequestURI)
 }
 
--- a/review/cases/garbage.go
+++ b/review/cases/garbage.go
@@ -12,9 +12,11 @@
 )
 
 const (
-	// garbledFor is for how long one engine spoils one in garbledEvery of its answers.
+	// garbledFor is for how long one engine of each service spoils one in garbledEvery of its answers, from the
+	// garbledFirst on.
 	garbledFor   = 5500 * time.Millisecond
 	garbledEvery = 50
+	garbledFirst = 10
 	// garbageRate is the rate of a spoiled answer in bytes a second, below a front's link of 1,000 Mbit/s.
 	garbageRate  = 100 << 20
 	garbageChunk = 64 << 10
@@ -56,18 +58,16 @@
 func playGarbage(s *site) (bool, error) {
 	c := &gateCase{site: s, done: make(chan struct{})}
 	for i := range 3 {
-		e := &engine{site: s, id: fmt.Sprintf("app-%d", i+1), version: "v1", work: 30 * time.Millisecond}
+		app := &engine{site: s, id: fmt.Sprintf("app-%d", i+1), version: "v1", work: 30 * time.Millisecond}
+		llm := &engine{site: s, id: fmt.Sprintf("llm-%d", i+1), version: "v1", first: dossierFirst, gap: dossierGap}
 		if i == 0 && s.trouble {
-			e.spoil = c.sendGarbage
-			e.spoils = func(n int) bool { return n%garbledEvery == 0 && time.Since(c.begin) < garbledFor }
+			app.spoil, app.spoils = c.sendGarbage, c.isSpoiled
+			llm.spoil, llm.spoils = c.sendGarbage, c.isSpoiled
 		}
-		if err := c.add(e, "yard-app", 6); err != nil {
+		if err := c.add(app, "yard-app", 6); err != nil {
 			return false, err
 		}
-	}
-	for i := range 2 {
-		e := &engine{site: s, id: fmt.Sprintf("llm-%d", i+1), version: "v1", first: dossierFirst, gap: dossierGap}
-		if err := c.add(e, "yard-llm", 7); err != nil {
+		if err := c.add(llm, "yard-llm", 7); err != nil {
 			return false, err
 		}
 	}
@@ -93,6 +93,11 @@
 	return c.lost > allowedLost, nil
 }
 
+// isSpoiled reports whether an engine spoils its n-th answer.
+func (c *gateCase) isSpoiled(n int) bool {
+	return n%garbledEvery == garbledFirst && time.Since(c.begin) < garbledFor
+}
+
 // add starts an engine and writes its entry.
 func (c *gateCase) add(e *engine, service string, slots int) error {
 	if err := e.start(); err != nil {
@@ -183,9 +188,9 @@
 	defer c.mu.Unlock()
 	c.sent++
 	by, sound := "", false
-	for i, e := range c.engines {
+	for _, e := range c.engines {
 		if e.ran(one.id) {
-			by, sound = by+" "+e.id, i > 0
+			by, sound = by+" "+e.id, e.spoils == nil
 		}
 	}
 	c.note("%s: %s; kept channel: %v, run by:%s", one.id, a.text(), kept, by)
