Review: cases 2 and 3 within the shares that the site names

Case 2 cut off the only engine, and case 3 replaced one of two; the site names shares of 0.35 and 0.45. Now one of three is cut off or replaced.

--- a/review/cases/truncated.go
+++ b/review/cases/truncated.go
@@ -8,7 +8,7 @@
 
 const (
 	// chatStreams is the number of streams, of chatEvents events each, chatGap apart.
-	chatStreams = 6
+	chatStreams = 9
 	chatEvents  = 25
 	chatGap     = 100 * time.Millisecond
 	chatTimeout = 15 * time.Second
@@ -35,6 +35,15 @@
 	if err := s.list("llm-1", "yard-llm", path.address, "v1", 7); err != nil {
 		return false, err
 	}
+	for _, id := range []string{"llm-3", "llm-4"} {
+		address := freeAddress()
+		if _, err := s.startServer(id, address); err != nil {
+			return false, err
+		}
+		if err := s.list(id, "yard-llm", address, "v1", 7); err != nil {
+			return false, err
+		}
+	}
 	if err := s.startFronts("front-1"); err != nil {
 		return false, err
 	}
--- a/review/cases/versions.go
+++ b/review/cases/versions.go
@@ -9,7 +9,7 @@
 
 const (
 	// resumedStreams is the number of streams, of resumedEvents events each, resumedGap apart.
-	resumedStreams = 14
+	resumedStreams = 18
 	resumedEvents  = 40
 	resumedGap     = 60 * time.Millisecond
 	// resumedTimeout is how long a caller waits, with both attempts.
@@ -30,16 +30,16 @@
 // playVersions plays a release whose last engine of the old version has left the list of engines and serves
 // on, and the kill of all fronts in that time. Callers resume their streams at the fronts that start.
 func playVersions(s *site) (bool, error) {
-	engines := make([]*engine, 3)
+	engines := make([]*engine, 4)
 	for i := range engines {
 		engines[i] = &engine{site: s, id: fmt.Sprintf("llm-%d", i+1), version: "v2", gap: resumedGap}
 		if err := engines[i].start(); err != nil {
 			return false, err
 		}
 	}
-	old, added := engines[0], engines[2]
+	old, added := engines[0], engines[3]
 	old.version = "v1"
-	for _, e := range engines[:2] {
+	for _, e := range engines[:3] {
 		if err := s.list(e.id, "yard-llm", e.address, e.version, 7); err != nil {
 			return false, err
 		}
