Keep versions that may have begun streams on the store

Cause: the memory of versions that left the list began empty with each front. A front that has just started took the versions on the list for all that may have begun streams. Without the kill no stream changed its version, and the list itself was current, which rules out a stale list and a wrong choice of servers.

Each version is now recorded on the store when it appears, before the first event of one of its streams reaches a caller (for 250 ms after the version appeared at most). A front reads the record before it is ready, or receives it from another front; without either it refuses unknown streams for 30 s. Where one version served all along, unknown streams continue as before, which a refusal after each start would have lost.

Of the same cause, found by looking for it: - A stream resumed while no server was listed had no version, and continued at whichever version was listed next. - A version was forgotten 30 s after its last server, also if a caller may resume its streams for longer.

Tests: TestPlatformStreamChangesVersionAfterExitOfAllFronts failed in all four cases before (killed once, twice, removed while no front ran, one front back after the other), and passes.

newForwarder of the tests of services/forward lists its servers for the origins too, as a front does: a resumed stream without any listed server is refused now.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -98,6 +98,8 @@
 	limits  *platform.LimitUsage
 	// suspects stores the suspects of the quarantine.
 	suspects *platform.Suspects
+	// streamVersions stores the versions that may have begun streams.
+	streamVersions *platform.StreamVersions
 	// requesting is set for a subject while its state is requested from another front.
 	requesting    map[peers.Subject]*atomic.Bool
 	followers     map[peers.Subject]*catchup.Follower
@@ -217,11 +219,9 @@
 		Suspects:      func() []runworks.Suspect { return d.quarantine.List(time.Now()) },
 		OnSuspects:    func(_ string, list []runworks.Suspect) { d.quarantine.Apply(time.Now(), list) },
 		ServerNotices: d.dispatcher.ServerNotices, OnServerNotices: d.dispatcher.ApplyNotices, TransferPermits: d.dispatcher.TransferPermits,
-		StreamOrigins:   func() []runworks.StreamOrigin { return d.forwarder.Origins.List(time.Now()) },
-		OnStreamOrigins: func(list []runworks.StreamOrigin) { d.forwarder.Origins.Apply(time.Now(), list) },
-		EngineModels:    d.engineModels(),
+		EngineModels: d.engineModels(),
 	}
-	d.forwarder.Origins.Send = d.exchange.SendStreamOrigins
+	d.buildStreamOrigins()
 	d.buildScheduler()
 	if err := d.watchState(); err != nil {
 		flushSpans()
@@ -253,6 +253,8 @@
 		return errorx.Decorate(runworks.ErrNotReady, "no other front was heard yet")
 	case !d.suspects.FirstReadDone():
 		return errorx.Decorate(runworks.ErrNotReady, "the requests that end backend servers are not known")
+	case !d.streamVersions.FirstReadDone():
+		return errorx.Decorate(runworks.ErrNotReady, "the versions that may have begun streams are not known")
 	case !d.isInitialized() && d.routingBehind(time.Now()):
 		return errorx.Decorate(runworks.ErrNotReady, "another front has a newer routing")
 	case !d.serversListed.Load():
--- a/daemon/front_sync.go
+++ b/daemon/front_sync.go
@@ -59,6 +59,7 @@
 	wg.Go(func() { d.members.Run(ctx) })
 	wg.Go(func() { d.limits.Run(ctx) })
 	wg.Go(func() { d.suspects.Run(ctx) })
+	wg.Go(func() { d.streamVersions.Run(ctx) })
 	wg.Go(func() { d.watchSuspensions(ctx) })
 	wg.Go(func() { d.shareEngineModels(ctx) })
 	wg.Go(func() { d.runRollouts(ctx) })
@@ -168,6 +169,7 @@
 	}
 	d.members.StoreRestored()
 	d.suspects.StoreRestored()
+	d.forwarder.Origins.RecordLost(time.Now())
 	d.rollouts.StoreRestored()
 	d.wakeRollouts.Signal()
 	d.quota.RecordLost(time.Now())
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -182,6 +182,7 @@
 		Logger: hclog.New(&hclog.LoggerOptions{Output: out, JSONFormat: true}),
 	}
 	f.Table.Store(route.NewTable(testRouting()))
+	f.Origins.SetServers(time.Now(), threeServers("s"))
 	return f
 }
 
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -149,6 +149,9 @@
 	if x.StreamOrigins != nil {
 		b.StreamOrigins = x.StreamOrigins()
 	}
+	if x.StreamVersions != nil {
+		b.StreamVersions = x.StreamVersions()
+	}
 	defer x.setConn(l, conn)
 	return conn.StartNotify(MethodHandshake, b)
 }
--- a/services/peers/messages.go
+++ b/services/peers/messages.go
@@ -102,6 +102,9 @@
 	// StreamOrigins holds known streams of services whose servers have several versions. Only handshakes
 	// carry it.
 	StreamOrigins []runworks.StreamOrigin `json:"stream_origins,omitempty"`
+	// StreamVersions holds the versions that may have begun streams; empty if the entry does not know those
+	// before its start. Only handshakes carry it.
+	StreamVersions []runworks.StreamVersion `json:"stream_versions,omitempty"`
 	// Names holds the names that the frames after a handshake refer to, by index.
 	Names []string `json:"names,omitempty"`
 }
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -81,7 +81,12 @@
 	// those that another entry sent. Both may be nil.
 	StreamOrigins   func() []runworks.StreamOrigin
 	OnStreamOrigins func(list []runworks.StreamOrigin)
-	EngineModels    EngineModels
+	// StreamVersions returns the versions that may have begun streams, for a handshake, and
+	// OnStreamVersions is called with those of another entry. recorded is set if they are those that it
+	// has just recorded.
+	StreamVersions   func() []runworks.StreamVersion
+	OnStreamVersions func(list []runworks.StreamVersion, recorded bool)
+	EngineModels     EngineModels
 	// TransferPermits gives up at most the given number of permits for a backend server that this
 	// entry does not need itself, and returns how many. May be nil, which returns none.
 	TransferPermits func(server string, permits int) int
--- a/services/peers/receive.go
+++ b/services/peers/receive.go
@@ -138,6 +138,7 @@
 		x.openSession(b.From)
 		x.receiveSuspects(b.From.Name, b.Suspects)
 		x.receiveServerNotices(b.From.Name, b.ServerNotices)
+		x.receiveStreamVersions(b.StreamVersions, false)
 		x.receiveStreamOrigins(b.StreamOrigins)
 	}
 	x.receive(now, &b)
--- a/services/peers/stream_origins.go
+++ b/services/peers/stream_origins.go
@@ -17,6 +17,8 @@
 	// From is the name of the sending entry.
 	From string                  `json:"from"`
 	List []runworks.StreamOrigin `json:"list"`
+	// Recorded holds versions that the sending entry has recorded.
+	Recorded []runworks.StreamVersion `json:"recorded,omitempty"`
 }
 
 // SendStreamOrigins sends the origins of streams to all connected entries, immediately or
@@ -30,6 +32,11 @@
 	}
 }
 
+// SendRecordedVersions sends versions that this entry has recorded to all connected entries.
+func (x *Exchange) SendRecordedVersions(list []runworks.StreamVersion) {
+	x.notifyAll(MethodStreamOrigins, &StreamOrigins{From: x.Self.Name, Recorded: list})
+}
+
 // takePendingOrigins returns and clears the origins to send as a message; nil if there are none.
 func (x *Exchange) takePendingOrigins() any {
 	x.mu.Lock()
@@ -48,10 +55,17 @@
 	if err := x.decodeMessage(params, "origins of streams", &m); err != nil {
 		return err
 	}
+	x.receiveStreamVersions(m.Recorded, true)
 	x.receiveStreamOrigins(m.List)
 	return nil
 }
 
+func (x *Exchange) receiveStreamVersions(list []runworks.StreamVersion, recorded bool) {
+	if x.OnStreamVersions != nil && len(list) > 0 {
+		x.OnStreamVersions(list, recorded)
+	}
+}
+
 func (x *Exchange) receiveStreamOrigins(list []runworks.StreamOrigin) {
 	if x.OnStreamOrigins != nil && len(list) > 0 {
 		x.OnStreamOrigins(list)
--- a/services/streamorigin/table.go
+++ b/services/streamorigin/table.go
@@ -17,19 +17,22 @@
 	maxOrigins = 1 << 16
 	// maxListed bounds the streams of List.
 	maxListed = 1 << 12
-	// versionMemory is how long a version counts after its last server was removed: longer than most
-	// streams. Its streams may still be resumed.
-	versionMemory = 30 * time.Second
 	// arrivalTimeout is how long Await waits: several times as long as a message takes between two
 	// entries of different regions.
 	arrivalTimeout = 100 * time.Millisecond
 )
 
-// Table holds the origins of streams at one entry. The zero value is usable. Send must be set before
-// use; a nil Send keeps all origins here.
+// Table holds the origins of streams at one entry, and the versions that may have begun others. The zero
+// value is usable. The exported fields must be set before use; a nil Send keeps all origins here.
 type Table struct {
 	// Send sends origins to the other entries. It is called with a lock held and must not block.
 	Send func(list []runworks.StreamOrigin)
+	// OnVersions is called when Unrecorded may have changed; nil if there is no durable record. It is
+	// called with a lock held and must not block.
+	OnVersions func()
+	// Started is when this entry started. Until ApplyVersions, or for versionMemory, versions that served
+	// before are unknown; zero if none did.
+	Started time.Time
 
 	mu sync.Mutex
 	// arrived is signaled when origins of other entries arrive.
@@ -37,8 +40,10 @@
 	// origins holds the origin of each known stream, and order their IDs from the oldest on.
 	origins map[runworks.RequestID]origin
 	order   []runworks.RequestID
-	// versions holds, by service and version, until when the version counts; zero while it has servers.
-	versions map[string]map[string]time.Time
+	// versions holds the versions that count, by service, and those that do not until Forget. loaded is
+	// set by ApplyVersions.
+	versions map[string]versions
+	loaded   bool
 }
 
 // origin is what is known of a stream.
@@ -50,74 +55,13 @@
 	own bool
 }
 
-// SetServers sets the listed backend servers. The other entries receive the streams of a service as
-// soon as its servers have several versions; until then they need not know them.
-func (t *Table) SetServers(now time.Time, servers []runworks.Instance) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	before := t.mixedLocked(now)
-	t.setVersionsLocked(now, servers)
-	for service := range t.mixedLocked(now) {
-		if !before[service] {
-			t.sendLocked(t.listLocked(now, func(o origin) bool { return o.own && o.service == service }))
-		}
-	}
-}
-
-// setVersionsLocked sets the versions that have servers. The others count for versionMemory more.
-func (t *Table) setVersionsLocked(now time.Time, servers []runworks.Instance) {
-	for service, versions := range t.versions {
-		for version, until := range versions {
-			switch {
-			case until.IsZero():
-				versions[version] = now.Add(versionMemory)
-			case !now.Before(until):
-				delete(versions, version)
-			}
-		}
-		if len(versions) == 0 {
-			delete(t.versions, service)
-		}
-	}
-	if t.versions == nil {
-		t.versions = make(map[string]map[string]time.Time)
-	}
-	for i := range servers {
-		service, version := servers[i].Service, servers[i].Version
-		if t.versions[service] == nil {
-			t.versions[service] = make(map[string]time.Time)
-		}
-		t.versions[service][version] = time.Time{}
-	}
-}
-
-// mixedLocked returns the services that have, or recently had, servers of several versions.
-func (t *Table) mixedLocked(now time.Time) map[string]bool {
-	out := make(map[string]bool)
-	for service := range t.versions {
-		if t.isMixedLocked(now, service) {
-			out[service] = true
-		}
-	}
-	return out
-}
-
-func (t *Table) isMixedLocked(now time.Time, service string) bool {
-	n := 0
-	for _, until := range t.versions[service] {
-		if until.IsZero() || now.Before(until) {
-			n++
-		}
-	}
-	return n > 1
-}
-
 // Record records a stream that began, or that is resumed, at this entry. keep is how long its caller may
 // resume it.
 func (t *Table) Record(now time.Time, o runworks.StreamOrigin, keep time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o.LeftMs = keep.Milliseconds()
+	t.extendLocked(now, o)
 	if t.addLocked(now, o, true) && t.isMixedLocked(now, o.Service) {
 		t.sendLocked([]runworks.StreamOrigin{o})
 	}
@@ -127,9 +71,13 @@
 func (t *Table) Apply(now time.Time, list []runworks.StreamOrigin) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, o := range list {
-		t.addLocked(now, o, false)
-	}
+	t.changeVersionsLocked(now, func() {
+		for _, o := range list {
+			if t.addLocked(now, o, false) {
+				t.extendLocked(now, o)
+			}
+		}
+	})
 	t.arrived.Signal()
 }
 
@@ -190,9 +138,9 @@
 }
 
 // Resolve returns the service and version that began a stream which a caller resumes. service is the
-// one that the stream has by its route. The version of an unknown stream is that of all servers of the
-// service. If these have several, the error is ErrUnknownStream. The version is empty if no server is
-// listed.
+// one that the stream has by its route. An unknown stream is of the only version that may have begun
+// streams of the service. If there are several or none, or if those before the start of this entry are not
+// known, the error is ErrUnknownStream.
 func (t *Table) Resolve(now time.Time, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -200,14 +148,14 @@
 		return runworks.StreamOrigin{Stream: stream, Service: o.service, Version: o.version}, nil
 	}
 	out := runworks.StreamOrigin{Stream: stream, Service: service}
-	if t.isMixedLocked(now, service) {
-		return out, errorx.Decorate(runworks.ErrUnknownStream, "servers of %s have %d versions", service, len(t.versions[service]))
+	if !t.knowsVersionsLocked(now) {
+		return out, errorx.Decorate(runworks.ErrUnknownStream, "the versions of %s before the start are unknown", service)
 	}
-	for version, until := range t.versions[service] {
-		if until.IsZero() {
-			out.Version = version
-		}
+	current := t.versions[service].current(now)
+	if len(current) != 1 {
+		return out, errorx.Decorate(runworks.ErrUnknownStream, "%d versions of %s may have begun it", len(current), service)
 	}
+	out.Version = current[0]
 	return out, nil
 }
 
--- /dev/null
+++ b/services/streamorigin/versions.go
@@ -0,0 +1,300 @@
+package streamorigin
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/runworks/runworks"
+)
+
+const (
+	// versionMemory is how long a version counts after its last server was removed, unless a caller may
+	// resume one of its streams for longer.
+	versionMemory = 30 * time.Second
+	// maxVersionMemory bounds what callers can set by the time that they state.
+	maxVersionMemory = 10 * time.Minute
+	// recordTimeout is how long after a version appeared the first events of its streams wait for the
+	// durable record of the version.
+	recordTimeout = 250 * time.Millisecond
+)
+
+// version is what is known of a software version of a service.
+type version struct {
+	// until is until when the version counts; zero while it has servers.
+	until time.Time
+	// keep is how long it counts after its last server was removed.
+	keep time.Duration
+	// recorded is set while the durable record holds the version with its keep, and changed is when it
+	// last became necessary to record it.
+	recorded bool
+	changed  time.Time
+}
+
+// requireRecord notes that the durable record lacks the version, or may lose it.
+func (v *version) requireRecord(now time.Time) { v.recorded, v.changed = false, now }
+
+func (v *version) counts(now time.Time) bool { return v.until.IsZero() || now.Before(v.until) }
+
+// versions are the versions of one service by name.
+type versions map[string]*version
+
+// current returns the names of the versions that count.
+func (s versions) current(now time.Time) []string {
+	var out []string
+	for name, v := range s {
+		if v.counts(now) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// SetServers sets the listed backend servers. The other entries receive the streams of a service as
+// soon as its servers have several versions; until then they need not know them.
+func (t *Table) SetServers(now time.Time, servers []runworks.Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.changeVersionsLocked(now, func() { t.setListedLocked(now, servers) })
+}
+
+// ApplyVersions adds the versions of the durable record, or those that another entry knows. Those without
+// a listed server count as if their last one had been removed now: when it was is not known. Afterwards
+// the versions that served before this entry started are known.
+func (t *Table) ApplyVersions(now time.Time, list []runworks.StreamVersion) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loaded = true
+	t.changeVersionsLocked(now, func() {
+		for _, one := range list {
+			t.addVersionLocked(now, one)
+		}
+	})
+	t.arrived.Signal()
+}
+
+// changeVersionsLocked applies a change of the versions and sends the streams of services that now have
+// several.
+func (t *Table) changeVersionsLocked(now time.Time, change func()) {
+	before := t.mixedLocked(now)
+	change()
+	for service := range t.mixedLocked(now) {
+		if !before[service] {
+			t.sendLocked(t.listLocked(now, func(o origin) bool { return o.own && o.service == service }))
+		}
+	}
+	if t.OnVersions != nil {
+		t.OnVersions()
+	}
+}
+
+// setListedLocked sets the versions that have servers. The others count for their keep more.
+func (t *Table) setListedLocked(now time.Time, servers []runworks.Instance) {
+	listed := make(map[string]map[string]bool)
+	for i := range servers {
+		service, name := servers[i].Service, servers[i].Version
+		if listed[service] == nil {
+			listed[service] = make(map[string]bool)
+		}
+		listed[service][name] = true
+		v := t.versionLocked(now, service, name)
+		if !v.until.IsZero() {
+			v.until = time.Time{}
+			v.requireRecord(now) // another entry may be removing the record at this moment
+		}
+	}
+	for service, all := range t.versions {
+		for name, v := range all {
+			if v.until.IsZero() && !listed[service][name] {
+				v.until = now.Add(v.keep)
+			}
+		}
+	}
+}
+
+// versionLocked returns a version. One that is unknown is added as if its last server had been removed now.
+func (t *Table) versionLocked(now time.Time, service, name string) *version {
+	if t.versions == nil {
+		t.versions = make(map[string]versions)
+	}
+	if t.versions[service] == nil {
+		t.versions[service] = make(versions)
+	}
+	v := t.versions[service][name]
+	if v == nil {
+		v = &version{until: now.Add(versionMemory), keep: versionMemory, changed: now}
+		t.versions[service][name] = v
+	}
+	return v
+}
+
+// addVersionLocked adds a version that the durable record or another entry names.
+func (t *Table) addVersionLocked(now time.Time, one runworks.StreamVersion) {
+	_, known := t.versions[one.Service][one.Version]
+	v := t.versionLocked(now, one.Service, one.Version)
+	keep := min(time.Duration(one.KeepMs)*time.Millisecond, maxVersionMemory)
+	v.recorded = v.recorded || one.Recorded && keep >= v.keep
+	v.keep = max(v.keep, keep)
+	if !known {
+		v.until = now.Add(v.keep)
+	}
+}
+
+// extendLocked makes a version count for at least as long as the caller of one of its streams may resume
+// it. The steps are coarse, so that the durable record changes rarely.
+func (t *Table) extendLocked(now time.Time, o runworks.StreamOrigin) {
+	v, left := t.versionLocked(now, o.Service, o.Version), time.Duration(o.LeftMs)*time.Millisecond
+	extended := false
+	for v.keep < min(left, maxVersionMemory) {
+		v.keep, extended = min(2*v.keep, maxVersionMemory), true
+	}
+	if !extended {
+		return
+	}
+	v.requireRecord(now)
+	if !v.until.IsZero() {
+		v.until = now.Add(v.keep)
+	}
+	if t.OnVersions != nil {
+		t.OnVersions()
+	}
+}
+
+// mixedLocked returns the services that have, or recently had, servers of several versions.
+func (t *Table) mixedLocked(now time.Time) map[string]bool {
+	out := make(map[string]bool)
+	for service := range t.versions {
+		if t.isMixedLocked(now, service) {
+			out[service] = true
+		}
+	}
+	return out
+}
+
+func (t *Table) isMixedLocked(now time.Time, service string) bool {
+	return len(t.versions[service].current(now)) > 1
+}
+
+// Versions returns the versions that count, for other entries; nil if this entry does not know those that
+// served before it started.
+func (t *Table) Versions(now time.Time) []runworks.StreamVersion {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.knowsVersionsLocked(now) {
+		return nil
+	}
+	return t.selectLocked(func(v *version) bool { return v.counts(now) })
+}
+
+// Unrecorded returns the versions that count and that the durable record lacks.
+func (t *Table) Unrecorded(now time.Time) []runworks.StreamVersion {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.selectLocked(func(v *version) bool { return v.counts(now) && !v.recorded })
+}
+
+// Expired returns the versions that no longer count. They stay until Forget, so that the durable record
+// can lose them as well.
+func (t *Table) Expired(now time.Time) []runworks.StreamVersion {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.selectLocked(func(v *version) bool { return !v.counts(now) })
+}
+
+// selectLocked returns the versions that match, in order.
+func (t *Table) selectLocked(match func(v *version) bool) []runworks.StreamVersion {
+	var out []runworks.StreamVersion
+	for service, all := range t.versions {
+		for name, v := range all {
+			if match(v) {
+				out = append(out, runworks.StreamVersion{Service: service, Version: name, KeepMs: v.keep.Milliseconds(), Recorded: v.recorded})
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b runworks.StreamVersion) int {
+		return strings.Compare(a.Service+"\x00"+a.Version, b.Service+"\x00"+b.Version)
+	})
+	return out
+}
+
+// NoteRecorded notes that the durable record holds versions. Those that are unknown are added.
+func (t *Table) NoteRecorded(now time.Time, list []runworks.StreamVersion) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.changeVersionsLocked(now, func() {
+		for _, one := range list {
+			one.Recorded = true
+			t.addVersionLocked(now, one)
+		}
+	})
+	t.arrived.Signal()
+}
+
+// RecordLost notes that the durable record may lack any version.
+func (t *Table) RecordLost(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.changeVersionsLocked(now, func() {
+		for _, all := range t.versions {
+			for _, v := range all {
+				v.requireRecord(now)
+			}
+		}
+	})
+}
+
+// Renew makes a version that no longer counts, and that another entry has recorded again, count for its
+// keep once more.
+func (t *Table) Renew(now time.Time, one runworks.StreamVersion) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if v := t.versionLocked(now, one.Service, one.Version); !v.counts(now) {
+		v.until, v.recorded = now.Add(v.keep), true
+	}
+}
+
+// Forget drops a version that no longer counts. One that counts again is kept.
+func (t *Table) Forget(now time.Time, one runworks.StreamVersion) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if v := t.versions[one.Service][one.Version]; v == nil || v.counts(now) {
+		return
+	}
+	delete(t.versions[one.Service], one.Version)
+	if len(t.versions[one.Service]) == 0 {
+		delete(t.versions, one.Service)
+	}
+}
+
+// knowsVersionsLocked reports whether the versions that served before this entry started are known. After
+// versionMemory their streams have ended, but for those of callers that wait for very long.
+func (t *Table) knowsVersionsLocked(now time.Time) bool {
+	return t.loaded || t.Started.IsZero() || now.Sub(t.Started) >= versionMemory
+}
+
+// AwaitRecorded waits until the durable record holds the version of a stream, for recordTimeout after the
+// version appeared at most. It is called before the caller receives the first event: if all entries exit,
+// the record alone says that the stream may be of another version than those that serve then.
+func (t *Table) AwaitRecorded(ctx context.Context, o runworks.StreamOrigin) {
+	for ctx.Err() == nil {
+		t.mu.Lock()
+		v := t.versions[o.Service][o.Version]
+		if t.OnVersions == nil || v == nil || v.recorded {
+			t.mu.Unlock()
+			return
+		}
+		arrived, left := t.arrived.Wait(), time.Until(v.changed.Add(recordTimeout))
+		t.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-arrived:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
--- /dev/null
+++ b/services/streamorigin/versions_test.go
@@ -0,0 +1,138 @@
+package streamorigin
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
+)
+
+// startedTable returns the table of an entry that has just started, with a durable record.
+func startedTable(versions ...string) *Table {
+	t := &Table{Started: time.Now(), OnVersions: func() {}}
+	t.SetServers(time.Now(), servers(versions...))
+	return t
+}
+
+func recorded(versions ...string) []runworks.StreamVersion {
+	var out []runworks.StreamVersion
+	for _, version := range versions {
+		out = append(out, runworks.StreamVersion{Service: "llm", Version: version, KeepMs: versionMemory.Milliseconds(), Recorded: true})
+	}
+	return out
+}
+
+// TestStartedEntryGuessesVersion guards against an entry that takes the only version which serves when it
+// starts for that of streams that began before.
+func TestStartedEntryGuessesVersion(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		record []runworks.StreamVersion
+		// at is when the stream is resumed after the start; want is the version at which it may continue.
+		at   time.Duration
+		want string
+	}{
+		{"its version was removed", recorded("v1", "v2"), 4 * time.Second, "?"},
+		{"its version was removed and its streams have ended", recorded("v1", "v2"), versionMemory, "v2"},
+		{"all versions changed meanwhile", recorded("v1"), 0, "?"},
+		{"one version served all along", recorded("v2"), 0, "v2"},
+		{"nothing served before", []runworks.StreamVersion{}, 0, "v2"},
+		{"no record was read", nil, 0, "?"},
+		{"no record was read until all streams have ended", nil, versionMemory, "v2"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				table := startedTable("v2", "v2")
+				if c.record != nil {
+					table.ApplyVersions(time.Now(), c.record)
+				}
+				time.Sleep(c.at)
+				is.Equal(versionAt(table, "1"), c.want)
+			})
+		})
+	}
+}
+
+// TestStreamWithoutListedServer guards against a stream that is resumed while no server of its service is
+// listed, and continues at whichever version is listed first.
+func TestStreamWithoutListedServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := startedTable("v1")
+		table.ApplyVersions(time.Now(), nil)
+		is.Equal(versionAt(table, "1"), "v1")
+		table.SetServers(time.Now(), nil)
+		is.Equal(versionAt(table, "1"), "v1")
+		time.Sleep(versionMemory)
+		is.Equal(versionAt(table, "1"), "?")
+	})
+}
+
+// TestVersionOfLongStreamIsForgotten guards against a version that is forgotten while a caller may still
+// resume one of its streams: the caller waits for longer than the usual memory of versions.
+func TestVersionOfLongStreamIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, b := entries(t, "v1")
+		a.Record(time.Now(), begun("1", "v1"), 3*versionMemory)
+		a.SetServers(time.Now(), servers("v2"))
+		b.SetServers(time.Now(), servers("v2"))
+		synctest.Wait()
+		started := startedTable("v2")
+		started.ApplyVersions(time.Now(), a.Versions(time.Now()))
+		time.Sleep(2 * versionMemory)
+		is.Equal(versionAt(b, "1"), "v1")
+		is.Equal(versionAt(b, "2"), "?")
+		is.Equal(versionAt(started, "2"), "?")
+		time.Sleep(2 * versionMemory)
+		is.Equal(versionAt(started, "2"), "v2")
+	})
+}
+
+// TestFirstEventIsAheadOfItsRecord guards against a caller that has an event of a version which no record
+// names yet: if all entries exit then, nothing says that the version served.
+func TestFirstEventIsAheadOfItsRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := startedTable("v1")
+		table.ApplyVersions(time.Now(), nil)
+		is.Equal(len(table.Unrecorded(time.Now())), 1)
+		began := time.Now()
+		time.AfterFunc(20*time.Millisecond, func() { table.NoteRecorded(time.Now(), recorded("v1")) })
+		table.AwaitRecorded(context.Background(), begun("1", "v1"))
+		is.Equal(time.Since(began), 20*time.Millisecond)
+		is.Equal(len(table.Unrecorded(time.Now())), 0)
+
+		table.SetServers(time.Now(), servers("v1", "v2"))
+		began = time.Now()
+		table.AwaitRecorded(context.Background(), begun("1", "v1")) // recorded already
+		is.Equal(time.Since(began), time.Duration(0))
+		table.AwaitRecorded(context.Background(), begun("2", "v2")) // the store does not respond
+		is.Equal(time.Since(began), recordTimeout)
+		table.AwaitRecorded(context.Background(), begun("3", "v2")) // nor for the next stream, which does not wait
+		is.Equal(time.Since(began), recordTimeout)
+	})
+}
+
+// TestVersionReturnsUnrecorded guards against a version whose servers are back and whose record another
+// entry removes at the same moment.
+func TestVersionReturnsUnrecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := startedTable("v1")
+		table.NoteRecorded(time.Now(), recorded("v1"))
+		table.SetServers(time.Now(), servers("v2"))
+		time.Sleep(versionMemory / 2)
+		table.SetServers(time.Now(), servers("v1", "v2"))
+		unrecorded := table.Unrecorded(time.Now())
+		is.Equal(len(unrecorded), 2)
+		is.Equal(unrecorded[0].Version, "v1")
+		table.Forget(time.Now(), unrecorded[0]) // it counts
+		is.Equal(versionAt(table, "1"), "?")
+	})
+}
--- a/tests/platform_versions_test.go
+++ b/tests/platform_versions_test.go
@@ -188,3 +188,119 @@
 	is.Equal(res.StatusCode, http.StatusOK)
 	is.True(bytes.HasPrefix(data, standin.RoutedEvent(c.target, 4)))
 }
+
+// beginStreams begins resumable streams at a front. Each breaks after three events.
+func (p *platformSite) beginStreams(front string, streams int) {
+	p.t.Helper()
+	for i := range streams {
+		for _, backend := range p.backends {
+			p.setFaults(backend, standin.RoutedFaults{BreakAt: 4, Breaks: 1})
+		}
+		c := longStream(i, 1)
+		if _, data, err := p.do(front, c); err == nil || string(data) != string(platformEvents(c.target, 3)) {
+			p.t.Fatalf("stream %d did not break after its third event: %v, %q", i, err, data)
+		}
+	}
+	for _, backend := range p.backends {
+		p.setFaults(backend, standin.RoutedFaults{})
+	}
+}
+
+// longStream returns an attempt at a resumable stream; those after the first resume it after three events.
+func longStream(i, attempt int) platformCall {
+	c := platformCall{id: fmt.Sprintf("stream-%d-%d", i, attempt), method: http.MethodPost, target: fmt.Sprintf("/chat/long/%d?events=6", i), key: "yard-key"}
+	if attempt > 1 {
+		c.header = http.Header{"Last-Event-Id": {"3"}, "Resumes": {fmt.Sprintf("stream-%d-1", i)}}
+	}
+	return c
+}
+
+// TestPlatformStreamChangesVersionAfterExitOfAllFronts guards against streams that are continued at another
+// version than the one that began them, because all fronts were killed when the last server of their
+// version had left the list, or while it did.
+func TestPlatformStreamChangesVersionAfterExitOfAllFronts(t *testing.T) {
+	fronts := []string{"front-1", "front-2"}
+	restart := func(p *platformSite) {
+		p.killFronts(fronts)
+		p.startFronts(fronts)
+	}
+	remove := func(p *platformSite, versions map[string]string) {
+		for server, version := range versions {
+			if version == "v1" {
+				p.put("keyed.servers", server, nil)
+			}
+		}
+	}
+	known := func(p *platformSite, servers int) {
+		for _, front := range fronts {
+			p.waitFor(front+" knows the servers", func() bool {
+				var status frontVersions
+				return getJSON("http://"+p.fronts[front].address("operators")+"/status", &status) && len(status.Servers) == servers
+			})
+		}
+	}
+	cases := map[string]func(p *platformSite, versions map[string]string){
+		"killed once": func(p *platformSite, versions map[string]string) {
+			remove(p, versions)
+			known(p, len(versions)-3+2)
+			restart(p)
+		},
+		"killed twice": func(p *platformSite, versions map[string]string) {
+			remove(p, versions)
+			known(p, len(versions)-3+2)
+			restart(p)
+			restart(p)
+		},
+		"removed while no front runs": func(p *platformSite, versions map[string]string) {
+			p.killFronts(fronts)
+			remove(p, versions)
+			p.startFronts(fronts)
+		},
+		"one front back after the other": func(p *platformSite, versions map[string]string) {
+			remove(p, versions)
+			known(p, len(versions)-3+2)
+			p.killFronts(fronts)
+			p.startFronts(fronts[:1])
+			p.startFronts(fronts[1:])
+		},
+	}
+	for name, trouble := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const streams = 6
+			p, versions := newMixedVersions(t, fronts...)
+			p.beginStreams("front-1", streams)
+			trouble(p, versions)
+			for i := range streams {
+				prefix := fmt.Sprintf("stream-%d-", i)
+				began := p.versionsOf(versions, prefix)
+				res, _, err := p.do(fronts[i%2], longStream(i, 2))
+				is.NoErr(err)
+				is.Equal(len(p.versionsOf(versions, prefix)), 1)
+				if began["v1"] > 0 {
+					is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+					is.True(res.Header.Get("Retry-After") != "")
+				}
+			}
+		})
+	}
+}
+
+// TestPlatformStreamOfOnlyVersionIsRefusedAfterExitOfAllFronts guards against streams that are refused
+// after all fronts were killed, although one version has served all along.
+func TestPlatformStreamOfOnlyVersionIsRefusedAfterExitOfAllFronts(t *testing.T) {
+	is := is.New(t)
+	fronts := []string{"front-1", "front-2"}
+	const streams = 6
+	p := newPlatformSite(t, fronts...)
+	p.beginStreams("front-1", streams)
+	p.killFronts(fronts)
+	p.startFronts(fronts)
+	for i := range streams {
+		c := longStream(i, 2)
+		res, data, err := p.do(fronts[i%2], c)
+		is.NoErr(err)
+		is.Equal(res.StatusCode, http.StatusOK)
+		is.True(bytes.HasPrefix(data, standin.RoutedEvent(c.target, 4)))
+	}
+}
