Refuse unknown streams at a front that is cut off

A front that can reach neither the store nor another front does not learn of new versions. A stream that began at one of them elsewhere, and whose caller returns to this front, continued at the only version that the front knew.

Such a front now refuses streams that it does not know, until it hears another front or the store again.

--- a/daemon/front_streams.go
+++ b/daemon/front_streams.go
@@ -16,7 +16,7 @@
 		Store: d.store, Table: origins, Self: d.exchange.Self.Incarnation, Logger: d.Logger,
 		Leads: d.leadsStreamVersions, OnFirstReadDone: d.admitHeldCalls, OnRecorded: d.exchange.SendRecordedVersions,
 	}
-	origins.Started = time.Now()
+	origins.Started, origins.Isolated = time.Now(), d.isolated
 	origins.Send, origins.OnVersions = d.exchange.SendStreamOrigins, d.streamVersions.Changed
 	d.exchange.StreamOrigins = func() []runworks.StreamOrigin { return origins.List(time.Now()) }
 	d.exchange.OnStreamOrigins = func(list []runworks.StreamOrigin) { origins.Apply(time.Now(), list) }
@@ -30,6 +30,11 @@
 	return d.exchange.Settled(time.Now()) && d.exchange.ReadsStore(d.watches[peers.SubjectServers].StoreLost())
 }
 
+// isolated reports whether this front can reach neither the store nor another front.
+func (d *Front) isolated() bool {
+	return d.watches[peers.SubjectServers].StoreLost() && d.exchange.LiveCount() == 0
+}
+
 // onStreamVersions applies the versions of another front's handshake, or those that it has recorded.
 func (d *Front) onStreamVersions(list []runworks.StreamVersion, recorded bool) {
 	if recorded {
--- a/services/streamorigin/table.go
+++ b/services/streamorigin/table.go
@@ -30,6 +30,9 @@
 	// OnVersions is called when Unrecorded may have changed; nil if there is no durable record. It is
 	// called with a lock held and must not block.
 	OnVersions func()
+	// Isolated reports whether this entry is cut off from the list of servers and from all other entries,
+	// so that newer versions may serve; nil means that it never is. It is called with a lock held.
+	Isolated func() bool
 	// Started is when this entry started. Until ApplyVersions, or for versionMemory, versions that served
 	// before are unknown; zero if none did.
 	Started time.Time
@@ -139,8 +142,8 @@
 
 // Resolve returns the service and version that began a stream which a caller resumes. service is the
 // one that the stream has by its route. An unknown stream is of the only version that may have begun
-// streams of the service. If there are several or none, or if those before the start of this entry are not
-// known, the error is ErrUnknownStream.
+// streams of the service. If there are several or none, or if those before the start of this entry or the
+// newest ones may not be known, the error is ErrUnknownStream.
 func (t *Table) Resolve(now time.Time, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -148,6 +151,9 @@
 		return runworks.StreamOrigin{Stream: stream, Service: o.service, Version: o.version}, nil
 	}
 	out := runworks.StreamOrigin{Stream: stream, Service: service}
+	if t.Isolated != nil && t.Isolated() {
+		return out, errorx.Decorate(runworks.ErrUnknownStream, "newer versions of %s may serve than this entry knows", service)
+	}
 	if !t.knowsVersionsLocked(now) {
 		return out, errorx.Decorate(runworks.ErrUnknownStream, "the versions of %s before the start are unknown", service)
 	}
--- a/services/streamorigin/versions_test.go
+++ b/services/streamorigin/versions_test.go
@@ -136,3 +136,19 @@
 		is.Equal(versionAt(table, "1"), "?")
 	})
 }
+
+// TestIsolatedEntryGuessesVersion guards against an entry that is cut off while a newer version appears, and
+// that continues a stream of it at the version which it knows.
+func TestIsolatedEntryGuessesVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table, isolated := startedTable("v1"), true
+		table.Isolated = func() bool { return isolated }
+		table.ApplyVersions(time.Now(), nil)
+		table.Record(time.Now(), begun("1", "v1"), kept)
+		is.Equal(versionAt(table, "1"), "v1")
+		is.Equal(versionAt(table, "2"), "?")
+		isolated = false
+		is.Equal(versionAt(table, "2"), "v1")
+	})
+}
--- a/tests/platform_versions_test.go
+++ b/tests/platform_versions_test.go
@@ -304,3 +304,29 @@
 		is.True(bytes.HasPrefix(data, standin.RoutedEvent(c.target, 4)))
 	}
 }
+
+// TestPlatformIsolatedFrontRefusesUnknownStream guards against a front that can reach neither the store nor
+// another front, and continues a stream of a version that it can't know at the one that it knows.
+func TestPlatformIsolatedFrontRefusesUnknownStream(t *testing.T) {
+	p := newBarePlatformSite(t)
+	p.putDocument()
+	p.addServer("llm-1")
+	store := newProxy(t, p.store.address("standin"))
+	p.fronts["front-1"] = startProcess(t, "front-1", "runworks", "front", "--settings", p.settingsFile("front-1", p.proxiedSettings("front-1", store, nil)))
+	p.waitReady("front-1", 1)
+	attempts := 0
+	continues := func() bool {
+		attempts++
+		c := longStream(attempts, 2)
+		res, _, err := p.do("front-1", c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return res.StatusCode == http.StatusOK
+	}
+	p.waitFor("the stream continues", continues)
+	store.set(proxyBlocksBoth)
+	p.waitFor("the isolated front refuses the stream", func() bool { return !continues() })
+	store.set(proxyForwards)
+	p.waitFor("the stream continues again", continues)
+}
