Bound the heads of responses

A server whose response has no line end made a front keep all of its bytes in memory.

Cause: http.ReadResponse reads the status line and the header without a limit; only bodies were bounded. Seen in the reproduction: such responses take a front beyond 500 MB within seconds, and none of their bytes is counted as held memory.

A head may have 64 KB and 512 lines now, and bytes that do not begin like an HTTP response are not read on. The connection is closed at once, as the bytes may come without end. The call may have run and gets 502, or is sent again if it may run twice, at once and not at its time limit. The upgrade of connections between fronts reads heads with the same bound.

--- a/modules/httpconn/do.go
+++ b/modules/httpconn/do.go
@@ -125,7 +125,7 @@
 // responses to other requests.
 func (x *exchange) read() (*http.Response, error) {
 	for range maxMismatched {
-		res, err := http.ReadResponse(x.conn.br, x.req)
+		res, err := x.conn.heads.ReadResponse(x.req)
 		if err != nil {
 			return nil, err
 		}
@@ -200,5 +200,5 @@
 
 // reusable reports whether the next request may use the connection.
 func (x *exchange) reusable(res *http.Response) bool {
-	return !CloseDelimited(res) && !res.Close && x.written.Load() && x.conn.br.Buffered() == 0
+	return !CloseDelimited(res) && !res.Close && x.written.Load() && x.conn.heads.Reader.Buffered() == 0
 }
--- a/modules/httpconn/pool.go
+++ b/modules/httpconn/pool.go
@@ -1,7 +1,6 @@
 package httpconn
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -55,7 +54,7 @@
 type conn struct {
 	net.Conn
 	address string
-	br      *bufio.Reader
+	heads   *HeadReader
 	expires time.Time
 	// serverIdleTimeout is the last Keep-Alive timeout that the server sent; 0 if none.
 	serverIdleTimeout time.Duration
@@ -88,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, address: address, br: bufio.NewReader(raw)}, nil
+	return &conn{Conn: raw, address: address, heads: NewHeadReader(raw)}, nil
 }
 
 func (p *Pool) takeIdle(address string) *conn {
--- a/modules/rpc/rpc.go
+++ b/modules/rpc/rpc.go
@@ -16,6 +16,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/runworks/runworks/modules/httpconn"
 	"github.com/runworks/runworks/modules/tcp"
 )
 
@@ -138,8 +139,8 @@
 	if err := req.Write(conn); err != nil {
 		return nil, errorx.Decorate(err, "send the upgrade request to %s", address)
 	}
-	reader := bufio.NewReader(conn)
-	res, err := http.ReadResponse(reader, req)
+	heads := httpconn.NewHeadReader(conn)
+	res, err := heads.ReadResponse(req)
 	if err != nil {
 		return nil, errorx.Decorate(err, "read the upgrade response of %s", address)
 	}
@@ -151,7 +152,7 @@
 	default:
 		return nil, errorx.IllegalState.New("%s refused the control connection: %s", address, res.Status)
 	}
-	return &Stream{Conn: conn, reader: reader, peerFrames: supportsFrames(res.Header)}, nil
+	return &Stream{Conn: conn, reader: heads.Reader, peerFrames: supportsFrames(res.Header)}, nil
 }
 
 // Accept upgrades a request at Path to a control connection. A request without the upgrade
--- a/standin/routed.go
+++ b/standin/routed.go
@@ -169,6 +169,15 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	id := r.Header.Get(HeaderRoutedID)
+	data := RoutedResponseBody(id, r.Method, r.RequestURI, body)
+	b.mu.Lock()
+	endless, kind := b.consume(&b.faults.EndlessAnswers), b.faults.Endless
+	b.mu.Unlock()
+	if endless {
+		b.sendEndless(w, kind, r, data)
+		return
+	}
 	if n, err := strconv.Atoi(r.URL.Query().Get("events")); err == nil {
 		b.streamEvents(w, r, n)
 		return
@@ -176,8 +185,6 @@
 	if !waitFor(r, b.Delay) {
 		return
 	}
-	id := r.Header.Get(HeaderRoutedID)
-	data := RoutedResponseBody(id, r.Method, r.RequestURI, body)
 	b.mu.Lock()
 	reset, unframed, unsolicited, fail := b.consume(&b.faults.Reset), false, false, false
 	if !reset {
--- a/standin/routed_faults.go
+++ b/standin/routed_faults.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -39,6 +40,9 @@
 	// Backoff, unless 0, rejects each call and asks its front for a back-off of that many
 	// seconds.
 	Backoff float64 `json:"rest"`
+	// Endless is the kind of the endless responses, of which there are EndlessAnswers.
+	Endless        EndlessKind `json:"endless"`
+	EndlessAnswers int         `json:"endless_answers"`
 	// Bad makes a part of the calls fail or slow, as those of a bad version.
 	Bad RoutedBadness `json:"bad"`
 }
@@ -131,3 +135,82 @@
 	defer b.mu.Unlock()
 	return b.faults.BreakAt == n && b.consume(&b.faults.Breaks)
 }
+
+// EndlessKind is where in a response the bytes are that have no end.
+type EndlessKind string
+
+// Kinds of endless responses.
+const (
+	// EndlessBytes are no response at all, EndlessLine is a status line and EndlessHeader a header without
+	// end.
+	EndlessBytes  EndlessKind = "bytes"
+	EndlessLine   EndlessKind = "line"
+	EndlessHeader EndlessKind = "header"
+	// EndlessBody is a body that only the end of its connection would end, EndlessChunks one in chunks, and
+	// EndlessLength one that is announced to be very long.
+	EndlessBody   EndlessKind = "body"
+	EndlessChunks EndlessKind = "chunks"
+	EndlessLength EndlessKind = "length"
+	// EndlessEvent is an event of a stream without end, EndlessEvents are events and EndlessLines the ends of
+	// lines.
+	EndlessEvent  EndlessKind = "event"
+	EndlessEvents EndlessKind = "events"
+	EndlessLines  EndlessKind = "lines"
+	// EndlessSurplus follows a whole response.
+	EndlessSurplus EndlessKind = "surplus"
+)
+
+const (
+	// endlessPart is the size of the pieces in which endless bytes are sent, and endlessBytes how many are
+	// sent before the server waits for the caller to close: it bounds what a faulty caller keeps in memory.
+	endlessPart  = 64 << 10
+	endlessBytes = 64 << 20
+)
+
+// endless returns the beginning of an endless response and what is then repeated.
+func (k EndlessKind) endless(id, target string, response []byte) (begin, repeated []byte) {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n", HeaderRoutedID, id, HeaderRoutedSignature, signature(response))
+	stream := head + "Content-Type: text/event-stream\r\n\r\n"
+	zeros := bytes.Repeat([]byte("0"), endlessPart)
+	switch k {
+	case EndlessLine:
+		return []byte("HTTP/1.1 200 "), zeros
+	case EndlessHeader:
+		return []byte(head), bytes.Repeat([]byte("A: 0\r\n"), endlessPart/6)
+	case EndlessBody:
+		return []byte(head + "\r\n"), zeros
+	case EndlessChunks:
+		return []byte(head + "Transfer-Encoding: chunked\r\n\r\n"), fmt.Appendf(nil, "%x\r\n%s\r\n", len(zeros), zeros)
+	case EndlessLength:
+		return []byte(head + "Content-Length: 1000000000000\r\n\r\n"), zeros
+	case EndlessEvent:
+		return fmt.Append(nil, stream, "data: "), zeros
+	case EndlessEvents:
+		event := RoutedEvent(target, 1)
+		return []byte(stream), bytes.Repeat(event, endlessPart/len(event))
+	case EndlessLines:
+		return []byte(stream), bytes.Repeat([]byte("\n"), endlessPart)
+	case EndlessSurplus:
+		return fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", head, len(response), response), zeros
+	}
+	return nil, zeros
+}
+
+// sendEndless sends an endless response until the caller closes the connection.
+func (b *RoutedServer) sendEndless(w http.ResponseWriter, kind EndlessKind, r *http.Request, response []byte) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	begin, repeated := kind.endless(r.Header.Get(HeaderRoutedID), r.RequestURI, response)
+	sent, err := conn.Write(begin)
+	for err == nil && sent < endlessBytes {
+		var n int
+		n, err = conn.Write(repeated)
+		sent += n
+	}
+	if err == nil {
+		_, _ = io.Copy(io.Discard, buffered.Reader)
+	}
+}
