Bound the bodies and events of responses

A body without end was passed on to its caller until the call's time limit, at the rate at which it came. A stream in which an event had no end was aborted after 1 MB, also where another server could have continued it, and each piece of that event was searched again from its beginning.

An event without end counts as the break of its stream before it, which may be resumed. Events are searched once. Empty lines are no events.

TestStreamWithoutEndIsResumed and TestAnswerWithoutEnd fail without the change.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -204,7 +204,7 @@
 	d.forwarder = &forward.Forwarder{
 		Ready: d.initialized, Dispatcher: d.dispatcher, Quota: d.quota, Budgets: d.budgets, Quarantine: d.quarantine, Logger: d.Logger, Metrics: d.metrics, Tracer: tracer,
 		Sender: &platform.Sender{Pool: d.pool}, Regions: s.Regions,
-		Memory: forward.Memory{Limit: int64(heldFraction * float64(s.MemoryMB<<20))},
+		Memory: forward.Memory{Limit: int64(heldFraction * float64(s.MemoryMB<<20))}, MaxResponseBytes: s.MaxResponseBytes,
 	}
 	d.front = &platform.Front{Forwarder: d.forwarder, Logger: d.Logger, MaxBodyBytes: s.MaxBodyBytes}
 	d.store = &platform.Store{Address: s.Store, Client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}}, OnRestored: d.onStoreRestored, OnNoResponse: d.onNoStoreResponse, OnSilent: d.onSilentStoreConn}
--- a/modules/eventstream/eventstream.go
+++ b/modules/eventstream/eventstream.go
@@ -15,9 +15,10 @@
 }
 
 // Cut returns the first event of p, up to and including the blank line that ends it, and the rest.
-// ok is false if p holds no whole event.
-func Cut(p []byte) (event, rest []byte, ok bool) {
-	for i := range len(p) - 1 {
+// ok is false if p holds no whole event. The first searched bytes of p are known to hold none.
+func Cut(p []byte, searched int) (event, rest []byte, ok bool) {
+	// The longest end of an event that may have begun there has three bytes.
+	for i := max(searched-2, 0); i < len(p)-1; i++ {
 		end := 0
 		switch {
 		case p[i] == '\n' && p[i+1] == '\n', p[i] == '\r' && p[i+1] == '\r':
--- a/modules/setting/front.go
+++ b/modules/setting/front.go
@@ -41,6 +41,8 @@
 	DefaultExposureShare = 0.1
 	DefaultExposureSlack = 50
 	DefaultRollbackAfter = 5 * time.Second
+	// DefaultMaxResponseBytes is several times the longest stream of a model, with an event for each token.
+	DefaultMaxResponseBytes = 64 << 20
 	// DefaultLogLinesPerSecond limits the log lines per second.
 	DefaultLogLinesPerSecond = 300
 )
@@ -110,6 +112,8 @@
 	RollbackAfter OptionalDuration `yaml:"rollback_after"`
 	// MaxBodyBytes limits the body of a call while no routing is active.
 	MaxBodyBytes int64 `yaml:"max_body_bytes"`
+	// MaxResponseBytes limits what a call receives from its servers.
+	MaxResponseBytes int64 `yaml:"max_response_bytes"`
 	// Cores limits the processors that the process uses; 0 means all.
 	Cores int `yaml:"cores"`
 	// MemoryMB limits the memory of the process in MB; 0 means no limit.
@@ -128,7 +132,7 @@
 		Grace: DefaultGrace, StopNotice: DefaultStopNotice, PeerTimeout: DefaultPeerTimeout, RetryRatio: DefaultRetryRatio, RetrySlack: DefaultRetrySlack,
 		RetryWindow: DefaultRetryWindow, QuotaWindow: DefaultQuotaWindow, QuarantineAfter: DefaultQuarantineAfter, QuarantineFor: DefaultQuarantineFor,
 		ColdOverage: DefaultColdOverage, ExposureShare: DefaultExposureShare, ExposureSlack: DefaultExposureSlack, RollbackAfter: OptionalDuration(DefaultRollbackAfter),
-		MaxBodyBytes: DefaultMaxBodyBytes, LogLinesPerSecond: DefaultLogLinesPerSecond, Log: Log{JSON: true}, Traces: Traces{Sampled: 1},
+		MaxBodyBytes: DefaultMaxBodyBytes, MaxResponseBytes: DefaultMaxResponseBytes, LogLinesPerSecond: DefaultLogLinesPerSecond, Log: Log{JSON: true}, Traces: Traces{Sampled: 1},
 	}
 	return s, load(file, s, s.check)
 }
@@ -171,6 +175,9 @@
 	if s.MaxBodyBytes <= 0 {
 		m.add("max_body_bytes", "%d is not above zero", s.MaxBodyBytes)
 	}
+	if s.MaxResponseBytes <= 0 {
+		m.add("max_response_bytes", "%d is not above zero", s.MaxResponseBytes)
+	}
 	if s.Cores < 0 {
 		m.add("cores", "%d is negative", s.Cores)
 	}
--- a/services/forward/answer.go
+++ b/services/forward/answer.go
@@ -67,6 +67,13 @@
 	return out, nil
 }
 
+// countResponse counts received bytes of a response that is passed on as it arrives, and reports whether the
+// call may receive more.
+func (c *call) countResponse(n int) bool {
+	c.received += int64(n)
+	return c.f.MaxResponseBytes <= 0 || c.received <= c.f.MaxResponseBytes
+}
+
 // resultOf returns the dispatch result for a response status. 504 does not count against the
 // server: the caller's time was over.
 func resultOf(status int) dispatch.Result {
@@ -128,6 +135,9 @@
 		return t.prefix.Read(p)
 	}
 	n, err := t.rest.Read(p)
+	if err == nil && !t.call.countResponse(n) {
+		n, err = 0, errResponseTooLong
+	}
 	t.err = err
 	return n, err
 }
@@ -147,7 +157,11 @@
 		t.call.finish(runworks.OutcomeDone, t.status, nil)
 		return nil
 	}
-	t.lease.Release(dispatch.Abandoned)
+	result := dispatch.Abandoned
+	if errors.Is(t.err, errResponseTooLong) {
+		result = dispatch.Interrupted
+	}
+	t.lease.Release(result)
 	t.call.finish(runworks.OutcomeUnknown, t.status, t.err)
 	return nil
 }
--- /dev/null
+++ b/services/forward/endless_test.go
@@ -0,0 +1,55 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+)
+
+// TestStreamWithoutEndIsResumed guards against a stream that is given up, or counts for its server, as it
+// goes on with an event without end: those bytes belong to no request, so another server continues it.
+func TestStreamWithoutEndIsResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		events := "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+		endless := reply{body: events + "data: " + strings.Repeat("0", 2*maxEvent)}
+		s := &sender{replies: []reply{endless, restOfStream}}
+		f := newForwarder(t, s, io.Discard)
+		_, body, err := serve(context.Background(), f, "resumable")
+		is.NoErr(err)
+		is.Equal(body, events+restOfStream.body)
+		is.Equal(s.sends[1].LastEventID, "2")
+		is.Equal(f.Memory.Held(), int64(0))
+
+		_, body, err = serve(context.Background(), newForwarder(t, &sender{replies: []reply{endless}}, io.Discard), "stream")
+		is.True(err != nil)
+		is.Equal(body, events)
+	})
+}
+
+// TestAnswerWithoutEnd guards against a response without end that is passed on until the time limit of its
+// call, or that looks complete where it is cut off.
+func TestAnswerWithoutEnd(t *testing.T) {
+	for _, c := range []struct{ route, text string }{
+		{"once", "0"}, {"stream", "data: 0\n\n"}, {"resumable", "id: 1\ndata: 0\n\n"}, {"stream", "\n"}, {"stream", ":\n\n"},
+	} {
+		t.Run(c.route, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &sender{replies: []reply{{body: strings.Repeat(c.text, 4<<20/len(c.text))}}}
+				f := newForwarder(t, s, io.Discard)
+				f.MaxResponseBytes = 1 << 20
+				_, body, err := serve(context.Background(), f, c.route)
+				is.True(errors.Is(err, errResponseTooLong))
+				is.True(len(body) <= int(f.MaxResponseBytes)+maxBufferedBody)
+				is.Equal(len(s.sends), 1)
+				is.Equal(f.Memory.Held(), int64(0))
+			})
+		})
+	}
+}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -64,6 +64,9 @@
 	Quarantine *quarantine.Quarantine
 	// Memory bounds what is held for calls.
 	Memory Memory
+	// MaxResponseBytes limits what a call receives from its servers; 0 means no limit. A longer response is
+	// aborted, as it may have no end.
+	MaxResponseBytes int64
 	// Origins holds which software version began each resumable stream.
 	Origins streamorigin.Table
 	Sender  runworks.Sender
@@ -143,6 +146,8 @@
 	firstByte time.Time
 	// firstEvent is when the first event of the last server arrived, and was expected.
 	firstEvent firstEvent
+	// received is the number of bytes that were received of responses passed on as they arrive.
+	received int64
 	// events counts the events of a stream that were passed on, and longestPause is the longest
 	// time between two of them from one server.
 	events       int
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -28,8 +28,11 @@
 )
 
 var (
-	// errEventTooLong is returned if an event is longer than maxEvent.
+	// errEventTooLong means that an event is longer than maxEvent: its bytes may have no end, so that the
+	// stream counts as broken before it.
 	errEventTooLong = errors.New("stream event exceeds the size limit")
+	// errResponseTooLong means that a call has received more than Forwarder.MaxResponseBytes.
+	errResponseTooLong = errors.New("response exceeds the size limit")
 	// errCutStream means that the server ended its stream inside an event, or that the connection
 	// ended before any event.
 	errCutStream = errors.New("the backend server ended the stream inside an event, or before the first one")
@@ -100,8 +103,11 @@
 	n, err := s.body.Read(s.readBuf)
 	s.reader.recordServerWait(time.Since(start))
 	s.splitEvents(s.readBuf[:n])
-	if errors.Is(err, io.EOF) && s.isCut() {
+	switch {
+	case errors.Is(err, io.EOF) && s.isCut():
 		err = errCutStream
+	case err == nil && len(s.partial) > maxEvent:
+		err = errEventTooLong
 	}
 	switch {
 	case errors.Is(err, io.EOF):
@@ -113,8 +119,9 @@
 		s.call.unfinishedEvent = len(s.partial)
 		s.partial = nil
 		s.err = s.resume(err)
-	case len(s.partial) > maxEvent:
-		s.err = errEventTooLong
+	case !s.call.countResponse(n):
+		s.lease.Release(dispatch.Interrupted)
+		s.err = errResponseTooLong
 	case !s.reserveBuffers():
 		s.lease.Release(dispatch.Abandoned)
 		s.err = errorx.Decorate(runworks.ErrMemory, "a long event")
@@ -147,12 +154,15 @@
 
 // splitEvents moves the whole events of data to pending.
 func (s *stream) splitEvents(data []byte) {
+	searched := len(s.partial)
 	s.partial = append(s.partial, data...)
-	event, rest, ok := eventstream.Cut(s.partial)
+	event, rest, ok := eventstream.Cut(s.partial, searched)
 	for ok {
-		s.recordEvent(event)
+		if len(bytes.Trim(event, "\r\n")) > 0 {
+			s.recordEvent(event)
+		}
 		s.pending.Write(event)
-		event, rest, ok = eventstream.Cut(rest)
+		event, rest, ok = eventstream.Cut(rest, 0)
 	}
 	s.partial = append(s.partial[:0], rest...)
 }
