Leave the processor to other calls during long responses

While one response came without a pause, calls of a sound service took some 40 ms in place of 2 at a front with one processor, for as long as it came. Cause: a goroutine that never waits leaves the process no idle moment in which it looks at its other connections; the runtime then does so each 10 ms, and a call waits for that at each of its hops.

A response of more than 256 KB is passed on with a pause of 1 ms after each 64 KB, some 50 MB a second at most.

TestLongResponseKeepsProcessorBusy fails without the pause.

--- a/services/forward/answer.go
+++ b/services/forward/answer.go
@@ -11,6 +11,7 @@
 
 	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/modules/metrics"
+	"github.com/runworks/runworks/modules/pause"
 	"github.com/runworks/runworks/services/dispatch"
 )
 
@@ -67,10 +68,24 @@
 	return out, nil
 }
 
+const (
+	// bulkBytes is the size in bytes beyond which a response is passed on with a pause after each of its
+	// bulkPart.
+	bulkBytes = 256 << 10
+	bulkPart  = 64 << 10
+	// bulkPause is the pause: a response that arrives and is read without a pause keeps a process with one
+	// processor busy, and it then polls its other connections only each 10 ms.
+	bulkPause = time.Millisecond
+)
+
 // countResponse counts received bytes of a response that is passed on as it arrives, and reports whether the
 // call may receive more.
 func (c *call) countResponse(n int) bool {
+	before := c.received / bulkPart
 	c.received += int64(n)
+	if c.received > bulkBytes && c.received/bulkPart > before {
+		pause.For(c.attemptCtx, bulkPause)
+	}
 	return c.f.MaxResponseBytes <= 0 || c.received <= c.f.MaxResponseBytes
 }
 
--- a/services/forward/endless_test.go
+++ b/services/forward/endless_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -53,3 +54,25 @@
 		})
 	}
 }
+
+// TestLongResponseKeepsProcessorBusy guards against a response that arrives without a pause and keeps a
+// process with one processor from reading its other connections.
+func TestLongResponseKeepsProcessorBusy(t *testing.T) {
+	for _, route := range []string{"once", "stream"} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newForwarder(t, &sender{replies: []reply{{body: strings.Repeat("data: 0\n\n", bulkBytes)}}}, io.Discard)
+			began := time.Now()
+			_, body, err := serve(context.Background(), f, route)
+			is.NoErr(err)
+			is.True(time.Since(began) >= bulkPause) // in virtual time, only pauses take any
+			if route == "stream" {
+				is.True(time.Since(began) >= time.Duration((len(body)-bulkBytes)/bulkPart)*bulkPause)
+			}
+			began = time.Now()
+			_, _, err = serve(context.Background(), newForwarder(t, &sender{replies: []reply{{body: strings.Repeat("data: 0\n\n", bulkPart/10)}}}, io.Discard), route)
+			is.NoErr(err)
+			is.Equal(time.Since(began), time.Duration(0)) // usual responses have none
+		})
+	}
+}
