Bound messages between processes by what has arrived

A peer that announced a message of 32 MB made the process allocate all of it before a byte of it had arrived, on each connection; on connections without frames the length had no bound at all. Found by looking for what else is read of a peer without a bound.

TestMessageWithoutEnd fails before: there is no bound on connections without frames.

--- a/modules/rpc/frames.go
+++ b/modules/rpc/frames.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/binary"
 	"encoding/json"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -23,9 +22,6 @@
 	framesVersion = "2"
 	// frameMarker is the first byte of a frame; no JSON text starts with it.
 	frameMarker = 0
-	// maxMessageBytes limits the memory that a peer can make this process allocate for one
-	// message. It is many times the complete state of the largest deployment.
-	maxMessageBytes = 32 << 20
 	// frameTimeout limits the write of one frame, so that a peer that does not read cannot
 	// delay the peers that are written to after it. A write normally takes a small fraction
 	// of it.
@@ -201,7 +197,7 @@
 // object to onFrame.
 func (o *messageStream) ReadObject(v any) error {
 	for {
-		data, err := o.read()
+		data, err := readMessage(o.reader)
 		if err != nil {
 			return err
 		}
@@ -217,19 +213,6 @@
 	}
 }
 
-func (o *messageStream) read() ([]byte, error) {
-	size, err := binary.ReadUvarint(o.reader)
-	if err != nil {
-		return nil, err
-	}
-	if size > maxMessageBytes {
-		return nil, errorx.IllegalFormat.New("message of %d bytes exceeds the limit of %d bytes", size, maxMessageBytes)
-	}
-	data := make([]byte, size)
-	_, err = io.ReadFull(o.reader, data)
-	return data, err
-}
-
 // Close implements jsonrpc2.ObjectStream.
 func (o *messageStream) Close() error { return o.stream.Close() }
 
--- a/modules/rpc/frames_test.go
+++ b/modules/rpc/frames_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/binary"
 	"encoding/json"
+	"errors"
+	"io"
 	"net"
 	"os"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -159,3 +164,26 @@
 		_ = remote.Close()
 	})
 }
+
+// TestMessageWithoutEnd guards against memory that a peer takes by the announced length of a message alone,
+// and against messages whose length has no bound.
+func TestMessageWithoutEnd(t *testing.T) {
+	is := is.New(t)
+	announced := func(size uint64) *bufio.Reader {
+		return bufio.NewReader(bytes.NewReader(binary.AppendUvarint(nil, size)))
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := readMessage(announced(maxMessageBytes))
+	runtime.ReadMemStats(&after)
+	is.Equal(err, io.ErrUnexpectedEOF)
+	is.True(after.TotalAlloc-before.TotalAlloc < maxMessageBytes/8)
+	_, err = readMessage(announced(maxMessageBytes + 1))
+	is.True(errors.Is(err, ErrMessageTooLong))
+
+	local, remote := pipe()
+	conn := Serve(t.Context(), remote, nil)
+	_, err = local.Write(binary.AppendUvarint(nil, maxMessageBytes+1))
+	is.NoErr(err)
+	<-conn.DisconnectNotify() // nothing of it is awaited
+}
--- a/modules/rpc/rpc.go
+++ b/modules/rpc/rpc.go
@@ -185,7 +185,7 @@
 // Serve starts JSON-RPC on a stream. Notifications are handled in order, calls concurrently.
 // The connection is closed when ctx is done or the stream ends.
 func Serve(ctx context.Context, stream *Stream, handle HandleFunc) *jsonrpc2.Conn {
-	return newConn(ctx, jsonrpc2.NewBufferedStream(stream, jsonrpc2.VarintObjectCodec{}), handle)
+	return newConn(ctx, jsonrpc2.NewBufferedStream(stream, boundedCodec{}), handle)
 }
 
 func newConn(ctx context.Context, objects jsonrpc2.ObjectStream, handle HandleFunc) *jsonrpc2.Conn {
