Bound the responses of the store below a front's memory

A response of the store was read up to 64 MB, with buffers of twice that, and its header up to 10 MB, by a front that may have 134 MB; the pages of a list without end were all kept. Found by looking for what else is read of a peer without a bound.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -207,7 +207,7 @@
 		Memory: forward.Memory{Limit: int64(heldFraction * float64(s.MemoryMB<<20))}, MaxResponseBytes: s.MaxResponseBytes,
 	}
 	d.front = &platform.Front{Forwarder: d.forwarder, Logger: d.Logger, MaxBodyBytes: s.MaxBodyBytes}
-	d.store = &platform.Store{Address: s.Store, Client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}}, OnRestored: d.onStoreRestored, OnNoResponse: d.onNoStoreResponse, OnSilent: d.onSilentStoreConn}
+	d.store = &platform.Store{Address: s.Store, Client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: httpconn.MaxHeadBytes}}, OnRestored: d.onStoreRestored, OnNoResponse: d.onNoStoreResponse, OnSilent: d.onSilentStoreConn}
 	d.exchange = &peers.Exchange{
 		Self: self,
 		Dial: dial, Keys: rpc.FleetKeys(s.FleetKeys), Logger: d.Logger,
