Bound the heads that callers and other processes send

A front read the heads of requests up to 1 MB each: 768 callers that sent 900 KB made it 144 MB large, of 134 MB that it may have. Agents did the same, and clients of agents, of backend servers and of the log service read headers up to 10 MB. Found by looking for what else is read of a peer without a bound.

All of them have the bound that entries had for their callers, 64 KB.

--- a/cmd/runworks/status.go
+++ b/cmd/runworks/status.go
@@ -20,7 +20,11 @@
 	"github.com/runworks/runworks/services/rollout"
 )
 
-const statusTimeout = 5 * time.Second
+const (
+	statusTimeout = 5 * time.Second
+	// maxStatusBytes limits a status: many times that of the largest deployment.
+	maxStatusBytes = 64 << 20
+)
 
 // addStatus adds the command that prints the status of an entry.
 func addStatus(app *kingpin.Application) {
@@ -53,7 +57,7 @@
 		return nil, errorx.Decorate(err, "request the status of the entry")
 	}
 	defer func() { _ = res.Body.Close() }()
-	data, err := io.ReadAll(res.Body)
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxStatusBytes))
 	if err != nil {
 		return nil, errorx.Decorate(err, "read the status of the entry")
 	}
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -10,6 +10,7 @@
 	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/modules/backend"
 	"github.com/runworks/runworks/modules/setting"
+	"github.com/runworks/runworks/routers/callers"
 	"github.com/runworks/runworks/routers/operators"
 	"github.com/runworks/runworks/routers/runs"
 	"github.com/runworks/runworks/services/agent"
@@ -95,8 +96,8 @@
 	routes := &runs.Routes{Agent: d.Agent, Keys: s.FleetKeys}
 	operatorRoutes := &operators.Routes{Ready: d.ready, Metrics: metricSet, Status: func() any { return d.Agent.Status() }}
 	return &httpServers{
-		clients:   &http.Server{Handler: routes.Handler(), ReadHeaderTimeout: readHeaderTimeout},
-		operators: &http.Server{Handler: operatorRoutes.Handler(), ReadHeaderTimeout: readHeaderTimeout},
+		clients:   &http.Server{Handler: routes.Handler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: callers.MaxHeaderBytes},
+		operators: &http.Server{Handler: operatorRoutes.Handler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: callers.MaxHeaderBytes},
 	}, nil
 }
 
--- a/daemon/front_listen.go
+++ b/daemon/front_listen.go
@@ -12,6 +12,7 @@
 	"github.com/runworks/runworks/modules/metrics"
 	"github.com/runworks/runworks/modules/tcp"
 	"github.com/runworks/runworks/platform"
+	"github.com/runworks/runworks/routers/callers"
 	"github.com/runworks/runworks/routers/operators"
 )
 
@@ -91,7 +92,7 @@
 	out := make([]*http.Server, len(listeners))
 	for i, handler := range handlers {
 		out[i] = &http.Server{
-			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: tcp.TrackIdle, ConnContext: tcp.WithConn,
+			Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: callers.MaxHeaderBytes, IdleTimeout: idleTimeout, ConnState: tcp.TrackIdle, ConnContext: tcp.WithConn,
 			ErrorLog: d.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		}
 	}
--- a/modules/backend/http.go
+++ b/modules/backend/http.go
@@ -57,6 +57,8 @@
 		DisableCompression: true,
 		DisableKeepAlives:  noKeepAlive,
 		IdleConnTimeout:    idleTimeout,
+
+		MaxResponseHeaderBytes: httpconn.MaxHeadBytes,
 	}
 }
 
--- a/modules/platform/client.go
+++ b/modules/platform/client.go
@@ -12,18 +12,23 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/httpconn"
 )
 
 const (
 	maxResponseBytes = 64 << 20
 	callTimeout      = 5 * time.Second
+	idleTimeout      = 90 * time.Second
 )
 
+// defaultClient bounds the heads of responses, which http.DefaultClient keeps up to 10 MB of.
+var defaultClient = &http.Client{Transport: &http.Transport{Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: httpconn.MaxHeadBytes, IdleConnTimeout: idleTimeout}}
+
 // Log is a client of the log service at Address.
 type Log struct {
 	// Address is the base URL of the log service.
 	Address string
-	// Client sends the requests; nil is http.DefaultClient.
+	// Client sends the requests; nil is one that bounds the heads of responses.
 	Client *http.Client
 }
 
@@ -60,7 +65,7 @@
 type Hosts struct {
 	// Address is the base URL of the host list.
 	Address string
-	// Client sends the requests; nil is http.DefaultClient.
+	// Client sends the requests; nil is one that bounds the heads of responses.
 	Client *http.Client
 }
 
@@ -82,7 +87,7 @@
 		return errorx.Decorate(err, "build the request")
 	}
 	if client == nil {
-		client = http.DefaultClient
+		client = defaultClient
 	}
 	res, err := client.Do(req)
 	if err != nil {
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/modules/group"
+	"github.com/runworks/runworks/modules/httpconn"
 	"github.com/runworks/runworks/modules/metrics"
 	"github.com/runworks/runworks/modules/notify"
 	"github.com/runworks/runworks/modules/rpc"
@@ -97,6 +98,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
+
+		MaxResponseHeaderBytes: httpconn.MaxHeadBytes,
 	}}
 }
 
