Do not record versions again at each start

A front that starts took the versions of its first list for returned ones, and the fronts that write for all wrote their records again at each start. Only a version that returns to the list while the front runs is written again. TestStartWritesRecordAgain fails before.

The checks of sizes move out of Front.check, which had become too long.

--- a/modules/httpconn/head_test.go
+++ b/modules/httpconn/head_test.go
@@ -56,7 +56,7 @@
 		t.Run(fmt.Sprintf("%.30q", c.begin+c.text), func(t *testing.T) {
 			is := is.New(t)
 			input := &repeated{begin: c.begin, text: c.text}
-			_, err := NewHeadReader(input).ReadResponse(nil) //nolint:bodyclose // there is no response
+			_, err := NewHeadReader(input).ReadResponse(nil)
 			is.True(errors.Is(err, c.err))
 			is.True(input.read <= c.atMost)
 		})
@@ -90,7 +90,7 @@
 				_, _ = io.Copy(c, &repeated{begin: begin, text: "0"})
 			}
 		})
-		_, err := newPool().Do(context.Background(), s.address, request(t, http.MethodPost, s.address, "body"), nil) //nolint:bodyclose // there is no response
+		_, err := newPool().Do(context.Background(), s.address, request(t, http.MethodPost, s.address, "body"), nil)
 		is.True(errors.Is(err, runworks.ErrBackend))
 		<-s.closed // the server's write failed: the connection is closed
 		is.Equal(s.conns.Load(), int32(1))
--- a/modules/setting/front.go
+++ b/modules/setting/front.go
@@ -172,6 +172,17 @@
 		m.add("cpu_share", "%g is negative or not finite", s.CPUShare)
 	}
 	s.checkNewServers(m)
+	s.checkResources(m)
+	if s.LogLinesPerSecond <= 0 {
+		m.add("log_lines", "%d is not above zero", s.LogLinesPerSecond)
+	}
+	m.log(&s.Log)
+	m.traces(&s.Traces)
+	return m.list
+}
+
+// checkResources checks the bounds of bodies and of the process.
+func (s *Front) checkResources(m *mistakes) {
 	if s.MaxBodyBytes <= 0 {
 		m.add("max_body_bytes", "%d is not above zero", s.MaxBodyBytes)
 	}
@@ -184,12 +195,6 @@
 	if s.MemoryMB < 0 {
 		m.add("memory_mb", "%d is negative", s.MemoryMB)
 	}
-	if s.LogLinesPerSecond <= 0 {
-		m.add("log_lines", "%d is not above zero", s.LogLinesPerSecond)
-	}
-	m.log(&s.Log)
-	m.traces(&s.Traces)
-	return m.list
 }
 
 // checkNewServers checks the settings for servers that start and versions that are rolled out.
--- a/services/streamorigin/table.go
+++ b/services/streamorigin/table.go
@@ -43,10 +43,10 @@
 	// origins holds the origin of each known stream, and order their IDs from the oldest on.
 	origins map[runworks.RequestID]origin
 	order   []runworks.RequestID
-	// versions holds the versions that count, by service, and those that do not until Forget. loaded is
-	// set by ApplyVersions.
-	versions map[string]versions
-	loaded   bool
+	// versions holds the versions that count, by service, and those that do not until Forget. listed is set
+	// by the first SetServers, and loaded by ApplyVersions.
+	versions       map[string]versions
+	listed, loaded bool
 }
 
 // origin is what is known of a stream.
--- a/services/streamorigin/versions.go
+++ b/services/streamorigin/versions.go
@@ -84,7 +84,12 @@
 			t.sendLocked(t.listLocked(now, func(o origin) bool { return o.own && o.service == service }))
 		}
 	}
-	if t.OnVersions != nil {
+	t.notifyLocked()
+}
+
+// notifyLocked calls OnVersions if the durable record lacks a version.
+func (t *Table) notifyLocked() {
+	if t.OnVersions != nil && len(t.selectLocked(func(v *version) bool { return !v.recorded })) > 0 {
 		t.OnVersions()
 	}
 }
@@ -99,10 +104,10 @@
 		}
 		listed[service][name] = true
 		v := t.versionLocked(now, service, name)
-		if !v.until.IsZero() {
-			v.until = time.Time{}
+		if !v.until.IsZero() && t.listed {
 			v.requireRecord(now) // another entry may be removing the record at this moment
 		}
+		v.until = time.Time{}
 	}
 	for service, all := range t.versions {
 		for name, v := range all {
@@ -111,6 +116,7 @@
 			}
 		}
 	}
+	t.listed = true
 }
 
 // versionLocked returns a version. One that is unknown is added as if its last server had been removed now.
@@ -156,9 +162,7 @@
 	if !v.until.IsZero() {
 		v.until = now.Add(v.keep)
 	}
-	if t.OnVersions != nil {
-		t.OnVersions()
-	}
+	t.notifyLocked()
 }
 
 // mixedLocked returns the services that have, or recently had, servers of several versions.
--- a/services/streamorigin/versions_test.go
+++ b/services/streamorigin/versions_test.go
@@ -152,3 +152,18 @@
 		is.Equal(versionAt(table, "2"), "v1")
 	})
 }
+
+// TestStartWritesRecordAgain guards against a write to the store at each start of an entry, for versions that
+// are recorded already.
+func TestStartWritesRecordAgain(t *testing.T) {
+	for _, listFirst := range []bool{true, false} {
+		is := is.New(t)
+		table, now := &Table{Started: time.Now(), OnVersions: func() {}}, time.Now()
+		if listFirst {
+			table.SetServers(now, servers("v1"))
+		}
+		table.ApplyVersions(now, recorded("v1"))
+		table.SetServers(now, servers("v1"))
+		is.Equal(len(table.Unrecorded(now)), 0)
+	}
+}
