Split what is known of versions from their record

ApplyVersions and NoteRecorded share their loop, and whether a version lacks a record is no longer found by a sorted list with each message of another entry.

No change of behavior.

--- /dev/null
+++ b/services/forward/stream_resume.go
@@ -0,0 +1,84 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/metrics"
+	"github.com/runworks/runworks/services/dispatch"
+)
+
+// lastReceivedAt returns when the server last sent something. The time in which the front waited for
+// the caller, and read nothing, is not counted as the server's.
+func (s *stream) lastReceivedAt() time.Time {
+	last := s.lastEventAt
+	if last.IsZero() {
+		last = s.answeredAt
+	}
+	return last.Add(s.reader.sinceEvent)
+}
+
+// cutForSlowCaller reports whether the server broke the stream while the front waited for the
+// caller to read.
+func (s *stream) cutForSlowCaller() bool {
+	return s.ctx.Err() == nil && s.reader.slow() && !errors.Is(context.Cause(s.call.attemptCtx), errServerRestarted)
+}
+
+// recordBreak releases the lease of a broken stream and records the break. If the caller's slow
+// reading explains it, it does not count against the server or the request.
+func (s *stream) recordBreak() {
+	c := s.call
+	if !s.cutForSlowCaller() {
+		s.lease.Release(c.resultOrAbandoned(s.ctx, s.lastReceivedAt(), dispatch.Interrupted))
+		c.recordInterruption(s.ctx, s.lease.Instance, s.firstEventAt)
+		return
+	}
+	s.lease.Release(dispatch.Abandoned)
+	c.f.Logger.Info("stream cut while its caller did not read", "server", s.lease.Instance.IncarnationID(), "service", c.service,
+		"request", c.in.ID, "reader_blocked_ms", s.reader.unread.Milliseconds())
+	if !c.lastEvent.IsZero() {
+		c.lastEvent = time.Now() // the caller has only now taken the last event
+	}
+}
+
+// resumable reports whether another server can continue the stream. After events without an ID it would
+// begin again.
+func (s *stream) resumable() bool {
+	return s.call.route.Resumable && (s.lastEventID != "" || s.call.events == 0)
+}
+
+// resume continues a broken stream at another server. It returns nil if the stream continues, and
+// otherwise the error with which it ends.
+func (s *stream) resume(cause error) error {
+	c := s.call
+	_ = s.body.Close()
+	s.recordBreak()
+	for {
+		if !s.resumable() || !c.mayRetry(s.ctx, cause) {
+			return c.interruptedFailure(s.ctx, cause)
+		}
+		metrics.Count(c.f.Metrics.Resumes)
+		lease, failure := c.acquire(s.ctx)
+		if failure != nil {
+			return failure
+		}
+		reply, failure := c.attempt(s.ctx, lease, s.lastEventID)
+		if failure != nil {
+			cause = failure
+			continue
+		}
+		s.lease = lease
+		if reply.Status < 300 {
+			s.body, s.answeredAt, s.events = reply.Body, time.Now(), holdsEvents(reply.Header)
+			s.firstEventAt, s.lastEventAt, s.outlived = time.Time{}, time.Time{}, false
+			s.meanGap, s.gaps = 0, 0
+			s.reader.restart()
+			return nil
+		}
+		_ = reply.Body.Close()
+		lease.Release(dispatch.Served)
+		cause = runworks.ErrBackend
+	}
+}
--- a/services/streamorigin/versions.go
+++ b/services/streamorigin/versions.go
@@ -1,7 +1,6 @@
 package streamorigin
 
 import (
-	"context"
 	"slices"
 	"strings"
 	"time"
@@ -15,9 +14,6 @@
 	versionMemory = 30 * time.Second
 	// maxVersionMemory bounds what callers can set by the time that they state.
 	maxVersionMemory = 10 * time.Minute
-	// recordTimeout is how long after a version appeared the first events of its streams wait for the
-	// durable record of the version.
-	recordTimeout = 250 * time.Millisecond
 )
 
 // version is what is known of a software version of a service.
@@ -32,9 +28,6 @@
 	changed  time.Time
 }
 
-// requireRecord notes that the durable record lacks the version, or may lose it.
-func (v *version) requireRecord(now time.Time) { v.recorded, v.changed = false, now }
-
 func (v *version) counts(now time.Time) bool { return v.until.IsZero() || now.Before(v.until) }
 
 // versions are the versions of one service by name.
@@ -66,12 +59,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.loaded = true
-	t.changeVersionsLocked(now, func() {
-		for _, one := range list {
-			t.addVersionLocked(now, one)
-		}
-	})
-	t.arrived.Signal()
+	t.addVersionsLocked(now, list)
 }
 
 // changeVersionsLocked applies a change of the versions and sends the streams of services that now have
@@ -87,13 +75,6 @@
 	t.notifyLocked()
 }
 
-// notifyLocked calls OnVersions if the durable record lacks a version.
-func (t *Table) notifyLocked() {
-	if t.OnVersions != nil && len(t.selectLocked(func(v *version) bool { return !v.recorded })) > 0 {
-		t.OnVersions()
-	}
-}
-
 // setListedLocked sets the versions that have servers. The others count for their keep more.
 func (t *Table) setListedLocked(now time.Time, servers []runworks.Instance) {
 	listed := make(map[string]map[string]bool)
@@ -135,7 +116,16 @@
 	return v
 }
 
-// addVersionLocked adds a version that the durable record or another entry names.
+// addVersionsLocked adds versions that the durable record or another entry names.
+func (t *Table) addVersionsLocked(now time.Time, list []runworks.StreamVersion) {
+	t.changeVersionsLocked(now, func() {
+		for _, one := range list {
+			t.addVersionLocked(now, one)
+		}
+	})
+	t.arrived.Signal()
+}
+
 func (t *Table) addVersionLocked(now time.Time, one runworks.StreamVersion) {
 	_, known := t.versions[one.Service][one.Version]
 	v := t.versionLocked(now, one.Service, one.Version)
@@ -191,21 +181,6 @@
 	return t.selectLocked(func(v *version) bool { return v.counts(now) })
 }
 
-// Unrecorded returns the versions that count and that the durable record lacks.
-func (t *Table) Unrecorded(now time.Time) []runworks.StreamVersion {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.selectLocked(func(v *version) bool { return v.counts(now) && !v.recorded })
-}
-
-// Expired returns the versions that no longer count. They stay until Forget, so that the durable record
-// can lose them as well.
-func (t *Table) Expired(now time.Time) []runworks.StreamVersion {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.selectLocked(func(v *version) bool { return !v.counts(now) })
-}
-
 // selectLocked returns the versions that match, in order.
 func (t *Table) selectLocked(match func(v *version) bool) []runworks.StreamVersion {
 	var out []runworks.StreamVersion
@@ -222,83 +197,8 @@
 	return out
 }
 
-// NoteRecorded notes that the durable record holds versions. Those that are unknown are added.
-func (t *Table) NoteRecorded(now time.Time, list []runworks.StreamVersion) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.changeVersionsLocked(now, func() {
-		for _, one := range list {
-			one.Recorded = true
-			t.addVersionLocked(now, one)
-		}
-	})
-	t.arrived.Signal()
-}
-
-// RecordLost notes that the durable record may lack any version.
-func (t *Table) RecordLost(now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.changeVersionsLocked(now, func() {
-		for _, all := range t.versions {
-			for _, v := range all {
-				v.requireRecord(now)
-			}
-		}
-	})
-}
-
-// Renew makes a version that no longer counts, and that another entry has recorded again, count for its
-// keep once more.
-func (t *Table) Renew(now time.Time, one runworks.StreamVersion) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if v := t.versionLocked(now, one.Service, one.Version); !v.counts(now) {
-		v.until, v.recorded = now.Add(v.keep), true
-	}
-}
-
-// Forget drops a version that no longer counts. One that counts again is kept.
-func (t *Table) Forget(now time.Time, one runworks.StreamVersion) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if v := t.versions[one.Service][one.Version]; v == nil || v.counts(now) {
-		return
-	}
-	delete(t.versions[one.Service], one.Version)
-	if len(t.versions[one.Service]) == 0 {
-		delete(t.versions, one.Service)
-	}
-}
-
 // knowsVersionsLocked reports whether the versions that served before this entry started are known. After
 // versionMemory their streams have ended, but for those of callers that wait for very long.
 func (t *Table) knowsVersionsLocked(now time.Time) bool {
 	return t.loaded || t.Started.IsZero() || now.Sub(t.Started) >= versionMemory
 }
-
-// AwaitRecorded waits until the durable record holds the version of a stream, for recordTimeout after the
-// version appeared at most. It is called before the caller receives the first event: if all entries exit,
-// the record alone says that the stream may be of another version than those that serve then.
-func (t *Table) AwaitRecorded(ctx context.Context, o runworks.StreamOrigin) {
-	for ctx.Err() == nil {
-		t.mu.Lock()
-		v := t.versions[o.Service][o.Version]
-		if t.OnVersions == nil || v == nil || v.recorded {
-			t.mu.Unlock()
-			return
-		}
-		arrived, left := t.arrived.Wait(), time.Until(v.changed.Add(recordTimeout))
-		t.mu.Unlock()
-		if left <= 0 {
-			return
-		}
-		timer := time.NewTimer(left)
-		select {
-		case <-arrived:
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
-	}
-}
