Show in logs what a call was handled by, and how late a front is

A call that is handled by a replaced configuration was logged with its version, but not with the one that other fronts had, nor for how long. The log could not tell a late change from one that is lost, nor a front short of processor from one that waits for another.

- call ended: newer_routing_version and newer_routing_ms, if another front reported a newer version
- routing active: behind_ms, since the first other front reported it
- queue_passes_total: passes over queues of waiting calls

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -71,8 +71,8 @@
 	// routingRecord is the record of the active routing. routingMu serializes its replacement.
 	routingRecord atomic.Pointer[platform.Record]
 	routingMu     sync.Mutex
-	// newestReportedRouting is the newest routing version that another front reported.
-	newestReportedRouting atomic.Int64
+	// newestReportedRouting is the newest routing that another front reported; nil until one does.
+	newestReportedRouting atomic.Pointer[reportedRouting]
 	// started is when Run began.
 	started time.Time
 	// rollouts decides about the operators' roll-outs, of which orders holds the records; orders is
@@ -204,7 +204,8 @@
 	d.forwarder = &forward.Forwarder{
 		Ready: d.initialized, Dispatcher: d.dispatcher, Quota: d.quota, Budgets: d.budgets, Quarantine: d.quarantine, Logger: d.Logger, Metrics: d.metrics, Tracer: tracer,
 		Sender: &platform.Sender{Pool: d.pool}, Regions: s.Regions,
-		Memory: forward.Memory{Limit: int64(heldFraction * float64(s.MemoryMB<<20))}, MaxResponseBytes: s.MaxResponseBytes,
+		NewerRouting: d.newerRouting,
+		Memory:       forward.Memory{Limit: int64(heldFraction * float64(s.MemoryMB<<20))}, MaxResponseBytes: s.MaxResponseBytes,
 	}
 	d.front = &platform.Front{Forwarder: d.forwarder, Logger: d.Logger, MaxBodyBytes: s.MaxBodyBytes}
 	d.store = &platform.Store{Address: s.Store, Client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: httpconn.MaxHeadBytes}}, OnRestored: d.onStoreRestored, OnNoResponse: d.onNoStoreResponse, OnSilent: d.onSilentStoreConn}
--- a/daemon/front_routing.go
+++ b/daemon/front_routing.go
@@ -49,18 +49,44 @@
 	})
 }
 
+// reportedRouting is a routing version that another front reported, and when the first one did.
+type reportedRouting struct {
+	version int64
+	at      time.Time
+}
+
 // noteRoutingVersion records a routing version that another front reported.
 func (d *Front) noteRoutingVersion(version int64) {
+	reported := &reportedRouting{version: version, at: time.Now()}
 	newest := d.newestReportedRouting.Load()
-	for version > newest && !d.newestReportedRouting.CompareAndSwap(newest, version) {
+	for (newest == nil || version > newest.version) && !d.newestReportedRouting.CompareAndSwap(newest, reported) {
 		newest = d.newestReportedRouting.Load()
 	}
 }
 
+// newerRouting returns the newest routing version that another front reported, and when the first one did;
+// 0 if none did.
+func (d *Front) newerRouting() (version int64, reported time.Time) {
+	if r := d.newestReportedRouting.Load(); r != nil {
+		return r.version, r.at
+	}
+	return 0, time.Time{}
+}
+
 // routingBehind reports whether another front reported a newer routing that this front still waits
 // for.
 func (d *Front) routingBehind(now time.Time) bool {
-	return d.newestReportedRouting.Load() > d.routingVersion() && now.Sub(d.started) < routingTimeout
+	version, _ := d.newerRouting()
+	return version > d.routingVersion() && now.Sub(d.started) < routingTimeout
+}
+
+// behindMs returns for how many milliseconds another front has been known to have a routing version, or a
+// newer one.
+func (d *Front) behindMs(now time.Time, version int64) int64 {
+	if newest, at := d.newerRouting(); newest >= version {
+		return now.Sub(at).Milliseconds()
+	}
+	return 0
 }
 
 // isInitialized reports whether the front has loaded its state and admits calls.
--- a/daemon/front_status.go
+++ b/daemon/front_status.go
@@ -61,6 +61,9 @@
 	if err != nil {
 		return errorx.Decorate(err, "count the other entries")
 	}
+	if err := d.metrics.WatchQueuePasses(d.dispatcher.QueuePasses); err != nil {
+		return errorx.Decorate(err, "count the passes over the queues")
+	}
 	if err := d.metrics.WatchGrants(d.slotServer.Held); err != nil {
 		return errorx.Decorate(err, "count the granted slots")
 	}
--- a/daemon/front_sync.go
+++ b/daemon/front_sync.go
@@ -156,7 +156,7 @@
 	if old == nil || !slices.Equal(old.Routing.Services, routing.Services) {
 		d.onServicesChanged()
 	}
-	d.Logger.Info("routing active", "routing_version", routing.Version, "routes", len(routing.Routes), "customers", len(routing.Customers))
+	d.Logger.Info("routing active", "routing_version", routing.Version, "routes", len(routing.Routes), "customers", len(routing.Customers), "behind_ms", d.behindMs(time.Now(), routing.Version))
 }
 
 // onStoreRestored is called when the store was restored from an older copy. It reloads the topics
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -156,6 +156,17 @@
 	return err
 }
 
+// WatchQueuePasses exports the value of passes, the passes over queues with waiting calls since the start, as
+// a counter.
+func (s *Set) WatchQueuePasses(passes func() int64) error {
+	_, err := s.meter.Int64ObservableCounter("runworks.queue_passes", metric.WithDescription("passes over the queues of waiting calls"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(passes())
+			return nil
+		}))
+	return err
+}
+
 // WatchGrants exports the number of slots that this entry granted to others and that are in use, as a
 // gauge.
 func (s *Set) WatchGrants(held func() int) error {
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -124,6 +124,8 @@
 	earlyEstimates map[string]earlyEstimate
 	// expiredReports are reports of servers whose records expired recently.
 	expiredReports map[string]expiredReport
+	// queuePasses counts the passes over queues with waiting calls.
+	queuePasses int64
 }
 
 // service holds the backend servers of a service and the calls that wait for them.
--- a/services/dispatch/pump.go
+++ b/services/dispatch/pump.go
@@ -54,6 +54,9 @@
 	if s == nil {
 		return
 	}
+	if s.queue.Len() > 0 {
+		d.queuePasses++
+	}
 	now := time.Now()
 	var skipped []skippedCall
 	var f *forecast
@@ -111,6 +114,13 @@
 	}
 }
 
+// QueuePasses returns the number of passes over queues with waiting calls since the start.
+func (d *Dispatcher) QueuePasses() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.queuePasses
+}
+
 // hasServerFor reports whether there is a backend server to which the call may go. A retry
 // does not wait for a server that is throttled: it has a failure to return, and the slot is
 // of more use to a call that has no answer yet. A stream that is resumed does wait.
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -54,8 +54,11 @@
 // Forwarder handles the calls of one entry. Set the exported fields before use.
 type Forwarder struct {
 	// Table is the active routing; nil until one has been read.
-	Table      atomic.Pointer[route.Table]
-	Dispatcher *dispatch.Dispatcher
+	Table atomic.Pointer[route.Table]
+	// NewerRouting returns the newest routing version that another entry reported, and when the first one
+	// did; nil means that none is known.
+	NewerRouting func() (version int64, reported time.Time)
+	Dispatcher   *dispatch.Dispatcher
 	// Slots grants the slots of backend servers; nil is Dispatcher.
 	Slots   SlotSource
 	Quota   *quota.Quota
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -198,6 +198,24 @@
 	return res, string(data), err
 }
 
+// TestCallByOlderRoutingIsLogged guards against calls that a front handles by a routing which others have
+// replaced, without a trace in its log.
+func TestCallByOlderRoutingIsLogged(t *testing.T) {
+	for _, newer := range []int64{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			var out bytes.Buffer
+			f := newForwarder(t, &sender{replies: []reply{good}}, &out)
+			version, reported := f.Table.Load().Routing.Version+newer, time.Now()
+			f.NewerRouting = func() (int64, time.Time) { return version, reported }
+			time.Sleep(5 * time.Second)
+			_, _, err := serve(context.Background(), f, "once")
+			is.NoErr(err)
+			is.Equal(strings.Contains(out.String(), fmt.Sprintf(`"newer_routing_ms":5000,"newer_routing_version":%d`, version)), newer > 0)
+		})
+	}
+}
+
 var (
 	rejected     = reply{status: 503, notRun: true}
 	moved        = reply{status: 421, addressReused: true}
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -31,6 +31,7 @@
 	}
 	if c.table != nil {
 		fields = append(fields, "routing_version", c.table.Routing.Version)
+		fields = append(fields, c.newerRoutingFields()...)
 	}
 	if c.route != nil {
 		fields = append(fields, "route", c.route.Name, "service", c.service, "rank", c.rank, "route_rank", c.route.Rank,
@@ -72,6 +73,18 @@
 	c.f.Logger.Info("call ended", fields...)
 }
 
+// newerRoutingFields returns the log fields of a call that was handled by an older routing than another entry has.
+func (c *call) newerRoutingFields() []any {
+	if c.f.NewerRouting == nil {
+		return nil
+	}
+	version, reported := c.f.NewerRouting()
+	if version <= c.table.Routing.Version {
+		return nil
+	}
+	return []any{"newer_routing_version", version, "newer_routing_ms", time.Since(reported).Milliseconds()}
+}
+
 // streamFields returns the log fields that only streams, or responses that are cut, have.
 func (c *call) streamFields() []any {
 	var fields []any
--- a/services/peers/silence.go
+++ b/services/peers/silence.go
@@ -81,6 +81,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.isSendOverdueLocked(now) {
+		if !x.sentLateLocked(now) {
+			x.Logger.Warn("heartbeats are sent late, as this process got too little processor time or was stopped", "late_ms", now.Sub(x.sendAt).Milliseconds())
+		}
 		x.sentLateAt = now
 	}
 	x.sendAt = now
@@ -93,7 +96,12 @@
 
 // sendsLateLocked reports whether this entry sends late now, or did so recently.
 func (x *Exchange) sendsLateLocked(now time.Time) bool {
-	return x.isSendOverdueLocked(now) || now.Sub(x.sentLateAt) < pauseMemory
+	return x.isSendOverdueLocked(now) || x.sentLateLocked(now)
+}
+
+// sentLateLocked reports whether this entry recently sent late.
+func (x *Exchange) sentLateLocked(now time.Time) bool {
+	return now.Sub(x.sentLateAt) < pauseMemory
 }
 
 // addInbound records the connection on which a handshake of an incarnation arrived, and closes the one
