Limit the passes over the queue that heartbeats start

Callers saw calls that were answered late or by a replaced configuration, and work that went on after they had left, on the large site: its small fronts got to nothing in time.

Cause: with calls waiting, each heartbeat of another front started a pass over the queue, 640 to 740 a second with 103 fronts. A pass compares the claims of all fronts with calls waiting for each server with a free slot, and nearly all of them place nothing.

Change: heartbeats start a pass at most each 10 ms, a fifth of the interval at which one front sends them. Fronts that are gone still free their slots at once.

TestHeartbeatsStartFewPasses failed before: more passes than the 2.3 % of a core that control may take.

--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -137,6 +137,10 @@
 	waiters      map[runworks.RequestID]*waiter
 	// peers is the number of other entries that are reachable.
 	peers int
+	// peerPumpAt is when the load of another entry last started a pass over the queue, and peerPumpDue is
+	// set while the next such pass waits for its time.
+	peerPumpAt  time.Time
+	peerPumpDue bool
 	// arrivals counts the calls that arrived.
 	arrivals int
 	// highestRank and lowestRank are the bounds of the route ranks seen so far; 0 is the
--- a/services/dispatch/grant.go
+++ b/services/dispatch/grant.go
@@ -141,7 +141,7 @@
 	load := old
 	load.Running, load.UnreadPromptTokens = nil, nil
 	d.peers[from] = load
-	d.replacePeerLoadLocked(&old, &load)
+	d.replacePeerLoadLocked(&old, &load, d.pumpLocked)
 }
 
 // Scheduling is what is known of a service that decides whether its slots are granted by one entry.
--- a/services/dispatch/peer_load.go
+++ b/services/dispatch/peer_load.go
@@ -56,7 +56,7 @@
 		delete(d.unreachable, from)
 		d.shareLimitsLocked(time.Now())
 	}
-	d.replacePeerLoadLocked(&old, &load)
+	d.replacePeerLoadLocked(&old, &load, d.pumpForPeersLocked)
 }
 
 // RemovePeer removes an entry that is gone: its calls count as ended, and its shares of the
@@ -88,12 +88,12 @@
 func (d *Dispatcher) dropPeerLoadLocked(from runworks.Incarnation) {
 	old := d.peers[from]
 	delete(d.peers, from)
-	d.replacePeerLoadLocked(&old, &runworks.EntryLoad{})
+	d.replacePeerLoadLocked(&old, &runworks.EntryLoad{}, d.pumpLocked)
 }
 
-// replacePeerLoadLocked replaces what one entry adds to the servers' sums, and places waiting
-// calls in the slots that this frees.
-func (d *Dispatcher) replacePeerLoadLocked(old, load *runworks.EntryLoad) {
+// replacePeerLoadLocked replaces what one entry adds to the servers' sums. pump then places the
+// waiting calls of a service in the slots that this frees.
+func (d *Dispatcher) replacePeerLoadLocked(old, load *runworks.EntryLoad, pump func(s *service)) {
 	d.addPeerLoadLocked(old, -1)
 	d.addPeerLoadLocked(load, 1)
 	now := time.Now()
@@ -107,10 +107,9 @@
 		if len(old.ConsecutiveFailures)+len(load.ConsecutiveFailures) > 0 {
 			d.ejectFailingLocked(now, s)
 		}
-		// Where this entry schedules the service, the loads of the others free hardly any slot, and
-		// a pass for each of them would cost a fifth of a core with 24 entries and 300 waiting calls.
+		// Where this entry schedules the service, the loads of the others free hardly any slot.
 		if !s.schedules(now) {
-			d.pumpLocked(s)
+			pump(s)
 		}
 	}
 }
--- a/services/dispatch/pump.go
+++ b/services/dispatch/pump.go
@@ -11,6 +11,9 @@
 	// recheckInterval is the interval at which the queues are checked without an event, as
 	// ejections, back-offs and rate limits expire without one.
 	recheckInterval = 50 * time.Millisecond
+	// peerPumpInterval is the least time between two passes over a queue that loads of other entries
+	// start. It is short against the interval between an entry's heartbeats.
+	peerPumpInterval = 10 * time.Millisecond
 	// maxSkipped limits the calls that one pass over the queue skips because no free server
 	// suits them.
 	maxSkipped = 32
@@ -48,6 +51,28 @@
 	}
 }
 
+// pumpForPeersLocked assigns slots that the load of another entry may have freed, at most once in
+// peerPumpInterval: a pass for each of the heartbeats of many entries would take a third of the
+// processor of a small host while calls wait, and place hardly any.
+func (d *Dispatcher) pumpForPeersLocked(s *service) {
+	if s.peerPumpDue || s.queue.Len() == 0 {
+		return
+	}
+	now := time.Now()
+	if wait := peerPumpInterval - now.Sub(s.peerPumpAt); wait > 0 {
+		s.peerPumpDue = true
+		time.AfterFunc(wait, func() {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			s.peerPumpDue, s.peerPumpAt = false, time.Now()
+			d.pumpLocked(s)
+		})
+		return
+	}
+	s.peerPumpAt = now
+	d.pumpLocked(s)
+}
+
 // pumpLocked assigns free slots to waiting calls in the order of their tiers. Calls that no
 // free server suits are skipped.
 func (d *Dispatcher) pumpLocked(s *service) {
--- a/services/dispatch/scale_test.go
+++ b/services/dispatch/scale_test.go
@@ -169,3 +169,38 @@
 		})
 	}
 }
+
+// TestHeartbeatsStartFewPasses guards against a front that spends its processor on a pass over its queue for
+// each heartbeat of many others, and does all else seconds late.
+func TestHeartbeatsStartFewPasses(t *testing.T) {
+	const (
+		peers     = 102
+		perSecond = 640
+		// maxPasses is what fits in 2.3 % of a core, which control may take, at 0.08 ms each.
+		maxPasses = 287
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(1)
+		go d.Run(t.Context())
+		loads := []runworks.EntryLoad{runningLoad(runworks.RunningCalls{"s0": 1}), runningLoad(runworks.RunningCalls{"s0": 2})}
+		d.SetPeerLoad("entry-0", loads[0])
+		var waiting []<-chan *Lease
+		for i := range 10 {
+			waiting = append(waiting, acquireAsync(d, newRequest(fmt.Sprint(i), 0)))
+		}
+		before := d.QueuePasses()
+		for i := range perSecond {
+			d.SetPeerLoad(runworks.Incarnation(fmt.Sprint("entry-", i%peers)), loads[i/peers%2])
+			time.Sleep(time.Second / perSecond)
+		}
+		is.True(d.QueuePasses()-before <= maxPasses)
+		for i := range peers {
+			d.SetPeerLoad(runworks.Incarnation(fmt.Sprint("entry-", i)), runworks.EntryLoad{})
+		}
+		time.Sleep(peerPumpInterval)
+		synctest.Wait()
+		is.Equal(started(waiting), 1) // and a slot that heartbeats free is used
+		time.Sleep(time.Minute)       // waiting calls are abandoned
+	})
+}
