Compare claims on free slots without garbage

Cause: the hash of a server and a front was computed from a new string for each pair, and for servers without a free slot as well.

The hashes are the same, as fronts of two versions must agree on them.

TestPassTakesNoMemory failed before with one allocation for each pair.

--- a/services/dispatch/scale_test.go
+++ b/services/dispatch/scale_test.go
@@ -204,3 +204,10 @@
 		time.Sleep(time.Minute)       // waiting calls are abandoned
 	})
 }
+
+// TestPassTakesNoMemory guards against a pass whose garbage grows with the entries that contend for free slots.
+func TestPassTakesNoMemory(t *testing.T) {
+	is := is.New(t)
+	server, entry := "i-"+uuid.NewString()[:8], runworks.NewIncarnation()
+	is.Equal(testing.AllocsPerRun(100, func() { claimWeight(server, entry, 3) }), 0.0)
+}
--- a/services/dispatch/turn.go
+++ b/services/dispatch/turn.go
@@ -66,6 +66,9 @@
 // as all of them would use it at the moment at which their calls can. With a hundred contenders and
 // one slot, about five are compared before it returns in the first turn.
 func (d *Dispatcher) inTurn(one *server, contenders []contender, own runworks.WaitingCall, free, passed int) bool {
+	if free <= 0 {
+		return false
+	}
 	n := len(contenders) + 1
 	passed %= n
 	ahead := 0
@@ -97,7 +100,9 @@
 
 // rendezvousHash returns a number between 0 and 1 for a pair of a server and an entry.
 func rendezvousHash(server string, entry runworks.Incarnation) float64 {
-	return (float64(xxhash.Sum64String(server+string(entry))>>11) + 0.5) / (1 << 53)
+	var buffer [128]byte // holds the names without an allocation
+	pair := append(append(buffer[:0], server...), entry...)
+	return (float64(xxhash.Sum64(pair)>>11) + 0.5) / (1 << 53)
 }
 
 // unusedTurns returns how many turns passed in which no slot of the server was used. They are counted
