--- a/modules/rpc/frames_test.go
+++ b/modules/rpc/frames_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,6 +83,32 @@
 	}
 }
 
+// TestBufferedFramesLeaveProcessorToOthers guards against a process that is behind and processes all that has
+// arrived on one connection before any other work gets its turn.
+func TestBufferedFramesLeaveProcessorToOthers(t *testing.T) {
+	is := is.New(t)
+	const frames = 200
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	local, remote := pipe()
+	var processed, before atomic.Int64
+	done := make(chan struct{})
+	ServeFrames(t.Context(), remote, nil, func([]byte) error {
+		switch processed.Add(1) {
+		case 1:
+			go func() { before.Store(processed.Load()) }()
+		case frames:
+			close(done)
+		}
+		return nil
+	})
+	_, err := local.Write([]byte(strings.Repeat("\x02\x00x", frames)))
+	is.NoErr(err)
+	<-done
+	is.True(before.Load() > 0)
+	is.True(before.Load() < frames/10)
+	_ = local.Close()
+}
+
 // TestStuckPeerTimesOut checks that a write to a peer that reads nothing times out. Without
 // the deadline, one stuck peer would block the writes to all others.
 func TestStuckPeerTimesOut(t *testing.T) {
