--- a/modules/rpc/frames.go
+++ b/modules/rpc/frames.go
@@ -6,7 +6,6 @@
 	"encoding/binary"
 	"encoding/json"
 	"net/http"
-	"runtime"
 	"sync"
 	"time"
 
@@ -198,11 +197,6 @@
 // object to onFrame.
 func (o *messageStream) ReadObject(v any) error {
 	for {
-		if o.reader.Buffered() > 0 {
-			// A process that is behind would otherwise run each connection for a whole time slice of the
-			// scheduler before the next one, and all other work behind them.
-			runtime.Gosched()
-		}
 		data, err := readMessage(o.reader)
 		if err != nil {
 			return err
--- a/modules/rpc/message.go
+++ b/modules/rpc/message.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"runtime"
 
 	"github.com/joomcode/errorx"
 	"github.com/sourcegraph/jsonrpc2"
@@ -19,8 +20,13 @@
 var ErrMessageTooLong = errorx.IllegalFormat.New("message too long")
 
 // readMessage reads a message with the length before it. The memory grows with the bytes that have arrived:
-// a length alone costs nothing.
+// a length alone costs nothing. A message that has arrived already is read once other goroutines had their
+// turn: a process that is behind would otherwise run each connection for a whole time slice of the scheduler,
+// and all other work behind them.
 func readMessage(r *bufio.Reader) ([]byte, error) {
+	if r.Buffered() > 0 {
+		runtime.Gosched()
+	}
 	size, err := binary.ReadUvarint(r)
 	if err != nil {
 		return nil, err
