--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -73,16 +73,17 @@
 	c.f.Logger.Info("call ended", fields...)
 }
 
-// newerRoutingFields returns the log fields of a call that was handled by an older routing than another entry has.
+// newerRoutingFields returns the log fields of a call that arrived after another entry had reported a newer
+// routing than the one that handled it.
 func (c *call) newerRoutingFields() []any {
 	if c.f.NewerRouting == nil {
 		return nil
 	}
 	version, reported := c.f.NewerRouting()
-	if version <= c.table.Routing.Version {
+	if version <= c.table.Routing.Version || !reported.Before(c.in.Received) {
 		return nil
 	}
-	return []any{"newer_routing_version", version, "newer_routing_ms", time.Since(reported).Milliseconds()}
+	return []any{"newer_routing_version", version, "newer_routing_ms", c.in.Received.Sub(reported).Milliseconds()}
 }
 
 // streamFields returns the log fields that only streams, or responses that are cut, have.
