--- a/tests/starved_change_test.go
+++ b/tests/starved_change_test.go
@@ -80,10 +80,10 @@
 func TestPlatformStarvedFrontAppliesChange(t *testing.T) {
 	const (
 		fronts, servers, slots = 102, 160, 6
-		interval               = 160 * time.Millisecond
+		interval               = 80 * time.Millisecond
 		callsPerSecond         = 40
 		loaded                 = 6 * time.Second
-		run, period            = 5 * time.Millisecond, 150 * time.Millisecond
+		run, period            = 8 * time.Millisecond, 200 * time.Millisecond
 	)
 	p := newBarePlatformSite(t)
 	p.extraSettings = "cores: 1\n"
