--- a/daemon/front_routing.go
+++ b/daemon/front_routing.go
@@ -80,8 +80,8 @@
 	return version > d.routingVersion() && now.Sub(d.started) < routingTimeout
 }
 
-// behindMs returns for how many milliseconds another front has been known to have a routing version, or a
-// newer one.
+// behindMs returns how many milliseconds ago another front first reported the newest routing version, if that
+// is at least the given one, and otherwise 0.
 func (d *Front) behindMs(now time.Time, version int64) int64 {
 	if newest, at := d.newerRouting(); newest >= version {
 		return now.Sub(at).Milliseconds()
--- a/services/dispatch/pump.go
+++ b/services/dispatch/pump.go
@@ -11,8 +11,8 @@
 	// recheckInterval is the interval at which the queues are checked without an event, as
 	// ejections, back-offs and rate limits expire without one.
 	recheckInterval = 50 * time.Millisecond
-	// peerPumpInterval is the least time between two passes over a queue that loads of other entries
-	// start. It is short against the interval between an entry's heartbeats.
+	// peerPumpInterval is the least time between two passes over a queue that the loads of other
+	// entries start. It is short against the interval between an entry's heartbeats.
 	peerPumpInterval = 10 * time.Millisecond
 	// maxSkipped limits the calls that one pass over the queue skips because no free server
 	// suits them.
@@ -52,8 +52,8 @@
 }
 
 // pumpForPeersLocked assigns slots that the load of another entry may have freed, at most once in
-// peerPumpInterval: a pass for each of the heartbeats of many entries would take a third of the
-// processor of a small host while calls wait, and place hardly any.
+// peerPumpInterval: a pass for each heartbeat of many entries would take much of a small host's
+// processor while calls wait, and place hardly any.
 func (d *Dispatcher) pumpForPeersLocked(s *service) {
 	if s.peerPumpDue || s.queue.Len() == 0 {
 		return
