--- a/services/peers/silence_test.go
+++ b/services/peers/silence_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -113,7 +115,8 @@
 // TestLateSendIsRecorded checks that an entry knows when it sends so late that others may take it for silent.
 func TestLateSendIsRecorded(t *testing.T) {
 	is := is.New(t)
-	var x Exchange
+	var out bytes.Buffer
+	x := Exchange{Logger: hclog.New(&hclog.LoggerOptions{Output: &out})}
 	now := time.Now()
 	x.recordSend(now)
 	x.recordSend(now.Add(idleInterval))
@@ -123,8 +126,9 @@
 	is.True(x.sendsLateLocked(now)) // while the late one is still to be sent
 	x.recordSend(now)
 	is.Equal(x.sentLateAt, now)
-	now = now.Add(idleInterval)
+	now = now.Add(minPeerTimeout)
 	x.recordSend(now)
+	is.Equal(strings.Count(out.String(), "heartbeats are sent late"), 1) // not one for each
 	is.True(x.sendsLateLocked(now))
 	now = now.Add(pauseMemory)
 	x.sendAt = now
