Do not connect again and again to an entry that has just started

Callers near a front that had restarted saw late answers, and a change would have been active late there.

Cause: an entry that is not heard for 1.5 s is connected to again, also one that has just started and still reads the first handshakes. Each of 102 others then sent its whole state again, every 2 to 2.5 s.

Change: the time after which an entry is taken for silent doubles with each connection to it until it is heard, and is at least twice the time that it took to accept one. The first attempt on a connection that has gone silent comes as early as before.

TestStartingEntryIsNotConnectedAgain failed before: more than 3 connections in 20 s.

--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -21,12 +21,12 @@
 	// openedAt is when the current or last connection was opened, and heardAt when the last message of
 	// the entry arrived, on the connection that it opened itself; zero if none.
 	openedAt, heardAt time.Time
-	// longestPause is the longest time for which an open connection of the entry recently carried nothing,
-	// and pausedAt is when that ended.
+	// longestPause is the longest time for which an open connection of the entry recently carried nothing, or
+	// for which it took to accept one, and pausedAt is when that ended.
 	longestPause time.Duration
 	pausedAt     time.Time
-	// unheard is set if a connection was closed because the entry was not heard, until it is.
-	unheard bool
+	// unheard counts the connections that were closed because the entry was not heard, since it was.
+	unheard int
 	// keyRefused is set while the entry refuses the fleet keys of this one.
 	keyRefused bool
 	// wake ends the wait before the next attempt to connect.
@@ -84,6 +84,7 @@
 	wait := minRedialWait
 	lastConnected, reported := time.Now(), false
 	for ctx.Err() == nil {
+		began := time.Now()
 		stream, err := rpc.Dial(ctx, x.Dial, l.member.Address, x.Keys)
 		refused := errors.Is(err, rpc.ErrKeyRefused)
 		x.setKeyRefused(l, refused)
@@ -97,6 +98,7 @@
 			continue
 		}
 		wait = minRedialWait
+		x.recordAccepted(l, time.Since(began))
 		conn := rpc.ServeFrames(ctx, stream, rejectCall, nil)
 		x.handshake(l, conn)
 		if !x.starting() {
--- a/services/peers/receive.go
+++ b/services/peers/receive.go
@@ -167,7 +167,7 @@
 	// A new incarnation may have another address than the member list.
 	opened := x.ensureLinkLocked(b.From)
 	if l := x.links[b.From.Name]; l != nil {
-		l.heardAt, l.unheard = now, false
+		l.heardAt, l.unheard = now, 0
 		if !opened && known == nil {
 			l.reconnect(replaced)
 		}
--- a/services/peers/silence.go
+++ b/services/peers/silence.go
@@ -9,6 +9,9 @@
 // pauseMemory is how long an entry that sends late is remembered as such.
 const pauseMemory = 10 * time.Second
 
+// maxTimeoutDoublings limits how often the timeout of silent connections doubles.
+const maxTimeoutDoublings = 3
+
 // A connection may carry nothing any more while it seems open to both ends. Each entry sends on the
 // connection that it opened itself, so a sender does not notice; the receiver notices that it hears
 // nothing. It then opens its own connection again, as that may be silent as well, and its handshake
@@ -26,20 +29,27 @@
 			continue
 		}
 		x.Logger.Warn("entry is not heard; connecting again", "name", name, "silent_ms", now.Sub(l.heardAt).Milliseconds(), "open_ms", now.Sub(l.openedAt).Milliseconds())
-		l.unheard = true
+		l.unheard++
 		_ = l.conn.Close()
 	}
 }
 
 // silenceTimeoutLocked returns the time without a message of an entry after which its connection is taken for
-// silent. An entry short of processor sends late, and connecting to it again delays it further: so it is
-// twice the longest time for which an open connection was recently silent and then carried messages again.
+// silent. An entry short of processor accepts connections and sends late, and connecting to it again delays it
+// further: so it is twice the longest time that either recently took, and doubles with each connection.
 func (x *Exchange) silenceTimeoutLocked(now time.Time, l *link) time.Duration {
 	timeout := x.peerTimeoutLocked()
 	if now.Sub(l.pausedAt) < pauseMemory {
 		timeout = max(timeout, 2*l.longestPause)
 	}
-	return timeout
+	return timeout << min(l.unheard, maxTimeoutDoublings)
+}
+
+// recordAccepted records the time that an entry took to accept a connection.
+func (x *Exchange) recordAccepted(l *link, took time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	l.recordPauseLocked(time.Now(), took)
 }
 
 // recordPauseLocked records the time between two messages of an entry on the same connection.
@@ -60,7 +70,7 @@
 func (x *Exchange) isUnheard(l *link) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return l.unheard
+	return l.unheard > 0
 }
 
 // reopen opens the connection to an entry again that does not hear this one. It keeps a connection that
--- a/services/peers/silence_test.go
+++ b/services/peers/silence_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -112,6 +113,33 @@
 	})
 }
 
+// TestStartingEntryIsNotConnectedAgain guards against a starting entry that gets to nothing, as all others connect
+// to it again and send it their whole state each time that they have not heard it for 1.5 s.
+func TestStartingEntryIsNotConnectedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := memnet.New(time.Millisecond)
+		l, err := network.Listen("starting:1")
+		is.NoErr(err)
+		var accepted atomic.Int64
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { //nolint:gosec // a test's server
+			time.Sleep(1500 * time.Millisecond)
+			if stream, err := rpc.Accept(w, r); err == nil {
+				accepted.Add(1)
+				_, _ = io.Copy(io.Discard, stream)
+			}
+		})}
+		go func() { _ = server.Serve(l) }()
+		a := startEntry(t, network, "a", "key")
+		a.SetMembers([]Member{{Name: "starting", Address: "starting:1", Incarnation: "starting-life"}})
+		time.Sleep(20 * time.Second)
+		is.True(accepted.Load() > 1) // a connection may be silent for good
+		is.True(accepted.Load() <= 3)
+		_ = server.Close()
+		endNetwork(network, a)
+	})
+}
+
 // TestLateSendIsRecorded checks that an entry knows when it sends so late that others may take it for silent.
 func TestLateSendIsRecorded(t *testing.T) {
 	is := is.New(t)
@@ -169,7 +197,7 @@
 		}
 		x.closeUnheard(time.Now())
 		x.removeTimedOut(time.Now())
-		is.Equal(x.links["b"].unheard, !unread)
+		is.Equal(x.links["b"].unheard > 0, !unread)
 		is.Equal(x.LiveCount() == 1, unread)
 		is.NoErr(stream.Close())
 		is.NoErr(server.Close())
