--- a/tests/starved_change_test.go
+++ b/tests/starved_change_test.go
@@ -75,6 +75,24 @@
 	}
 }
 
+// addSilentServers lists engines that accept connections and never answer, and returns their names.
+func (p *platformSite) addSilentServers(count, slots int) []string {
+	p.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { _ = l.Close() })
+	var names []string
+	for i := range count {
+		name := fmt.Sprint("llm-", i)
+		record := strings.Replace(string(serverRecord("llm", l.Addr().String(), "ready", 0)), `"slots": 8`, fmt.Sprintf(`"slots": %d`, slots), 1)
+		p.put("keyed.servers", name, []byte(record))
+		names = append(names, name)
+	}
+	return names
+}
+
 // TestPlatformStarvedFrontAppliesChange guards against calls that are handled by a replaced configuration, as
 // a front with little processor and many others gets to the change seconds late.
 func TestPlatformStarvedFrontAppliesChange(t *testing.T) {
@@ -91,20 +109,13 @@
 	p.addServer("app-1")
 	p.startFront("front-1")
 	p.waitReady("front-1", 1)
-	others := &manyFronts{count: fronts, interval: interval}
-	unused, err := net.Listen("tcp", "127.0.0.1:0") // accepts, and never answers
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = unused.Close() }()
-	for i := range servers {
-		id := fmt.Sprint("llm-", i)
-		others.servers = append(others.servers, id)
-		record := strings.Replace(string(serverRecord("llm", unused.Addr().String(), "ready", 0)), `"slots": 8`, fmt.Sprintf(`"slots": %d`, slots), 1)
-		p.put("keyed.servers", id, []byte(record))
-	}
+	others := &manyFronts{count: fronts, interval: interval, servers: p.addSilentServers(servers, slots)}
 	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
+	var calls sync.WaitGroup
+	defer func() {
+		cancel()
+		calls.Wait()
+	}()
 	others.run(ctx, t, p.fronts["front-1"].address("fronts"))
 	p.waitFor("the fronts know each other", func() bool {
 		var status struct {
@@ -112,8 +123,6 @@
 		}
 		return getJSON("http://"+p.fronts["front-1"].address("operators")+"/status", &status) && status.Fronts == fronts+1
 	})
-	var calls sync.WaitGroup
-	defer calls.Wait()
 	address := p.fronts["front-1"].address("callers")
 	calls.Go(func() {
 		for i := 0; ctx.Err() == nil; i++ {
@@ -134,5 +143,4 @@
 	if took > changeBound {
 		t.Errorf("version 2 was active after %v, %v are allowed", took, changeBound)
 	}
-	cancel()
 }
