Log why it is not known which server listens at an end

The end of a response that only its connection ends was logged as unknown for a reset, silence, an address that can't be reached and bytes that are no response alike, and an answer that names no server as one of the server itself. The line of the call tells them apart now: unreachable, disconnected, silent, unnamed. What a caller gets does not change with this.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -200,7 +200,7 @@
 	d.budgets = &forward.Budgets{Ratio: s.RetryRatio, Slack: s.RetrySlack, Started: time.Now(), Window: s.RetryWindow}
 	d.quarantine = d.newQuarantine()
 	d.initialized = make(chan struct{})
-	d.pool = &httpconn.Pool{Dial: dial, MatchResponse: platform.AnswersRequest, IsSameServer: platform.IsNamedServer}
+	d.pool = &httpconn.Pool{Dial: dial, MatchResponse: platform.AnswersRequest, WhichServer: platform.WhichServer}
 	d.forwarder = &forward.Forwarder{
 		Ready: d.initialized, Dispatcher: d.dispatcher, Quota: d.quota, Budgets: d.budgets, Quarantine: d.quarantine, Logger: d.Logger, Metrics: d.metrics, Tracer: tracer,
 		Sender: &platform.Sender{Pool: d.pool}, Regions: s.Regions,
--- a/modules/httpconn/identify.go
+++ b/modules/httpconn/identify.go
@@ -34,8 +34,14 @@
 	ServerSame ServerState = "same"
 	// ServerListens means that some process listens there that was not asked who it is.
 	ServerListens ServerState = "listens"
-	// ServerUnknown means that there was no response in time.
-	ServerUnknown ServerState = "unknown"
+	// ServerUnreachable means that no connection could be opened in time, but none was refused.
+	ServerUnreachable ServerState = "unreachable"
+	// ServerDisconnected means that the connection broke, or that what came was no response.
+	ServerDisconnected ServerState = "disconnected"
+	// ServerSilent means that there was no response in time.
+	ServerSilent ServerState = "silent"
+	// ServerUnnamed means that the response does not tell which server sent it.
+	ServerUnnamed ServerState = "unnamed"
 )
 
 // ServerAtEnd returns what was found of the server when the body of a response of Pool.Do ended; empty if
@@ -50,27 +56,32 @@
 // stateOf returns what is found of the server at address, on a new connection. A nil identify does not ask
 // which server it is.
 func (p *Pool) stateOf(ctx context.Context, address string, identify func() *http.Request) ServerState {
+	var state ServerState
 	for range identifyAttempts {
 		c, err := p.probe(ctx, address)
-		if isRefused(err) {
+		switch {
+		case isRefused(err):
 			return ServerExited
-		}
-		if err != nil {
+		case err != nil:
+			state = ServerUnreachable
 			continue
-		}
-		if identify == nil {
+		case identify == nil:
 			p.put(c)
 			return ServerListens
 		}
-		if state, err := p.ask(ctx, c, identify()); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		if state, err = p.ask(ctx, c, identify()); err == nil {
 			return state
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return ServerSilent
+		}
+		state = ServerDisconnected
 	}
-	return ServerUnknown
+	return state
 }
 
-// ask sends a request on a new connection and returns whether the same server responds. It keeps the
-// connection for the next request, or closes it.
+// ask sends a request on a new connection and returns which server responds. It keeps the connection for
+// the next request, or closes it.
 func (p *Pool) ask(ctx context.Context, c *conn, req *http.Request) (ServerState, error) {
 	guard := abortWhenDone(ctx, c)
 	reusable := false
@@ -82,27 +93,24 @@
 		_ = c.Close()
 	}()
 	if err := c.SetWriteDeadline(time.Now().Add(orDefault(p.ProbeTimeout, DefaultProbeTimeout))); err != nil {
-		return ServerUnknown, err
+		return "", err
 	}
 	if err := req.Write(c); err != nil {
-		return ServerUnknown, err
+		return "", err
 	}
 	if err := c.awaitAnswer(orDefault(p.ProbeTimeout, DefaultProbeTimeout)); err != nil {
-		return ServerUnknown, err
+		return "", err
 	}
 	res, err := c.heads.ReadResponse(req)
 	if err != nil {
-		return ServerUnknown, err
+		return "", err
 	}
 	defer func() { _ = res.Body.Close() }()
 	c.readKeepAlive(res)
 	_, err = io.CopyN(io.Discard, res.Body, maxMismatchedBytes)
 	whole := errors.Is(err, io.EOF) && !res.Close && !CloseDelimited(res) && c.heads.Reader.Buffered() == 0
 	reusable = whole && c.SetDeadline(time.Time{}) == nil
-	if !p.IsSameServer(req, res) {
-		return ServerReplaced, nil
-	}
-	return ServerSame, nil
+	return p.WhichServer(req, res), nil
 }
 
 // awaitAnswer waits until something is received, and gives the rest of the answer as long again.
--- a/modules/httpconn/identify_test.go
+++ b/modules/httpconn/identify_test.go
@@ -31,6 +31,17 @@
 	_ = c.Close()
 }
 
+// whichServer tells servers apart by the status of their answer.
+func whichServer(_ *http.Request, res *http.Response) ServerState {
+	switch res.StatusCode {
+	case http.StatusMisdirectedRequest:
+		return ServerReplaced
+	case http.StatusNotFound:
+		return ServerUnnamed
+	}
+	return ServerSame
+}
+
 // TestResponseOfReplacedServerIsNotComplete guards against a response without length or chunks that looks
 // complete because any process listens at its server's address, and against whole ones taken for cut.
 func TestResponseOfReplacedServerIsNotComplete(t *testing.T) {
@@ -38,6 +49,7 @@
 		return func(c net.Conn, _ int32) { _, _ = io.WriteString(c, text) }
 	}
 	const other, named = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	const unnamed = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
 	for _, one := range []struct {
 		name string
 		// answer answers the question on the n-th connection.
@@ -48,8 +60,10 @@
 		{"another server", answer(other), ServerReplaced, ErrServerReplaced},
 		{"the same server", answer(named), ServerSame, nil},
 		{"the same server, with a body", answer("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull"), ServerSame, nil},
-		{"no answer", func(c net.Conn, _ int32) { _, _ = io.Copy(io.Discard, c) }, ServerUnknown, nil},
-		{"no response", answer("none\r\n"), ServerUnknown, nil},
+		{"no answer", func(c net.Conn, _ int32) { _, _ = io.Copy(io.Discard, c) }, ServerSilent, nil},
+		{"no response", answer("none\r\n"), ServerDisconnected, nil},
+		{"only resets", func(c net.Conn, _ int32) { reset(c) }, ServerDisconnected, nil},
+		{"an answer that names none", answer(unnamed), ServerUnnamed, nil},
 		{"another server that resets a connection", func(c net.Conn, n int32) {
 			if n == 2 {
 				reset(c)
@@ -70,10 +84,10 @@
 				}
 			})
 			p := newPool()
-			if one.found != ServerUnknown {
+			if one.found != ServerSilent {
 				p.ProbeTimeout = 30 * time.Second // a busy host answers late
 			}
-			p.IsSameServer = func(_ *http.Request, res *http.Response) bool { return res.StatusCode != http.StatusMisdirectedRequest }
+			p.WhichServer = whichServer
 			defer p.Close()
 			res, err := p.Do(t.Context(), s.address, &Call{Request: request(t, http.MethodGet, s.address, ""), Identify: identify})
 			is.NoErr(err)
--- a/modules/httpconn/pool.go
+++ b/modules/httpconn/pool.go
@@ -45,9 +45,9 @@
 	ProbeTimeout time.Duration
 	// MatchResponse reports whether a response belongs to a request; nil accepts every response.
 	MatchResponse func(req *http.Request, res *http.Response) bool
-	// IsSameServer reports whether the response to a request of Call.Identify comes from the server that
-	// it names. It must be set if calls have Identify.
-	IsSameServer func(req *http.Request, res *http.Response) bool
+	// WhichServer returns whether the response to a request of Call.Identify comes from the server that it
+	// names: ServerSame, ServerReplaced or ServerUnnamed. It must be set if calls have Identify.
+	WhichServer func(req *http.Request, res *http.Response) ServerState
 
 	mu   sync.Mutex
 	idle map[string][]*conn
--- a/tests/platform_close_delimited_test.go
+++ b/tests/platform_close_delimited_test.go
@@ -184,7 +184,7 @@
 				})
 			}
 		}},
-		{"they are full", "unknown", func(p *closeDelimitedSite) {
+		{"they are full", "silent", func(p *closeDelimitedSite) {
 			for _, backend := range p.backends {
 				p.setFaults(backend, standin.RoutedFaults{CloseDelimited: true, StatusWaits: true})
 			}
