Take only a confirmed end of a connection for that of a response

Cause: a front asks the address which server listens there, and took no answer, an error while asking and an answer without an ID for a yes. The class: the absence of bad news counts as good news.

An end counts as that of the response only if the server itself says that it runs. A call that may run again asks for 0.4 s as before, and is then repeated, or continued after its last event, at another server, which settles whether the response was whole. Any other call asks for up to 1.5 s, on unused connections as well, as a full server may answer late or reset new ones; without an answer it ends as broken. That does not count against the server.

--- a/modules/httpconn/do.go
+++ b/modules/httpconn/do.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -43,6 +44,9 @@
 	// sent on a new connection when the end of a connection ends the response, and Pool.WhichServer
 	// reads the answer.
 	Identify func() *http.Request
+	// IdentifyTimeout is how long the server is asked at least; it is never less than twice
+	// Pool.ProbeTimeout.
+	IdentifyTimeout time.Duration
 }
 
 // Do sends a call once to address (host:port). The error is that of BeforeSend, ErrNotDispatched if
@@ -65,7 +69,7 @@
 			return nil, err
 		}
 	}
-	x := &exchange{ctx: ctx, pool: p, conn: c, req: call.Request, identify: call.Identify, guard: guard}
+	x := &exchange{ctx: ctx, pool: p, conn: c, req: call.Request, call: call, guard: guard}
 	res, err := x.run()
 	if err != nil {
 		guard.stop()
@@ -86,8 +90,7 @@
 	pool *Pool
 	conn *conn
 	req  *http.Request
-	// identify is Call.Identify.
-	identify func() *http.Request
+	call *Call
 	// guard aborts the connection when the request is over before its response.
 	guard *guard
 	// dispatched is set once a byte of the request may have been sent.
@@ -191,12 +194,13 @@
 	return n, err
 }
 
-// checkEnd returns an error if the end of the connection is not known to be that of the body. A server that
-// can't be asked in time counts as the same: full ones are more frequent than lost ones.
+// checkEnd returns an error unless the end of the connection is known to be that of the body. Without an answer
+// of the server it is not: a caller can repeat a whole response that it does not get, but does not notice that a
+// cut one lacks its end.
 func (b *body) checkEnd() error {
 	x := b.exchange
 	if !x.guard.aborted() {
-		b.server = x.pool.stateOf(x.ctx, x.conn.address, x.identify)
+		b.server = x.pool.stateOf(x.ctx, x.conn.address, x.call)
 	}
 	switch {
 	case x.guard.aborted():
@@ -205,8 +209,10 @@
 		return ErrServerExited
 	case b.server == ServerReplaced:
 		return ErrServerReplaced
+	case b.server == ServerSame, b.server == ServerListens:
+		return nil
 	}
-	return nil
+	return errorx.Decorate(runworks.ErrUnconfirmed, "%s is %s", x.conn.address, b.server)
 }
 
 // Close implements io.Closer. If the body was not read completely, it closes the connection.
--- a/modules/httpconn/identify.go
+++ b/modules/httpconn/identify.go
@@ -9,15 +9,19 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/runworks/runworks/modules/pause"
 )
 
 const (
-	// identifyAttempts bounds the connections on which a server is asked which one it is. An overloaded
-	// server resets new ones, and so does one that is about to exit.
+	// identifyAttempts is the least number of connections on which a server is asked which one it is. An
+	// overloaded server resets new ones, and so does one that is about to exit.
 	identifyAttempts = 2
-	// identifyWaits is how many waits of DefaultProbeTimeout an answer has: the first may end because
-	// this process did not run, with the answer already here.
+	// identifyWaits is how many parts the wait for an answer has: the first may end because this process did
+	// not run, with the answer already here.
 	identifyWaits = 2
+	// identifyPause is the pause before the next connection.
+	identifyPause = 20 * time.Millisecond
 )
 
 // ServerState is what is found of a server at the end of its response, if neither a length nor chunks end
@@ -53,36 +57,57 @@
 	return ""
 }
 
-// stateOf returns what is found of the server at address, on a new connection. A nil identify does not ask
-// which server it is.
-func (p *Pool) stateOf(ctx context.Context, address string, identify func() *http.Request) ServerState {
-	var state ServerState
-	for range identifyAttempts {
-		c, err := p.probe(ctx, address)
-		switch {
-		case isRefused(err):
-			return ServerExited
-		case err != nil:
-			state = ServerUnreachable
-			continue
-		case identify == nil:
-			p.put(c)
-			return ServerListens
-		}
-		if state, err = p.ask(ctx, c, identify()); err == nil {
+// stateOf returns what is found of the server at address. It asks until there is an answer, for as long as
+// Call.IdentifyTimeout at least. A nil Call.Identify does not ask which server it is.
+func (p *Pool) stateOf(ctx context.Context, address string, call *Call) ServerState {
+	wait := max(call.IdentifyTimeout, identifyWaits*orDefault(p.ProbeTimeout, DefaultProbeTimeout))
+	deadline := time.Now().Add(wait)
+	for n := 1; ; n++ {
+		state := p.askOnce(ctx, address, call, n, deadline)
+		known := state != ServerUnreachable && state != ServerDisconnected
+		if known || n >= identifyAttempts && !time.Now().Before(deadline) || ctx.Err() != nil {
 			return state
 		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return ServerSilent
+		pause.For(ctx, min(time.Duration(n)*identifyPause, max(time.Until(deadline), 0)))
+	}
+}
+
+// askOnce returns what is found of the server at address, for the n-th time, on one connection.
+func (p *Pool) askOnce(ctx context.Context, address string, call *Call, n int, deadline time.Time) ServerState {
+	c, err := p.askingConn(ctx, address, n)
+	switch {
+	case isRefused(err):
+		return ServerExited
+	case err != nil:
+		return ServerUnreachable
+	case call.Identify == nil:
+		p.put(c)
+		return ServerListens
+	}
+	state, err := p.ask(ctx, c, call.Identify(), max(time.Until(deadline)/identifyWaits, orDefault(p.ProbeTimeout, DefaultProbeTimeout)))
+	switch {
+	case err == nil:
+		return state
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return ServerSilent
+	}
+	return ServerDisconnected
+}
+
+// askingConn returns the connection on which a server is asked for the n-th time: each other one is an unused
+// one, if there is any, as an overloaded server resets new ones.
+func (p *Pool) askingConn(ctx context.Context, address string, n int) (*conn, error) {
+	if n%2 == 0 {
+		if c := p.takeIdle(address); c != nil {
+			return c, nil
 		}
-		state = ServerDisconnected
 	}
-	return state
+	return p.probe(ctx, address)
 }
 
-// ask sends a request on a new connection and returns which server responds. It keeps the connection for
-// the next request, or closes it.
-func (p *Pool) ask(ctx context.Context, c *conn, req *http.Request) (ServerState, error) {
+// ask sends a request on a connection and returns which server responds; the answer may take twice the wait. It
+// keeps the connection for the next request, or closes it.
+func (p *Pool) ask(ctx context.Context, c *conn, req *http.Request, wait time.Duration) (ServerState, error) {
 	guard := abortWhenDone(ctx, c)
 	reusable := false
 	defer func() {
@@ -98,7 +123,7 @@
 	if err := req.Write(c); err != nil {
 		return "", err
 	}
-	if err := c.awaitAnswer(orDefault(p.ProbeTimeout, DefaultProbeTimeout)); err != nil {
+	if err := c.awaitAnswer(wait); err != nil {
 		return "", err
 	}
 	res, err := c.heads.ReadResponse(req)
--- a/services/forward/answer.go
+++ b/services/forward/answer.go
@@ -58,7 +58,7 @@
 	_ = reply.Body.Close()
 	if err != nil {
 		memory.Release(reserved)
-		lease.Release(c.resultOrAbandoned(ctx, time.Now(), dispatch.Interrupted))
+		lease.Release(c.resultOrAbandoned(ctx, time.Now(), resultOfBreak(err)))
 		c.recordInterruption(ctx, lease.Instance, time.Time{})
 		return c.retryOrReturn(ctx, c.interruptedFailure(ctx, err), nil)
 	}
@@ -95,6 +95,15 @@
 	return c.f.MaxResponseBytes <= 0 || c.received <= c.f.MaxResponseBytes
 }
 
+// resultOfBreak returns the dispatch result for a response that is not complete. An end that the server does
+// not confirm does not count against it: it may be whole, and the server full.
+func resultOfBreak(err error) dispatch.Result {
+	if errors.Is(err, runworks.ErrUnconfirmed) {
+		return dispatch.Abandoned
+	}
+	return dispatch.Interrupted
+}
+
 // resultOf returns the dispatch result for a response status. 504 does not count against the
 // server: the caller's time was over.
 func resultOf(status int) dispatch.Result {
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -23,7 +23,7 @@
 	lease.OnServerExit(func() { cancel(errServerRestarted) })
 	spanCtx, span := c.f.Tracer.Start(c.attemptCtx, tracing.SpanBackend)
 	defer span.End()
-	send := &runworks.Send{Inbound: c.in, To: lease.Instance, TimeLeft: c.timeLeft(), LastEventID: lastEvent, Customer: c.customerName(), StatusPath: c.statusPath()}
+	send := &runworks.Send{Inbound: c.in, To: lease.Instance, TimeLeft: c.timeLeft(), LastEventID: lastEvent, Customer: c.customerName(), StatusPath: c.statusPath(), EndTimeout: c.endTimeout()}
 	send.BeforeSend = func() error { return c.checkBeforeSend(lease) }
 	metrics.Count(c.f.Metrics.Dispatches, metrics.Rank(c.rank))
 	c.sent = time.Now()
@@ -53,6 +53,15 @@
 	return reply, nil
 }
 
+// endTimeout returns how long the server is asked whether it has ended the response. A call that can't run
+// again would lose a whole one; any other is better continued or repeated elsewhere soon.
+func (c *call) endTimeout() time.Duration {
+	if c.repeatable() && c.ran+1 < c.route.MaxAttempts {
+		return 0
+	}
+	return maxEndTimeout
+}
+
 // statusPath returns the path of status requests to the call's servers; empty if not specified.
 func (c *call) statusPath() string {
 	if s := c.table.Service(c.service); s != nil {
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -35,6 +35,8 @@
 	// unresponsiveAfter is how long a server must have sent nothing for a call that the caller or
 	// the deadline ends to count against it: many times the pause between events.
 	unresponsiveAfter = time.Second
+	// maxEndTimeout leaves the caller of a stream time to receive its end before minCallerTimeout.
+	maxEndTimeout = 1500 * time.Millisecond
 	// maxSends bounds the backend servers to which one call is sent, including those that rejected
 	// it: each further one uses the retry budget.
 	maxSends = 4
--- a/services/forward/server_exit_test.go
+++ b/services/forward/server_exit_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/matryer/is"
 
 	"github.com/runworks/runworks"
@@ -212,3 +213,38 @@
 		is.Equal(len(s.sends), 3)
 	})
 }
+
+// TestUnconfirmedEnd guards against a response that looks complete though its server did not confirm it, and
+// against a server that is asked too briefly by a call that can't run again.
+func TestUnconfirmedEnd(t *testing.T) {
+	const whole = "id: 1\ndata: a\n\n"
+	unconfirmed := reply{body: whole, broken: errorx.Decorate(runworks.ErrUnconfirmed, "silent"), closeDelimited: true}
+	nothingMore := reply{body: ""}
+	for _, c := range []struct {
+		route    string
+		replies  []reply
+		timeouts []time.Duration
+		whole    bool
+	}{
+		{"once", []reply{unconfirmed}, []time.Duration{maxEndTimeout}, false},
+		{"stream", []reply{unconfirmed}, []time.Duration{maxEndTimeout}, false},
+		{"safe", []reply{unconfirmed, good}, []time.Duration{0, maxEndTimeout}, true},
+		{"safe", []reply{unconfirmed, unconfirmed, good}, []time.Duration{0, maxEndTimeout}, false},
+		{"resumable", []reply{unconfirmed, nothingMore}, []time.Duration{0, maxEndTimeout}, true},
+		{"resumable", []reply{unconfirmed, unconfirmed}, []time.Duration{0, maxEndTimeout}, false},
+	} {
+		t.Run(fmt.Sprint(c.route, " ", len(c.replies)), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &sender{replies: c.replies}
+				_, _, err := serve(t.Context(), newForwarder(t, s, io.Discard), c.route)
+				is.Equal(err == nil, c.whole)
+				var timeouts []time.Duration
+				for _, send := range s.sends {
+					timeouts = append(timeouts, send.EndTimeout)
+				}
+				is.Equal(timeouts, c.timeouts)
+			})
+		})
+	}
+}
--- a/services/forward/stream_resume.go
+++ b/services/forward/stream_resume.go
@@ -38,7 +38,7 @@
 		c.f.Logger.Info("stream cut while its caller did not read", "server", s.lease.Instance.IncarnationID(), "service", c.service,
 			"request", c.in.ID, "reader_blocked_ms", s.reader.unread.Milliseconds())
 	default:
-		s.lease.Release(c.resultOrAbandoned(s.ctx, s.lastReceivedAt(), dispatch.Interrupted))
+		s.lease.Release(c.resultOrAbandoned(s.ctx, s.lastReceivedAt(), resultOfBreak(cause)))
 		c.recordInterruption(s.ctx, s.lease.Instance, s.firstEventAt)
 	}
 	if slow && !c.lastEvent.IsZero() {
--- a/standin/routed_faults.go
+++ b/standin/routed_faults.go
@@ -36,8 +36,8 @@
 	// CloseDelimited has responses sent without length or chunks: the end of the connection ends
 	// them, and a break looks the same. One without events is sent in two halves, with the delay between.
 	CloseDelimited bool `json:"close_delimited"`
-	// StatusWaits has status requests wait for a slot that does not become free.
-	StatusWaits bool `json:"status_waits"`
+	// StatusWaitMs is how long status requests wait for a slot, in milliseconds.
+	StatusWaitMs int `json:"status_wait_ms"`
 	// Limit, unless empty, is the reported rate limit in requests per second, from all fronts
 	// together. The server does not enforce it.
 	Limit string `json:"limit"`
