Don't take a late response for the answer of a server

A server that is asked whether it runs may be asked on an unused connection. Bytes that an earlier call left there, or a late response with a request ID, counted as its answer, so that a cut response could look complete.

--- a/modules/httpconn/identify_test.go
+++ b/modules/httpconn/identify_test.go
@@ -192,3 +192,36 @@
 	is.Equal(ServerAtEnd(res), ServerSame)
 	is.NoErr(res.Body.Close())
 }
+
+// TestBytesOnAnUnusedConnectionAnswerNothing guards against a late response of a server that exited, on an unused
+// connection, that is taken for its answer.
+func TestBytesOnAnUnusedConnectionAnswerNothing(t *testing.T) {
+	is := is.New(t)
+	sent := make(chan struct{})
+	s := serveConns(t, func(c net.Conn, br *bufio.Reader, n int32) {
+		switch n {
+		case 1:
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+			close(sent)
+			_, _ = io.Copy(io.Discard, c)
+		case 2:
+			if readRequest(br) {
+				_, _ = io.WriteString(c, unframed)
+			}
+		default:
+			reset(c)
+		}
+	})
+	p := newPool()
+	p.WhichServer = whichServer
+	defer p.Close()
+	first, err := p.open(t.Context(), s.address, time.Minute)
+	is.NoErr(err)
+	<-sent
+	res, err := p.Do(t.Context(), s.address, &Call{Request: request(t, http.MethodGet, s.address, ""), Identify: identify})
+	is.NoErr(err)
+	p.put(first)
+	_, err = io.ReadAll(res.Body)
+	is.True(errors.Is(err, runworks.ErrUnconfirmed))
+	is.NoErr(res.Body.Close())
+}
--- a/modules/httpconn/pool.go
+++ b/modules/httpconn/pool.go
@@ -65,15 +65,8 @@
 
 // get returns a pooled connection or opens one; the error is ErrNotDispatched.
 func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
-	for {
-		c := p.takeIdle(address)
-		if c == nil {
-			break
-		}
-		if time.Now().Before(c.expires) && c.isIdle() {
-			return c, nil
-		}
-		_ = c.Close()
+	if c := p.takeUsable(address); c != nil {
+		return c, nil
 	}
 	c, err := p.open(ctx, address, orDefault(p.DialTimeout, DefaultDialTimeout))
 	if err != nil {
@@ -93,6 +86,17 @@
 	return &conn{Conn: raw, address: address, heads: NewHeadReader(raw)}, nil
 }
 
+// takeUsable returns an unused connection that is open and has nothing to read; nil if there is none.
+func (p *Pool) takeUsable(address string) *conn {
+	for {
+		c := p.takeIdle(address)
+		if c == nil || time.Now().Before(c.expires) && c.isIdle() {
+			return c
+		}
+		_ = c.Close()
+	}
+}
+
 func (p *Pool) takeIdle(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
