Skip informational responses where a server is asked which one it is

The whole response of a server that sends early hints before its answer to a status request was taken for a cut one, and the end of a replaced server's for one that nothing confirms: the hints were read as the answer, which names none.

The two new cases of TestResponseOfReplacedServerIsNotComplete failed (found: unnamed). Informational responses are skipped as in calls.

--- a/modules/httpconn/identify.go
+++ b/modules/httpconn/identify.go
@@ -126,7 +126,7 @@
 	if err := c.awaitAnswer(wait); err != nil {
 		return "", err
 	}
-	res, err := c.heads.ReadResponse(req)
+	res, err := c.readFinal(req)
 	if err != nil {
 		return "", err
 	}
@@ -138,6 +138,17 @@
 	return p.WhichServer(req, res), nil
 }
 
+// readFinal returns the head of the response to a request, and skips informational ones.
+func (c *conn) readFinal(req *http.Request) (*http.Response, error) {
+	for range maxMismatched {
+		res, err := c.heads.ReadResponse(req)
+		if err != nil || res.StatusCode >= http.StatusOK {
+			return res, err
+		}
+	}
+	return nil, errorx.ExternalError.New("only informational responses came")
+}
+
 // awaitAnswer waits until something is received, and gives the rest of the answer as long again.
 func (c *conn) awaitAnswer(wait time.Duration) error {
 	for range identifyWaits {
--- a/modules/httpconn/identify_test.go
+++ b/modules/httpconn/identify_test.go
@@ -38,7 +38,7 @@
 	switch res.StatusCode {
 	case http.StatusMisdirectedRequest:
 		return ServerReplaced
-	case http.StatusNotFound:
+	case http.StatusNotFound, http.StatusEarlyHints:
 		return ServerUnnamed
 	}
 	return ServerSame
@@ -62,6 +62,8 @@
 		{"another server", answer(other), ServerReplaced, ErrServerReplaced},
 		{"the same server", answer(named), ServerSame, nil},
 		{"the same server, with a body", answer("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull"), ServerSame, nil},
+		{"the same server, after early hints", answer("HTTP/1.1 103 Early Hints\r\n\r\n" + named), ServerSame, nil},
+		{"another server, after early hints", answer("HTTP/1.1 103 Early Hints\r\n\r\n" + other), ServerReplaced, ErrServerReplaced},
 		{"no answer", func(c net.Conn, _ int32) { _, _ = io.Copy(io.Discard, c) }, ServerSilent, runworks.ErrUnconfirmed},
 		{"no response", answer("none\r\n"), ServerDisconnected, runworks.ErrUnconfirmed},
 		{"only resets", func(c net.Conn, _ int32) { reset(c) }, ServerDisconnected, runworks.ErrUnconfirmed},
