Test that a server is asked for long where its call can't go on elsewhere

A whole response without length or chunks is lost if its server takes 0.8 s to confirm its end and the call could run again by its route, but can't: the service has no retry left, the events have no IDs, or more of an answer than is buffered has been passed on. Its server is asked for 0.4 s, as that is decided by the route when the call is sent.

TestSlowlyConfirmedEnd fails in these 4 cases; the case with another server that can continue passes.

--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -37,6 +37,8 @@
 	broken error
 	// pause is the time from the body's last byte to its end.
 	pause time.Duration
+	// confirmedAfter is how long the server takes to confirm the end of the response; 0 does not ask it.
+	confirmedAfter time.Duration
 	// gap is the time before each event of the body.
 	gap time.Duration
 	// closeDelimited reports that only the end of the connection ends the response.
@@ -91,6 +93,9 @@
 	if end == nil {
 		end = io.EOF
 	}
+	if r.confirmedAfter > max(send.EndTimeout, 400*time.Millisecond) {
+		end = errorx.Decorate(runworks.ErrUnconfirmed, "silent")
+	}
 	body := io.NopCloser(io.MultiReader(&eventReader{rest: r.body, gap: r.gap}, &errReader{err: end, pause: r.pause}))
 	status := r.status
 	if status == 0 {
--- a/services/forward/server_exit_test.go
+++ b/services/forward/server_exit_test.go
@@ -248,3 +248,30 @@
 		})
 	}
 }
+
+// TestSlowlyConfirmedEnd guards against a whole response that is lost because its server is asked too briefly,
+// as for a call that can go on at another server, though this one can't.
+func TestSlowlyConfirmedEnd(t *testing.T) {
+	for _, c := range []struct {
+		name, route, body string
+		arrange           func(f *Forwarder)
+	}{
+		{"other server", "resumable", "id: 1\ndata: a\n\n", func(*Forwarder) {}},
+		{"no retry budget, stream", "resumable", "id: 1\ndata: a\n\n", func(f *Forwarder) { f.Budgets = &Budgets{} }},
+		{"no retry budget, safe call", "safe", "answer", func(f *Forwarder) { f.Budgets = &Budgets{} }},
+		{"events without IDs", "resumable", "data: a\n\n", func(*Forwarder) {}},
+		{"a long answer", "safe", strings.Repeat("a", 300<<10), func(*Forwarder) {}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &sender{replies: []reply{{body: c.body, closeDelimited: true, confirmedAfter: 800 * time.Millisecond}, {}}}
+				f := newForwarder(t, s, io.Discard)
+				c.arrange(f)
+				_, data, err := serve(t.Context(), f, c.route)
+				is.NoErr(err)
+				is.Equal(len(data), len(c.body))
+			})
+		})
+	}
+}
