Ask a server for long wherever its call can't go on elsewhere

A whole response without length or chunks was lost if its server took 0.8 s to confirm the end and the call could run again by its route but not in fact: no other server, no retry in the budget, events without IDs, or a long answer of which the caller had a part.

Cause: how long a server is asked was decided when the call was sent, by the route alone. It is decided at the end of the response now, by what the call can still do.

--- a/inbound.go
+++ b/inbound.go
@@ -102,9 +102,9 @@
 	TimeLeft time.Duration
 	// StatusPath is that of the server's service; empty if not specified.
 	StatusPath string
-	// EndTimeout is how long the server is asked at least whether it has ended a response, if only the end
-	// of the connection ends that.
-	EndTimeout time.Duration
+	// EndTimeout returns how long the server is asked at least whether it has ended a response, if only the
+	// end of the connection ends that. It is called at that end.
+	EndTimeout func() time.Duration
 	// LastEventID is the ID of the last event received when a stream is resumed, otherwise
 	// empty.
 	LastEventID string
--- a/modules/httpconn/do.go
+++ b/modules/httpconn/do.go
@@ -44,9 +44,9 @@
 	// sent on a new connection when the end of a connection ends the response, and Pool.WhichServer
 	// reads the answer.
 	Identify func() *http.Request
-	// IdentifyTimeout is how long the server is asked at least; it is never less than twice
-	// Pool.ProbeTimeout.
-	IdentifyTimeout time.Duration
+	// IdentifyTimeout, unless nil, returns how long the server is asked at least; it is never less than
+	// twice Pool.ProbeTimeout.
+	IdentifyTimeout func() time.Duration
 }
 
 // Do sends a call once to address (host:port). The error is that of BeforeSend, ErrNotDispatched if
--- a/modules/httpconn/identify.go
+++ b/modules/httpconn/identify.go
@@ -60,7 +60,10 @@
 // stateOf returns what is found of the server at address. It asks until there is an answer, for as long as
 // Call.IdentifyTimeout at least. A nil Call.Identify does not ask which server it is.
 func (p *Pool) stateOf(ctx context.Context, address string, call *Call) ServerState {
-	wait := max(call.IdentifyTimeout, identifyWaits*orDefault(p.ProbeTimeout, DefaultProbeTimeout))
+	wait := identifyWaits * orDefault(p.ProbeTimeout, DefaultProbeTimeout)
+	if call.IdentifyTimeout != nil {
+		wait = max(wait, call.IdentifyTimeout())
+	}
 	deadline := time.Now().Add(wait)
 	for n := 1; ; n++ {
 		state := p.askOnce(ctx, address, call, n, deadline)
--- a/services/dispatch/gate.go
+++ b/services/dispatch/gate.go
@@ -71,6 +71,14 @@
 	return out
 }
 
+// HasServer reports whether the service of a call has a server that it may be sent to, now or later.
+func (d *Dispatcher) HasServer(req *Request) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.services[req.Service]
+	return s != nil && s.hasServerFor(time.Now(), req)
+}
+
 // RunningCalls returns the number of running calls of all entries by service.
 func (d *Dispatcher) RunningCalls() map[string]int {
 	d.mu.Lock()
--- a/services/forward/answer.go
+++ b/services/forward/answer.go
@@ -32,6 +32,7 @@
 				return c.retryOrReturn(ctx, c.interruptedFailure(ctx, s.rejectReply(reply)), nil)
 			}
 		}
+		c.stream = s
 		c.f.readers.add(&s.reader)
 		return &runworks.Reply{Status: reply.Status, Header: reply.Header, Body: s}, nil
 	}
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -23,7 +23,7 @@
 	lease.OnServerExit(func() { cancel(errServerRestarted) })
 	spanCtx, span := c.f.Tracer.Start(c.attemptCtx, tracing.SpanBackend)
 	defer span.End()
-	send := &runworks.Send{Inbound: c.in, To: lease.Instance, TimeLeft: c.timeLeft(), LastEventID: lastEvent, Customer: c.customerName(), StatusPath: c.statusPath(), EndTimeout: c.endTimeout()}
+	send := &runworks.Send{Inbound: c.in, To: lease.Instance, TimeLeft: c.timeLeft(), LastEventID: lastEvent, Customer: c.customerName(), StatusPath: c.statusPath(), EndTimeout: c.endTimeout}
 	send.BeforeSend = func() error { return c.checkBeforeSend(lease) }
 	metrics.Count(c.f.Metrics.Dispatches, metrics.Rank(c.rank))
 	c.sent = time.Now()
@@ -53,15 +53,28 @@
 	return reply, nil
 }
 
-// endTimeout returns how long the server is asked whether it has ended the response. A call that can't run
-// again would lose a whole one; any other is better continued or repeated elsewhere soon.
+// endTimeout returns how long the server is asked whether it has ended the response. A call that can't go on
+// elsewhere would lose a whole one; any other is better continued or repeated there soon.
 func (c *call) endTimeout() time.Duration {
-	if c.repeatable() && c.ran+1 < c.route.MaxAttempts {
+	if c.canGoOn() {
 		return 0
 	}
 	return maxEndTimeout
 }
 
+// canGoOn reports whether another server may repeat the call, or continue its response.
+func (c *call) canGoOn() bool {
+	switch {
+	case !c.repeatable() || c.ran >= c.route.MaxAttempts || c.sends >= maxSends || !c.f.Budgets.HasRetry(c.service):
+		return false
+	case c.stream != nil && !c.stream.resumable():
+		return false
+	case c.stream == nil && c.detach == nil:
+		return false // the caller has a part of the response
+	}
+	return c.f.Dispatcher.HasServer(c.dispatchRequest())
+}
+
 // statusPath returns the path of status requests to the call's servers; empty if not specified.
 func (c *call) statusPath() string {
 	if s := c.table.Service(c.service); s != nil {
--- a/services/forward/budgets.go
+++ b/services/forward/budgets.go
@@ -56,6 +56,9 @@
 // RecordCall adds a call's share of a retry to the service's budget.
 func (b *Budgets) RecordCall(service string) { b.budget(service).Deposit() }
 
+// HasRetry reports whether the service's budget has a retry.
+func (b *Budgets) HasRetry(service string) bool { return b.budget(service).HasRetry() }
+
 // TakeRetry takes one retry from the service's budget and reports whether there was one.
 func (b *Budgets) TakeRetry(service string) bool { return b.budget(service).TryWithdraw() }
 
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -153,6 +153,8 @@
 	firstByte time.Time
 	// firstEvent is when the first event of the last server arrived, and was expected.
 	firstEvent firstEvent
+	// stream is the response to a stream call; nil before, and for other responses.
+	stream *stream
 	// received is the number of bytes that were received of responses passed on as they arrive.
 	received int64
 	// events counts the events of a stream that were passed on, and longestPause is the longest
--- a/services/retry/budget.go
+++ b/services/retry/budget.go
@@ -21,6 +21,13 @@
 	b.balance = min(b.balance+b.Ratio, b.Max)
 }
 
+// HasRetry reports whether there is a retry in the budget.
+func (b *Budget) HasRetry() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.balance >= 1
+}
+
 // TryWithdraw takes one retry from the budget and reports whether there was one.
 func (b *Budget) TryWithdraw() bool {
 	b.mu.Lock()
