--- a/modules/httpconn/do.go
+++ b/modules/httpconn/do.go
@@ -41,8 +41,8 @@
 	// written. If it fails, nothing is sent.
 	BeforeSend func() error
 	// Identify, unless nil, returns a request that asks the server which one it is and runs nothing. It is
-	// sent on a new connection when the end of a connection ends the response, and Pool.WhichServer
-	// reads the answer.
+	// sent on a new or unused connection when the end of a connection ends the response, and
+	// Pool.WhichServer reads the answer.
 	Identify func() *http.Request
 	// IdentifyTimeout, unless nil, returns how long the server is asked at least; it is never less than
 	// twice Pool.ProbeTimeout.
--- a/modules/httpconn/pool.go
+++ b/modules/httpconn/pool.go
@@ -40,8 +40,8 @@
 	// MaxIdle limits the unused connections to one address; zero means DefaultMaxIdle, and a negative
 	// value keeps none.
 	MaxIdle int
-	// ProbeTimeout limits the opening of each connection by WatchExit, and each wait for the answer of a
-	// server that is asked which one it is; zero means DefaultProbeTimeout.
+	// ProbeTimeout limits the opening of each connection by WatchExit, and to a server that is asked which
+	// one it is; each wait for the answer of that has as long at least. Zero means DefaultProbeTimeout.
 	ProbeTimeout time.Duration
 	// MatchResponse reports whether a response belongs to a request; nil accepts every response.
 	MatchResponse func(req *http.Request, res *http.Response) bool
