Reject calls that a stopping front would not see end

Callers got 502 for unsafe calls that a server had run when the front that had taken them stopped; they may not repeat those. With a grace of 6 s and calls of 1.5 s, 4 to 5 calls of 7 callers of a free server ended so, and 7 to 8 of 16 callers of a full one, in 2 runs (TestPlatformStopRejectsCallsThatWouldNotEnd). With a grace of 3 s, streams of 3 s were cut, 6 of 6.

Cause: a stopping front took each call but new streams as before, and aborted it 1 s before the end of the grace.

From the signal on, a call is rejected with 503 if it is not expected to end by that time: when it arrives, and just before it is sent, as it may have waited for a slot. The time left is compared with how long the last 64 calls of its route and service took. A call that can't be repeated is rejected if more than an eighth of them took longer, any other if more than half did. With fewer than four known, a call is taken to need its target.

--- a/daemon/front_stop.go
+++ b/daemon/front_stop.go
@@ -26,6 +26,7 @@
 // progress have their responses.
 func (d *Front) drain(ctx context.Context, server *http.Server) {
 	end := time.Now().Add(d.Settings.Grace - stopMargin)
+	d.forwarder.StopAt(end.Add(-abortMargin))
 	d.draining.Store(true)
 	d.front.Closing.Store(true)
 	d.Logger.Info("planned stop: reporting not ready", "stop_notice", d.Settings.StopNotice.String(), "grace", d.Settings.Grace.String())
--- a/services/forward/admit.go
+++ b/services/forward/admit.go
@@ -33,7 +33,10 @@
 		metrics.Count(c.f.Metrics.Quarantined, metrics.Rank(c.rank))
 		return runworks.NotRun(runworks.ErrQuarantined, wait)
 	}
-	c.service = route.PickService(c.route, c.streamID())
+	c.service, c.deadline = route.PickService(c.route, c.streamID()), c.in.Received.Add(c.timeout())
+	if err := c.checkStop(); err != nil {
+		return runworks.NotRun(err, retryRejected)
+	}
 	if failure := c.resolveOrigin(ctx); failure != nil {
 		return failure
 	}
@@ -45,7 +48,6 @@
 			return failure
 		}
 	}
-	c.deadline = c.in.Received.Add(c.timeout())
 	c.f.Budgets.RecordCall(c.service)
 	return nil
 }
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -135,8 +135,8 @@
 }
 
 // checkBeforeSend returns an error if the call must no longer be sent: the caller has disconnected,
-// the request has been quarantined while it waited, the server takes no more calls, or no time is
-// left. A disconnect normally cancels the call's context, but on a host short of CPU that can be
+// the request has been quarantined while it waited, the server takes no more calls, or too little time is
+// left, also before a stop. A disconnect normally cancels the call's context, but on a host short of CPU that can be
 // seconds late: calls were sent 0.9 s after their callers had left. The request may have made
 // servers exit elsewhere while it waited here; that is checked last, as it may count the call as a trial.
 // If the server takes no more calls, another one may.
@@ -150,6 +150,9 @@
 	if err := c.checkTimeLeft(); err != nil {
 		return err
 	}
+	if err := c.checkStop(); err != nil {
+		return err
+	}
 	if !c.beginSend(time.Now()) {
 		return runworks.ErrQuarantined
 	}
@@ -159,7 +162,8 @@
 // canceledBeforeSend reports whether err is one of checkBeforeSend for which no other server is
 // tried.
 func canceledBeforeSend(err error) bool {
-	return errors.Is(err, runworks.ErrCallerDisconnected) || errors.Is(err, runworks.ErrQuarantined) || errors.Is(err, runworks.ErrTimeLimit)
+	return errors.Is(err, runworks.ErrCallerDisconnected) || errors.Is(err, runworks.ErrQuarantined) || errors.Is(err, runworks.ErrTimeLimit) ||
+		errors.Is(err, runworks.ErrStopping)
 }
 
 // resultOrAbandoned returns Abandoned instead of r if the caller or the deadline ended the call, so
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -90,6 +90,9 @@
 	active atomic.Int64
 	// suspended is how long the host has been suspended since the start, in nanoseconds.
 	suspended atomic.Int64
+	durations durations
+	// stopAt is when AbortPending will be called; nil if it is not planned.
+	stopAt    atomic.Pointer[time.Time]
 	abortOnce sync.Once
 	// abortCtx is canceled when calls without a response are aborted.
 	abortCtx context.Context
--- a/services/forward/log.go
+++ b/services/forward/log.go
@@ -21,6 +21,9 @@
 // finish ends a call and writes its log line: what decided it, and how it ended.
 func (c *call) finish(outcome runworks.Outcome, status int, err error) {
 	c.f.active.Add(-1)
+	if outcome == runworks.OutcomeDone {
+		c.recordDuration()
+	}
 	if c.cancel != nil {
 		c.cancel()
 	}
