--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -136,8 +136,8 @@
 
 // checkBeforeSend returns an error if the call must no longer be sent: the caller has disconnected,
 // the request has been quarantined while it waited, the server takes no more calls, or too little time is
-// left, also before a stop. A disconnect normally cancels the call's context, but on a host short of CPU that can be
-// seconds late: calls were sent 0.9 s after their callers had left. The request may have made
+// left, also before a stop. A disconnect normally cancels the call's context, but on a host short of CPU
+// that can be seconds late: calls were sent 0.9 s after their callers had left. The request may have made
 // servers exit elsewhere while it waited here; that is checked last, as it may count the call as a trial.
 // If the server takes no more calls, another one may.
 func (c *call) checkBeforeSend(lease *dispatch.Lease) error {
