Let agents take only a confirmed end of a connection for that of a response

Cause: at such an end an agent only looked whether the address refuses a connection. The class: the absence of bad news counts as good news. In the same way, any response of status 200 was taken for the rest of one that broke off.

Such an end is now a break until the engine says that nothing is left: the agent requests the remainder, as it does for other breaks. A remainder counts only if it names the request and has a length or chunks itself, and its head must come within 5 s. Responses with a length or chunks are not concerned.

Whole answers of a running plain service without either arrived, and break off now.

Tests that said otherwise are replaced. TestResponseOfExitedServerIsNotComplete of modules/backend expected a response cut by a server that listens on as complete; CloseDelimitedResponseIsUnconfirmed expects the doubt for both. TestStreamWithoutEventsIsNotComplete checked one case of what is unconfirmed in all cases now.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -63,6 +63,7 @@
 	cmd.Flag("decode", "Output tokens per second.").Default("100").Float64Var(&e.DecodePerSecond)
 	cmd.Flag("cached-prompts", "Prompts kept in the prefix cache.").Default("0").IntVar(&e.CachedPrompts)
 	cmd.Flag("report-lag", "Age of load reports.").Default("1s").DurationVar(&e.ReportLag)
+	cmd.Flag("close-delimited", "Send completions without length or chunks.").BoolVar(&e.CloseDelimited)
 	cmd.Action(func(*kingpin.ParseContext) error { return serve(*listen, e.Handler()) })
 }
 
--- a/modules/backend/http.go
+++ b/modules/backend/http.go
@@ -21,6 +21,8 @@
 const (
 	idleTimeout   = 30 * time.Second
 	cancelTimeout = 2 * time.Second
+	// resumeTimeout limits the wait for the head of the rest of a response, which an engine sends at once.
+	resumeTimeout = 5 * time.Second
 )
 
 // HTTP sends calls to the backend server at Address; New creates it.
@@ -34,8 +36,7 @@
 
 	reuse *http.Transport
 	fresh *http.Transport
-	// probes opens the connections that show whether the server has exited.
-	probes *httpconn.Pool
+	rest  *http.Transport
 }
 
 // New returns a client for the backend server at the base URL address. A nil dial means the
@@ -44,10 +45,8 @@
 	h := &HTTP{Kind: kind, Address: address, Dial: dial}
 	h.reuse = h.transport(false)
 	h.fresh = h.transport(true)
-	h.probes = &httpconn.Pool{Dial: dial, MaxIdle: -1}
-	if dial == nil {
-		h.probes.Dial = (&net.Dialer{}).DialContext
-	}
+	h.rest = h.transport(true)
+	h.rest.ResponseHeaderTimeout = resumeTimeout
 	return h
 }
 
@@ -79,6 +78,7 @@
 func (h *HTTP) Close() {
 	h.reuse.CloseIdleConnections()
 	h.fresh.CloseIdleConnections()
+	h.rest.CloseIdleConnections()
 }
 
 // Do implements runworks.Backend. The error is ErrNotDispatched if nothing was sent, and
@@ -92,7 +92,7 @@
 	}
 	res, err := h.transportFor(req).RoundTrip(req)
 	if err == nil {
-		return &runworks.Reply{Status: res.StatusCode, Header: res.Header, Body: h.responseBody(ctx, res, false)}, nil
+		return &runworks.Reply{Status: res.StatusCode, Header: res.Header, Body: responseBody(res)}, nil
 	}
 	if !connected.Load() {
 		return nil, errorx.Decorate(runworks.ErrNotDispatched, "reach %s: %v", h.Address, err)
@@ -110,15 +110,29 @@
 	if err != nil {
 		return nil, errorx.Decorate(runworks.ErrGone, "build the resume: %v", err)
 	}
-	res, err := h.fresh.RoundTrip(req)
+	res, err := h.rest.RoundTrip(req)
 	if err != nil {
 		return nil, errorx.Decorate(runworks.ErrGone, "resume at %s: %v", h.Address, err)
 	}
-	if res.StatusCode != http.StatusOK {
+	if problem := checkRest(res, id); problem != "" {
 		_ = res.Body.Close()
-		return nil, errorx.Decorate(runworks.ErrGone, "resume at %s: %s", h.Address, res.Status)
+		return nil, errorx.Decorate(runworks.ErrGone, "resume at %s: %s", h.Address, problem)
 	}
-	return &runworks.Reply{Status: res.StatusCode, Header: res.Header, Body: h.responseBody(ctx, res, true)}, nil
+	return &runworks.Reply{Status: res.StatusCode, Header: res.Header, Body: res.Body}, nil
+}
+
+// checkRest returns what shows that a response is not the rest of that to a request, or that its own end could not
+// be told; empty if it is. Whoever listens at the engine's address may send any response.
+func checkRest(res *http.Response, id runworks.RequestID) string {
+	switch got := res.Header.Get(runworks.HeaderRequestID); {
+	case res.StatusCode != http.StatusOK:
+		return res.Status
+	case got != string(id):
+		return fmt.Sprintf("the response is to request %q", got)
+	case httpconn.CloseDelimited(res):
+		return "the response has neither a length nor chunks"
+	}
+	return ""
 }
 
 // Cancel implements runworks.Backend by DELETE /requests/{id}. Errors are ignored: an engine
--- a/modules/backend/http_test.go
+++ b/modules/backend/http_test.go
@@ -5,13 +5,14 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -182,9 +183,9 @@
 	is.True(errors.Is(err, runworks.ErrBackend))
 }
 
-// TestResponseOfExitedServerIsNotComplete guards against a response without length or chunks that looks
-// complete because the exit of its server closed the connection.
-func TestResponseOfExitedServerIsNotComplete(t *testing.T) {
+// TestCloseDelimitedResponseIsUnconfirmed guards against a response without length or chunks that looks complete
+// because its connection ended, as the exit of its server ends it too.
+func TestCloseDelimitedResponseIsUnconfirmed(t *testing.T) {
 	for _, exits := range []bool{true, false} {
 		is := is.New(t)
 		l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
@@ -198,49 +199,75 @@
 		data, err := io.ReadAll(reply.Body)
 		is.NoErr(reply.Body.Close())
 		is.Equal(string(data), "half")
-		is.Equal(err != nil, exits)
+		is.True(errors.Is(err, runworks.ErrUnconfirmed))
 	}
 }
 
-// TestStreamWithoutEventsIsNotComplete guards against an event stream that breaks off behind its head, and looks
-// complete because it has neither a length nor chunks.
-func TestStreamWithoutEventsIsNotComplete(t *testing.T) {
+// TestResumeTakesOnlyTheRest guards against a response that is continued by what is not the rest of it, or by a rest
+// that may be cut itself.
+func TestResumeTakesOnlyTheRest(t *testing.T) {
 	for _, c := range []struct {
-		body    string
-		resumed bool
-		whole   bool
+		response string
+		body     string
+		taken    bool
 	}{
-		{"", false, false},
-		{": comment\n\n", false, false},
-		{"data: a\n\n", false, true},
-		{"", true, true},
+		{"HTTP/1.1 200 OK\r\nRunworks-Request-Id: 1\r\nContent-Length: 4\r\n\r\nrest", "rest", true},
+		{"HTTP/1.1 200 OK\r\nRunworks-Request-Id: 1\r\nContent-Length: 0\r\n\r\n", "", true},
+		{"HTTP/1.1 200 OK\r\nRunworks-Request-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nrest\r\n0\r\n\r\n", "rest", true},
+		{"HTTP/1.1 200 OK\r\nRunworks-Request-Id: 1\r\n\r\nrest", "", false},
+		{"HTTP/1.1 200 OK\r\nRunworks-Request-Id: 2\r\nContent-Length: 4\r\n\r\nrest", "", false},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nrest", "", false},
+		{"HTTP/1.1 206 Partial Content\r\nRunworks-Request-Id: 1\r\nContent-Length: 4\r\n\r\nrest", "", false},
+		{"HTTP/1.1 404 Not Found\r\nRunworks-Request-Id: 1\r\nContent-Length: 0\r\n\r\n", "", false},
+		{"HTTP/1.0 200 OK\r\nRunworks-Request-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nrest\r\n0\r\n\r\n", "", false},
 	} {
-		t.Run(fmt.Sprintf("%q resumed %v", c.body, c.resumed), func(t *testing.T) {
+		t.Run(c.response, func(t *testing.T) {
 			is := is.New(t)
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				conn, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					t.Error(err)
-					return
-				}
-				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + c.body))
-				_ = conn.Close()
-			}))
-			t.Cleanup(server.Close)
-			h := New(runworks.KindEngine, server.URL, nil)
+			h := New(runworks.KindEngine, serveResponse(t, c.response), nil)
 			defer h.Close()
-			var reply *runworks.Reply
-			var err error
-			if c.resumed {
-				reply, err = h.Resume(t.Context(), "1", 5)
-			} else {
-				reply, err = h.Do(t.Context(), "1", &runworks.Call{Method: http.MethodPost, Path: "/", Body: []byte("x")})
+			reply, err := h.Resume(t.Context(), "1", 5)
+			is.Equal(err == nil, c.taken)
+			if err != nil {
+				is.True(errors.Is(err, runworks.ErrGone))
+				return
 			}
-			is.NoErr(err)
 			data, err := io.ReadAll(reply.Body)
+			is.NoErr(err)
 			is.NoErr(reply.Body.Close())
 			is.Equal(string(data), c.body)
-			is.Equal(err == nil, c.whole)
 		})
 	}
 }
+
+// serveResponse starts a server that sends a response to each request and closes the connection; it returns its URL.
+func serveResponse(t *testing.T, response string) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = io.WriteString(conn, response)
+		_ = conn.Close()
+	}))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// TestResumeOfSilentServerEnds guards against a caller that waits for its time limit because whoever listens at the
+// address of its server never responds.
+func TestResumeOfSilentServerEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		near, far := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		h := New(runworks.KindEngine, "http://engine", func(context.Context, string, string) (net.Conn, error) { return near, nil })
+		began := time.Now()
+		_, err := h.Resume(t.Context(), "1", 5)
+		is.True(errors.Is(err, runworks.ErrGone))
+		is.Equal(time.Since(began), resumeTimeout)
+		h.Close()
+		is.NoErr(far.Close())
+	})
+}
--- a/modules/eventstream/eventstream.go
+++ b/modules/eventstream/eventstream.go
@@ -40,8 +40,6 @@
 	inLine, inComment bool
 	// hasField is set after a field, until a blank line ends its event.
 	hasField bool
-	// hasEvent is set once an event has ended.
-	hasEvent bool
 	// afterCR is set after a carriage return: a line feed then belongs to the same line end.
 	afterCR bool
 }
@@ -64,7 +62,6 @@
 func (t *Tracker) endLine() {
 	switch {
 	case !t.inLine:
-		t.hasEvent = t.hasEvent || t.hasField
 		t.hasField = false
 	case !t.inComment:
 		t.hasField = true
@@ -74,6 +71,3 @@
 
 // InsideEvent reports whether the stream, if it ended here, would end inside an event or a line.
 func (t *Tracker) InsideEvent() bool { return t.inLine || t.hasField }
-
-// HasEvent reports whether an event has ended.
-func (t *Tracker) HasEvent() bool { return t.hasEvent }
--- a/modules/httpconn/exit.go
+++ b/modules/httpconn/exit.go
@@ -37,12 +37,6 @@
 	}
 }
 
-// HasExited reports whether the process that listens at address is known to have exited. Unlike
-// WatchExit, it does not watch a connection that is accepted.
-func (p *Pool) HasExited(ctx context.Context, address string) bool {
-	return p.stateOf(ctx, address, &Call{}) == ServerExited
-}
-
 // watchConn returns a connection that stays open to the pool, and probes again if it does not.
 func (p *Pool) watchConn(c *conn, onExit func()) {
 	if c.staysOpen() {
--- a/services/agent/agent_test.go
+++ b/services/agent/agent_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -273,6 +274,63 @@
 	}
 }
 
+// unconfirmedBackend is a resumingBackend whose response ends without a sign that this is its end. It has a rest
+// if known is set.
+type unconfirmedBackend struct {
+	resumingBackend
+	known bool
+}
+
+// Do implements runworks.Backend.
+func (b *unconfirmedBackend) Do(context.Context, runworks.RequestID, *runworks.Call) (*runworks.Reply, error) {
+	body := io.MultiReader(strings.NewReader(b.body), iotest.ErrReader(runworks.ErrUnconfirmed))
+	return &runworks.Reply{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(body)}, nil
+}
+
+// Resume implements runworks.Backend.
+func (b *unconfirmedBackend) Resume(ctx context.Context, id runworks.RequestID, from int64) (*runworks.Reply, error) {
+	if !b.known {
+		return nil, runworks.ErrGone
+	}
+	return b.resumingBackend.Resume(ctx, id, from)
+}
+
+// TestUnconfirmedResponseIsNotRemembered guards against a response whose end nothing confirms that its caller, or
+// one that joins the ended run, gets as a complete one.
+func TestUnconfirmedResponseIsNotRemembered(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		known    bool
+		rest     string
+		complete bool
+	}{
+		{"nothing is left", true, "", true},
+		{"a rest is left", true, "rest", true},
+		{"the request is unknown", false, "", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				a, _ := newTestAgent(t, &unconfirmedBackend{resumingBackend{fakeBackend: fakeBackend{body: "half"}, rest: c.rest}, c.known})
+				defer a.Close()
+				is.NoErr(a.StartRun(t.Context(), a.runRequest("1.1")))
+				synctest.Wait()
+				for range 2 {
+					reader, err := a.Open("1.1", a.incarnation)
+					is.NoErr(err)
+					data, _, err := reader.Next(t.Context(), 0)
+					is.NoErr(err)
+					is.Equal(string(data), "half"+c.rest)
+					_, end, err := reader.Next(t.Context(), int64(len(data)))
+					is.True(end)
+					is.Equal(err == nil, c.complete)
+					reader.Close()
+				}
+			})
+		})
+	}
+}
+
 // TestConfigureReconnects checks that the backend is replaced if the address or the kind of
 // the backend server changes, and only then.
 func TestConfigureReconnects(t *testing.T) {
--- a/services/agent/dispatch.go
+++ b/services/agent/dispatch.go
@@ -74,7 +74,8 @@
 }
 
 // copyWithResume copies the response. If it breaks off, it is resumed up to maxResumes times,
-// so that the work which the engine has done for it is not lost.
+// so that the work which the engine has done for it is not lost. An end that is not known to be that of the
+// response counts as a break: the rest, which may be empty, confirms it.
 func (a *Agent) copyWithResume(ctx context.Context, r *run, backend runworks.Backend, reply *runworks.Reply) error {
 	var events *eventstream.Tracker
 	if eventstream.IsEventStream(reply.Header) {
@@ -93,6 +94,7 @@
 		}
 		reply, resumeErr := backend.Resume(ctx, r.id, from)
 		if resumeErr != nil {
+			a.Logger.Warn("response is incomplete", "server", a.Server, "request", r.id, "bytes", from, "error", err, "resume_error", resumeErr)
 			return err
 		}
 		metrics.Count(a.Metrics.Resumes)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -29,6 +29,8 @@
 	CachedPrompts int
 	// ReportLag is the age of the load that Report returns.
 	ReportLag time.Duration
+	// CloseDelimited has completions sent without length or chunks, but not the rest of one that is resumed.
+	CloseDelimited bool
 
 	mu       sync.Mutex
 	slowdown float64
@@ -173,6 +175,9 @@
 	} else {
 		w.Header().Set("Content-Type", "application/json")
 	}
+	if e.CloseDelimited {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	e.startJob(r.Header.Get(runworks.HeaderRequestID), rank, prompt, &call, chat).serve(w, r, 0)
 }
 
--- a/standin/job.go
+++ b/standin/job.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/modules/stream"
 )
 
@@ -115,6 +116,8 @@
 		http.Error(w, "unknown request ID", http.StatusNotFound)
 		return
 	}
+	w.Header().Set(runworks.HeaderRequestID, j.id)
+	_ = http.NewResponseController(w).Flush()
 	j.serve(w, r, from)
 }
 
--- a/tests/cut_response_test.go
+++ b/tests/cut_response_test.go
@@ -100,39 +100,56 @@
 	}
 }
 
-// TestCutResponseLooksWhole guards against a response that breaks off in its head, or in a part of its body
-// that its framing announces, and reaches the caller of an entry as a whole one, at once or when the call is
-// repeated with its idempotency key.
+// TestCutResponseLooksWhole guards against a response that breaks off, where its framing shows it or, without a length
+// or chunks, anywhere, and reaches the caller of an entry as a whole one, at once or when the call is repeated with its
+// idempotency key.
 func TestCutResponseLooksWhole(t *testing.T) {
 	c := newCutCluster(t)
 	c.eachResponse(t, func(t *testing.T, server string, r *framedResponse) {
-		n := r.eachCut(func(cut cutResponse) {
-			key := newKey()
-			c.set(server, key, cut)
-			if status, body, err := c.call(server, key); looksWhole(status, err) {
-				t.Errorf("status %d and %q of %q (reset %v)", status, body, cut.data, cut.reset)
-			}
-			c.set(server, key, cutResponse{data: r.head + r.body})
-			if status, body, err := c.call(server, key); looksWhole(status, err) {
-				t.Errorf("remembered: status %d and %q of %q (reset %v)", status, body, cut.data, cut.reset)
-			}
-			if n := c.arrivals(server, key); n != 1 {
-				t.Errorf("%d requests of one key", n)
+		check := func(cut cutResponse) { c.checkCut(t, server, r, cut) }
+		n := r.eachCut(check)
+		if r.untilClosed {
+			for i := range len(r.body) {
+				check(cutResponse{data: r.head + r.body[:i]})
+				n++
 			}
-		})
+		}
 		t.Logf("%d cuts, each called for twice", n)
 		c.wholeCalls(t, server, r)
 	})
 }
 
-// wholeCalls makes a call whose response is whole, and repeats it with its key.
+// checkCut checks that a cut response does not look whole, also to a caller that repeats the call when the server
+// would send all of it.
+func (c *cutCluster) checkCut(t *testing.T, server string, r *framedResponse, cut cutResponse) {
+	t.Helper()
+	key := newKey()
+	c.set(server, key, cut)
+	if status, body, err := c.call(server, key); looksWhole(status, err) {
+		t.Errorf("status %d and %q of %q (reset %v)", status, body, cut.data, cut.reset)
+	}
+	c.set(server, key, cutResponse{data: r.head + r.body, whole: true})
+	if status, body, err := c.call(server, key); looksWhole(status, err) {
+		t.Errorf("remembered: status %d and %q of %q (reset %v)", status, body, cut.data, cut.reset)
+	}
+	if n := c.arrivals(server, key); n != 1 {
+		t.Errorf("%d requests of one key", n)
+	}
+}
+
+// wholeCalls makes a call whose response is whole, and repeats it with its key. Of a plain service nothing can tell
+// that a response without length or chunks is.
 func (c *cutCluster) wholeCalls(t *testing.T, server string, r *framedResponse) {
 	t.Helper()
 	is := is.New(t)
 	key := newKey()
-	c.set(server, key, cutResponse{data: r.head + r.body})
+	c.set(server, key, cutResponse{data: r.head + r.body, whole: true})
 	for range 2 {
 		status, body, err := c.call(server, key)
+		if r.untilClosed && server == "app-1" {
+			is.True(!looksWhole(status, err))
+			continue
+		}
 		is.NoErr(err)
 		is.Equal(fmt.Sprint(status, body), fmt.Sprint(http.StatusOK, r.want))
 	}
--- a/tests/platform_cut_head_test.go
+++ b/tests/platform_cut_head_test.go
@@ -10,14 +10,16 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+
+	"github.com/runworks/runworks"
 )
 
 // cutResponse is what a cutServer sends to one request: bytes, and a reset instead of a FIN after them, once hold
-// is closed unless it is nil.
+// is closed unless it is nil. If whole is set, the server confirms to an agent that nothing is left of it.
 type cutResponse struct {
-	data  string
-	reset bool
-	hold  <-chan struct{}
+	data         string
+	reset, whole bool
+	hold         <-chan struct{}
 }
 
 // cutServer is a server that answers each request with the bytes set for its path and body, and closes the
@@ -29,6 +31,8 @@
 	mu        sync.Mutex
 	responses map[string]cutResponse
 	arrived   map[string]int
+	// requests are the requests by the ID that agents give them.
+	requests map[string]string
 }
 
 func newCutServer(t testing.TB) *cutServer {
@@ -37,7 +41,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &cutServer{listener: l, responses: map[string]cutResponse{}, arrived: map[string]int{}}
+	s := &cutServer{listener: l, responses: map[string]cutResponse{}, arrived: map[string]int{}, requests: map[string]string{}}
 	s.work.Go(func() {
 		for {
 			conn, err := l.Accept()
@@ -77,10 +81,15 @@
 		return
 	}
 	body, _ := io.ReadAll(req.Body)
+	if id, ok := strings.CutPrefix(req.URL.Path, "/requests/"); ok {
+		s.confirm(conn, id)
+		return
+	}
 	request := req.URL.Path + string(body)
 	s.mu.Lock()
 	r := s.responses[request]
 	s.arrived[request]++
+	s.requests[req.Header.Get(runworks.HeaderRequestID)] = request
 	s.mu.Unlock()
 	_, _ = io.WriteString(conn, strings.ReplaceAll(r.data, "ID", req.Header.Get("X-Request-Id")))
 	if r.hold != nil {
@@ -91,6 +100,18 @@
 	}
 }
 
+// confirm sends the empty rest of a whole response to a request.
+func (s *cutServer) confirm(conn net.Conn, id string) {
+	s.mu.Lock()
+	whole := s.responses[s.requests[id]].whole
+	s.mu.Unlock()
+	if whole {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", runworks.HeaderRequestID, id)
+		return
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+}
+
 // framedResponse is a response that is cut at each of its bytes.
 type framedResponse struct {
 	name, head, body string
