Let the server of the cut responses say which one it is

TestPlatformCutResponseLooksWhole failed since an end of a connection must be confirmed: its server answered status requests with nothing, so that each whole response without length or chunks was unconfirmed. It names itself now, as the platform's servers do; the cuts and what they may look like are the same.

--- a/tests/platform_cut_head_test.go
+++ b/tests/platform_cut_head_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/standin"
 )
 
 // cutResponse is what a cutServer sends to one request: bytes, and a reset instead of a FIN after them, once hold
@@ -81,6 +82,10 @@
 		return
 	}
 	body, _ := io.ReadAll(req.Body)
+	if req.URL.Path == standin.RoutedStatusPath {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", req.Header.Get("X-Expect-Instance"))
+		return
+	}
 	if id, ok := strings.CutPrefix(req.URL.Path, "/requests/"); ok {
 		s.confirm(conn, id)
 		return
