Drop the state of a server that was not asked

Nothing uses it since agents no longer look only whether an address accepts connections, and it counted an accepted connection as the end of a response. A call without a question has no confirmed end: TestResponseOfExitedServerIsNotComplete expected the opposite for a server that listens on.

--- a/modules/httpconn/do.go
+++ b/modules/httpconn/do.go
@@ -40,9 +40,9 @@
 	// BeforeSend, unless nil, is called when a connection is available, just before the first byte is
 	// written. If it fails, nothing is sent.
 	BeforeSend func() error
-	// Identify, unless nil, returns a request that asks the server which one it is and runs nothing. It is
-	// sent on a new or unused connection when the end of a connection ends the response, and
-	// Pool.WhichServer reads the answer.
+	// Identify returns a request that asks the server which one it is and runs nothing. It is sent on a new or
+	// unused connection when the end of a connection ends the response, and Pool.WhichServer reads the answer.
+	// If it is nil, no such response is complete.
 	Identify func() *http.Request
 	// IdentifyTimeout, unless nil, returns how long the server is asked at least; it is never less than
 	// twice Pool.ProbeTimeout.
@@ -209,7 +209,7 @@
 		return ErrServerExited
 	case b.server == ServerReplaced:
 		return ErrServerReplaced
-	case b.server == ServerSame, b.server == ServerListens:
+	case b.server == ServerSame:
 		return nil
 	}
 	return errorx.Decorate(runworks.ErrUnconfirmed, "%s is %s", x.conn.address, b.server)
--- a/modules/httpconn/exit_test.go
+++ b/modules/httpconn/exit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/standin"
 )
 
@@ -122,9 +124,9 @@
 }
 
 // TestResponseOfExitedServerIsNotComplete guards against a response without length or chunks that looks
-// complete because the exit of its server closed the connection.
+// complete because the exit of its server closed the connection, or as nobody was asked.
 func TestResponseOfExitedServerIsNotComplete(t *testing.T) {
-	for _, exits := range []bool{true, false} {
+	for exits, want := range map[bool]error{true: ErrServerExited, false: runworks.ErrUnconfirmed} {
 		is := is.New(t)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
@@ -140,6 +142,6 @@
 		data, err := io.ReadAll(res.Body)
 		is.NoErr(res.Body.Close())
 		is.Equal(string(data), "half")
-		is.Equal(err != nil, exits)
+		is.True(errors.Is(err, want))
 	}
 }
--- a/modules/httpconn/identify.go
+++ b/modules/httpconn/identify.go
@@ -36,15 +36,14 @@
 	ServerReplaced ServerState = "replaced"
 	// ServerSame means that the server itself responded.
 	ServerSame ServerState = "same"
-	// ServerListens means that some process listens there that was not asked who it is.
-	ServerListens ServerState = "listens"
 	// ServerUnreachable means that no connection could be opened in time, but none was refused.
 	ServerUnreachable ServerState = "unreachable"
 	// ServerDisconnected means that the connection broke, or that what came was no response.
 	ServerDisconnected ServerState = "disconnected"
 	// ServerSilent means that there was no response in time.
 	ServerSilent ServerState = "silent"
-	// ServerUnnamed means that the response does not tell which server sent it.
+	// ServerUnnamed means that the response does not tell which server sent it, or that some process listens
+	// there that was not asked.
 	ServerUnnamed ServerState = "unnamed"
 )
 
@@ -85,7 +84,7 @@
 		return ServerUnreachable
 	case call.Identify == nil:
 		p.put(c)
-		return ServerListens
+		return ServerUnnamed
 	}
 	state, err := p.ask(ctx, c, call.Identify(), max(time.Until(deadline)/identifyWaits, orDefault(p.ProbeTimeout, DefaultProbeTimeout)))
 	switch {
