Copy a buffered response only when it needs space

A caller that reads a response without end from a plain service made its agent hold 512 MB for sixteen calls (4 MB is the limit of one), and 2,540 MB for 192 of them in 3.6 s; the second figure has another cause besides.

Once a buffer was full, each write of 32 KB copied all that is kept, and each read copied all that was unread: garbage of 4 MB at 32 KB each. The start is now cut off in place, so that only append copies, when it needs space, and a read copies 64 KB at most.

TestLongStreamIsNotCopiedForEachWrite failed before: more than 320 MB allocated for 33 MB, in 2.4 s; it takes 0.13 s now. The agent's peak is 328 MB instead of 512 MB, and 1,869 MB instead of 2,540 MB.

--- a/modules/stream/buffer.go
+++ b/modules/stream/buffer.go
@@ -12,6 +12,9 @@
 // ErrDropped is returned by Buffer.Next if the bytes at the offset were already dropped.
 var ErrDropped = errorx.IllegalState.New("the bytes at this offset are no longer buffered")
 
+// maxPart limits the bytes that Buffer.Next copies at once.
+const maxPart = 64 << 10
+
 // Buffer is a byte stream with one writer and any number of readers. Limit must be set before
 // use.
 type Buffer struct {
@@ -62,7 +65,8 @@
 	return nil, nil
 }
 
-// dropLocked drops the oldest read bytes beyond the limit.
+// dropLocked drops the oldest read bytes beyond the limit. The rest is copied only when append needs space: a copy
+// for each write would be as long as all that is kept.
 func (b *Buffer) dropLocked() {
 	over := len(b.data) - b.Limit
 	if over <= 0 {
@@ -70,7 +74,7 @@
 	}
 	read := int(b.readOffset - b.base)
 	n := min(over, read)
-	b.data = append([]byte(nil), b.data[n:]...)
+	b.data = b.data[n:]
 	b.base += int64(n)
 }
 
@@ -86,7 +90,7 @@
 	b.changed.Signal()
 }
 
-// Next waits for bytes at the offset from, until ctx is done, and returns a copy of them. At the
+// Next waits for bytes at the offset from, until ctx is done, and returns a copy of the first of them. At the
 // end of the stream, end is set and err is the error that was passed to Close. If the bytes were
 // already dropped, the error is ErrDropped.
 func (b *Buffer) Next(ctx context.Context, from int64) (p []byte, end bool, err error) {
@@ -115,7 +119,8 @@
 		b.changed.Signal()
 	}
 	if from < last {
-		return append([]byte(nil), b.data[from-b.base:]...), false, nil, nil
+		part := b.data[from-b.base:]
+		return append([]byte(nil), part[:min(len(part), maxPart)]...), false, nil, nil
 	}
 	if b.closed {
 		return nil, true, nil, b.err
