Bound the ended responses that an agent keeps at once

An agent that is killed takes the running calls of its server with it.

An agent keeps the response of a run that has ended for an entry that lost its connection or a caller that comes back with its key.

The limit now holds for all of them and is checked whenever a run ends; a cancelled run keeps none.

--- a/services/agent/agent.go
+++ b/services/agent/agent.go
@@ -52,7 +52,7 @@
 	// MaxResponseBytes limits the bytes buffered of one response.
 	MaxResponseBytes int
 	// MaxRetainedBytes limits the total size of the finished responses that are retained for
-	// callers that retry with their idempotency key.
+	// entries that lost their connection and for callers that retry with their idempotency key.
 	MaxRetainedBytes int
 	// OrphanTimeout is how long a run without an idempotency key continues without a reader;
 	// KeyedOrphanTimeout is the same for a run with a key.
@@ -68,10 +68,13 @@
 	ctx         context.Context
 	cancel      context.CancelFunc
 
-	mu               sync.Mutex
-	queue            reservation.Queue
-	links            map[runworks.Incarnation]*link
-	runs             map[runworks.RequestID]*run
+	mu    sync.Mutex
+	queue reservation.Queue
+	links map[runworks.Incarnation]*link
+	runs  map[runworks.RequestID]*run
+	// retained holds the ended runs that have their response, the oldest first.
+	retained         []*run
+	retainedBytes    int
 	busy             map[int]int
 	slots            int
 	backend          runworks.Backend
--- a/services/agent/agent_test.go
+++ b/services/agent/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -442,3 +443,47 @@
 		return &runworks.Reply{Status: http.StatusOK, Body: http.NoBody}, nil
 	}
 }
+
+// TestEndedResponsesAreBounded guards against an agent that keeps all responses which ended since the last sweep,
+// and those whose callers left, until its memory is full.
+func TestEndedResponsesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const size = 1 << 20
+		a, _ := newTestAgent(t, &fakeBackend{body: strings.Repeat("0", size)})
+		defer a.Close()
+		a.MaxRetainedBytes = 4 * size
+		held := 0
+		for n := range 10 {
+			id := runworks.RequestID(fmt.Sprintf("2.%d", n))
+			a.mu.Lock()
+			a.runs[id] = newRun(&reservation.Item{Reservation: runworks.Reservation{ID: id}})
+			a.mu.Unlock()
+			req := a.runRequest(id)
+			req.KeepRunning = n%2 == 0
+			is.NoErr(a.StartRun(t.Context(), req))
+			synctest.Wait()
+		}
+		a.mu.Lock()
+		for _, r := range a.runs {
+			if r.response != nil {
+				held += r.response.Size()
+			}
+		}
+		a.mu.Unlock()
+		is.Equal(held, a.MaxRetainedBytes)
+		_, err := a.Open("2.5", a.incarnation)
+		wantState(t, err, control.StateEnded)
+		reader, err := a.Open("2.6", a.incarnation) // the newest ones are kept
+		is.NoErr(err)
+		reader.Close()
+
+		is.Equal(a.Cancel("2.9"), control.StateEnded) // its caller left
+		_, err = a.Open("2.9", a.incarnation)
+		wantState(t, err, control.StateEnded)
+		is.Equal(a.retainedBytes, 3*size)
+		time.Sleep(2 * a.KeyRetention)
+		is.Equal(a.retainedBytes, 0)
+		is.Equal(len(a.retained), 0)
+	})
+}
--- a/services/agent/dispatch.go
+++ b/services/agent/dispatch.go
@@ -152,6 +152,7 @@
 	r.endedAt = now
 	close(r.headReady)
 	r.response.Close(err)
+	a.retainLocked(r)
 	a.refuseAllLocked(control.RefusedDown)
 	a.freeLocked(r)
 }
@@ -179,5 +180,6 @@
 		close(r.headReady)
 	}
 	r.response.Close(err)
+	a.retainLocked(r)
 	a.freeLocked(r)
 }
--- a/services/agent/run.go
+++ b/services/agent/run.go
@@ -26,6 +26,8 @@
 	freed       bool
 	endedAt     time.Time
 	keepRunning bool
+	// cancelled is set if the entry no longer wants the response.
+	cancelled   bool
 	readers     int
 	fullyRead   bool
 	cancel      context.CancelFunc
@@ -131,8 +133,12 @@
 		return control.StateUnknown
 	}
 	a.tombstoneLocked(r)
-	if r.cancel != nil && r.state == control.StateRunning {
+	r.cancelled = true
+	switch {
+	case r.cancel != nil && r.state == control.StateRunning:
 		r.cancel()
+	case r.state == control.StateEnded && r.readers == 0:
+		a.dropResponseLocked(r)
 	}
 	return r.state
 }
--- a/services/agent/sweep.go
+++ b/services/agent/sweep.go
@@ -1,7 +1,7 @@
 package agent
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/runworks/runworks/modules/metrics"
@@ -26,10 +26,8 @@
 	}
 }
 
-// sweepLocked removes records older than RunRetention, responses that can no longer be
-// requested, and the oldest retained responses beyond MaxRetainedBytes.
+// sweepLocked removes records older than RunRetention, and responses that can no longer be requested.
 func (a *Agent) sweepLocked(now time.Time) {
-	var kept []*run
 	for id, r := range a.runs {
 		if r.endedAt.IsZero() || r.readers > 0 {
 			continue
@@ -37,31 +35,40 @@
 		age := now.Sub(r.endedAt)
 		switch {
 		case age > control.RunRetention && (!r.keepRunning || age > a.KeyRetention):
+			a.dropResponseLocked(r)
 			delete(a.runs, id)
-		case r.response == nil:
 		case !r.keepRunning && age > a.OrphanTimeout:
 			a.dropResponseLocked(r)
-		case r.keepRunning:
-			kept = append(kept, r)
 		}
 	}
-	a.limitRetained(kept)
 }
 
-// limitRetained drops the oldest retained responses until the rest fit in MaxRetainedBytes.
-func (a *Agent) limitRetained(kept []*run) {
-	sort.Slice(kept, func(i, j int) bool { return kept[i].endedAt.After(kept[j].endedAt) })
-	total := 0
-	for _, r := range kept {
-		total += r.response.Size()
-		if total > a.MaxRetainedBytes {
-			a.dropResponseLocked(r)
+// retainLocked keeps the response of a run that has ended, unless its entry cancelled it, and drops the oldest
+// ones that nobody reads until the rest fit in MaxRetainedBytes.
+func (a *Agent) retainLocked(r *run) {
+	a.retained = append(a.retained, r)
+	a.retainedBytes += r.response.Size()
+	if r.cancelled {
+		a.dropResponseLocked(r)
+	}
+	for i := 0; i < len(a.retained) && a.retainedBytes > a.MaxRetainedBytes; {
+		if a.retained[i].readers > 0 {
+			i++
+			continue
 		}
+		a.dropResponseLocked(a.retained[i])
 	}
 }
 
-// dropResponseLocked drops a response and counts it if it was never read to its end.
+// dropResponseLocked drops a retained response, if it has not been before, and counts it if it was never read to
+// its end.
 func (a *Agent) dropResponseLocked(r *run) {
+	i := slices.Index(a.retained, r)
+	if i < 0 {
+		return
+	}
+	a.retained = slices.Delete(a.retained, i, i+1)
+	a.retainedBytes -= r.response.Size()
 	r.response = nil
 	if !r.fullyRead {
 		metrics.Count(a.Metrics.DroppedResponses, metrics.Rank(r.reservation.Tier))
