Refuse a reader whose part of a response is no longer kept

Eight callers joined a response without end by its idempotency key, after the agent had dropped its beginning: they got nothing until they gave up after 5 s, in which the entry and the agent took 19.5 s of the processors together. Calls of other clients on these hosts had to share the rest.

The agent answered each request for the missing part with 200 and broke it off, which the entry took for a lost connection: it resolved the run and asked again, without a pause and without end.

The agent now refuses such a request with the state of the run, as it does for a response that it dropped as a whole.

TestJoinedCallerOfEndlessResponse failed before (no response in 5 s).

--- a/modules/stream/buffer.go
+++ b/modules/stream/buffer.go
@@ -128,6 +128,13 @@
 	return nil, false, b.changed.Wait(), nil
 }
 
+// Dropped reports whether the bytes at an offset were already dropped.
+func (b *Buffer) Dropped(offset int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return offset < b.base
+}
+
 // Size returns the number of buffered bytes.
 func (b *Buffer) Size() int {
 	b.mu.Lock()
--- a/routers/runs/runs.go
+++ b/routers/runs/runs.go
@@ -128,6 +128,10 @@
 		writeRefusal(w, err)
 		return
 	}
+	if err := reader.CheckOffset(from); err != nil {
+		writeRefusal(w, err)
+		return
+	}
 	encoded, err := json.Marshal(head)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/services/agent/run.go
+++ b/services/agent/run.go
@@ -199,6 +199,16 @@
 	return nil, rd.run.err
 }
 
+// CheckOffset returns a RefusalError if the bytes at an offset were dropped: no later reader gets them either.
+func (rd *Reader) CheckOffset(from int64) error {
+	if !rd.response.Dropped(from) {
+		return nil
+	}
+	rd.agent.mu.Lock()
+	defer rd.agent.mu.Unlock()
+	return &RefusalError{State: rd.run.state}
+}
+
 // Next waits for bytes at an offset. If end is set, all bytes were read and err is the result
 // of the run.
 func (rd *Reader) Next(ctx context.Context, from int64) (p []byte, end bool, err error) {
--- a/tests/endless_agent_test.go
+++ b/tests/endless_agent_test.go
@@ -10,8 +10,10 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/matryer/is"
 
+	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/standin"
 )
 
@@ -33,30 +35,37 @@
 	s.backends["app-1"] = startProcess(t, "endless", "standin", "routed", "--instance", "endless")
 	(&platformSite{site: s}).setFaults(s.backends["app-1"], standin.RoutedFaults{Endless: standin.EndlessBody, EndlessAnswers: 1 << 20})
 	s.apply(servers)
-	s.waitFor("the agent has the new address", func() bool { return s.endlessCall() })
+	s.waitFor("the agent has the new address", func() bool {
+		n, _ := s.endlessCall("")
+		return n == readBeforeLeaving
+	})
 	return s
 }
 
 // endlessCall makes a call of the endless service, reads up to readBeforeLeaving of its response, and leaves. It
-// reports whether there was that much.
-func (s *site) endlessCall() bool {
+// returns how much there was, and the status, 0 if there was no response.
+func (s *site) endlessCall(key string) (n int64, status int) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.entries["entry-1"].address("callers")+"/services/app/1", strings.NewReader("x"))
 	if err != nil {
 		s.t.Error(err)
-		return false
+		return 0, 0
 	}
 	req.Header.Set("Authorization", "Bearer site-key")
 	req.Header.Set(standin.HeaderRoutedID, "call")
+	if key != "" {
+		req.Header.Set(runworks.HeaderIdempotencyKey, key)
+		req.Header.Set(runworks.HeaderKind, "once")
+	}
 	transport := &http.Transport{DisableKeepAlives: true}
 	res, err := transport.RoundTrip(req)
 	if err != nil {
-		return false
+		return 0, 0
 	}
 	defer func() { _ = res.Body.Close() }()
-	n, _ := io.CopyN(io.Discard, res.Body, readBeforeLeaving) // it fails at the end of a response
-	return n == readBeforeLeaving
+	n, _ = io.CopyN(io.Discard, res.Body, readBeforeLeaving) // it fails at the end of a response
+	return n, res.StatusCode
 }
 
 // soundCompletions makes calls of the other service until ctx is done and returns an error if one is not
@@ -84,7 +93,7 @@
 	for range endlessCalls {
 		work.Go(func() {
 			for range leavingCalls / endlessCalls {
-				s.endlessCall()
+				s.endlessCall("")
 			}
 		})
 	}
@@ -97,3 +106,18 @@
 		is.True(peak < agentMemoryMB)
 	}
 }
+
+// TestJoinedCallerOfEndlessResponse guards against an entry that asks its agent without a pause for the beginning of
+// a response that is no longer kept, until the time limit of the caller that joined it.
+func TestJoinedCallerOfEndlessResponse(t *testing.T) {
+	is := is.New(t)
+	s := newEndlessAgentSite(t)
+	key := uuid.Must(uuid.NewV7()).String()
+	n, status := s.endlessCall(key)
+	is.Equal(n, int64(readBeforeLeaving))
+	is.Equal(status, http.StatusOK)
+	began := time.Now()
+	_, status = s.endlessCall(key)
+	is.True(status >= http.StatusBadRequest) // it has a response, which is no part of the other one
+	is.True(time.Since(began) < 2*time.Second)
+}
