Resolve resumed streams without holding the lock while the list of servers is asked

A front stopped for good if a caller resumed a stream that it did not know just while the list of servers changed: the caller got no answer, nor did later ones that resume a stream, changes of the list and heartbeats of the front ended, and its status request hung. Its readiness check went on to succeed.

Cause: Table.Resolve called Isolated under the lock of the table. Isolated takes the lock of the watched list, which is held while a change of the list is applied, and applying it takes the lock of the table.

Isolated is now called before the lock is taken.

--- a/services/streamorigin/table.go
+++ b/services/streamorigin/table.go
@@ -145,13 +145,14 @@
 // streams of the service. If there are several or none, or if those before the start of this entry or the
 // newest ones may not be known, the error is ErrUnknownStream.
 func (t *Table) Resolve(now time.Time, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
+	isolated := t.Isolated != nil && t.Isolated() // without the lock, under which the list of servers calls SetServers
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if o, ok := t.origins[stream]; ok && now.Before(o.expires) {
 		return runworks.StreamOrigin{Stream: stream, Service: o.service, Version: o.version}, nil
 	}
 	out := runworks.StreamOrigin{Stream: stream, Service: service}
-	if t.Isolated != nil && t.Isolated() {
+	if isolated {
 		return out, errorx.Decorate(runworks.ErrUnknownStream, "newer versions of %s may serve than this entry knows", service)
 	}
 	if !t.knowsVersionsLocked(now) {
--- a/services/streamorigin/table_test.go
+++ b/services/streamorigin/table_test.go
@@ -129,3 +129,23 @@
 	table.Record(now.Add(kept), begun("late", "v1"), kept)
 	is.Equal(table.Len(), 1)
 }
+
+// TestIsolatedIsAskedWithoutLock guards against a deadlock of a resumed stream with a change of the list of
+// servers, which is applied under the lock that Isolated takes.
+func TestIsolatedIsAskedWithoutLock(t *testing.T) {
+	is := is.New(t)
+	var table Table
+	table.SetServers(time.Now(), servers("v1"))
+	asked, locked := false, true
+	table.Isolated = func() bool {
+		asked = true
+		if locked = !table.mu.TryLock(); !locked {
+			table.mu.Unlock()
+		}
+		return true
+	}
+	_, err := table.Resolve(time.Now(), "unknown", "llm")
+	is.True(errors.Is(err, runworks.ErrUnknownStream))
+	is.True(asked)
+	is.True(!locked)
+}
--- a/tests/platform_replaced_stream_test.go
+++ b/tests/platform_replaced_stream_test.go
@@ -95,6 +95,32 @@
 	is.Equal(res.events()+string(p.resumeSlow("front-1", res.read.Bytes())), string(platformEvents(slowTarget, slowEvents)))
 }
 
+// TestPlatformStreamTakenUpAtAnotherFront guards against events twice or out of order where a caller takes a
+// stream up elsewhere while its front is stopped and its server is replaced.
+func TestPlatformStreamTakenUpAtAnotherFront(t *testing.T) {
+	is := is.New(t)
+	p, path := newCloseDelimitedCutSite(t, 0)
+	p.startFront("front-2")
+	p.waitReady("front-2", 2)
+	res := p.beginSlowStream(slowTarget)
+	path.set(proxyBlocksBoth)
+	p.fronts["front-1"].signal(syscall.SIGSTOP)
+	p.backends["llm-1"].signal(syscall.SIGKILL)
+	p.backends["llm-1"].waitExit()
+	p.put("keyed.servers", "llm-1", nil)
+	p.startServer("llm-2", "llm-2", "127.0.0.1:0", time.Millisecond)
+	p.listServer("llm-2", "ready")
+	path.setTarget(p.backends["llm-2"].address("standin"))
+	path.set(proxyForwards)
+	rest := p.resumeSlow("front-2", res.read.Bytes())
+	is.Equal(res.events()+string(rest), string(platformEvents(slowTarget, slowEvents)))
+	p.fronts["front-1"].signal(syscall.SIGCONT)
+	_, err := io.ReadAll(res.Body)
+	got, whole := res.read.Bytes(), platformEvents(slowTarget, slowEvents)
+	is.True(bytes.HasPrefix(whole, got))
+	is.Equal(err == nil, len(got) == len(whole)) // the first response looks complete only if it is
+}
+
 // TestPlatformStreamOfReusedAddress guards against a stream that looks complete because a server of another
 // service has the address of its own.
 func TestPlatformStreamOfReusedAddress(t *testing.T) {
