Give streams whose server is replaced more events in tests

A stream of 20 events ends after 0.4 s. On a host with a load of 84 all of them had been sent before the second server was listed, so that TestPlatformUnconfirmedStreamIsResumed failed once of 90 cases: the front rightly ended the response as broken. 100 events leave 2 s; what is expected is the same.

--- a/tests/platform_close_delimited_test.go
+++ b/tests/platform_close_delimited_test.go
@@ -71,14 +71,14 @@
 	return transport.RoundTrip(req)
 }
 
-// beginStream begins a stream of 20 events and reads the first one.
+// beginStream begins a stream of 100 events and reads the first one.
 func (p *closeDelimitedSite) beginStream() *http.Response {
 	p.t.Helper()
 	is := is.New(p.t)
-	res, err := p.begin(platformCall{id: "stream", method: http.MethodPost, target: "/chat/1?events=20", key: "yard-key"})
+	res, err := p.begin(platformCall{id: "stream", method: http.MethodPost, target: "/chat/1?events=100", key: "yard-key"})
 	is.NoErr(err)
 	p.t.Cleanup(func() { _ = res.Body.Close() })
-	first := make([]byte, len(standin.RoutedEvent("/chat/1?events=20", 1)))
+	first := make([]byte, len(standin.RoutedEvent("/chat/1?events=100", 1)))
 	_, err = io.ReadFull(res.Body, first)
 	is.NoErr(err)
 	return res
--- a/tests/platform_unknown_end_test.go
+++ b/tests/platform_unknown_end_test.go
@@ -102,7 +102,7 @@
 			p.succeed("llm-1", path, start(t))
 			_, err := io.ReadAll(res.Body)
 			is.NoErr(err)
-			is.Equal(res.events(), string(platformEvents(resumableTarget, 20)))
+			is.Equal(res.events(), string(platformEvents(resumableTarget, 100)))
 		})
 	}
 }
@@ -116,11 +116,11 @@
 	res := p.beginResumableStream()
 	_, err := io.ReadAll(res.Body)
 	is.NoErr(err)
-	is.Equal(res.events(), string(platformEvents(resumableTarget, 20)))
-	is.Equal(p.calls("llm-2")[0].LastEvent, "20") // the other server has nothing to add
+	is.Equal(res.events(), string(platformEvents(resumableTarget, 100)))
+	is.Equal(p.calls("llm-2")[0].LastEvent, "100") // the other server has nothing to add
 }
 
-const resumableTarget = "/chat/long/1?events=20"
+const resumableTarget = "/chat/long/1?events=100"
 
 // recordedResponse keeps what is read of its body.
 type recordedResponse struct {
@@ -130,7 +130,7 @@
 
 func (r *recordedResponse) events() string { return r.read.String() }
 
-// beginResumableStream begins a stream of 20 events at the only server, reads the first one and lists a second
+// beginResumableStream begins a stream of 100 events at the only server, reads the first one and lists a second
 // server.
 func (p *closeDelimitedSite) beginResumableStream() *recordedResponse {
 	p.t.Helper()
