--- a/services/agent/agent_test.go
+++ b/services/agent/agent_test.go
@@ -481,9 +481,16 @@
 		is.Equal(a.Cancel("2.9"), control.StateEnded) // its caller left
 		_, err = a.Open("2.9", a.incarnation)
 		wantState(t, err, control.StateEnded)
-		is.Equal(a.retainedBytes, 3*size)
+		retained := func() (bytes, runs int) {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return a.retainedBytes, len(a.retained)
+		}
+		bytes, _ := retained()
+		is.Equal(bytes, 3*size)
 		time.Sleep(2 * a.KeyRetention)
-		is.Equal(a.retainedBytes, 0)
-		is.Equal(len(a.retained), 0)
+		bytes, runs := retained()
+		is.Equal(bytes, 0)
+		is.Equal(runs, 0)
 	})
 }
