Share what decides whether a call may run again

How long a server is asked at the end of a response repeated the conditions of a retry, less one: a call that had tried as many servers as are allowed was taken to go on at another, so that its server was asked briefly. Both use sentTooOften and mayRunAgain now. A retry is decided as before; the mutant of that condition has the new text and is caught (TestAttempts).

--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -65,7 +65,7 @@
 // canGoOn reports whether another server may repeat the call, or continue its response.
 func (c *call) canGoOn() bool {
 	switch {
-	case !c.repeatable() || c.ran >= c.route.MaxAttempts || c.sends >= maxSends || !c.f.Budgets.HasRetry(c.service):
+	case c.sentTooOften() || !c.mayRunAgain() || !c.f.Budgets.HasRetry(c.service):
 		return false
 	case c.stream != nil && !c.stream.resumable():
 		return false
@@ -201,7 +201,7 @@
 // mayRetry reports whether another attempt may follow a failed one: if no attempt ran, or if the
 // call may run again. An attempt that was never sent is no retry and does not use the budget.
 func (c *call) mayRetry(ctx context.Context, cause error) bool {
-	if ctx.Err() != nil || c.sends >= maxSends || len(c.tried) >= maxServers {
+	if ctx.Err() != nil || c.sentTooOften() {
 		return false
 	}
 	if canceledBeforeSend(cause) {
@@ -210,12 +210,18 @@
 	if errors.Is(cause, runworks.ErrNotDispatched) || errors.Is(cause, runworks.ErrServerUnavailable) {
 		return true
 	}
-	if c.ran > 0 && (!c.repeatable() || c.ran >= c.route.MaxAttempts) {
+	if c.ran > 0 && !c.mayRunAgain() {
 		return false
 	}
 	return c.f.Budgets.TakeRetry(c.service)
 }
 
+// sentTooOften reports whether the call has been sent to, or tried at, as many servers as are allowed.
+func (c *call) sentTooOften() bool { return c.sends >= maxSends || len(c.tried) >= maxServers }
+
+// mayRunAgain reports whether the route allows another run of a call that has run.
+func (c *call) mayRunAgain() bool { return c.repeatable() && c.ran < c.route.MaxAttempts }
+
 // repeatable reports whether the call may run more than once.
 func (c *call) repeatable() bool {
 	return c.route.Kind == runworks.CallRepeatable || c.route.Kind == runworks.CallStream && c.route.Resumable
