--- a/standin/rejoin.go
+++ b/standin/rejoin.go
@@ -97,7 +97,7 @@
 	w.WriteHeader(http.StatusOK)
 	controller := http.NewResponseController(w)
 	for _, n := range kind.events(last, events) {
-		waitFor(r, b.Delay)
+		b.waitForEvent(r)
 		event := b.event(r, n, kind)
 		if b.consumeBreak(n) {
 			_, _ = w.Write(event[:len(event)/2])
--- a/standin/routed.go
+++ b/standin/routed.go
@@ -42,6 +42,9 @@
 	Version string
 	// Delay is the time before the response, or before each event of a stream.
 	Delay time.Duration
+	// Step, unless 0, has the events of all streams sent at the same moments, its multiples, in place of Delay: as a
+	// batch of requests is computed.
+	Step time.Duration
 	// OnCall, unless nil, is called with each call before it is executed.
 	OnCall func(RoutedCall)
 	// Hold, unless nil, blocks every call until it is closed.
@@ -264,6 +267,16 @@
 	return hex.EncodeToString(sum[:8])
 }
 
+// waitForEvent waits until the next event of a stream is sent.
+func (b *RoutedServer) waitForEvent(r *http.Request) {
+	if b.Step == 0 {
+		waitFor(r, b.Delay)
+		return
+	}
+	now := time.Now()
+	waitFor(r, now.Truncate(b.Step).Add(b.Step).Sub(now))
+}
+
 // waitFor waits for d. It aborts the response if the caller has closed the connection: on one that is closed in
 // one direction only, a response that ends there would look complete.
 func waitFor(r *http.Request, d time.Duration) {
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"net/http"
 	"os"
@@ -28,6 +29,9 @@
 	waitTimeout = 30 * time.Second
 )
 
+// frontProgram is the program of the fronts, to play a test against that of another version.
+var frontProgram = flag.String("front-program", "", "the program of the fronts; empty builds it")
+
 // buildPrograms builds the programs of cmd once for all tests and returns their directory.
 var buildPrograms = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "runworks-programs")
@@ -63,7 +67,11 @@
 		t.Fatal(err)
 	}
 	p := &process{t: t, name: name, done: make(chan struct{}), addresses: map[string]string{}, changed: make(chan struct{}, 1)}
-	p.cmd = exec.Command(filepath.Join(dir, program), args...)
+	path := filepath.Join(dir, program)
+	if *frontProgram != "" && program == "runworks" && args[0] == "front" {
+		path = *frontProgram
+	}
+	p.cmd = exec.Command(path, args...)
 	reader, writer, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
