Date the closes of connections before their server is asked

Cause, traced in a trial that prints what the pool knew of such an end: the path closed the response and two unused connections at once. The front looked at those 1.7 s later, after it had asked for the rest and the server's status. The kernel dates a close by the last packet, and a keep-alive probe had been answered since, so that both seemed closed 1.0 s after the response, and did not count.

Change: all connections to the address are looked at when the response ends, before the server is asked. The first look at a close is the one that counts already.

--- a/modules/httpconn/do.go
+++ b/modules/httpconn/do.go
@@ -235,6 +235,7 @@
 		return ErrCutJSON
 	}
 	b.end, _ = x.conn.peerEnd()
+	x.pool.dateEnds(x.conn.address)
 	leaving := x.call.Leaving != nil && x.call.Leaving() || x.pool.wasUnhealthy(x.conn.address, b.end.at)
 	b.server = x.pool.stateOf(x.ctx, x.conn.address, x.call)
 	x.pool.recordHealth(x.conn.address, b.server)
--- a/modules/httpconn/ends.go
+++ b/modules/httpconn/ends.go
@@ -1,6 +1,7 @@
 package httpconn
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -228,6 +229,20 @@
 	}
 }
 
+// dateEnds dates the closes of the connections to an address. It comes before the server is asked for the end of a response, as the
+// answers to keep-alive probes hide them later.
+func (p *Pool) dateEnds(address string) {
+	p.mu.Lock()
+	var open []*conn
+	if h := p.hosts[address]; h != nil {
+		open = slices.Collect(maps.Keys(h.open))
+	}
+	p.mu.Unlock()
+	for _, c := range open {
+		c.peerEnd()
+	}
+}
+
 // peerEnd returns the state of the server's side of the connection, and its close if that is closed.
 func (c *conn) peerEnd() (connEnd, tcp.PeerEnd) {
 	c.endMu.Lock()
--- a/modules/httpconn/witness_test.go
+++ b/modules/httpconn/witness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/modules/tcp"
 )
 
 // unusedConns returns the number of unused connections to an address.
@@ -174,3 +178,58 @@
 	is.NoErr(err)
 	is.Equal(last, first)
 }
+
+// TestCutIsSeenAfterSlowAnswer guards against a cut response that looks complete because the server took longer to say that it
+// runs than the kernel can date the closes of other connections.
+func TestCutIsSeenAfterSlowAnswer(t *testing.T) {
+	is := is.New(t)
+	witness, cut, asked, answer := make(chan net.Conn, 1), make(chan struct{}), make(chan struct{}), make(chan struct{})
+	s := serveConns(t, func(c net.Conn, br *bufio.Reader, n int32) {
+		switch {
+		case n == 1 && readRequest(br):
+			_, _ = io.WriteString(c, unframed)
+			<-cut
+			_ = (<-witness).(*net.TCPConn).CloseWrite()
+			_ = c.(*net.TCPConn).CloseWrite()
+			readRequest(br)
+		case n == 2:
+			witness <- c
+			readRequest(br)
+		case n == 3 && readRequest(br):
+			close(asked)
+			<-answer
+			fallthrough
+		case n > 3 && readRequest(br):
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	p := newPool()
+	p.Dial = (&net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second}}).DialContext
+	p.ProbeTimeout, p.WhichServer = 30*time.Second, whichServer
+	defer p.Close()
+	res, err := p.Do(t.Context(), s.address, &Call{Request: request(t, http.MethodGet, s.address, ""), Identify: identify})
+	is.NoErr(err)
+	await(t, func() bool { return p.unusedConns(s.address) == 1 })
+	unused := p.idle[s.address][0]
+	backdate(p, s.address)
+	close(cut)
+	read := make(chan error, 1)
+	go func() {
+		_, err := io.ReadAll(res.Body)
+		read <- err
+	}()
+	<-asked
+	for last := time.Duration(0); ; { // until a probe was answered
+		state, end := tcp.PeekPeerEnd(unused.Conn)
+		if end.Ago < last {
+			break
+		}
+		is.True(state != tcp.PeerEndReset && state != tcp.PeerEndUnknown)
+		last = end.Ago
+		runtime.Gosched()
+	}
+	close(answer)
+	is.NoErr(<-read)
+	is.True(errors.Is(WatchEnd(t.Context(), res, exitWatchTime), runworks.ErrUnconfirmed))
+	is.Equal(ServerAtEnd(res), ServerCut)
+}
