--- a/tests/soak_close_test.go
+++ b/tests/soak_close_test.go
@@ -33,7 +33,7 @@
 	var steps []soakStep
 	for range 10 + s.rand.IntN(8) {
 		server := s.anyServer()
-		at := 300*time.Millisecond + time.Duration(s.rand.Int64N(int64(*soakTime)))
+		at := 300*time.Millisecond + time.Duration(s.rand.Int64N(int64(s.faultTime)))
 		faults := standin.RoutedFaults{CloseDelimited: true}
 		steps = append(steps, soakStep{at: at - 200*time.Millisecond, name: "a server of " + server.service + " sends no lengths", do: func() {
 			if inc := server.current(); !inc.ended() {
@@ -250,7 +250,7 @@
 		{"resumable", call("cut", front), []string{"cut"}, 9, false},
 	} {
 		caught := &errorRecorder{TB: t}
-		s := &soak{platformSite: &platformSite{site: &site{t: caught}}, seed: soakCloseSeeds}
+		s := &soak{platformSite: &platformSite{site: &site{t: caught}}, soakSeed: soakSeed{seed: soakCloseSeeds}}
 		s.servers = []*soakServer{{proxy: &proxy{ended: [][]string{one.ended}}}}
 		s.clients.calls = []*soakCall{one.call, call("ours", front), call("theirs", other)}
 		one.call.events, one.call.repeatable = one.events, one.events == 9
--- a/tests/soak_contention_test.go
+++ b/tests/soak_contention_test.go
@@ -77,7 +77,7 @@
 
 // inBurst reports whether a time is in the burst, which begins in the first third of the schedule.
 func (s *soak) inBurst(at time.Time) bool {
-	from := s.began.Add(time.Duration(uint64(s.seed)%10) * *soakTime / 30)
+	from := s.began.Add(time.Duration(uint64(s.seed)%10) * s.faultTime / 30)
 	return s.contends() && at.After(from) && at.Before(from.Add(soakBurstDuration))
 }
 
@@ -136,7 +136,7 @@
 		wrong    bool
 	}{{20, true}, {3, false}} {
 		caught := &errorRecorder{TB: t}
-		s := &soak{platformSite: &platformSite{site: &site{t: caught}}, seed: soakContentionSeeds, began: time.Now()}
+		s := &soak{platformSite: &platformSite{site: &site{t: caught}}, soakSeed: soakSeed{seed: soakContentionSeeds}, began: time.Now()}
 		for i := range 200 {
 			c := &soakCall{status: http.StatusServiceUnavailable, sent: s.began.Add(time.Second), returnAfter: time.Second, events: 7}
 			c.ended, c.key = c.sent, keyBurst
--- a/tests/soak_crash_test.go
+++ b/tests/soak_crash_test.go
@@ -34,7 +34,7 @@
 // crashFaults replaces servers that crashed, all the time.
 func (s *soak) crashFaults() []soakStep {
 	var steps []soakStep
-	for at := soakCrashStart; at < *soakTime; at += soakCrashRecord {
+	for at := soakCrashStart; at < s.faultTime; at += soakCrashRecord {
 		steps = append(steps, soakStep{at: at, name: "servers that crashed are replaced", do: s.replaceCrashed})
 	}
 	return steps
@@ -120,7 +120,7 @@
 		wrong         bool
 	}{{soakLateCrashes, 10, false}, {soakLateCrashes + 1, 0, true}, {0, 11, true}} {
 		caught := &errorRecorder{TB: t}
-		s := &soak{platformSite: &platformSite{site: &site{t: caught}}, seed: soakCrashSeeds, began: time.Now()}
+		s := &soak{platformSite: &platformSite{site: &site{t: caught}}, soakSeed: soakSeed{seed: soakCrashSeeds}, began: time.Now()}
 		runs := map[string][]string{}
 		add := func(at time.Duration, crashes bool, status int) {
 			c := &soakCall{sent: s.began.Add(at), ended: s.began.Add(at), crashes: crashes, status: status, events: 7}
--- a/tests/soak_cut_test.go
+++ b/tests/soak_cut_test.go
@@ -21,7 +21,7 @@
 	var steps []soakStep
 	for range 4 + s.rand.IntN(6) {
 		server := s.anyServer()
-		at := time.Duration(s.rand.Int64N(int64(*soakTime)))
+		at := time.Duration(s.rand.Int64N(int64(s.faultTime)))
 		faults := standin.RoutedFaults{CloseDelimited: true, BreakAt: 1 + s.rand.IntN(7), Breaks: 1 + s.rand.IntN(8)}
 		steps = append(steps, soakStep{at: at, name: fmt.Sprintf("a server of %s: %+v", server.service, faults), do: func() {
 			if inc := server.current(); !inc.ended() {
--- a/tests/soak_faults_test.go
+++ b/tests/soak_faults_test.go
@@ -30,7 +30,7 @@
 	var steps []soakStep
 	for range 6 + s.rand.IntN(10) {
 		fault := kinds[s.rand.IntN(len(kinds))]()
-		at := time.Duration(s.rand.Int64N(int64(*soakTime)))
+		at := time.Duration(s.rand.Int64N(int64(s.faultTime)))
 		duration := 100*time.Millisecond + time.Duration(s.rand.Int64N(int64(2500*time.Millisecond)))
 		if fault.duration > 0 {
 			duration = fault.duration
--- a/tests/soak_moves_test.go
+++ b/tests/soak_moves_test.go
@@ -100,7 +100,7 @@
 		wrong  bool
 	}{{http.StatusServiceUnavailable, true}, {http.StatusTooManyRequests, false}, {http.StatusOK, false}} {
 		caught := &errorRecorder{TB: t}
-		s := &soak{platformSite: &platformSite{site: &site{t: caught}}, seed: soakMoveSeeds, began: time.Now()}
+		s := &soak{platformSite: &platformSite{site: &site{t: caught}}, soakSeed: soakSeed{seed: soakMoveSeeds}, began: time.Now()}
 		for i := range 120 {
 			c := &soakCall{sent: s.began.Add(time.Duration(i) * 100 * time.Millisecond), status: http.StatusOK}
 			c.key = "yard-key"
--- a/tests/soak_order_test.go
+++ b/tests/soak_order_test.go
@@ -88,7 +88,7 @@
 	kinds := standin.RejoinKinds()
 	for range 8 + s.rand.IntN(8) {
 		server := s.servers[2+s.rand.IntN(len(s.servers)-2)]
-		at := time.Duration(s.rand.Int64N(int64(*soakTime)))
+		at := time.Duration(s.rand.Int64N(int64(s.faultTime)))
 		if s.rand.IntN(4) == 0 {
 			steps = append(steps, s.crashBehindCut(server, at)...)
 			continue
--- a/tests/soak_record_test.go
+++ b/tests/soak_record_test.go
@@ -25,7 +25,7 @@
 		if !s.planned && rng.IntN(2) == 0 {
 			fault = s.restartServer(rng)
 		}
-		at := time.Duration(rng.Int64N(int64(*soakTime)))
+		at := time.Duration(rng.Int64N(int64(s.faultTime)))
 		steps = append(steps,
 			soakStep{at: at, name: fault.name, do: fault.begin},
 			soakStep{at: at + time.Duration(rng.Int64N(int64(time.Second))), name: fault.name + " is over", do: fault.end})
--- a/tests/soak_report_test.go
+++ b/tests/soak_report_test.go
@@ -19,7 +19,7 @@
 	var steps []soakStep
 	for range 3 + s.rand.IntN(4) {
 		server := s.anyServer()
-		at := time.Duration(s.rand.Int64N(int64(*soakTime)))
+		at := time.Duration(s.rand.Int64N(int64(s.faultTime)))
 		if s.rand.IntN(3) == 0 {
 			steps = append(steps, soakStep{at: at, name: "a server of " + server.service + " reports draining in its responses", do: func() { s.reportDraining(server) }})
 			continue
--- a/tests/soak_restore_test.go
+++ b/tests/soak_restore_test.go
@@ -42,7 +42,7 @@
 func (s *soak) restoreFaults() []soakStep {
 	var steps []soakStep
 	for range 2 + s.rand.IntN(3) {
-		copied := time.Duration(s.rand.Int64N(int64(*soakTime)))
+		copied := time.Duration(s.rand.Int64N(int64(s.faultTime)))
 		away := copied + time.Duration(s.rand.Int64N(int64(3*time.Second)))
 		back := away + time.Duration(s.rand.Int64N(int64(1200*time.Millisecond)))
 		written := back + time.Duration(s.rand.Int64N(int64(1800*time.Millisecond)))
@@ -174,7 +174,7 @@
 		{9, 6, http.StatusServiceUnavailable, false},
 	} {
 		caught := &errorRecorder{TB: t}
-		s := &soak{platformSite: &platformSite{site: &site{t: caught}}, began: began, seed: soakRestoreSeeds, planned: true}
+		s := &soak{platformSite: &platformSite{site: &site{t: caught}}, began: began, soakSeed: soakSeed{seed: soakRestoreSeeds}, planned: true}
 		s.publishedAt = map[int]time.Time{1: at(0), 2: at(1), 3: at(2), 4: at(9)}
 		s.restores = []*storeRestore{{began: at(10), rewritten: at(11)}}
 		c := &soakCall{status: one.status, sent: at(one.sent), ended: at(one.sent)}
--- a/tests/soak_server_limit_test.go
+++ b/tests/soak_server_limit_test.go
@@ -81,7 +81,7 @@
 	for range 2 + s.rand.IntN(3) {
 		server := s.anyServer()
 		perSecond := []float64{0, 1, 2.5, 20}[s.rand.IntN(4)]
-		at := time.Duration(s.rand.Int64N(int64(*soakTime)))
+		at := time.Duration(s.rand.Int64N(int64(s.faultTime)))
 		name := fmt.Sprintf("a server of %s reports a limit of %g", server.service, perSecond)
 		limit := &soakServerLimit{perSecond: perSecond}
 		steps = append(steps,
--- a/tests/soak_silence_test.go
+++ b/tests/soak_silence_test.go
@@ -22,7 +22,7 @@
 func (s *soak) silenceFaults() []soakStep {
 	var steps []soakStep
 	for range 2 + s.rand.IntN(4) {
-		at := time.Duration(s.rand.Int64N(int64(*soakTime)))
+		at := time.Duration(s.rand.Int64N(int64(s.faultTime)))
 		fronts := s.fronts
 		if s.rand.IntN(2) == 0 {
 			fronts = []*soakFront{s.anyFront()}
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -8,6 +8,9 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -42,20 +45,26 @@
 // TestSoakOpen plays the seeds that show faults which are not fixed yet.
 func TestSoakOpen(t *testing.T) { playSeeds(t, readSeeds(t, "testdata/soak/open")) }
 
-func playSeeds(t *testing.T, seeds []int64) {
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+// soakSeed is a seed, and how long faults are injected with it.
+type soakSeed struct {
+	seed      int64
+	faultTime time.Duration
+}
+
+func playSeeds(t *testing.T, seeds []soakSeed) {
+	for _, one := range seeds {
+		t.Run(fmt.Sprint("seed=", one.seed), func(t *testing.T) {
 			t.Parallel()
-			newSoak(t, seed).play()
+			newSoak(t, one).play()
 		})
 	}
 }
 
 // soakSeedList returns the seeds to play.
-func soakSeedList(t *testing.T) []int64 {
-	var out []int64
+func soakSeedList(t *testing.T) []soakSeed {
+	var out []soakSeed
 	for i := range *soakSeeds {
-		out = append(out, *soakFirst+int64(i))
+		out = append(out, soakSeed{*soakFirst + int64(i), *soakTime})
 	}
 	if len(out) > 0 {
 		return out
@@ -63,20 +72,31 @@
 	return readSeeds(t, "testdata/soak/seeds")
 }
 
-// readSeeds returns the seeds of a file.
-func readSeeds(t *testing.T, path string) []int64 {
+// readSeeds returns the seeds of a file. Behind a seed may stand a time that replaces soakTime, as the schedule depends on it.
+func readSeeds(t *testing.T, path string) []soakSeed {
 	file, err := os.Open(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	var out []int64
+	var out []soakSeed
 	defer func() { _ = file.Close() }()
 	scanner := bufio.NewScanner(file)
 	for scanner.Scan() {
-		var seed int64
-		if _, err := fmt.Sscan(scanner.Text(), &seed); err == nil {
-			out = append(out, seed)
+		text, _, _ := strings.Cut(scanner.Text(), "#")
+		fields := strings.Fields(text)
+		if len(fields) == 0 {
+			continue
+		}
+		one := soakSeed{faultTime: *soakTime}
+		if one.seed, err = strconv.ParseInt(fields[0], 10, 64); err != nil {
+			t.Fatalf("%s: %v", path, err)
 		}
+		if len(fields) > 1 {
+			if one.faultTime, err = time.ParseDuration(fields[1]); err != nil {
+				t.Fatalf("%s: seed %d: %v", path, one.seed, err)
+			}
+		}
+		out = append(out, one)
 	}
 	return out
 }
@@ -84,7 +104,7 @@
 // soak is one schedule of faults over a site of separate processes.
 type soak struct {
 	*platformSite
-	seed int64
+	soakSeed
 	rand *rand.Rand
 	// planned is set if the schedule contains only planned work, which may cut no call.
 	planned bool
@@ -174,9 +194,9 @@
 	reporting, reportsDraining bool
 }
 
-func newSoak(t *testing.T, seed int64) *soak {
+func newSoak(t *testing.T, seed soakSeed) *soak {
 	s := &soak{
-		platformSite: newBarePlatformSite(t), seed: seed, rand: rand.New(rand.NewPCG(uint64(seed), 0)), keys: map[string]bool{},
+		platformSite: newBarePlatformSite(t), soakSeed: seed, rand: rand.New(rand.NewPCG(uint64(seed.seed), 0)), keys: map[string]bool{},
 		written: map[storeKey][]byte{}, publishedAt: map[int]time.Time{},
 	}
 	s.planned = s.rand.IntN(3) == 0 && !s.starves() && !s.joinsStreams()
@@ -379,3 +399,15 @@
 		_ = p.cmd.Process.Signal(sig)
 	}
 }
+
+// TestSoakSeedsKeepTheirTime guards against seeds that are played with another schedule than the one that failed.
+func TestSoakSeedsKeepTheirTime(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "seeds")
+	if err := os.WriteFile(path, []byte("# 3 seeds\n1\n\n2 10s # cause\n3 # 10s\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	want := []soakSeed{{1, *soakTime}, {2, 10 * time.Second}, {3, *soakTime}}
+	if got := readSeeds(t, path); !slices.Equal(got, want) {
+		t.Errorf("%v, not %v", got, want)
+	}
+}
--- a/tests/soak_together_test.go
+++ b/tests/soak_together_test.go
@@ -39,7 +39,7 @@
 func (s *soak) togetherFaults() []soakStep {
 	var steps []soakStep
 	for n := range soakMoments {
-		at := *soakTime*time.Duration(n+1)/(soakMoments+1) + s.about(10*soakCloseSpan)
+		at := s.faultTime*time.Duration(n+1)/(soakMoments+1) + s.about(10*soakCloseSpan)
 		servers, fronts := s.shuffledStreamServers(), s.rand.Perm(len(s.fronts))
 		for _, server := range servers {
 			steps = append(steps, soakStep{at: at - soakMomentLead, name: "a server of llm sends no lengths", do: func() {
