Play streams of HTTP/1.0 servers to foreign callers while a process ends

No test had such servers, streams that move in common steps, callers of another make and the ends of processes together.

48 streams, half of them taken up at the other front, are counted over all tries; the test fails for each one that is complete too early, mixes versions, or has events missing, repeated or out of order. A soak call has its own timeout, and a stream its own number of events.

Resumable streams that get no event are logged only; another test counts them.

--- /dev/null
+++ b/tests/platform_foreign_test.go
@@ -0,0 +1,230 @@
+package tests
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/runworks/runworks/standin"
+)
+
+const (
+	// foreignStreams is the number of streams that foreign callers send, foreignGap the time between two of them,
+	// foreignEvents the number of events of each and foreignStep the time between two events.
+	foreignStreams = 48
+	foreignGap     = 7 * time.Millisecond
+	foreignEvents  = 40
+	foreignStep    = 50 * time.Millisecond
+	// foreignTries is how often a caller sends a stream at most, and foreignTimeout the time that it has for all tries.
+	foreignTries   = 4
+	foreignTimeout = 8 * time.Second
+	// foreignEventTime is when something happens to a process, and foreignFreeze how long a server is frozen.
+	foreignEventTime = 1200 * time.Millisecond
+	foreignFreeze    = 700 * time.Millisecond
+)
+
+var allForeignForms = flag.Bool("foreign-forms", false, "play the forms of foreign servers and callers that CI leaves out, too")
+
+// foreignForm is a form of servers and callers, and what happens to one of the processes.
+type foreignForm struct {
+	name string
+	// service is the service of the servers; empty for llm.
+	service string
+	// ci is set if CI plays it, cuts if it cuts streams.
+	ci, cuts bool
+	// http10 has the servers respond in HTTP/1.0, oldCallers the callers request in it, and versions makes the servers'
+	// versions differ.
+	http10, oldCallers, versions bool
+	event                        func(p *foreignSite)
+}
+
+// server returns the name of the n-th server.
+func (f *foreignForm) server(n int) string { return fmt.Sprint(cmp.Or(f.service, "llm"), "-", n) }
+
+// foreignForms returns all forms.
+func foreignForms() []foreignForm {
+	var out []foreignForm
+	add := func(name string, cuts bool, event func(p *foreignSite), forms ...foreignForm) {
+		for _, form := range forms {
+			form.name, form.cuts, form.event = name+form.name, cuts, event
+			out = append(out, form)
+		}
+	}
+	oldInCI, old, chunks := foreignForm{name: ", HTTP/1.0", http10: true, ci: true}, foreignForm{name: ", HTTP/1.0", http10: true}, foreignForm{name: ", chunks"}
+	both := func(form foreignForm, change func(*foreignForm)) []foreignForm {
+		change(&form)
+		other := form
+		form.http10, other.name = true, form.name+", chunks"
+		form.name += ", HTTP/1.0"
+		return []foreignForm{form, other}
+	}
+	add("nothing happens", false, func(*foreignSite) {}, old, chunks)
+	add("a server is killed", true, (*foreignSite).killServer, oldInCI, chunks)
+	add("a server is killed and started again", true, (*foreignSite).restartServer, oldInCI, chunks)
+	add("a server ends at SIGTERM", true, (*foreignSite).endServer, oldInCI, chunks)
+	add("a server is frozen and killed", true, (*foreignSite).freezeServer, oldInCI, chunks)
+	add("a front is killed", true, (*foreignSite).killFront, old, chunks)
+	add("a front is stopped", false, (*foreignSite).stopFront, old, chunks)
+	add("a server is killed", true, (*foreignSite).killServer, both(foreignForm{ci: true}, func(f *foreignForm) { f.name, f.versions = ", two versions", true })...)
+	add("a front is killed", true, (*foreignSite).killFront, both(foreignForm{}, func(f *foreignForm) { f.name, f.versions = ", two versions", true })...)
+	add("a server is killed", true, (*foreignSite).killServer, both(foreignForm{}, func(f *foreignForm) { f.name, f.oldCallers = ", old callers", true })...)
+	return out
+}
+
+// foreignSite is a site of two fronts and two servers.
+type foreignSite struct {
+	*platformSite
+	form foreignForm
+}
+
+func newForeignSite(t *testing.T, form foreignForm) *foreignSite {
+	p := &foreignSite{platformSite: newBarePlatformSite(t), form: form}
+	p.putDocument()
+	for _, name := range []string{form.server(1), form.server(2)} {
+		p.startServer(name, "127.0.0.1:0")
+	}
+	for _, name := range []string{"front-1", "front-2"} {
+		p.startFront(name)
+	}
+	for _, name := range []string{"front-1", "front-2"} {
+		p.waitReady(name, 2)
+	}
+	return p
+}
+
+// startServer starts a server at an address.
+func (p *foreignSite) startServer(name, address string) {
+	p.t.Helper()
+	args := []string{"--listen", address, "--tell", "--step", foreignStep.String(), "--software", p.version(name)}
+	if p.form.http10 {
+		args = append(args, "--http10")
+	}
+	p.backends[name] = startProcess(p.t, name, "standin", append([]string{"routed", "--instance", name}, args...)...)
+	p.setFaults(p.backends[name], standin.RoutedFaults{CloseDelimited: p.form.http10})
+	p.listVersion(name, p.version(name))
+}
+
+func (p *foreignSite) version(server string) string {
+	if p.form.versions && server == p.form.server(2) {
+		return "v2"
+	}
+	return "v1"
+}
+
+func (p *foreignSite) killServer() { p.backends[p.form.server(2)].signal(syscall.SIGKILL) }
+func (p *foreignSite) endServer()  { p.backends[p.form.server(2)].signal(syscall.SIGTERM) }
+func (p *foreignSite) killFront()  { p.fronts["front-2"].signal(syscall.SIGKILL) }
+func (p *foreignSite) stopFront()  { p.fronts["front-2"].signal(syscall.SIGTERM) }
+
+func (p *foreignSite) freezeServer() {
+	p.backends[p.form.server(2)].signal(syscall.SIGSTOP)
+	p.wait(foreignFreeze)
+	p.killServer()
+}
+
+// restartServer kills a server and starts it again under its ID and address.
+func (p *foreignSite) restartServer() {
+	address := p.backends[p.form.server(2)].address("standin")
+	p.killServer()
+	p.backends[p.form.server(2)].waitExit()
+	p.startServer(p.form.server(2), address)
+}
+
+// TestPlatformForeignStreamsLookCompleteTooEarly guards against streams that look complete too early, mix versions, or have
+// events missing, repeated or out of order for callers that take them up, where a process ends in one of the forms.
+func TestPlatformForeignStreamsLookCompleteTooEarly(t *testing.T) {
+	for _, form := range foreignForms() {
+		if form.ci || *allForeignForms {
+			t.Run(form.name, func(t *testing.T) {
+				t.Parallel()
+				newForeignSite(t, form).play()
+			})
+		}
+	}
+}
+
+// play sends all streams and checks them.
+func (p *foreignSite) play() {
+	streams := make([]*orderStream, foreignStreams)
+	var wg sync.WaitGroup
+	began := time.Now()
+	for i := range streams {
+		wg.Go(func() {
+			p.wait(time.Until(began.Add(time.Duration(i) * foreignGap)))
+			streams[i] = p.sendStream(i)
+		})
+	}
+	p.wait(time.Until(began.Add(foreignEventTime)))
+	p.form.event(p)
+	wg.Wait()
+	kinds, cut := map[orderKind]int{}, 0
+	// whole and none are the numbers of streams that are whole and that got no event: resumable ones, and others.
+	var whole, none [2]int
+	for i, stream := range streams {
+		c := stream.attempts[len(stream.attempts)-1]
+		if stream.problem != nil {
+			kinds[stream.problem.kind]++
+			p.t.Errorf("%s: %s: %s", c.id, stream.problem.kind, stream.problem.text)
+		}
+		if stream.cut() {
+			cut++
+			if !p.form.cuts {
+				p.t.Logf("%s was cut after event %d and %s: %v", c.id, stream.last, c.ended.Sub(c.sent), c.err)
+			}
+		}
+		switch {
+		case stream.whole && stream.problem == nil:
+			whole[i%2]++
+		case stream.last == 0:
+			none[i%2]++
+		}
+	}
+	p.t.Logf("%s: out of order: %v; %d of %d cut; resumable: %d whole, %d without an event; others: %d, %d", p.form.name, kinds, cut, len(streams), whole[0], none[0], whole[1], none[1])
+	if whole[0] == 0 || whole[1] == 0 || p.form.cuts && cut == 0 {
+		p.t.Error("no stream was whole, or none was cut")
+	}
+}
+
+// cut reports whether an attempt broke off, or another run had to continue it.
+func (o *orderStream) cut() bool {
+	for _, c := range o.attempts {
+		if c.status == http.StatusOK && c.err != nil {
+			return true
+		}
+	}
+	return len(o.runs) > 1 || o.problem != nil
+}
+
+// sendStream sends stream i at the fronts in turn until it is whole, and again only what has not run or may be resumed.
+func (p *foreignSite) sendStream(i int) *orderStream {
+	stream, deadline := &orderStream{}, time.Now().Add(foreignTimeout)
+	path := []string{"/chat/long/", "/chat/"}[i%2]
+	for try := range foreignTries {
+		c := &soakCall{events: foreignEvents, repeatable: i%2 == 0, timeout: time.Until(deadline)}
+		if c.timeout < time.Millisecond {
+			return stream
+		}
+		c.address = p.fronts[fmt.Sprint("front-", 1+(i/2+try)%2)].address("callers")
+		c.platformCall = platformCall{id: fmt.Sprintf("f%d-%d", i, try), method: http.MethodPost, key: "yard-key", body: []byte("x")}
+		c.target = fmt.Sprintf("%s%d?events=%d&origin", path, i, foreignEvents)
+		if stream.last > 0 {
+			c.header = http.Header{"Last-Event-Id": {fmt.Sprint(stream.last)}, "Resumes": {stream.first}}
+		}
+		c.send(&foreignCaller{old: p.form.oldCallers})
+		if stream.problem = stream.add(c); stream.problem != nil || stream.whole {
+			return stream
+		}
+		switch {
+		case c.retryAfter:
+			p.wait(min(c.returnAfter, time.Until(deadline)/3))
+		case !c.repeatable && c.status != 0:
+			return stream
+		}
+	}
+	return stream
+}
--- a/tests/soak_check_test.go
+++ b/tests/soak_check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/json"
@@ -47,6 +48,8 @@
 	leaveAfter int
 	// half is set if the caller closes its sending side after the request. Fronts take that for the end of the caller.
 	half bool
+	// timeout is that of its caller; 0 for soakTimeout.
+	timeout time.Duration
 	// crashes is set if the call crashes the server that starts to run it.
 	crashes bool
 	front   string
@@ -181,9 +184,10 @@
 
 // send sends the call and records its result.
 func (c *soakCall) send(transport http.RoundTripper) {
-	ctx, cancel := context.WithTimeout(context.Background(), soakTimeout)
+	timeout := cmp.Or(c.timeout, soakTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	req, err := c.request(ctx, c.address, soakTimeout)
+	req, err := c.request(ctx, c.address, timeout)
 	if err != nil {
 		c.err = errors.Join(errNotSent, err)
 		return
--- a/tests/soak_order_test.go
+++ b/tests/soak_order_test.go
@@ -219,8 +219,8 @@
 	}
 	if c.err == nil {
 		o.whole = true
-		if o.last < soakOrderEvents || len(rest) > 0 {
-			return orderProblemf(orderEarly, "ended as complete after event %d of %d and %q, status %d", o.last, soakOrderEvents, rest, c.status)
+		if o.last < c.events || len(rest) > 0 {
+			return orderProblemf(orderEarly, "ended as complete after event %d of %d and %q, status %d", o.last, c.events, rest, c.status)
 		}
 	}
 	return nil
@@ -306,7 +306,7 @@
 	}
 	cut := errors.New("cut")
 	attempt := func(err error, data ...[]byte) *soakCall {
-		c := &soakCall{status: http.StatusOK, data: slices.Concat(data...), err: err}
+		c := &soakCall{status: http.StatusOK, data: slices.Concat(data...), err: err, events: soakOrderEvents}
 		c.id, c.target = fmt.Sprint("c", err), target
 		return c
 	}
