Play calls without events to HTTP/1.0 servers that end halfway

A response of such a server that has no length ends like a whole one where its server ends. Only net/http callers and servers of HTTP/1.1 played that.

48 calls of safe and unsafe routes come from foreign callers, some of HTTP/1.0; a server is killed, ends at SIGTERM, is frozen and killed, or starts again, while it is halfway through some. The checks of the soak apply: the response is the call's own and whole or visibly cut, an unsafe call ran at most once, and a refused one did not run.

--- a/tests/platform_foreign_test.go
+++ b/tests/platform_foreign_test.go
@@ -100,7 +100,7 @@
 // startServer starts a server at an address.
 func (p *foreignSite) startServer(name, address string) {
 	p.t.Helper()
-	args := []string{"--listen", address, "--tell", "--step", foreignStep.String(), "--software", p.version(name)}
+	args := []string{"--listen", address, "--tell", "--delay", foreignHalf.String(), "--step", foreignStep.String(), "--software", p.version(name)}
 	if p.form.http10 {
 		args = append(args, "--http10")
 	}
--- a/tests/soak_check_test.go
+++ b/tests/soak_check_test.go
@@ -232,6 +232,12 @@
 	return out
 }
 
+// runID returns the ID of the call of such a line.
+func runID(line string) string {
+	id, _, _ := strings.Cut(strings.TrimPrefix(line, "ran "), " ")
+	return id
+}
+
 // runs returns the calls that the backend servers ran, by id, each line with the ID of the server that ran it, and
 // checks that none ran new calls once it had drained.
 func (s *soak) runs() map[string][]string {
@@ -240,7 +246,7 @@
 		for _, inc := range server.incarnations {
 			lines := ranLines(inc.outputText())
 			for _, line := range lines {
-				id, _, _ := strings.Cut(strings.TrimPrefix(line, "ran "), " ")
+				id := runID(line)
 				out[id] = append(out[id], line+soakRanAt+inc.id)
 			}
 			// A front that was paused or cut off learns later that the server drains.
