Take a continued stream for cut whose next rest breaks

A stream of which a rest has come was cut once, and counts as cut if nobody shows that it is whole (docs/design/response-ends.md). settleEnd does so, but replaceRest, for a rest that breaks or continues nothing, went straight to the watch of the server, which lives. Both use checkEnd now.

The test failed before in both of its cases. go test -race of the package passes.

Not changed: an empty rest that has neither a length nor chunks either, of a stream that was cut before, still counts as whole. On servers that send nothing else, each continued stream would break at its end.

--- a/services/forward/end.go
+++ b/services/forward/end.go
@@ -130,10 +130,16 @@
 		return s.settleEmptyRest()
 	case s.mayAskForRest() && s.askForRest():
 		return nil
-	case s.wasCut:
+	}
+	return s.checkEnd()
+}
+
+// checkEnd settles the end of a stream that nobody has continued or shown to be whole, as settleEnd does.
+func (s *stream) checkEnd() error {
+	if s.wasCut {
 		return errorx.Decorate(runworks.ErrUnconfirmed, "the stream was cut before")
 	}
-	return c.end.check(maxWatchTime)
+	return s.call.end.check(maxWatchTime)
 }
 
 // settleEmptyRest settles the end of a stream that a server continued without an event. That response proves nothing
--- a/services/forward/end_was_cut_test.go
+++ b/services/forward/end_was_cut_test.go
@@ -35,3 +35,26 @@
 		}
 	}
 }
+
+// TestCutStreamWithoutItsRestIsNotAssumedWhole guards against a stream that looks complete though a rest of it has come, as
+// the next rest that is asked for breaks or continues nothing.
+func TestCutStreamWithoutItsRestIsNotAssumedWhole(t *testing.T) {
+	begin := event(1) + event(2)
+	for name, rest := range map[string]reply{
+		"reset": {broken: errReset}, "without IDs": delimited("data: 4\n\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &sender{replies: []reply{delimited(begin), delimited(event(3)), rest, rest, rest}}
+				f := newForwarder(t, s, io.Discard)
+				f.Budgets = &Budgets{Slack: 100}
+				_, body, err := serve(t.Context(), f, "resumable")
+				is.Equal(body, begin+event(3))
+				is.True(err != nil)
+				is.Equal(counted(t, f), map[string]int{endBroken: 1})
+				is.True(idle(f))
+			})
+		})
+	}
+}
--- a/services/forward/rest.go
+++ b/services/forward/rest.go
@@ -138,7 +138,7 @@
 		return nil
 	}
 	s.dropRest()
-	err := s.call.end.check(maxWatchTime)
+	err := s.checkEnd()
 	if errors.Is(err, io.EOF) {
 		return err
 	}
