Play HTTP/1.0 servers and foreign callers in the soak

All servers of streams, or some, respond in HTTP/1.0 and send the events of all streams in common steps of 50 ms. Fronts are not killed then: a killed front closes its connections like the end of a response of HTTP/1.0. Such callers reach the fronts directly, as others of HTTP/1.0 do.

--- a/tests/soak_check_test.go
+++ b/tests/soak_check_test.go
@@ -89,6 +89,7 @@
 	c.wg.Go(func() { s.runLeavingCallers(c.quit) })
 	s.startOrderCallers()
 	s.startHalfCallers()
+	s.startForeignCallers()
 	for lane := range lanes {
 		next, pause := s.nextCall, time.Duration(0)
 		switch {
@@ -184,6 +185,9 @@
 
 // send sends the call and records its result.
 func (c *soakCall) send(transport http.RoundTripper) {
+	if f, ok := transport.(*foreignCaller); ok && f.old && c.process != nil {
+		c.address = c.process.address("callers") // on a path that closes connections, a response of HTTP/1.0 looks complete
+	}
 	timeout := cmp.Or(c.timeout, soakTimeout)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
--- a/tests/soak_faults_test.go
+++ b/tests/soak_faults_test.go
@@ -54,6 +54,7 @@
 		{s.joinsStreams(), s.orderFaults},
 		{s.closesPaths(), s.closeFaults},
 		{s.comeTogether(), s.togetherFaults},
+		{s.hasOldServers(), s.oldServerFaults},
 	} {
 		if one.applies {
 			steps = append(steps, one.steps()...)
@@ -74,6 +75,8 @@
 	kinds := []func() soakFault{s.stopFront, s.reload, s.changeDocument, s.drainServer}
 	switch {
 	case s.planned:
+	case s.hasOldCallers(): // to such a caller a killed front looks like a complete response
+		kinds = append(kinds, s.pauseFront, s.cutStore, s.cutServer, s.pauseServer, s.breakServer, s.breakStore, s.pauseStore)
 	case s.reportsLimits(), s.sendsReports():
 		kinds = append(kinds, s.faultsWithReports()...)
 	case s.crashesServers():
