--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -32,6 +32,9 @@
 // frontProgram is the program of the fronts, to play a test against that of another version.
 var frontProgram = flag.String("front-program", "", "the program of the fronts; empty builds it")
 
+// frontLacks are settings that the program of the fronts does not know, separated by commas.
+var frontLacks = flag.String("front-lacks", "", "settings that -front-program does not know, separated by commas")
+
 // buildPrograms builds the programs of cmd once for all tests and returns their directory.
 var buildPrograms = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "runworks-programs")
