Play the forms of broken order against the fronts of each landing

Which landing shows what was found out by hand, with tests whose checks of log lines were left out one by one, and never for landings before.

make landings builds the fronts of each landing of testdata/landings/commits and plays the tests of testdata/landings/forms against them.

--- a/Makefile
+++ b/Makefile
@@ -72,6 +72,10 @@
 	$(GO) test ./tests/ -run TestMutants -v -timeout 60m -args -mutants
 
 # Prints the table of docs/design/routing.md: the same figures each time.
+.PHONY: landings
+landings:
+	$(GO) test ./tests/ -run TestLandings -v -timeout 180m -args -landings $(ARGS)
+
 .PHONY: measure
 measure:
 	$(GO) test ./tests/ -run TestMeasure -v -timeout 60m -args -measure
