Start the successor of a server before its answer in a test

TestPlatformUnconfirmedAnswerIsNotComplete started the process that is to replace the server once half of the answer was sent. The other half follows after 0.7 s, and beside load a process takes longer to start: in one of three runs on, at a load of 145, one of six cases got the whole answer, with status 200. The line of the call shows it: 1.6 s, and server_at_end is same, which only the server itself can have said, before it was killed.

The process is started before the call.

--- a/tests/platform_unknown_end_test.go
+++ b/tests/platform_unknown_end_test.go
@@ -160,6 +160,7 @@
 			path := newProxy(t, p.backends["app-1"].address("standin"))
 			p.list("app-1", path.address(), 0)
 			p.waitListed("app-1")
+			successor := start(t) // a process takes longer to start beside load than the answer lasts
 			done := make(chan int, 1)
 			go func() {
 				res, data, err := p.do("front-1", platformCall{id: "half", method: http.MethodPost, target: "/once/1", key: "yard-key"})
@@ -174,7 +175,7 @@
 				runs := routedRuns(t, p.backends["app-1"])
 				return len(runs) == 1 && !runs[0].Halved.IsZero()
 			})
-			p.succeed("app-1", path, start(t))
+			p.succeed("app-1", path, successor)
 			is.Equal(<-done, http.StatusBadGateway) // it has run, and its answer is lost
 		})
 	}
