--- a/tests/platform_living_end_test.go
+++ b/tests/platform_living_end_test.go
@@ -48,7 +48,8 @@
 	// endsAsked has the server stop listening once it has answered a request for its status, and close its connections
 	// a moment later.
 	endsAsked bool
-	conns     map[net.Conn]struct{}
+	// conns are the open connections, and whether one runs a call.
+	conns map[net.Conn]bool
 	// asked counts the requests for the server's status.
 	asked int
 	// lastEvents are the IDs after which the calls continue, in order.
@@ -86,7 +87,7 @@
 	if err != nil {
 		return
 	}
-	s.set(func() { s.conns[conn] = struct{}{} })
+	s.set(func() { s.conns[conn] = true })
 	defer func() {
 		s.set(func() { delete(s.conns, conn) })
 		_ = conn.Close()
@@ -210,13 +211,13 @@
 	p.cuts.Store(cuts)
 	p.putDocument()
 	for _, id := range ids {
-		s := &livingServer{id: id, cuts: &p.cuts, onCut: onCut, contentType: "text/plain", conns: map[net.Conn]struct{}{}}
+		s := &livingServer{id: id, cuts: &p.cuts, onCut: onCut, contentType: "text/plain", conns: map[net.Conn]bool{}}
 		s.Server = httptest.NewUnstartedServer(s)
 		s.Config.ConnState = func(c net.Conn, state http.ConnState) {
 			s.set(func() {
 				switch state {
 				case http.StateNew:
-					s.conns[c] = struct{}{}
+					s.conns[c] = false
 				case http.StateClosed, http.StateHijacked:
 					delete(s.conns, c)
 				}
