State in one place when connections ended together

The rule stood in three functions, and what an end beside another one shows was mixed with what ends before it show.

--- a/modules/httpconn/ends_together.go
+++ b/modules/httpconn/ends_together.go
@@ -17,47 +17,44 @@
 	return e.conn != own.conn && e.dated && e.opened.Before(own.at.Add(-coincidence)) && e.at.Sub(own.at).Abs() <= within
 }
 
-// endedTogether reports whether the connection of a response was closed together with all others to its address:
-// a path that closes its connections, or a process that exits, does that. None that was open before may be left, and
-// one of the others was closed inside a response, or unused and not after the time after which the server closes unused
-// ones. Otherwise the responses tell.
+// endedTogether reports whether a response was cut, by the other connections to its address. A path that closes its
+// connections, and a process that exits, close all at the same time; a server ends its responses one by one. So a response
+// was cut if no connection is left that was open before its end, and one of those that were closed with it was
+//
+//   - unused, like the witness that is kept beside such responses, and not closed after the time after which the server
+//     closes unused ones on its own,
+//   - inside a response, and the server does not break off responses on its own, or
+//   - behind another response, and cutTogether tells that the server did not end both in one step. Where many end, some end
+//     together.
 func (p *Pool) endedTogether(address string, own connEnd) bool {
 	ends, survived := p.endsBeside(address, own)
 	if survived {
 		return false
 	}
-	if p.unusedEnded(address, ends, own) {
-		return true
+	var beside, earlier []connEnd
+	for _, e := range ends {
+		switch before := own.at.Sub(e.at); {
+		case e.beside(own):
+			beside = append(beside, e)
+		case before > coincidence && before < endWindow:
+			earlier = append(earlier, e)
+		}
 	}
-	var others []connEnd
-	cut, breaksOff, earlier := false, false, 0
-	for _, end := range ends {
-		apart := end.at.Sub(own.at)
-		switch {
-		case apart < -coincidence && apart > -endWindow:
-			if end.kind == endsResponse {
-				earlier++
-			}
-			breaksOff = breaksOff || end.kind == endsEarly
-		case !end.beside(own):
-		case end.kind == endsEarly:
-			cut = true
-		case end.kind == endsResponse:
-			others = append(others, end)
+	for _, e := range ofKind(beside, endsUnused) {
+		if !p.closesUnused(address, e.unused, own.at.Add(-unusedCoincidence)) {
+			return true
 		}
 	}
-	if cut && !breaksOff {
-		return true // the server has not broken off responses on its own
+	if len(ofKind(beside, endsEarly)) > 0 && len(ofKind(earlier, endsEarly)) == 0 {
+		return true
 	}
-	return len(others) > earlierEnds*earlier && p.cutTogether(address, own, others)
+	others := ofKind(beside, endsResponse)
+	return len(others) > earlierEnds*len(ofKind(earlier, endsResponse)) && p.cutTogether(address, own, others)
 }
 
-// unusedEnded reports whether an unused connection was closed with that of a response, and not after the time after which the
-// server closes unused ones.
-func (p *Pool) unusedEnded(address string, ends []connEnd, own connEnd) bool {
-	return slices.ContainsFunc(ends, func(e connEnd) bool {
-		return e.kind == endsUnused && e.beside(own) && !p.closesUnused(address, e.unused, own.at.Add(-unusedCoincidence))
-	})
+// ofKind returns the ends of one kind.
+func ofKind(ends []connEnd, k endKind) []connEnd {
+	return slices.DeleteFunc(slices.Clone(ends), func(e connEnd) bool { return e.kind != k })
 }
 
 // cutTogether reports whether responses that ended together were cut. A server that runs streams in steps may end
