Test that streams with several requests for rests end their slots once

A review of the requests for rests in the slot of their stream looked for slots that stay taken or end twice: several rests of one server, rests that break, are rejected, lost, out of order or silent, one to three servers, and callers that leave at once or during the request.

With a release that keeps every lease of a stream the test fails.

--- a/services/forward/rest_slot_test.go
+++ b/services/forward/rest_slot_test.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -10,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/runworks/runworks"
+	"github.com/runworks/runworks/services/dispatch"
 )
 
 // TestRestIsAskedForBeforeWaitingCalls guards against streams whose end can't be settled, and calls that are refused, as
@@ -48,3 +51,54 @@
 		is.True(idle(f))
 	})
 }
+
+// TestRestsInTheSameSlotEndIt guards against a slot that is never released, or twice, over several requests for rests.
+func TestRestsInTheSameSlotEndIt(t *testing.T) {
+	one, two := delimited(event(1)), delimited(event(2))
+	for name, replies := range map[string][]reply{
+		"cut, cut, empty":             {one, two, {}},
+		"cut, cut, empty, unframed":   {one, two, delimited("")},
+		"cut, breaks":                 {one, {body: event(2), broken: errReset}, {}},
+		"cut, breaks inside an event": {one, {body: event(2) + "id: 3\nda", broken: errReset}, {body: event(3)}},
+		"cut, out of order":           {one, {body: event(3) + event(2)}, {}},
+		"cut, begins again":           {one, {body: event(1)}, {}},
+		"cut, cut, silent":            {one, two, {hang: true}},
+		"cut, cut, silent head":       {one, two, {pause: 4 * time.Second}},
+		"cut, empty, events":          {one, delimited(""), two, {}},
+		"cut, empty, cut, empty":      {one, delimited(""), two, delimited("")},
+		"cut, rejected, cut, empty":   {one, rejected, two, {}},
+		"cut, lost, cut, lost":        {one, lost, two, lost},
+		"cut, moved, events":          {one, moved, two, {}},
+		"cut, no stream, events":      {one, {body: "{}", contentType: "application/json"}, two, {}},
+		"cut, 204, empty":             {one, {status: http.StatusNoContent}, {}},
+	} {
+		for _, servers := range []int{1, 2, 3} {
+			for _, leaves := range []time.Duration{0, 1, 300 * time.Millisecond} {
+				t.Run(fmt.Sprint(name, " ", servers, " ", leaves), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						is := is.New(t)
+						s := &sender{replies: replies}
+						f := newForwarder(t, s, io.Discard)
+						f.Dispatcher.SetServers(threeServers("s")[:servers])
+						placed, ended := 0, 0
+						f.Dispatcher.SetGate(&dispatch.Gate{
+							Allows: func(*runworks.Instance, bool) bool { return true }, Arrived: func(string) {}, Placed: func(*runworks.Instance) { placed++ },
+							Ended: func(*runworks.Instance, *dispatch.Answer) { ended++ },
+						})
+						ctx, cancel := context.WithCancel(t.Context())
+						defer cancel()
+						if leaves > 0 {
+							time.AfterFunc(leaves, cancel)
+						}
+						_, _, _ = serve(ctx, f, "resumable")
+						is.Equal(placed, ended)
+						for _, one := range f.Dispatcher.ServerStatuses() {
+							is.Equal(one.OwnCalls, 0)
+						}
+						is.Equal(f.Active(), int64(0))
+					})
+				})
+			}
+		}
+	}
+}
