Ask another server for a rest only where a slot is free

Callers still saw resumable streams refused on all tries at servers whose rests have neither a length nor chunks either: an empty rest of the server that ended the stream proves nothing then, and a second request to another server waited for a slot like a call. The start of each such request lowers the share of starts that the dispatcher expects for its rank, so that calls of the rank are expected to start too late.

After an empty rest that proves nothing another server is asked only if it has a free slot and no call waits. Otherwise the closes of other connections decide, as where there is no retry. A rest that did not come is still asked for in the queue.

--- a/services/dispatch/gate.go
+++ b/services/dispatch/gate.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/runworks/runworks"
@@ -79,6 +80,18 @@
 	return s != nil && s.hasServerFor(time.Now(), req)
 }
 
+// HasFreeServer reports whether a server has a free slot for a call, and no call of the service waits.
+func (d *Dispatcher) HasFreeServer(req *Request) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.services[req.Service]
+	if s == nil || s.queue.Len() > 0 {
+		return false
+	}
+	now := time.Now()
+	return slices.ContainsFunc(s.servers, func(one *server) bool { return req.allows(one) && !one.unusable(now, s) && one.admits(now, s) })
+}
+
 // RunningCalls returns the number of running calls of all entries by service.
 func (d *Dispatcher) RunningCalls() map[string]int {
 	d.mu.Lock()
--- a/services/forward/rest.go
+++ b/services/forward/rest.go
@@ -146,10 +146,12 @@
 }
 
 // askAgain has another server continue the stream, after an empty rest of the same one that proves nothing: what cut the
-// stream there may have cut its rest.
+// stream there may have cut its rest. A server that sends all its responses in this form would have each stream wait for a
+// slot among calls, so only a free one is taken.
 func (s *stream) askAgain() bool {
+	c := s.call
 	empty := s.part()
-	if s.askOtherServer() {
+	if c.f.Dispatcher.HasFreeServer(c.dispatchRequest()) && s.askOtherServer() {
 		return true
 	}
 	s.restore(empty)
