Take a stream for cut whose server was replaced when its rest is asked for

A stream without length or chunks looked complete to its caller although the request for its rest was answered with status 421: another server has the address, so that the one that wrote the stream has ended under it. The status request at the end counts that as a cut, the request for the rest did not.

A lease reports a server whose address another one has like one that restarted.

--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -59,11 +59,12 @@
 	}
 }
 
-// ServerRestarted reports whether it is known that the server restarted since the lease was granted.
+// ServerRestarted reports whether it is known that the server restarted since the lease was granted, or that another one has
+// its address.
 func (l *Lease) ServerRestarted() bool {
 	l.dispatcher.mu.Lock()
 	defer l.dispatcher.mu.Unlock()
-	return l.server.restarted
+	return l.server.restarted || l.server.addressReused
 }
 
 func (l *Lease) notifyExit() {
