Keep a held lease apart from the request for the rest that it serves

Cause: one lease stood for two requests. Renew now asks only what holds for a server that has just ended a response; FailAgain records what the failure shows of the server, beside the stream that was served; the times of the second request are not recorded.

TestRestIsNoMeasureOfHeads, TestReusedAddressIsKnownFromTheRest, TestRejectionOfTheRestIsKnown, TestUnreachableServerIsEjectedByRests, TestSilentRestIsNoFrozenServer, TestRestElsewhereDelaysNoEnd, TestRestIsNoLateEvent, TestLateEndIsAskedForAtItsServer, TestRestIsAskedForBesideOtherFailures and TestRestAnsweredByAnotherServerShowsACut failed before in each run.

--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -38,6 +38,8 @@
 	released bool
 	// freedAt is when the slot became free before the result of the call was known; zero if it did not.
 	freedAt time.Time
+	// failedAgain is set if the server failed the request that Renew counted.
+	failedAgain bool
 	// onExit is called after the server's process has exited.
 	onExit func()
 }
@@ -107,12 +109,8 @@
 		ended = l.freedAt
 	}
 	l.reportEndLocked(ended, r)
-	// The errors of a server in the calls of another entry are known from its heartbeats, and a reused
-	// address, which is kept for good, must have been seen here.
-	if l.entry == "" || r != Failed && r != AddressReused {
-		if wait := l.server.recordResult(now, r); wait > 0 && d.OnEject != nil {
-			d.OnEject(l.server.Instance, l.server.unanswered, wait)
-		}
+	if r != Served || !l.failedAgain {
+		l.recordResultLocked(now, r)
 	}
 	if s := d.services[l.service]; s != nil {
 		if r == Served {
@@ -127,6 +125,34 @@
 	}
 }
 
+// recordResultLocked records what the end of a request shows of the server.
+func (l *Lease) recordResultLocked(now time.Time, r Result) {
+	// The errors of a server in the calls of another entry are known from its heartbeats, and a reused
+	// address, which is kept for good, must have been seen here.
+	if l.entry != "" && (r == Failed || r == AddressReused) {
+		return
+	}
+	d := l.dispatcher
+	if wait := l.server.recordResult(now, r); wait > 0 && d.OnEject != nil {
+		d.OnEject(l.server.Instance, l.server.unanswered, wait)
+	}
+}
+
+// FailAgain records how the request that Renew has counted failed. The lease still holds the slot, and its call counts as
+// served: only what this shows of the server is newer.
+func (l *Lease) FailAgain(r Result) {
+	d := l.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l.released {
+		return
+	}
+	now := time.Now()
+	l.recordResultLocked(now, Served)
+	l.recordResultLocked(now, r)
+	l.failedAgain = true
+}
+
 // RecordEventGap records the time between two events of the call's stream.
 func (l *Lease) RecordEventGap(gap time.Duration) {
 	l.dispatcher.mu.Lock()
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -63,18 +63,20 @@
 }
 
 // Renew reports whether the call's server may get the call again, in the slot that the lease still holds, and counts that
-// request.
+// request. The server has just ended its response, so that it is not unresponsive, and one that is full for other calls
+// still has that slot.
 func (l *Lease) Renew() bool {
 	d, s := l.dispatcher, l.server
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	if l.released || !l.freedAt.IsZero() || d.servers[s.incarnation] != s || s.Draining || s.unusable(now, d.services[l.service]) ||
-		now.Before(s.fullUntil) || !s.limit.Admits(now) || d.bars(s) {
+	if l.released || !l.freedAt.IsZero() || d.servers[s.incarnation] != s || s.Draining || s.addressReused || s.backoff.active(now) ||
+		!s.limit.Admits(now) || d.bars(s) {
 		return false
 	}
 	s.limit.Consume(now)
 	s.backoff.countSent()
+	s.lastReceived = now
 	return true
 }
 
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -54,7 +54,9 @@
 	if reply.CloseDelimited {
 		reply.Body = &closeDelimitedBody{ReadCloser: reply.Body, call: c}
 	}
-	lease.RecordHeaders()
+	if !c.holds(lease) {
+		lease.RecordHeaders()
+	}
 	return reply, nil
 }
 
@@ -113,11 +115,16 @@
 
 // release releases the lease of an attempt that failed, unless the call still holds it for the end of its stream.
 func (c *call) release(lease *dispatch.Lease, r dispatch.Result) {
-	if c.stream == nil || !c.stream.holds(lease) {
-		lease.Release(r)
+	if c.holds(lease) {
+		lease.FailAgain(r)
+		return
 	}
+	lease.Release(r)
 }
 
+// holds reports whether a lease is that of a part of the call's stream whose end is to be settled.
+func (c *call) holds(lease *dispatch.Lease) bool { return c.stream != nil && c.stream.holds(lease) }
+
 // applyReport records the server report of a response.
 func (c *call) applyReport(lease *dispatch.Lease, reply *runworks.ServerReply) {
 	if reply.ReportErr != nil {
--- a/services/forward/stream_events.go
+++ b/services/forward/stream_events.go
@@ -35,10 +35,11 @@
 	if begun && s.call.events == 0 {
 		s.call.recordOrigin(now, s.lease.Instance)
 	}
-	if s.lastEventAt.IsZero() {
+	switch {
+	case s.firstEventAt.IsZero():
 		s.firstEventAt = now
 		s.call.recordFirstEvent(now, s.lease)
-	} else {
+	case !s.lastEventAt.IsZero():
 		s.recordGap(now.Sub(s.lastEventAt))
 	}
 	if !s.outlived && now.Sub(s.firstEventAt) >= attributionWindow {
--- a/services/forward/stream_resume.go
+++ b/services/forward/stream_resume.go
@@ -90,10 +90,12 @@
 	s.body, s.answeredAt = reply.Body, time.Now()
 	s.continued, s.answered = true, false
 	s.continueSequence(s.sequence.Last())
-	if !again {
-		s.firstEventAt, s.lastEventAt, s.outlived, s.measured = time.Time{}, time.Time{}, false, false
-		s.meanGap, s.gaps = 0, 0
-		s.reader.restart()
+	if again {
+		s.lastEventAt = time.Time{} // the pause before the rest is no gap between events
+		return nil
 	}
+	s.firstEventAt, s.lastEventAt, s.outlived, s.measured = time.Time{}, time.Time{}, false, false
+	s.meanGap, s.gaps = 0, 0
+	s.reader.restart()
 	return nil
 }
