--- a/tests/soak_old_protocol_test.go
+++ b/tests/soak_old_protocol_test.go
@@ -65,7 +65,7 @@
 func (s *soak) oldServerFaults() []soakStep {
 	var steps []soakStep
 	for range 4 + s.rand.IntN(3) {
-		at := time.Duration(s.rand.Int64N(int64(*soakTime)))
+		at := time.Duration(s.rand.Int64N(int64(s.faultTime)))
 		for n, server := range s.shuffledStreamServers()[:1+s.rand.IntN(3)] {
 			next := at + time.Duration(n)*(200*time.Millisecond+s.about(200*time.Millisecond))
 			steps = append(steps, s.timed(s.endServer(server), next)...)
