--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -72,6 +72,8 @@
 // sender is a fake that returns its replies in turn.
 type sender struct {
 	replies []reply
+	// mu guards sends and endTimeouts while calls run.
+	mu sync.Mutex
 	sends   []runworks.Send
 	// endTimeouts are Send.EndTimeout at the ends of responses that only their connection ends.
 	endTimeouts []time.Duration
@@ -88,8 +90,10 @@
 	if err := send.BeforeSend(); err != nil {
 		return nil, err
 	}
+	s.mu.Lock()
 	n := len(s.sends)
 	s.sends = append(s.sends, *send)
+	s.mu.Unlock()
 	r := s.replies[min(n, len(s.replies)-1)]
 	if r.hang {
 		<-ctx.Done()
@@ -110,7 +114,10 @@
 		if r.asked != nil {
 			r.asked()
 		}
-		s.endTimeouts = append(s.endTimeouts, send.EndTimeout())
+		timeout := send.EndTimeout()
+		s.mu.Lock()
+		s.endTimeouts = append(s.endTimeouts, timeout)
+		s.mu.Unlock()
 		if r.confirmedAfter > max(send.EndTimeout(), 400*time.Millisecond) {
 			return errorx.Decorate(runworks.ErrUnconfirmed, "silent")
 		}
