--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -73,8 +73,8 @@
 type sender struct {
 	replies []reply
 	// mu guards sends and endTimeouts while calls run.
-	mu sync.Mutex
-	sends   []runworks.Send
+	mu    sync.Mutex
+	sends []runworks.Send
 	// endTimeouts are Send.EndTimeout at the ends of responses that only their connection ends.
 	endTimeouts []time.Duration
 	// connected is called with the server once there is a connection, before a byte is sent; may be
