--- a/tests/known_red_test.go
+++ b/tests/known_red_test.go
@@ -53,7 +53,7 @@
 	is.NoErr(err)
 	is.NoErr(os.WriteFile(filepath.Join(dir, "Makefile"), makefile, 0o600))
 	is.NoErr(os.WriteFile(filepath.Join(dir, "KNOWN-RED.txt"), []byte(list), 0o600))
-	cmd := exec.Command("make", "-n", "race")
+	cmd := exec.Command("make", "--no-print-directory", "-n", "race")
 	cmd.Dir, cmd.Env = dir, append(os.Environ(), "GOARCH="+arch)
 	out, err := cmd.CombinedOutput()
 	is.NoErr(err)
