Read the connections to an address in one place

dateEnds copied the open connections of an address under the pool's lock as endsBeside did: both call connsTo. No change of behaviour; the tests of modules/httpconn pass.

--- a/modules/httpconn/ends.go
+++ b/modules/httpconn/ends.go
@@ -232,17 +232,23 @@
 // dateEnds dates the closes of the connections to an address. It comes before the server is asked for the end of a response, as the
 // answers to keep-alive probes hide them later.
 func (p *Pool) dateEnds(address string) {
-	p.mu.Lock()
-	var open []*conn
-	if h := p.hosts[address]; h != nil {
-		open = slices.Collect(maps.Keys(h.open))
-	}
-	p.mu.Unlock()
+	_, open := p.connsTo(address)
 	for _, c := range open {
 		c.peerEnd()
 	}
 }
 
+// connsTo returns how connections to an address ended, and those that are open.
+func (p *Pool) connsTo(address string) (ends []connEnd, open []*conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil {
+		return nil, nil
+	}
+	return slices.Clone(h.ends), slices.Collect(maps.Keys(h.open))
+}
+
 // peerEnd returns the state of the server's side of the connection, and its close if that is closed.
 func (c *conn) peerEnd() (connEnd, tcp.PeerEnd) {
 	c.endMu.Lock()
--- a/modules/httpconn/ends_together.go
+++ b/modules/httpconn/ends_together.go
@@ -1,7 +1,6 @@
 package httpconn
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -86,13 +85,7 @@
 // endsBeside returns how connections to an address ended, and whether one is left that was open before another one's
 // end.
 func (p *Pool) endsBeside(address string, own connEnd) (ends []connEnd, survived bool) {
-	p.mu.Lock()
-	var open []*conn
-	if h := p.hosts[address]; h != nil {
-		ends = slices.Clone(h.ends)
-		open = slices.Collect(maps.Keys(h.open))
-	}
-	p.mu.Unlock()
+	ends, open := p.connsTo(address)
 	for _, c := range open {
 		switch end, state := c.peerEnd(); {
 		case state == tcp.PeerEndClosed:
