Ask in one place whether a server takes no more calls

Lease.Renew repeated the conditions of Lease.Unavailable: both call unavailableLocked. No change of behaviour: the tests of renewals, drains, back-offs, reports and limits pass, and the mutant that takes these conditions out of Renew is caught.

--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -59,7 +59,11 @@
 func (l *Lease) Unavailable() bool {
 	l.dispatcher.mu.Lock()
 	defer l.dispatcher.mu.Unlock()
-	return l.server.Draining || l.server.backoff.active(time.Now()) || l.dispatcher.bars(l.server)
+	return l.unavailableLocked(time.Now())
+}
+
+func (l *Lease) unavailableLocked(now time.Time) bool {
+	return l.server.Draining || l.server.backoff.active(now) || l.dispatcher.bars(l.server)
 }
 
 // Renew reports whether the call's server may get the call again, in the slot that the lease still holds, and counts that
@@ -70,8 +74,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	if l.released || !l.freedAt.IsZero() || d.servers[s.incarnation] != s || s.Draining || s.addressReused || s.backoff.active(now) ||
-		!s.limit.Admits(now) || d.bars(s) {
+	if l.released || !l.freedAt.IsZero() || d.servers[s.incarnation] != s || s.addressReused || l.unavailableLocked(now) || !s.limit.Admits(now) {
 		return false
 	}
 	s.limit.Consume(now)
