Collect the names of played tests once

The judge of make landings built the list of names again for each test, with a loop that maps.Keys replaces. No change of behaviour; TestLandings passes.

--- a/tests/landings_judge_test.go
+++ b/tests/landings_judge_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -60,8 +61,9 @@
 // judge counts the cases of a form: its sub-tests, or the test itself if it has none.
 func (f *form) judge(played map[string]*testOutput) verdict {
 	var v verdict
+	names := slices.Collect(maps.Keys(played))
 	for name, o := range played {
-		if name != f.test && !strings.HasPrefix(name, f.test+"/") || slices.ContainsFunc(names(played), func(other string) bool { return strings.HasPrefix(other, name+"/") }) {
+		if name != f.test && !strings.HasPrefix(name, f.test+"/") || slices.ContainsFunc(names, func(other string) bool { return strings.HasPrefix(other, name+"/") }) {
 			continue
 		}
 		v.played++
@@ -85,14 +87,6 @@
 	return v
 }
 
-func names(played map[string]*testOutput) []string {
-	var out []string
-	for name := range played {
-		out = append(out, name)
-	}
-	return out
-}
-
 // shows counts the checks of a failed case that show the form's fault. The reason is set if the case can't be judged, as
 // another check failed than those that judge what callers got, or log lines thereafter.
 func (f *form) shows(o *testOutput) (shown int, reason string) {
