--- a/tests/platform_foreign_test.go
+++ b/tests/platform_foreign_test.go
@@ -41,6 +41,8 @@
 	// versions differ.
 	http10, oldCallers, versions bool
 	event                        func(p *foreignSite)
+	// path has the second server reached through a proxy.
+	path bool
 }
 
 // server returns the name of the n-th server.
@@ -73,6 +75,10 @@
 	add("a server is killed", true, (*foreignSite).killServer, both(foreignForm{ci: true}, func(f *foreignForm) { f.name, f.versions = ", two versions", true })...)
 	add("a front is killed", true, (*foreignSite).killFront, both(foreignForm{}, func(f *foreignForm) { f.name, f.versions = ", two versions", true })...)
 	add("a server is killed", true, (*foreignSite).killServer, both(foreignForm{}, func(f *foreignForm) { f.name, f.oldCallers = ", old callers", true })...)
+	for _, gap := range []time.Duration{5 * time.Millisecond, 30 * time.Millisecond, 100 * time.Millisecond} {
+		name := fmt.Sprintf("a path closes its connections %s apart", gap)
+		add(name, true, func(p *foreignSite) { p.endPathOneByOne(gap) }, foreignForm{name: ", HTTP/1.0", http10: true, path: true, ci: true}, foreignForm{name: ", chunks", path: true})
+	}
 	return out
 }
 
@@ -80,10 +86,12 @@
 type foreignSite struct {
 	*platformSite
 	form foreignForm
+	// paths are the proxies through which servers are reached, by name.
+	paths map[string]*proxy
 }
 
 func newForeignSite(t *testing.T, form foreignForm) *foreignSite {
-	p := &foreignSite{platformSite: newBarePlatformSite(t), form: form}
+	p := &foreignSite{platformSite: newBarePlatformSite(t), form: form, paths: map[string]*proxy{}}
 	p.putDocument()
 	for _, name := range []string{form.server(1), form.server(2)} {
 		p.startServer(name, "127.0.0.1:0")
@@ -106,7 +114,22 @@
 	}
 	p.backends[name] = startProcess(p.t, name, "standin", append([]string{"routed", "--instance", name}, args...)...)
 	p.setFaults(p.backends[name], standin.RoutedFaults{CloseDelimited: p.form.http10})
-	p.listVersion(name, p.version(name))
+	p.list(name)
+}
+
+// list writes the record of a server, at the address of its path if it has one.
+func (p *foreignSite) list(name string) {
+	if !p.form.path || name != p.form.server(2) {
+		p.listVersion(name, p.version(name))
+		return
+	}
+	p.paths[name] = newProxy(p.t, p.backends[name].address("standin"))
+	p.put("keyed.servers", name, serverRecord(cmp.Or(p.form.service, "llm"), p.paths[name].address(), "ready", 0))
+}
+
+// endPathOneByOne has the path to the second server close its connections one by one.
+func (p *foreignSite) endPathOneByOne(gap time.Duration) {
+	p.paths[p.form.server(2)].endOneByOne(proxyEndsBoth, func() { p.wait(gap) })
 }
 
 func (p *foreignSite) version(server string) string {
--- a/tests/soak_proxy_test.go
+++ b/tests/soak_proxy_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -143,6 +144,21 @@
 	p.ended = append(p.ended, ids)
 }
 
+// endOneByOne closes the connections that are open now like end, with a pause after each of them. New connections work.
+func (p *proxy) endOneByOne(which proxyEnd, pause func()) {
+	p.mu.Lock()
+	pairs := slices.Collect(maps.Keys(p.pairs))
+	p.mu.Unlock()
+	for _, pair := range pairs {
+		if id := pair.request.Load(); pair.end(which) && id != nil {
+			p.mu.Lock()
+			p.ended = append(p.ended, []string{*id})
+			p.mu.Unlock()
+		}
+		pause()
+	}
+}
+
 // endedRequests returns, for each call of end, the IDs of the newest requests on the connections whose answers it ended.
 func (p *proxy) endedRequests() [][]string {
 	p.mu.Lock()
