Count an end that nothing shows as a cut

Cause: an end of which nothing is known counted as whole. Seven rules compared when connections ended, and each left a form that none of them covered: the connection carries no information that tells an end from a cut.

Change: such a response is complete only if something shows it: JSON its last bracket, a resumable stream a rest with a length or chunks that is empty. The new setting complete_at_close names the services for which the operators vouch; their servers are asked whether they run, as before. Gone: the comparison of ends, the witness, the watch after the end and the memory of how servers close unused connections.

--- a/errors.go
+++ b/errors.go
@@ -59,8 +59,8 @@
 	ErrServerUnavailable = sentinel("withdrawn", "the backend server takes nothing more")
 	// ErrBackend means that the backend server failed after the call was sent.
 	ErrBackend = sentinel("backend", "the backend server failed")
-	// ErrUnconfirmed means that the connection of a response without length or chunks ended, and that the
-	// server did not confirm that the response is complete.
+	// ErrUnconfirmed means that the connection of a response without length or chunks ended, and that neither its
+	// body nor the server confirms that the response is complete.
 	ErrUnconfirmed = sentinel("unconfirmed", "the backend server does not confirm the end of its response")
 	// ErrOutcomeUnknown means that it cannot be determined whether the request ran.
 	ErrOutcomeUnknown = sentinel("unknown_fate", "it can't be told whether the request ran")
--- a/inbound.go
+++ b/inbound.go
@@ -102,11 +102,9 @@
 	TimeLeft time.Duration
 	// StatusPath is that of the server's service; empty if not specified.
 	StatusPath string
-	// EndTimeout returns how long the server is asked at least whether it has ended a response, if only the
-	// end of the connection ends that. It is called at that end.
-	EndTimeout func() time.Duration
-	// Leaving reports whether the server is known to exit soon. It is called at that end, and may be nil.
-	Leaving func() bool
+	// ConfirmEnd has the server asked whether it still runs if only the end of the connection ends its response, and
+	// returns how long it is asked at least. It is called at that end; nil asks nothing.
+	ConfirmEnd func() time.Duration
 	// LastEventID is the ID of the last event received when a stream is resumed, otherwise
 	// empty.
 	LastEventID string
@@ -128,9 +126,6 @@
 	// ShowsEnd reports whether Body, once it has returned io.EOF, shows itself that it is whole, as an object of JSON
 	// does. It may be nil.
 	ShowsEnd func() bool
-	// WatchEnd watches the server for a time after that end, once Body has returned io.EOF. Its error shows
-	// that the response is cut; without one, nothing shows that it is whole. It may be nil.
-	WatchEnd func(time.Duration) error
 	// NotRun is set if the backend server reported that it did not run the call.
 	NotRun bool
 	// AddressReused is set if another backend server now has this address.
--- a/modules/httpconn/do.go
+++ b/modules/httpconn/do.go
@@ -41,13 +41,10 @@
 	// BeforeSend, unless nil, is called when a connection is available, just before the first byte is
 	// written. If it fails, nothing is sent.
 	BeforeSend func() error
-	// Identify returns a request that asks the server which one it is and runs nothing. It is sent on a new or
-	// unused connection when the end of a connection ends the response, and Pool.WhichServer reads the answer.
-	// If it is nil, no such response is complete.
+	// Identify, unless nil, returns a request that asks the server which one it is and runs nothing. It is sent on a
+	// new or unused connection when the end of a connection ends the response, and Pool.WhichServer reads the answer.
+	// If it is nil, no such response is complete, unless its body shows that it is.
 	Identify func() *http.Request
-	// Leaving, unless nil, reports whether the server is known to exit soon. One that says so only once it has
-	// ended a response may have cut that.
-	Leaving func() bool
 	// IdentifyTimeout, unless nil, returns how long the server is asked at least; it is never less than
 	// twice Pool.ProbeTimeout.
 	IdentifyTimeout func() time.Duration
@@ -73,22 +70,16 @@
 			return nil, err
 		}
 	}
-	c.setKind(endsUnknown)
 	x := &exchange{ctx: ctx, pool: p, conn: c, req: call.Request, call: call, guard: guard}
 	res, err := x.run()
 	if err != nil {
 		guard.stop()
-		c.setKind(endsEarly)
 		_ = c.Close()
 		if !x.dispatched.Load() {
 			return nil, errorx.Decorate(runworks.ErrNotDispatched, "write to %s: %v", address, err)
 		}
 		return nil, errorx.Decorate(runworks.ErrBackend, "call %s: %v", address, err)
 	}
-	if CloseDelimited(res) {
-		c.setKind(endsResponse)
-		x.look()
-	}
 	res.Body = &body{exchange: x, res: res, reader: res.Body, json: NewJSONCheck(res)}
 	return res, nil
 }
@@ -184,10 +175,8 @@
 	res      *http.Response
 	reader   io.ReadCloser
 	once     sync.Once
-	// server is what was found of the server at the end of a response without length or chunks, and end is
-	// that end.
+	// server is what was found of the server at the end of a response without length or chunks.
 	server ServerState
-	end    connEnd
 	// json follows the body; nil if it is not JSON, or has a length or chunks.
 	json *JSONCheck
 }
@@ -196,20 +185,10 @@
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.reader.Read(p)
 	b.json.Scan(p[:n])
-	delimited := CloseDelimited(b.res)
-	switch {
-	case err == nil && delimited:
-		b.exchange.look()
-		return n, nil
-	case err == nil:
-		return n, nil
-	case !errors.Is(err, io.EOF):
-		if !delimited {
-			b.exchange.conn.setKind(endsEarly)
-		}
+	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if delimited {
+	if CloseDelimited(b.res) {
 		if cut := b.checkEnd(); cut != nil {
 			b.finish(false)
 			return n, cut
@@ -219,26 +198,21 @@
 	return n, err
 }
 
-// checkEnd returns an error unless the end of the connection is known to be that of the body. A JSON body shows that
-// itself. Without an answer of the server it is not known of any other: a caller can repeat a whole response that it
-// does not get, but does not notice that a cut one lacks its end.
+// checkEnd returns an error unless the end of the connection is that of the body, as far as can be told: a JSON body shows
+// that itself, and for any other one the server must say that it runs.
 func (b *body) checkEnd() error {
 	x := b.exchange
 	switch end := b.json.End(); {
 	case x.over():
 		return net.ErrClosed
 	case end == JSONComplete:
-		x.conn.setKind(endsUnknown)
 		return nil
 	case end == JSONIncomplete:
-		x.conn.setKind(endsEarly)
 		return ErrCutJSON
+	case x.call.Identify == nil:
+		return errorx.Decorate(runworks.ErrUnconfirmed, "%s was not asked", x.conn.address)
 	}
-	b.end, _ = x.conn.peerEnd()
-	x.pool.dateEnds(x.conn.address)
-	leaving := x.call.Leaving != nil && x.call.Leaving() || x.pool.wasUnhealthy(x.conn.address, b.end.at)
 	b.server = x.pool.stateOf(x.ctx, x.conn.address, x.call)
-	x.pool.recordHealth(x.conn.address, b.server)
 	end, _ := tcp.PeekPeerEnd(x.conn.Conn)
 	switch {
 	case x.over():
@@ -246,13 +220,11 @@
 	case end == tcp.PeerEndReset:
 		b.server = ServerCut
 		return errorx.Decorate(runworks.ErrUnconfirmed, "the connection to %s was reset behind the end", x.conn.address)
-	case b.server == ServerUnhealthy && leaving:
-		return nil // it ends its responses before it exits
 	case b.server == ServerExited:
 		return ErrServerExited
 	case b.server == ServerReplaced:
 		return ErrServerReplaced
-	case b.server == ServerSame:
+	case b.server == ServerSame, b.server == ServerUnhealthy:
 		return nil
 	}
 	return errorx.Decorate(runworks.ErrUnconfirmed, "%s is %s", x.conn.address, b.server)
--- a/modules/httpconn/doc.go
+++ b/modules/httpconn/doc.go
@@ -2,7 +2,6 @@
 // never retries a request by itself, its errors distinguish whether a byte of the request can
 // have been sent, and it returns only responses that the pool's MatchResponse accepts.
 //
-// Where only the end of a connection ends a response, the pool asks the server whether it runs (identify.go), and judges by
-// the other connections to it whether the response was cut (ends_together.go). It remembers how they ended (ends.go), and
-// keeps one unused beside such responses (witness.go).
+// Where only the end of a connection ends a response, the response is complete only if its body shows that (json.go), or if
+// the caller of the pool has the server asked, which then says that it runs (identify.go).
 package httpconn
--- a/modules/httpconn/identify.go
+++ b/modules/httpconn/identify.go
@@ -10,7 +10,6 @@
 
 	"github.com/joomcode/errorx"
 
-	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/modules/pause"
 )
 
@@ -39,8 +38,7 @@
 	ServerSame ServerState = "same"
 	// ServerUnhealthy means that the server itself responded, and is failing or about to exit.
 	ServerUnhealthy ServerState = "unhealthy"
-	// ServerCut means that the server itself responded, and that its other connections ended together with
-	// that of the response.
+	// ServerCut means that the server itself responded, and that the connection of the response was reset behind its end.
 	ServerCut ServerState = "cut"
 	// ServerUnreachable means that no connection could be opened in time, but none was refused.
 	ServerUnreachable ServerState = "unreachable"
@@ -69,36 +67,8 @@
 	return ok && b.json.End() == JSONComplete
 }
 
-// WatchEnd watches the server for d after the end of a response of Pool.Do without length or chunks, whose
-// server has said that it runs. The error is ErrServerExited or ErrUnconfirmed if what happens shows that the
-// connection was cut there: without one, nothing shows that the response is whole.
-func WatchEnd(ctx context.Context, res *http.Response, d time.Duration) error {
-	b, ok := res.Body.(*body)
-	if !ok || b.json.End() == JSONComplete {
-		return nil
-	}
-	pause.For(ctx, d)
-	if err := ctx.Err(); err != nil {
-		return errorx.Decorate(runworks.ErrUnconfirmed, "the server was not watched: %v", err)
-	}
-	p, address := b.exchange.pool, b.exchange.conn.address
-	if p.endedTogether(address, b.end) {
-		b.server = ServerCut
-		return errorx.Decorate(runworks.ErrUnconfirmed, "all connections to %s ended at once", address)
-	}
-	c, err := p.probe(ctx, address)
-	if isRefused(err) {
-		b.server = ServerExited
-		return ErrServerExited
-	}
-	if err == nil {
-		_ = c.Close() // the connection on which the server was asked is unused already
-	}
-	return nil
-}
-
 // stateOf returns what is found of the server at address. It asks until there is an answer, for as long as
-// Call.IdentifyTimeout at least. A nil Call.Identify does not ask which server it is.
+// Call.IdentifyTimeout at least.
 func (p *Pool) stateOf(ctx context.Context, address string, call *Call) ServerState {
 	wait := identifyWaits * orDefault(p.ProbeTimeout, DefaultProbeTimeout)
 	if call.IdentifyTimeout != nil {
@@ -123,9 +93,6 @@
 		return ServerExited
 	case err != nil:
 		return ServerUnreachable
-	case call.Identify == nil:
-		p.put(c)
-		return ServerUnnamed
 	}
 	state, err := p.ask(ctx, c, call.Identify(), max(time.Until(deadline)/identifyWaits, orDefault(p.ProbeTimeout, DefaultProbeTimeout)))
 	switch {
@@ -141,7 +108,7 @@
 // one, if there is any, as an overloaded server resets new ones.
 func (p *Pool) askingConn(ctx context.Context, address string, n int) (*conn, error) {
 	if n%2 == 0 {
-		if c := p.takeUsable(address, false); c != nil {
+		if c := p.takeUsable(address); c != nil {
 			return c, nil
 		}
 	}
@@ -151,7 +118,6 @@
 // ask sends a request on a connection and returns which server responds; the answer may take twice the wait. It
 // keeps the connection for the next request, or closes it.
 func (p *Pool) ask(ctx context.Context, c *conn, req *http.Request, wait time.Duration) (ServerState, error) {
-	c.setKind(endsUnknown)
 	guard := abortWhenDone(ctx, c)
 	reusable := false
 	defer func() {
--- a/modules/httpconn/pool.go
+++ b/modules/httpconn/pool.go
@@ -51,9 +51,6 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
-	// hosts are all connections by address, and connCount is the number of those that were opened.
-	hosts     map[string]*hostConns
-	connCount uint64
 }
 
 // conn is one connection, used by one request at a time.
@@ -64,27 +61,11 @@
 	expires time.Time
 	// serverIdleTimeout is the last Keep-Alive timeout that the server sent; 0 if none.
 	serverIdleTimeout time.Duration
-	// pool, number and opened are set by Pool.track.
-	pool   *Pool
-	number uint64
-	opened time.Time
-
-	// endMu guards what follows.
-	endMu sync.Mutex
-	// kind is what a close by the server ends now.
-	kind endKind
-	// seen is when the server's side was last known to be open, and unusedSince when the connection was last used.
-	seen, unusedSince time.Time
-	// headAt is when the head of the last response without length or chunks came.
-	headAt time.Time
-	// closedAt is when the server closed its side, if that was seen, and quiet how long it had sent nothing before.
-	closedAt time.Time
-	quiet    time.Duration
 }
 
 // get returns a pooled connection or opens one; the error is ErrNotDispatched.
 func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
-	if c := p.takeUsable(address, true); c != nil {
+	if c := p.takeUsable(address); c != nil {
 		return c, nil
 	}
 	c, err := p.open(ctx, address, orDefault(p.DialTimeout, DefaultDialTimeout))
@@ -102,16 +83,13 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, address: address, heads: NewHeadReader(raw)}
-	p.track(c)
-	return c, nil
+	return &conn{Conn: raw, address: address, heads: NewHeadReader(raw)}, nil
 }
 
-// takeUsable returns an unused connection that is open and has nothing to read, and leaves a witness that is needed if
-// keepsWitness is set; nil if there is none.
-func (p *Pool) takeUsable(address string, keepsWitness bool) *conn {
+// takeUsable returns an unused connection that is open and has nothing to read; nil if there is none.
+func (p *Pool) takeUsable(address string) *conn {
 	for {
-		c := p.takeIdle(address, keepsWitness)
+		c := p.takeIdle(address)
 		if c == nil || time.Now().Before(c.expires) && c.isIdle() {
 			return c
 		}
@@ -119,11 +97,11 @@
 	}
 }
 
-func (p *Pool) takeIdle(address string, keepsWitness bool) *conn {
+func (p *Pool) takeIdle(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 || keepsWitness && len(list) == 1 && p.needsWitnessLocked(address) {
+	if len(list) == 0 {
 		return nil
 	}
 	c := list[len(list)-1]
@@ -142,7 +120,6 @@
 		return
 	}
 	c.expires = time.Now().Add(keep)
-	c.setKind(endsUnused)
 	maxIdle := p.MaxIdle
 	if maxIdle == 0 {
 		maxIdle = DefaultMaxIdle
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -43,7 +43,7 @@
 	// OrderErrors counts events of streams that do not follow the events before them.
 	OrderErrors metric.Int64Counter
 	// CloseDelimitedEnds counts responses without length or chunks by how they ended: proven if the body shows its
-	// end, or the rest was asked for and is empty, assumed if nothing showed that they were cut, and broken.
+	// end, or the rest was asked for and is empty, assumed if their service is completed at a close, and broken.
 	CloseDelimitedEnds metric.Int64Counter
 	// Retries counts requests that were placed again, by cause.
 	Retries metric.Int64Counter
--- a/modules/setting/front.go
+++ b/modules/setting/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/runworks/runworks/modules/yamlfile"
@@ -118,6 +119,10 @@
 	Cores int `yaml:"cores"`
 	// MemoryMB limits the memory of the process in MB; 0 means no limit.
 	MemoryMB int64 `yaml:"memory_mb"`
+	// CompleteAtClose names the services whose servers mark the end of a response by closing its connection only, with
+	// neither a length nor chunks. The close then counts as that end while the server says that it runs. For any other
+	// service a response must show that it is whole.
+	CompleteAtClose []string `yaml:"complete_at_close"`
 	// Log configures the log output.
 	Log Log `yaml:"log"`
 	// LogLinesPerSecond limits the log lines; those beyond it are dropped and counted.
@@ -189,6 +194,9 @@
 	if s.MaxResponseBytes <= 0 {
 		m.add("max_response_bytes", "%d is not above zero", s.MaxResponseBytes)
 	}
+	if slices.Contains(s.CompleteAtClose, "") {
+		m.add("complete_at_close", "a service has no name")
+	}
 	if s.Cores < 0 {
 		m.add("cores", "%d is negative", s.Cores)
 	}
--- a/modules/tcp/arrival.go
+++ b/modules/tcp/arrival.go
@@ -32,8 +32,8 @@
 	if !ok {
 		return now
 	}
-	_, end := PeekPeerEnd(c)
-	return now.Add(-end.Ago)
+	_, ago := PeekPeerEnd(c)
+	return now.Add(-ago)
 }
 
 // sinceLastReceived returns the time since a connection last received bytes; 0 if the kernel does not tell.
--- a/modules/tcp/peer.go
+++ b/modules/tcp/peer.go
@@ -23,31 +23,22 @@
 	PeerEndReset
 )
 
-// PeerClose is when the peer closed its side of a connection.
-type PeerClose struct {
-	// Ago is how long ago that was. It is too short if keep-alive probes were answered since.
-	Ago time.Duration
-	// Quiet is how long the peer had sent no data before.
-	Quiet time.Duration
-}
-
-// PeekPeerEnd returns the state of the peer's side of a connection, whether or not what it sent before was read, and
-// when it closed that.
-func PeekPeerEnd(c net.Conn) (PeerEnd, PeerClose) {
+// PeekPeerEnd returns the state of the peer's side of a connection, whether or not what it sent before was read, and how
+// long ago it closed that: too short a time if keep-alive probes were answered since.
+func PeekPeerEnd(c net.Conn) (state PeerEnd, ago time.Duration) {
 	info := kernelInfo(c)
 	switch {
 	case info == nil:
-		return PeerEndUnknown, PeerClose{}
+		return PeerEndUnknown, 0
 	case info.State == unix.BPF_TCP_ESTABLISHED:
-		return PeerEndOpen, PeerClose{}
+		return PeerEndOpen, 0
 	case info.State == unix.BPF_TCP_CLOSE_WAIT:
 		// Nothing but the answers to keep-alive probes arrives after the close.
-		ago := time.Duration(info.Last_ack_recv) * time.Millisecond
-		return PeerEndClosed, PeerClose{Ago: ago, Quiet: max(0, time.Duration(info.Last_data_recv)*time.Millisecond-ago)}
+		return PeerEndClosed, time.Duration(info.Last_ack_recv) * time.Millisecond
 	case info.State == unix.BPF_TCP_CLOSE:
-		return PeerEndReset, PeerClose{}
+		return PeerEndReset, 0
 	}
-	return PeerEndUnknown, PeerClose{}
+	return PeerEndUnknown, 0
 }
 
 // kernelInfo returns what the kernel knows of a connection; nil if it tells nothing, or if that is not a socket.
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -36,8 +36,6 @@
 	// released is set once the slot is free. It is guarded by the dispatcher's lock, which is held
 	// where the slots of a lost entry are freed: a sync.Once would deadlock there.
 	released bool
-	// freedAt is when the slot became free before the result of the call was known; zero if it did not.
-	freedAt time.Time
 	// failedAgain is set if the server failed the request that Renew counted.
 	failedAgain bool
 	// onExit is called after the server's process has exited.
@@ -75,22 +73,6 @@
 	}
 }
 
-// FreeSlot frees the slot of a server that has ended its response, before it is known whether that is whole. Release must
-// still be called. An entry that granted the slot counts it until then.
-func (l *Lease) FreeSlot() {
-	d := l.dispatcher
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if l.released || !l.freedAt.IsZero() {
-		return
-	}
-	l.freeSlotLocked()
-	l.freedAt = time.Now()
-	if s := d.services[l.service]; s != nil {
-		d.pumpLocked(s)
-	}
-}
-
 // Release frees the slot and records how the call ended. Further calls have no effect.
 func (l *Lease) Release(r Result) {
 	d := l.dispatcher
@@ -104,18 +86,14 @@
 		l.observer.Released(r)
 	}
 	now := time.Now()
-	ended := now
-	if !l.freedAt.IsZero() {
-		ended = l.freedAt
-	}
-	l.reportEndLocked(ended, r)
+	l.reportEndLocked(now, r)
 	if r != Served || !l.failedAgain {
 		l.recordResultLocked(now, r)
 	}
 	if s := d.services[l.service]; s != nil {
 		if r == Served {
-			s.duration.add(ended.Sub(l.began).Seconds(), durationWeight)
-			s.statsFor(l.routeRank).duration.add(ended.Sub(l.began).Seconds(), durationWeight)
+			s.duration.add(now.Sub(l.began).Seconds(), durationWeight)
+			s.statsFor(l.routeRank).duration.add(now.Sub(l.began).Seconds(), durationWeight)
 			s.served++
 		}
 		if r == Failed {
@@ -223,15 +201,9 @@
 	l.unreadTokens = 0
 }
 
-// releaseSlotLocked ends the lease, and frees the slot unless it is free already.
+// releaseSlotLocked ends the lease and frees the slot.
 func (l *Lease) releaseSlotLocked() {
 	l.released = true
-	if l.freedAt.IsZero() {
-		l.freeSlotLocked()
-	}
-}
-
-func (l *Lease) freeSlotLocked() {
 	l.markReadLocked()
 	l.server.releaseSlot(l)
 }
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -74,7 +74,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	if l.released || !l.freedAt.IsZero() || d.servers[s.incarnation] != s || s.addressReused || l.unavailableLocked(now) || !s.limit.Admits(now) {
+	if l.released || d.servers[s.incarnation] != s || s.addressReused || l.unavailableLocked(now) || !s.limit.Admits(now) {
 		return false
 	}
 	s.limit.Consume(now)
--- a/services/forward/answer.go
+++ b/services/forward/answer.go
@@ -29,7 +29,7 @@
 		if c.resumedByCaller() {
 			s.continueSequence(c.in.LastEventID)
 			if s.status != http.StatusOK || !s.events {
-				return c.retryOrReturn(ctx, c.interruptedFailure(ctx, s.rejectReply(reply)), nil)
+				return c.retryOrReturn(ctx, nil, c.interruptedFailure(ctx, s.rejectReply(reply)), nil)
 			}
 		}
 		c.stream = s
@@ -60,15 +60,15 @@
 	if err != nil {
 		memory.Release(reserved)
 		lease.Release(c.resultOrAbandoned(ctx, time.Now(), resultOfBreak(err)))
-		c.recordInterruption(ctx, lease.Instance, time.Time{})
-		return c.retryOrReturn(ctx, c.interruptedFailure(ctx, err), nil)
+		c.recordInterruption(ctx, lease.Instance, time.Time{}, err)
+		return c.retryOrReturn(ctx, err, c.interruptedFailure(ctx, err), nil)
 	}
 	memory.Release(reserved - int64(len(data)))
 	reply.Header.Set("Content-Length", strconv.Itoa(len(data)))
 	out := &runworks.Reply{Status: reply.Status, Header: reply.Header, Body: &wholeBody{Reader: bytes.NewReader(data), memory: memory, reserved: int64(len(data))}}
 	lease.Release(resultOf(reply.Status))
 	if reply.Status >= 500 {
-		return c.retryOrReturn(ctx, nil, out)
+		return c.retryOrReturn(ctx, nil, nil, out)
 	}
 	c.recordAnswer(reply.Status)
 	c.finish(runworks.OutcomeDone, reply.Status, nil)
@@ -99,7 +99,7 @@
 // resultOfBreak returns the dispatch result for a response that is not complete. An end that the server does
 // not confirm does not count against it: it may be whole, and the server full.
 func resultOfBreak(err error) dispatch.Result {
-	if errors.Is(err, runworks.ErrUnconfirmed) {
+	if errors.Is(err, runworks.ErrUnconfirmed) || errors.Is(err, errUnproven) {
 		return dispatch.Abandoned
 	}
 	return dispatch.Interrupted
@@ -114,10 +114,10 @@
 	return dispatch.Served
 }
 
-// retryOrReturn retries a call that ran and failed, if it may be retried. Otherwise it returns the
+// retryOrReturn retries a call that ran and failed for a cause, if it may be retried. Otherwise it returns the
 // failure or own, the server's own error response.
-func (c *call) retryOrReturn(ctx context.Context, failure *runworks.Failure, own *runworks.Reply) (*runworks.Reply, *runworks.Failure) {
-	if c.mayRetry(ctx, nil) {
+func (c *call) retryOrReturn(ctx context.Context, cause error, failure *runworks.Failure, own *runworks.Reply) (*runworks.Reply, *runworks.Failure) {
+	if c.mayRetry(ctx, cause) {
 		metrics.Count(c.f.Metrics.Retries, metrics.Result(string(runworks.OutcomeFailed)))
 		reply, second := c.serve(ctx)
 		if second == nil || own == nil {
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -24,10 +24,12 @@
 	lease.OnServerExit(func() { cancel(errServerRestarted) })
 	spanCtx, span := c.f.Tracer.Start(c.attemptCtx, tracing.SpanBackend)
 	defer span.End()
-	send := &runworks.Send{Inbound: c.in, To: lease.Instance, TimeLeft: c.timeLeft(), LastEventID: lastEvent, Customer: c.customerName(), StatusPath: c.statusPath(), EndTimeout: c.endTimeout}
-	send.Leaving = func() bool {
-		c.end.leaving = lease.Leaving()
-		return c.end.leaving
+	send := &runworks.Send{Inbound: c.in, To: lease.Instance, TimeLeft: c.timeLeft(), LastEventID: lastEvent, Customer: c.customerName(), StatusPath: c.statusPath()}
+	if c.f.CompleteAtClose[c.service] {
+		send.ConfirmEnd = func() time.Duration {
+			c.end.leaving = lease.Leaving()
+			return c.confirmTime()
+		}
 	}
 	send.BeforeSend = func() error { return c.checkBeforeSend(lease) }
 	metrics.Count(c.f.Metrics.Dispatches, metrics.Rank(c.rank))
@@ -50,7 +52,7 @@
 	}
 	c.recordRun()
 	c.versions = append(c.versions, lease.Instance.Version)
-	c.end, c.unfinishedEvent = responseEnd{closeDelimited: reply.CloseDelimited, server: reply.ServerAtEnd, shown: reply.ShowsEnd, watch: reply.WatchEnd, lease: lease, ctx: c.attemptCtx}, 0
+	c.end, c.unfinishedEvent = responseEnd{closeDelimited: reply.CloseDelimited, server: reply.ServerAtEnd, shown: reply.ShowsEnd, assumed: send.ConfirmEnd != nil, lease: lease, ctx: c.attemptCtx}, 0
 	if reply.CloseDelimited {
 		reply.Body = &closeDelimitedBody{ReadCloser: reply.Body, call: c}
 	}
@@ -60,13 +62,13 @@
 	return reply, nil
 }
 
-// endTimeout returns how long the server is asked whether it has ended the response. A call that can't go on
-// elsewhere would lose a whole one; any other is better continued or repeated there soon.
-func (c *call) endTimeout() time.Duration {
+// confirmTime returns how long the server is asked whether it still runs after the end of its response. A call that can't
+// go on elsewhere would lose a whole one; any other is better continued or repeated there soon.
+func (c *call) confirmTime() time.Duration {
 	if c.canGoOn() {
 		return 0
 	}
-	return maxEndTimeout
+	return maxConfirmTime
 }
 
 // canGoOn reports whether another server may repeat the call, or continue its response.
@@ -107,7 +109,7 @@
 	default:
 		c.recordRun()
 		c.release(lease, c.resultOrAbandoned(ctx, c.sent, dispatch.Interrupted))
-		c.recordInterruption(ctx, lease.Instance, time.Time{})
+		c.recordInterruption(ctx, lease.Instance, time.Time{}, err)
 		return c.interruptedFailure(ctx, err)
 	}
 	return c.notRunFailure(err)
@@ -232,6 +234,9 @@
 	if c.ran > 0 && !c.mayRunAgain() {
 		return false
 	}
+	if errors.Is(cause, errUnproven) {
+		return c.f.Budgets.TakeRest(c.service) // the response may be whole, and failed calls need the other retries
+	}
 	return c.f.Budgets.TakeRetry(c.service)
 }
 
--- a/services/forward/end.go
+++ b/services/forward/end.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -13,13 +12,8 @@
 	"github.com/runworks/runworks/services/dispatch"
 )
 
-const (
-	// maxWatchTime is how long a server is watched after the end of a response: one that exits closes its connections
-	// some ms before its listener, or longer if it ends in steps.
-	maxWatchTime = 100 * time.Millisecond
-	// watchTargetShare is the part of a route's target that this may take, as a divisor.
-	watchTargetShare = 10
-)
+// errUnproven is the cause if nothing shows that a response without length or chunks is whole.
+var errUnproven = errors.New("nothing shows that the response is whole")
 
 // The proofs that a response without length or chunks is whole.
 const (
@@ -42,10 +36,11 @@
 	closeDelimited bool
 	// proof is what shows that the response is whole, beyond its framing; empty if nothing does.
 	proof string
-	// server, shown and watch are ServerReply.ServerAtEnd, ServerReply.ShowsEnd and ServerReply.WatchEnd.
+	// assumed is set if the end of the connection counts as that of the response, unless something shows that it is cut.
+	assumed bool
+	// server and shown are ServerReply.ServerAtEnd and ServerReply.ShowsEnd.
 	server func() string
 	shown  func() bool
-	watch  func(time.Duration) error
 	lease  *dispatch.Lease
 	// ended is set once the response has ended, or broke, while its caller waited for it.
 	ended bool
@@ -64,19 +59,14 @@
 	return true
 }
 
-// check returns io.EOF unless what happens in the moment after the end shows that the response was cut there. The
-// server has said that it runs, so without such a sign the response counts as whole: a server that sends all its
-// responses in this form must stay usable.
-func (e *responseEnd) check(watchTime time.Duration) error {
-	e.lease.FreeSlot() // a server that has ended a response, or whose connection is cut, no longer runs the call
-	if e.watch != nil {
-		if err := e.watch(watchTime); err != nil {
-			return err
-		}
-	}
+// check returns io.EOF if the end of the connection counts as that of the response, though nothing shows that it is whole.
+// A caller can repeat a whole response that it does not get, but does not notice that a cut one lacks its end.
+func (e *responseEnd) check() error {
 	switch {
 	case e.ctx.Err() != nil:
-		return context.Cause(e.ctx) // the watch was broken off
+		return context.Cause(e.ctx)
+	case !e.assumed:
+		return errUnproven
 	case e.lease.ServerRestarted():
 		return errServerRestarted
 	case e.lease.Leaving() && !e.leaving:
@@ -85,15 +75,6 @@
 	return io.EOF
 }
 
-// watchTime returns how long the server of a response that is no stream is watched after its end. Such a response arrives
-// only then, so that it may take no more than a part of its target.
-func (c *call) watchTime() time.Duration {
-	if c.route.Target == 0 {
-		return maxWatchTime
-	}
-	return min(maxWatchTime, c.route.Target/watchTargetShare)
-}
-
 // closeDelimitedBody is the body of a response that only the end of its connection ends.
 type closeDelimitedBody struct {
 	io.ReadCloser
@@ -105,6 +86,9 @@
 func (b *closeDelimitedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	end := &b.call.end
+	if !end.assumed && errors.Is(err, runworks.ErrUnconfirmed) {
+		err = io.EOF // what follows settles it, and a rest may
+	}
 	end.ended = err != nil && end.ctx.Err() == nil
 	switch {
 	case !errors.Is(err, io.EOF):
@@ -116,7 +100,7 @@
 	case b.call.stream != nil:
 		return n, err // the stream settles its end
 	}
-	return n, end.check(b.call.watchTime())
+	return n, end.check()
 }
 
 // settleEnd returns io.EOF if the stream is whole, as far as can be told, another error if it is cut, and nil if a
@@ -139,7 +123,7 @@
 	if s.wasCut {
 		return errorx.Decorate(runworks.ErrUnconfirmed, "the stream was cut before")
 	}
-	return s.call.end.check(maxWatchTime)
+	return s.call.end.check()
 }
 
 // settleEmptyRest settles the end of a stream that a server continued without an event. That response proves nothing
@@ -150,7 +134,7 @@
 		if s.rest != nil && c.isRerun() && s.askAgain() {
 			return nil
 		}
-		return c.end.check(maxWatchTime)
+		return s.checkEnd()
 	}
 	if s.rest != nil {
 		c.end.proof = proofRest
--- a/services/forward/end_caller_rest_test.go
+++ b/services/forward/end_caller_rest_test.go
@@ -46,7 +46,7 @@
 				is := is.New(t)
 				s := &sender{replies: c.replies}
 				var out bytes.Buffer
-				f := newForwarder(t, s, &out)
+				f := newCompletingForwarder(t, s, &out)
 				began := time.Now()
 				body, err := serveResumed(t, f)
 				is.NoErr(err)
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -35,8 +35,8 @@
 	// unresponsiveAfter is how long a server must have sent nothing for a call that the caller or
 	// the deadline ends to count against it: many times the pause between events.
 	unresponsiveAfter = time.Second
-	// maxEndTimeout leaves the caller of a stream time to receive its end before minCallerTimeout.
-	maxEndTimeout = 1500 * time.Millisecond
+	// maxConfirmTime leaves the caller of a stream time to receive its end before minCallerTimeout.
+	maxConfirmTime = 1500 * time.Millisecond
 	// maxSends bounds the backend servers to which one call is sent, including those that rejected
 	// it: each further one uses the retry budget.
 	maxSends = 4
@@ -72,6 +72,10 @@
 	// MaxResponseBytes limits what a call receives from its servers; 0 means no limit. A longer response is
 	// aborted, as it may have no end.
 	MaxResponseBytes int64
+	// CompleteAtClose holds the services whose servers end a response without length or chunks by closing its connection
+	// only: such an end counts as that of the response while the server says that it runs. For any other service a
+	// response must show that it is whole.
+	CompleteAtClose map[string]bool
 	// Origins holds which software version began each resumable stream.
 	Origins streamorigin.Table
 	Sender  runworks.Sender
--- a/services/forward/server_exit.go
+++ b/services/forward/server_exit.go
@@ -44,10 +44,10 @@
 	c.f.Quarantine.RecordAnswer(time.Now(), traits)
 }
 
-// recordInterruption watches for the exit of the server whose response broke off, and attributes an exit
+// recordInterruption watches for the exit of the server whose response broke off for a cause, and attributes an exit
 // to the call if it had only begun to run. first is the time of the server's first event; zero if none
 // came.
-func (c *call) recordInterruption(ctx context.Context, server runworks.Instance, first time.Time) {
+func (c *call) recordInterruption(ctx context.Context, server runworks.Instance, first time.Time, cause error) {
 	if ctx.Err() != nil {
 		return // the caller or the deadline ended it
 	}
@@ -57,7 +57,7 @@
 		exit.record()
 		return
 	}
-	if fresh {
+	if fresh && !errors.Is(cause, errUnproven) { // the server may have ended a whole response
 		c.f.Quarantine.RecordDisconnect(exit.at, exit.traits, server.IncarnationID())
 	}
 	c.f.Sender.WatchExit(ctx, server, exit.record)
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -182,9 +182,15 @@
 
 // goOn has another server continue the stream after the current one's part has broken.
 func (s *stream) goOn(cause error) error {
-	if s.rest != nil {
+	switch {
+	case s.rest == nil:
+		return s.resume(cause)
+	case !errors.Is(cause, errUnproven):
 		return s.replaceRest()
+	case !s.holds(s.lease):
+		s.lease.Release(dispatch.Abandoned)
 	}
+	s.dropRest()
 	return s.resume(cause)
 }
 
--- a/services/forward/stream_resume.go
+++ b/services/forward/stream_resume.go
@@ -40,7 +40,7 @@
 			"request", c.in.ID, "reader_blocked_ms", s.reader.unread.Milliseconds())
 	default:
 		s.lease.Release(c.resultOrAbandoned(s.ctx, s.lastReceivedAt(), resultOfBreak(cause)))
-		c.recordInterruption(s.ctx, s.lease.Instance, s.firstEventAt)
+		c.recordInterruption(s.ctx, s.lease.Instance, s.firstEventAt, cause)
 	}
 	if slow && !c.lastEvent.IsZero() {
 		c.lastEvent = time.Now() // the caller has only now taken the last event
@@ -59,6 +59,9 @@
 	c := s.call
 	_ = s.body.Close()
 	s.recordBreak(cause)
+	if errors.Is(cause, errUnproven) {
+		return c.interruptedFailure(s.ctx, cause) // a rest was asked for, as far as the budget allows
+	}
 	for {
 		if !s.resumable() || !c.mayRetry(s.ctx, cause) {
 			return c.interruptedFailure(s.ctx, cause)
--- a/standin/routed.go
+++ b/standin/routed.go
@@ -60,6 +60,8 @@
 	maxActive int
 	// badCalls counts the calls to which RoutedFaults.Bad applied.
 	badCalls int
+	// responses counts the responses that CloseDelimitedEach may apply to.
+	responses int
 }
 
 // RoutedResponseBody returns the response body of a call without events. It depends on the
--- a/tests/platform_cut_head_test.go
+++ b/tests/platform_cut_head_test.go
@@ -204,6 +204,7 @@
 func newCutSite(t testing.TB) *cutSite {
 	t.Helper()
 	p := &cutSite{platformSite: newBarePlatformSite(t), servers: map[string]*cutServer{}}
+	p.extraSettings = completeAtClose
 	p.putDocument()
 	for _, service := range []string{"app", "llm"} {
 		s := newCutServer(t)
