--- a/tests/landings_test.go
+++ b/tests/landings_test.go
@@ -34,6 +34,8 @@
 type form struct {
 	test string
 	seed int64
+	// subtests, unless empty, is a pattern of the sub-tests to play, those that CI leaves out included.
+	subtests string
 	// counted is set if faults are counted by failed checks, of which a case may have several.
 	counted bool
 	// faults are parts of the test's checks that judge what callers got, and logs of later ones that judge log lines.
@@ -41,8 +43,11 @@
 }
 
 func (f *form) name() string {
-	if f.seed != 0 {
+	switch {
+	case f.seed != 0:
 		return fmt.Sprint("soak, seed ", f.seed)
+	case f.subtests != "":
+		return f.test + "/" + f.subtests
 	}
 	return f.test
 }
@@ -114,6 +119,7 @@
 	datadriven.RunTest(t, "testdata/landings/forms", func(t *testing.T, d *datadriven.TestData) string {
 		f := &form{test: d.Cmd}
 		d.MaybeScanArgs(t, "seed", &f.seed)
+		d.MaybeScanArgs(t, "subtests", &f.subtests)
 		f.counted = f.seed != 0 || d.HasArg("counted")
 		if !bytes.Contains(source, []byte("func "+f.test+"(t *testing.T)")) {
 			t.Errorf("no test %s", f.test)
@@ -163,24 +169,28 @@
 		}
 		return out
 	}
+	fronts := []string{"-front-program", program, "-front-lacks", strings.Join(l.lacks, ",")}
 	for run := range *landingsRuns {
 		var tests []string
 		for _, f := range forms {
-			if f.seed == 0 {
+			if f.seed == 0 && f.subtests == "" {
 				tests = append(tests, f.test)
 			}
 		}
 		var played map[string]*testOutput
 		if len(tests) > 0 {
-			played = playTests(t, fmt.Sprintf("%s-%d", l.commit, run), "-test.run", "^("+strings.Join(tests, "|")+")$", "-front-program", program, "-front-lacks", strings.Join(l.lacks, ","))
+			played = playTests(t, fmt.Sprintf("%s-%d", l.commit, run), append(fronts, "-test.run", "^("+strings.Join(tests, "|")+")$")...)
 		}
 		for _, f := range forms {
 			v := out[f.name()]
-			if f.seed == 0 {
+			switch {
+			case f.seed != 0:
+				v.add(f.judgeSeed(playTests(t, fmt.Sprintf("%s-%d-%d", l.commit, f.seed, run), append(fronts, "-test.run", "^"+f.test+"$",
+					"-soak-seeds", "1", "-soak-first", fmt.Sprint(f.seed), "-soak-time", "10s")...)))
+			case f.subtests != "":
+				v.add(f.judge(playTests(t, fmt.Sprintf("%s-%s-%d", l.commit, f.subtests, run), append(fronts, "-test.run", "^"+f.test+"$/"+f.subtests, "-foreign-forms")...)))
+			default:
 				v.add(f.judge(played))
-			} else {
-				v.add(f.judgeSeed(playTests(t, fmt.Sprintf("%s-%d-%d", l.commit, f.seed, run), "-test.run", "^"+f.test+"$",
-					"-front-program", program, "-front-lacks", strings.Join(l.lacks, ","), "-soak-seeds", "1", "-soak-first", fmt.Sprint(f.seed), "-soak-time", "10s")))
 			}
 			out[f.name()] = v
 		}
