Simulate the loads of the dispatcher in a determined order

Cause: the test. It runs in virtual time with seeded arrivals and sizes, but not with a determined order of what happens at the same instant. testing/synctest orders timers of the same instant at random, the events of one step of an engine woke a goroutine for each call, and the race detector shuffles the queue of runnable goroutines. Where one front schedules the calls of all, ties between servers also followed the order of a map.

Change: engines, fronts and calls act at instants of their own, an engine delivers the events of a step itself, one after the other, and the servers of a front are in a seeded order. The loads, the required fractions and the expected results are the same.

--- a/services/dispatch/load_test.go
+++ b/services/dispatch/load_test.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -26,6 +28,10 @@
 	loadSpeed
 	// changes makes the engine take changedSpeed times as long for a time now and then; nil is never.
 	changes *rand.Rand
+	// offset is that of the engine among the engines, and order decides which of those that end a step at
+	// the same instant comes first, and of the events of a step.
+	offset int
+	order  *rand.Rand
 
 	mu sync.Mutex
 	// changed is the current factor of such a change.
@@ -44,9 +50,21 @@
 	loadStart = 25 * time.Millisecond
 )
 
+// The order of goroutines that wake at the same instant differs from run to run, and with it the placement
+// of all later calls. So steps end at multiples of loadGrid, and each engine, front and call acts at an
+// offset from these in nanoseconds that no other has: first engines, then fronts, then calls.
+const (
+	loadGrid       = 20 * time.Microsecond
+	maxLoadEngines = 64
+	engineOffsets  = maxLoadEngines * maxLoadEngines
+	frontOffsets   = 900
+	callOffset     = engineOffsets + frontOffsets
+)
+
 // run executes steps until ctx ends.
 func (e *loadEngine) run(ctx context.Context) {
-	for ctx.Err() == nil {
+	var events []*loadCall
+	for end := time.Now(); ctx.Err() == nil; {
 		e.mu.Lock()
 		n := min(len(e.batch), e.slots)
 		chunk := 0
@@ -59,17 +77,25 @@
 		}
 		e.mu.Unlock()
 		step := time.Duration(e.slow * e.change() * float64(e.step+time.Duration(chunk)*e.read))
-		time.Sleep(step)
+		end = end.Add(max(step.Round(loadGrid), loadGrid))
+		time.Sleep(time.Until(end) + time.Duration(e.offset+maxLoadEngines*e.order.IntN(maxLoadEngines)))
 		e.mu.Lock()
 		kept := e.batch[:0]
+		events = events[:0]
 		for i, c := range e.batch {
 			if i < n && c.unread == 0 && c.token() {
-				continue
+				events = append(events, c)
+			}
+			if !c.complete() {
+				kept = append(kept, c)
 			}
-			kept = append(kept, c)
 		}
 		e.batch = kept
 		e.mu.Unlock()
+		e.order.Shuffle(len(events), func(i, j int) { events[i], events[j] = events[j], events[i] })
+		for _, c := range events {
+			c.receive()
+		}
 	}
 }
 
@@ -79,25 +105,20 @@
 	e.batch = append(e.batch, c)
 }
 
-// loadCall is a call of the simulation; events receives its events.
+// loadCall is a call of the simulation; receive is called for each of its events.
 type loadCall struct {
 	unread, tokens, made int
-	events               chan struct{}
+	receive              func()
 }
 
-// token generates a token and reports whether it was the last.
+// token generates a token and reports whether it is the last of an event.
 func (c *loadCall) token() bool {
 	c.made++
-	if c.made%loadStride == 0 || c.made == c.tokens {
-		c.events <- struct{}{}
-	}
-	if c.made < c.tokens {
-		return false
-	}
-	close(c.events)
-	return true
+	return c.made%loadStride == 0 || c.complete()
 }
 
+func (c *loadCall) complete() bool { return c.made == c.tokens }
+
 // loadKind is a kind of call with counts of how its calls ended.
 type loadKind struct {
 	rank, prompt, events int
@@ -131,6 +152,8 @@
 	moves  bool
 	began  time.Time
 	span   time.Duration
+	// orderSeed is the seed of the order of what happens at the same instant.
+	orderSeed uint64
 }
 
 const (
@@ -147,10 +170,16 @@
 	return max(1, int(float64(mean)*math.Exp(spread*k.rng.NormFloat64()-spread*spread/2)))
 }
 
+// sleep sleeps for d, and on until the next instant of an offset.
+func (l *loadSim) sleep(d time.Duration, offset int) {
+	at := time.Since(l.began) + d
+	time.Sleep(d + (loadGrid+time.Duration(offset)-at%loadGrid)%loadGrid)
+}
+
 // play generates calls for a span of time.
 func (l *loadSim) play(ctx context.Context, span time.Duration) {
 	var sources sync.WaitGroup
-	l.began, l.span = time.Now(), span
+	l.span = span
 	for i, k := range l.kinds {
 		sources.Go(func() {
 			end := time.Now().Add(span)
@@ -162,10 +191,11 @@
 				l.mu.Lock()
 				k.calls++
 				l.mu.Unlock()
-				c.tokens, c.events = events*loadStride, make(chan struct{}, events+1)
+				c.tokens = events * loadStride
 				id := fmt.Sprintf("%d-%d", i, n)
 				front := l.fronts[l.pickFront(k.rng)]
-				l.work.Go(func() { l.call(ctx, front, id, k, c, hint) })
+				offset := callOffset + (n*len(l.kinds)+i)%(int(loadGrid)-callOffset)
+				l.work.Go(func() { l.call(ctx, front, id, k, c, hint, offset) })
 				time.Sleep(wait)
 			}
 		})
@@ -231,7 +261,8 @@
 }
 
 // call sends one call and records how it ended.
-func (l *loadSim) call(ctx context.Context, front *Dispatcher, id string, k *loadKind, c *loadCall, hint int) {
+func (l *loadSim) call(ctx context.Context, front *Dispatcher, id string, k *loadKind, c *loadCall, hint, offset int) {
+	l.sleep(0, offset)
 	arrived := time.Now()
 	prompt := c.unread
 	req := &Request{
@@ -256,15 +287,11 @@
 		}
 		return
 	}
-	time.Sleep(loadStart)
-	engine := l.engines[lease.Instance.ID]
-	engine.add(c)
-	if l.reports {
-		lease.ApplyReport(&runworks.ServerReport{Load: &runworks.ServerLoad{Slowness: engine.slowness()}}, arrived)
-	}
+	l.sleep(loadStart, offset)
 	var first, longest time.Duration
 	last := arrived
-	for range c.events {
+	ended := make(chan struct{})
+	c.receive = func() {
 		if first == 0 {
 			first = time.Since(arrived)
 			lease.RecordFirstEvent(prompt)
@@ -273,9 +300,18 @@
 			lease.RecordEventGap(time.Since(last))
 		}
 		last = time.Now()
+		if c.complete() {
+			lease.RecordLength(hint, c.made/loadStride)
+			lease.Release(Served)
+			close(ended)
+		}
+	}
+	engine := l.engines[lease.Instance.ID]
+	engine.add(c)
+	if l.reports {
+		lease.ApplyReport(&runworks.ServerReport{Load: &runworks.ServerLoad{Slowness: engine.slowness()}}, arrived)
 	}
-	lease.RecordLength(hint, c.made/loadStride)
-	lease.Release(Served)
+	<-ended
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
@@ -289,9 +325,10 @@
 }
 
 // TestLoad simulates the loads of testdata/load in virtual time and prints, for each kind of
-// call, whether at least the required fraction of its calls was on time. The fractions are
-// only logged, as they differ by some hundredths from run to run. The fractions of a load with plays
-// are those of so many runs together.
+// call, whether at least the required fraction of its calls was on time. The fractions are the same in
+// each run, but only logged, as any change of the dispatcher moves them by some hundredths. Those of a
+// load with plays are of so many simulations together, which differ in the order of what happens at the
+// same instant.
 func TestLoad(t *testing.T) {
 	kinds := playLoads(t)
 	datadriven.RunTest(t, *loadFile, func(t *testing.T, d *datadriven.TestData) string {
@@ -318,6 +355,7 @@
 		plays[d.Cmd] = n
 		for i := range n {
 			l, simulate := parseLoad(t, d)
+			l.orderSeed = uint64(i)
 			kinds[d.Cmd] = append(kinds[d.Cmd], l.kinds...)
 			simulations[fmt.Sprint(d.Cmd, "/play-", i)] = simulate
 		}
@@ -350,6 +388,9 @@
 	d.ScanArgs(t, "fast", &fast)
 	d.ScanArgs(t, "slow", &slow)
 	d.ScanArgs(t, "slots", &slots)
+	if fast+slow > maxLoadEngines || fronts >= frontOffsets {
+		d.Fatalf(t, "%d engines and %d fronts", fast+slow, fronts)
+	}
 	l.parseDeployment(t, d)
 	d.ScanArgs(t, "seconds", &seconds)
 	l.scheduled = d.HasArg("scheduled")
@@ -403,10 +444,11 @@
 // simulate runs the load on the given numbers of fast and slow engines.
 func (l *loadSim) simulate(halls, fronts, fast, slow, slots int, span time.Duration) {
 	ctx, cancel := context.WithCancel(context.Background())
+	l.began = time.Now()
 	var list []runworks.Instance
 	var running sync.WaitGroup
 	for i := range fast + slow {
-		e := &loadEngine{slow: 1, slots: slots, loadSpeed: l.loadSpeed}
+		e := &loadEngine{slow: 1, slots: slots, loadSpeed: l.loadSpeed, offset: i, order: l.order(i)}
 		switch {
 		case l.reports:
 			e.slow, e.changes = loadSpeeds[i%len(loadSpeeds)], rand.New(rand.NewPCG(*loadSeed, uint64(i)))
@@ -421,11 +463,30 @@
 	for i := range fronts {
 		d := &Dispatcher{Hall: fmt.Sprint(i % halls), Self: runworks.Incarnation(fmt.Sprint("front-", i))}
 		d.SetServers(list)
+		shuffleServers(d, l.order(i))
 		l.fronts = append(l.fronts, d)
-		running.Go(func() { d.Run(ctx) })
+		running.Go(func() {
+			l.sleep(0, engineOffsets+1+i)
+			d.Run(ctx)
+		})
 	}
-	running.Go(func() { l.exchangeLoads(ctx) })
+	running.Go(func() {
+		l.sleep(0, engineOffsets)
+		l.exchangeLoads(ctx)
+	})
 	l.play(ctx, span)
 	cancel()
 	running.Wait()
 }
+
+// order returns the generator of the order at an engine or front.
+func (l *loadSim) order(i int) *rand.Rand { return rand.New(rand.NewPCG(l.orderSeed, uint64(i))) }
+
+// shuffleServers replaces the order of a front's servers, which is that of a map: the first of several
+// that suit a call equally gets it.
+func shuffleServers(d *Dispatcher, order *rand.Rand) {
+	for _, s := range d.services {
+		slices.SortFunc(s.all, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+		order.Shuffle(len(s.all), func(i, j int) { s.all[i], s.all[j] = s.all[j], s.all[i] })
+	}
+}
