--- a/modules/httpconn/identify.go
+++ b/modules/httpconn/identify.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// identifyAttempts is the least number of connections on which a server is asked which one it is. An
-	// overloaded server resets new ones, and so does one that is about to exit.
-	identifyAttempts = 2
 	// identifyWaits is how many parts the wait for an answer has: the first may end because this process did
 	// not run, with the answer already here.
 	identifyWaits = 2
@@ -68,7 +65,7 @@
 }
 
 // stateOf returns what is found of the server at address. It asks until there is an answer, for as long as
-// Call.IdentifyTimeout at least.
+// Call.IdentifyTimeout at least, on one connection after the other: an overloaded server resets new ones.
 func (p *Pool) stateOf(ctx context.Context, address string, call *Call) ServerState {
 	wait := identifyWaits * orDefault(p.ProbeTimeout, DefaultProbeTimeout)
 	if call.IdentifyTimeout != nil {
@@ -78,7 +75,7 @@
 	for n := 1; ; n++ {
 		state := p.askOnce(ctx, address, call, n, deadline)
 		known := state != ServerUnreachable && state != ServerDisconnected
-		if known || n >= identifyAttempts && !time.Now().Before(deadline) || ctx.Err() != nil {
+		if known || !time.Now().Before(deadline) || ctx.Err() != nil {
 			return state
 		}
 		pause.For(ctx, min(time.Duration(n)*identifyPause, max(time.Until(deadline), 0)))
