--- a/services/forward/end.go
+++ b/services/forward/end.go
@@ -87,7 +87,7 @@
 	n, err := b.ReadCloser.Read(p)
 	end := &b.call.end
 	if !end.assumed && errors.Is(err, runworks.ErrUnconfirmed) {
-		err = io.EOF // what follows settles it, and a rest may
+		err = io.EOF // check decides, or the rest of a stream
 	}
 	end.ended = err != nil && end.ctx.Err() == nil
 	switch {
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -182,13 +182,14 @@
 
 // goOn has another server continue the stream after the current one's part has broken.
 func (s *stream) goOn(cause error) error {
-	switch {
-	case s.rest == nil:
+	if s.rest == nil {
 		return s.resume(cause)
-	case !errors.Is(cause, errUnproven):
+	}
+	if !errors.Is(cause, errUnproven) {
 		return s.replaceRest()
-	case !s.holds(s.lease):
-		s.lease.Release(dispatch.Abandoned)
+	}
+	if !s.holds(s.lease) {
+		s.lease.Release(dispatch.Abandoned) // that of another server, which was asked for the rest
 	}
 	s.dropRest()
 	return s.resume(cause)
