--- a/daemon/front.go
+++ b/daemon/front.go
@@ -206,7 +206,7 @@
 		Sender: &platform.Sender{Pool: d.pool}, Regions: s.Regions,
 		NewerRouting: d.newerRouting,
 		Memory:       forward.Memory{Limit: int64(heldFraction * float64(s.MemoryMB<<20))}, MaxResponseBytes: s.MaxResponseBytes,
-		CompleteAtClose: serviceSet(s.CompleteAtClose),
+		CompleteAtClose: s.CompleteAtClose,
 	}
 	d.front = &platform.Front{Forwarder: d.forwarder, Logger: d.Logger, MaxBodyBytes: s.MaxBodyBytes}
 	d.store = &platform.Store{Address: s.Store, Client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: httpconn.MaxHeadBytes}}, OnRestored: d.onStoreRestored, OnNoResponse: d.onNoStoreResponse, OnSilent: d.onSilentStoreConn}
@@ -234,15 +234,6 @@
 	return flushSpans, nil
 }
 
-// serviceSet returns the set of services.
-func serviceSet(services []string) map[string]bool {
-	out := make(map[string]bool, len(services))
-	for _, service := range services {
-		out[service] = true
-	}
-	return out
-}
-
 // idleLimit returns how long a caller's connection may be idle.
 func (d *Front) idleLimit() time.Duration {
 	if table := d.forwarder.Table.Load(); table != nil && table.Routing.Limits.IdleTimeout > 0 {
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -25,7 +25,7 @@
 	spanCtx, span := c.f.Tracer.Start(c.attemptCtx, tracing.SpanBackend)
 	defer span.End()
 	send := &runworks.Send{Inbound: c.in, To: lease.Instance, TimeLeft: c.timeLeft(), LastEventID: lastEvent, Customer: c.customerName(), StatusPath: c.statusPath()}
-	if c.f.CompleteAtClose[c.service] {
+	if slices.Contains(c.f.CompleteAtClose, c.service) {
 		send.ConfirmEnd = func() time.Duration {
 			c.end.leaving = lease.Leaving()
 			return c.confirmTime()
--- a/services/forward/end_test.go
+++ b/services/forward/end_test.go
@@ -80,7 +80,7 @@
 				s := &sender{replies: c.replies}
 				f := newForwarder(t, s, io.Discard)
 				f.Dispatcher.SetServers(threeServers("s")[:c.servers])
-				f.CompleteAtClose = map[string]bool{"other": true}
+				f.CompleteAtClose = []string{"other"}
 				_, body, err := serve(t.Context(), f, c.route)
 				is.Equal(err == nil, c.result != endBroken)
 				is.Equal(body, c.body)
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -75,7 +75,7 @@
 	// CompleteAtClose holds the services whose servers end a response without length or chunks by closing its connection
 	// only: such an end counts as that of the response while the server says that it runs. For any other service a
 	// response must show that it is whole.
-	CompleteAtClose map[string]bool
+	CompleteAtClose []string
 	// Origins holds which software version began each resumable stream.
 	Origins streamorigin.Table
 	Sender  runworks.Sender
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -245,7 +245,7 @@
 func newCompletingForwarder(t *testing.T, s *sender, out io.Writer) *Forwarder {
 	t.Helper()
 	f := newForwarder(t, s, out)
-	f.CompleteAtClose = map[string]bool{"app": true}
+	f.CompleteAtClose = []string{"app"}
 	return f
 }
 
--- a/services/forward/rest_load_test.go
+++ b/services/forward/rest_load_test.go
@@ -71,7 +71,7 @@
 					f := newForwarder(t, &sender{}, io.Discard)
 					f.Sender = s
 					if completed {
-						f.CompleteAtClose = map[string]bool{"app": true}
+						f.CompleteAtClose = []string{"app"}
 					}
 					f.Budgets = &Budgets{Ratio: budget.Ratio, Slack: budget.Slack}
 					routing := testRouting()
