Decide in one place that an unproven stream is not continued

goOn and resume each asked for that cause, and the request for the rest was given up in the one, the failure made in the other.

--- a/services/forward/end.go
+++ b/services/forward/end.go
@@ -142,6 +142,20 @@
 	return io.EOF
 }
 
+// endUnproven ends a stream that nothing shows to be whole, and returns the failure. No other server continues it: a rest was
+// asked for as far as the budget allows.
+func (s *stream) endUnproven(cause error) error {
+	if s.rest != nil {
+		if !s.holds(s.lease) {
+			s.lease.Release(dispatch.Abandoned) // that of another server, which was asked for the rest
+		}
+		s.dropRest()
+	}
+	_ = s.body.Close()
+	s.recordBreak(cause)
+	return s.call.interruptedFailure(s.ctx, cause)
+}
+
 // restIsEmpty reports whether a server was asked to continue the stream and sent no event.
 func (s *stream) restIsEmpty() bool {
 	return s.rest != nil || s.call.events > 0 && s.continued && !s.answered
--- a/services/forward/rest.go
+++ b/services/forward/rest.go
@@ -142,7 +142,7 @@
 	if errors.Is(err, io.EOF) {
 		return err
 	}
-	return s.resume(err)
+	return s.goOn(err)
 }
 
 // askAgain has another server continue the stream, after an empty rest of the same one that proves nothing: what cut the
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -182,16 +182,12 @@
 
 // goOn has another server continue the stream after the current one's part has broken.
 func (s *stream) goOn(cause error) error {
-	if s.rest == nil {
-		return s.resume(cause)
-	}
-	if !errors.Is(cause, errUnproven) {
+	switch {
+	case errors.Is(cause, errUnproven):
+		return s.endUnproven(cause)
+	case s.rest != nil:
 		return s.replaceRest()
 	}
-	if !s.holds(s.lease) {
-		s.lease.Release(dispatch.Abandoned) // that of another server, which was asked for the rest
-	}
-	s.dropRest()
 	return s.resume(cause)
 }
 
--- a/services/forward/stream_resume.go
+++ b/services/forward/stream_resume.go
@@ -59,9 +59,6 @@
 	c := s.call
 	_ = s.body.Close()
 	s.recordBreak(cause)
-	if errors.Is(cause, errUnproven) {
-		return c.interruptedFailure(s.ctx, cause) // a rest was asked for, as far as the budget allows
-	}
 	for {
 		if !s.resumable() || !c.mayRetry(s.ctx, cause) {
 			return c.interruptedFailure(s.ctx, cause)
