--- a/tests/platform_foreign_test.go
+++ b/tests/platform_foreign_test.go
@@ -63,10 +63,12 @@
 			out = append(out, form)
 		}
 	}
-	oldInCI, old := foreignForm{name: ", HTTP/1.0", http10: true, completeAtClose: true, ci: true}, foreignForm{name: ", HTTP/1.0", http10: true, completeAtClose: true}
-	byDefault, chunks := foreignForm{name: ", HTTP/1.0, default settings", http10: true}, foreignForm{name: ", chunks"}
-	byDefaultInCI := byDefault
-	byDefaultInCI.ci = true
+	inCI := func(form foreignForm) foreignForm {
+		form.ci = true
+		return form
+	}
+	old, chunks := foreignForm{name: ", HTTP/1.0", http10: true, completeAtClose: true}, foreignForm{name: ", chunks"}
+	byDefault := foreignForm{name: ", HTTP/1.0, default settings", http10: true}
 	both := func(form foreignForm, change func(*foreignForm)) []foreignForm {
 		change(&form)
 		other := form
@@ -76,10 +78,10 @@
 	}
 	add("nothing happens", false, func(*foreignSite) {}, old, chunks)
 	add("nothing happens", true, func(*foreignSite) {}, byDefault)
-	add("a server is killed", true, (*foreignSite).killServer, oldInCI, byDefaultInCI, chunks)
-	add("a server is killed and started again", true, (*foreignSite).restartServer, oldInCI, byDefaultInCI, chunks)
-	add("a server ends at SIGTERM", true, (*foreignSite).endServer, oldInCI, chunks)
-	add("a server is frozen and killed", true, (*foreignSite).freezeServer, oldInCI, chunks)
+	add("a server is killed", true, (*foreignSite).killServer, inCI(old), inCI(byDefault), chunks)
+	add("a server is killed and started again", true, (*foreignSite).restartServer, inCI(old), inCI(byDefault), chunks)
+	add("a server ends at SIGTERM", true, (*foreignSite).endServer, inCI(old), chunks)
+	add("a server is frozen and killed", true, (*foreignSite).freezeServer, inCI(old), chunks)
 	add("a front is killed", true, (*foreignSite).killFront, old, chunks)
 	add("a front is stopped", false, (*foreignSite).stopFront, old, chunks)
 	add("a server is killed", true, (*foreignSite).killServer, both(foreignForm{ci: true}, func(f *foreignForm) { f.name, f.versions = ", two versions", true })...)
@@ -100,7 +102,7 @@
 	p := &foreignSite{platformSite: newBarePlatformSite(t), form: form, paths: map[string]*proxy{}}
 	p.putDocument()
 	if form.completeAtClose {
-		p.extraSettings = fmt.Sprintf("complete_at_close: [%s]\n", cmp.Or(form.service, "llm"))
+		p.extraSettings = completeAtClose
 	}
 	for _, name := range []string{form.server(1), form.server(2)} {
 		p.startServer(name, "127.0.0.1:0")
