Play a server of another version that takes an address amid streams

Callers get streams of two versions: a server is killed amid its streams, another one of another version has its address at once, runs calls whichever instance they expect, and is asked for the rest of a stream that ended with its connection. It names itself in its responses, and nobody looks.

Each of the three forms (record replaced, record stays, store does not respond) is played with servers of HTTP/1.0, mixed ones and chunks.

--- /dev/null
+++ b/tests/platform_foreign_address_test.go
@@ -0,0 +1,53 @@
+package tests
+
+import (
+	"bytes"
+	"syscall"
+)
+
+// foreignAddressForms returns the forms in which a server of another version takes the address of one that is killed amid its
+// streams, and does not look at the instance that a call expects.
+func foreignAddressForms() []foreignForm {
+	var out []foreignForm
+	add := func(name string, form foreignForm) {
+		form.cuts, form.path = true, pathToServer
+		byDefault, old, mixed, chunks := form, form, form, form
+		byDefault.name, byDefault.http10, byDefault.ci = name+", HTTP/1.0, default settings", true, true
+		old.name, old.http10, old.completeAtClose = name+", HTTP/1.0", true, true
+		mixed.name, mixed.mixed, mixed.ci = name+", mixed", true, true
+		chunks.name = name + ", chunks"
+		out = append(out, byDefault, old, mixed, chunks)
+	}
+	add("an address is taken by another version", foreignForm{event: (*foreignSite).takeAddress})
+	add("an address is taken by another version, the record stays", foreignForm{event: (*foreignSite).takeAddressUnlisted})
+	add("an address is taken by another version, the store is frozen", foreignForm{before: (*foreignSite).freezeStore, event: (*foreignSite).takeAddressInSilence})
+	return out
+}
+
+// takeAddress kills the second server, has one of another version at its address, and replaces its record.
+func (p *foreignSite) takeAddress() {
+	p.takeAddressUnlisted()
+	p.listSuccessor()
+}
+
+func (p *foreignSite) takeAddressUnlisted() {
+	p.startUnlisted(p.form.server(3), "127.0.0.1:0", "v2", "--any-instance")
+	p.paths[p.form.server(2)].setTarget(p.backends[p.form.server(3)].address("standin"))
+	p.killServer()
+}
+
+func (p *foreignSite) listSuccessor() {
+	record := serverRecord("llm", p.paths[p.form.server(2)].address(), "ready", 0)
+	p.put("keyed.servers", p.form.server(3), bytes.Replace(record, []byte(`"version": "v1"`), []byte(`"version": "v2"`), 1))
+	p.put("keyed.servers", p.form.server(2), nil)
+}
+
+func (p *foreignSite) freezeStore() { p.store.signal(syscall.SIGSTOP) }
+
+// takeAddressInSilence is takeAddress while the store does not respond, and for some time after that.
+func (p *foreignSite) takeAddressInSilence() {
+	p.takeAddressUnlisted()
+	p.wait(foreignFreeze)
+	p.store.signal(syscall.SIGCONT)
+	p.listSuccessor()
+}
--- a/tests/platform_foreign_test.go
+++ b/tests/platform_foreign_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -41,6 +42,8 @@
 	// versions differ.
 	http10, oldCallers, versions bool
 	event                        func(p *foreignSite)
+	// before, unless nil, is called before the first stream.
+	before func(p *foreignSite)
 	// completeAtClose has the fronts take the end of a connection for that of a response without length or chunks.
 	completeAtClose bool
 	// mixed has the servers send each other response without length or chunks, in HTTP/1.1.
@@ -87,7 +90,7 @@
 	add("a server is killed", true, (*foreignSite).killServer, both(foreignForm{ci: true}, func(f *foreignForm) { f.name, f.versions = ", two versions", true })...)
 	add("a front is killed", true, (*foreignSite).killFront, both(foreignForm{}, func(f *foreignForm) { f.name, f.versions = ", two versions", true })...)
 	add("a server is killed", true, (*foreignSite).killServer, both(foreignForm{}, func(f *foreignForm) { f.name, f.oldCallers = ", old callers", true })...)
-	return append(out, foreignPathForms()...)
+	return slices.Concat(out, foreignPathForms(), foreignAddressForms())
 }
 
 // foreignSite is a site of two fronts and two servers.
@@ -119,7 +122,14 @@
 // startServer starts a server at an address.
 func (p *foreignSite) startServer(name, address string) {
 	p.t.Helper()
-	args := []string{"--listen", address, "--tell", "--delay", foreignHalf.String(), "--step", foreignStep.String(), "--software", p.version(name)}
+	p.startUnlisted(name, address, p.version(name))
+	p.list(name)
+}
+
+// startUnlisted starts a server that has no record, with further arguments.
+func (p *foreignSite) startUnlisted(name, address, version string, args ...string) {
+	p.t.Helper()
+	args = append(args, "--listen", address, "--tell", "--delay", foreignHalf.String(), "--step", foreignStep.String(), "--software", version)
 	if p.form.http10 {
 		args = append(args, "--http10")
 	}
@@ -129,7 +139,6 @@
 		faults.CloseDelimitedEach = 2
 	}
 	p.setFaults(p.backends[name], faults)
-	p.list(name)
 }
 
 func (p *foreignSite) version(server string) string {
@@ -175,6 +184,9 @@
 func (p *foreignSite) play() {
 	streams := make([]*orderStream, foreignStreams)
 	var wg sync.WaitGroup
+	if p.form.before != nil {
+		p.form.before(p)
+	}
 	began := time.Now()
 	for i := range streams {
 		wg.Go(func() {
