Log and count responses of servers that have another one's address

A response that names another instance than the call expects is logged with both and counted in addresses_reused_total, as one with 421 is. Nothing else changes.

--- a/inbound.go
+++ b/inbound.go
@@ -130,6 +130,8 @@
 	NotRun bool
 	// AddressReused is set if another backend server now has this address.
 	AddressReused bool
+	// Responder is the ID that the response names as that of the server which sent it; empty if it names none.
+	Responder string
 	// Report is the server report. ReportErr describes the parts of it that could not be
 	// parsed; these are treated as absent.
 	Report    ServerReport
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -42,6 +42,8 @@
 	Resumes metric.Int64Counter
 	// OrderErrors counts events of streams that do not follow the events before them.
 	OrderErrors metric.Int64Counter
+	// AddressesReused counts responses of servers that have the address of the one the call was sent to.
+	AddressesReused metric.Int64Counter
 	// CloseDelimitedEnds counts responses without length or chunks by how they ended: proven if the body shows its
 	// end, or the rest was asked for and is empty, assumed if their service is completed at a close, and broken.
 	CloseDelimitedEnds metric.Int64Counter
@@ -116,6 +118,7 @@
 		ReservationsRefused: b.counter("runworks.tickets_refused", "tickets an agent did not hold, by reason"),
 		Resumes:             b.counter("runworks.resumes", "answer streams picked up again at an offset"),
 		OrderErrors:         b.counter("runworks.order_errors", "events of streams that do not follow those before them"),
+		AddressesReused:     b.counter("runworks.addresses_reused", "responses of servers that have the address of the one the call was sent to"),
 		CloseDelimitedEnds:  b.counter("runworks.close_delimited_ends", "responses without length or chunks, by how they ended"),
 		Retries:             b.counter("runworks.retries", "requests placed again, by cause"),
 		Dispatches:          b.counter("runworks.dispatches", "calls sent to the backend server, by tier rank"),
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -39,6 +39,7 @@
 	if err != nil {
 		return nil, c.handleSendError(ctx, lease, err)
 	}
+	c.noteResponder(lease, reply)
 	if reply.AddressReused {
 		_ = reply.Body.Close()
 		c.release(lease, dispatch.AddressReused)
@@ -62,6 +63,16 @@
 	return reply, nil
 }
 
+// noteResponder records a response of a server that has the address of the one the call was sent to.
+func (c *call) noteResponder(lease *dispatch.Lease, reply *runworks.ServerReply) {
+	if !reply.AddressReused && (reply.Responder == "" || reply.Responder == lease.Instance.ID) {
+		return
+	}
+	metrics.Count(c.f.Metrics.AddressesReused)
+	c.f.Logger.Warn("another server has the address of the one that the call was sent to", "server", lease.Instance.IncarnationID(), "address", lease.Instance.Address,
+		"responder", reply.Responder, "service", c.service, "request", c.in.ID, "status", reply.Status, "not_run", reply.NotRun)
+}
+
 // confirmTime returns how long the server is asked whether it still runs after the end of its response. A call that can't
 // go on elsewhere would lose a whole one; any other is better continued or repeated there soon.
 func (c *call) confirmTime() time.Duration {
