Drop responses that name another server than the call was sent to

A call that can't be joined was no better off: the response of a server of another service would have reached its caller, and its report counted for the server that is gone.

A front took the word of the record for who responds. It looked at 421 alone, and at the name in the response only where a server was asked for the end of a response.

The response itself now says who sent it: one that names another instance is dropped at the place where 421 is handled, before its report, its head or an event counts. The call may have run there, so that it is repeated only if its route allows that.

--- a/inbound.go
+++ b/inbound.go
@@ -126,9 +126,9 @@
 	// ShowsEnd reports whether Body, once it has returned io.EOF, shows itself that it is whole, as an object of JSON
 	// does. It may be nil.
 	ShowsEnd func() bool
-	// NotRun is set if the backend server reported that it did not run the call.
+	// NotRun is set if the server that responded reported that it did not run the call.
 	NotRun bool
-	// AddressReused is set if another backend server now has this address.
+	// AddressReused is set if another backend server now has this address and responded. It may have run the call.
 	AddressReused bool
 	// Responder is the ID that the response names as that of the server which sent it; empty if it names none.
 	Responder string
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -39,11 +39,8 @@
 	if err != nil {
 		return nil, c.handleSendError(ctx, lease, err)
 	}
-	c.noteResponder(lease, reply)
 	if reply.AddressReused {
-		_ = reply.Body.Close()
-		c.release(lease, dispatch.AddressReused)
-		return nil, c.notRunFailure(errorx.Decorate(runworks.ErrRejected, "another server has the address of %s", lease.Instance.ID))
+		return nil, c.rejectResponder(ctx, lease, reply)
 	}
 	c.applyReport(lease, reply)
 	if reply.NotRun {
@@ -63,14 +60,20 @@
 	return reply, nil
 }
 
-// noteResponder records a response of a server that has the address of the one the call was sent to.
-func (c *call) noteResponder(lease *dispatch.Lease, reply *runworks.ServerReply) {
-	if !reply.AddressReused && (reply.Responder == "" || reply.Responder == lease.Instance.ID) {
-		return
-	}
+// rejectResponder drops the response of a server that has the address of the one the call was sent to, and returns the
+// failure: that server may be of another service or version.
+func (c *call) rejectResponder(ctx context.Context, lease *dispatch.Lease, reply *runworks.ServerReply) *runworks.Failure {
+	_ = reply.Body.Close()
 	metrics.Count(c.f.Metrics.AddressesReused)
 	c.f.Logger.Warn("another server has the address of the one that the call was sent to", "server", lease.Instance.IncarnationID(), "address", lease.Instance.Address,
 		"responder", reply.Responder, "service", c.service, "request", c.in.ID, "status", reply.Status, "not_run", reply.NotRun)
+	if reply.NotRun {
+		c.release(lease, dispatch.AddressReused)
+		return c.notRunFailure(errorx.Decorate(runworks.ErrRejected, "another server has the address of %s", lease.Instance.ID))
+	}
+	c.recordRun()
+	c.release(lease, dispatch.AddressReused)
+	return c.interruptedFailure(ctx, errorx.Decorate(runworks.ErrBackend, "%s responded at the address of %s", reply.Responder, lease.Instance.ID))
 }
 
 // confirmTime returns how long the server is asked whether it still runs after the end of its response. A call that can't
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -281,7 +281,8 @@
 
 var (
 	rejected     = reply{status: 503, notRun: true}
-	moved        = reply{status: 421, addressReused: true}
+	moved        = reply{status: 421, notRun: true, addressReused: true}
+	taken        = reply{addressReused: true, body: "id: 3\ndata: c\n\n"}
 	unreachable  = reply{err: errorx.Decorate(runworks.ErrNotDispatched, "refused")}
 	lost         = reply{err: errorx.Decorate(runworks.ErrBackend, "reset")}
 	failed       = reply{status: 500, body: "sorry"}
@@ -305,6 +306,13 @@
 	}{
 		{"rejected, then served", "once", []reply{rejected, good}, 2, 200, good.body, ""},
 		{"address reused, then served", "once", []reply{moved, good}, 2, 200, good.body, ""},
+		{"another server responds: may have run", "once", []reply{taken, good}, 1, 0, "", runworks.OutcomeUnknown},
+		{"another server rejects, then served", "once", []reply{{status: 503, notRun: true, addressReused: true}, good}, 2, 200, good.body, ""},
+		{"repeatable, and another server responds", "safe", []reply{taken, good}, 2, 200, good.body, ""},
+		{"another server sends a failure", "safe", []reply{{status: 500, addressReused: true}, lost}, 2, 0, "", runworks.OutcomeUnknown},
+		{"another server sends a stream", "stream", []reply{taken, good}, 1, 0, "", runworks.OutcomeUnknown},
+		{"another server sends a resumable stream", "resumable", []reply{taken, restOfStream}, 2, 200, restOfStream.body, ""},
+		{"another server continues a stream", "resumable", []reply{{body: event(1) + event(2), broken: errReset}, taken, restOfStream}, 2, 200, "", runworks.OutcomeUnknown},
 		{"unreachable, then served", "once", []reply{unreachable, good}, 2, 200, good.body, ""},
 		{"rejected everywhere", "once", []reply{rejected}, 3, 0, "", runworks.OutcomeNotRun},
 		{"lost: may have run", "once", []reply{lost, good}, 1, 0, "", runworks.OutcomeUnknown},
--- a/services/forward/limit_test.go
+++ b/services/forward/limit_test.go
@@ -32,7 +32,8 @@
 		{"not run", []reply{{status: http.StatusServiceUnavailable, notRun: true, report: two}, good}, true, false},
 		{"none", []reply{good}, false, false},
 		{"unreadable", []reply{{body: "good", reportErr: unreadable}}, false, true},
-		{"another server's", []reply{{status: http.StatusMisdirectedRequest, addressReused: true, report: two}, good}, false, false},
+		{"another server's", []reply{{status: http.StatusMisdirectedRequest, notRun: true, addressReused: true, report: two}, good}, false, false},
+		{"another server's, not run", []reply{{status: http.StatusServiceUnavailable, notRun: true, addressReused: true, report: two}, good}, false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
