Ask who has an address before a stream goes on there

Callers got streams of two versions where a process of another version took the address of a server that was killed, ran calls whichever instance they expect, and named itself in the responses to status requests alone: the rest of a stream that ends with its connection was asked for at the address of the record, and nothing in the response says who sent it.

Unless the response that ended named its server, the server is now asked which one it is first, as before the ends were changed, and another one is asked for the rest if it is not itself. A server that named itself must do so in the rest.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -105,6 +105,7 @@
 	cmd.Flag("delay", "How long a call runs, and the interval between events.").Default("0s").DurationVar(&b.Delay)
 	cmd.Flag("step", "The interval between events that all streams share, in place of the delay; 0s for none.").Default("0s").DurationVar(&b.Step)
 	cmd.Flag("any-instance", "Run calls for other instances, too, and name itself in each response.").BoolVar(&b.AnyInstance)
+	cmd.Flag("nameless", "With --any-instance, name itself in the responses to status requests alone.").BoolVar(&b.Nameless)
 	oldProtocol := cmd.Flag("http10", "Respond in HTTP/1.0, with neither a length nor chunks.").Bool()
 	exitOn := cmd.Flag("end-on", "Exit when a call with this text in its body starts to run.").String()
 	exitOnPart := cmd.Flag("end-on-part", "Exit when a call whose prompt has a part with this ID, other than the last, starts to run.").String()
--- a/inbound.go
+++ b/inbound.go
@@ -143,6 +143,9 @@
 	// Send sends one call, at most once. The error is the one returned by Send.BeforeSend, or
 	// ErrNotDispatched only if the call was certainly not sent, and ErrBackend otherwise.
 	Send(ctx context.Context, s *Send) (*ServerReply, error)
+	// Responds reports whether the backend server itself responds at its address, and not another one that has it. Nothing
+	// runs there for that. statusPath is Send.StatusPath.
+	Responds(ctx context.Context, server Instance, statusPath string) bool
 	// WatchExit calls ended if the backend server's process is proven to have exited, either
 	// before WatchExit returns or shortly after.
 	WatchExit(ctx context.Context, server Instance, ended func())
--- a/modules/httpconn/identify.go
+++ b/modules/httpconn/identify.go
@@ -64,6 +64,12 @@
 	return ok && b.json.End() == JSONComplete
 }
 
+// Identify returns what is found of the server at address, which is asked with the requests that identify returns, as
+// Call.Identify does.
+func (p *Pool) Identify(ctx context.Context, address string, identify func() *http.Request) ServerState {
+	return p.stateOf(ctx, address, &Call{Identify: identify})
+}
+
 // stateOf returns what is found of the server at address. It asks until there is an answer, for as long as
 // Call.IdentifyTimeout at least, on one connection after the other: an overloaded server resets new ones.
 func (p *Pool) stateOf(ctx context.Context, address string, call *Call) ServerState {
--- a/services/forward/attempt.go
+++ b/services/forward/attempt.go
@@ -50,7 +50,7 @@
 	}
 	c.recordRun()
 	c.versions = append(c.versions, lease.Instance.Version)
-	c.end, c.unfinishedEvent = responseEnd{closeDelimited: reply.CloseDelimited, server: reply.ServerAtEnd, shown: reply.ShowsEnd, assumed: send.ConfirmEnd != nil, lease: lease, ctx: c.attemptCtx}, 0
+	c.end, c.unfinishedEvent = responseEnd{closeDelimited: reply.CloseDelimited, server: reply.ServerAtEnd, shown: reply.ShowsEnd, named: reply.Responder != "", assumed: send.ConfirmEnd != nil, lease: lease, ctx: c.attemptCtx}, 0
 	if reply.CloseDelimited {
 		reply.Body = &closeDelimitedBody{ReadCloser: reply.Body, call: c}
 	}
--- a/services/forward/end.go
+++ b/services/forward/end.go
@@ -36,6 +36,8 @@
 	closeDelimited bool
 	// proof is what shows that the response is whole, beyond its framing; empty if nothing does.
 	proof string
+	// named is set if the response named the server that sent it.
+	named bool
 	// assumed is set if the end of the connection counts as that of the response, unless something shows that it is cut.
 	assumed bool
 	// server and shown are ServerReply.ServerAtEnd and ServerReply.ShowsEnd.
--- a/services/forward/forward_test.go
+++ b/services/forward/forward_test.go
@@ -33,6 +33,8 @@
 	status        int
 	notRun        bool
 	addressReused bool
+	// named reports that the response names its server.
+	named bool
 	// body is sent whole, or up to an error if broken is set.
 	body   string
 	broken error
@@ -75,6 +77,8 @@
 	sends []runworks.Send
 	// confirmTimes are those of Send.ConfirmEnd at the ends of responses that only their connection ends.
 	confirmTimes []time.Duration
+	// replaced reports that other servers respond at the addresses.
+	replaced bool
 	// connected is called with the server once there is a connection, before a byte is sent; may be
 	// nil.
 	connected func(server runworks.Instance)
@@ -128,9 +132,16 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
-	return &runworks.ServerReply{Reply: runworks.Reply{Status: status, Header: r.header(), Body: body}, CloseDelimited: r.closeDelimited, ShowsEnd: func() bool { return r.shown }, NotRun: r.notRun, AddressReused: r.addressReused, Report: r.report, ReportErr: r.reportErr}, nil
+	responder := ""
+	if r.named {
+		responder = send.To.ID
+	}
+	return &runworks.ServerReply{Responder: responder, Reply: runworks.Reply{Status: status, Header: r.header(), Body: body}, CloseDelimited: r.closeDelimited, ShowsEnd: func() bool { return r.shown }, NotRun: r.notRun, AddressReused: r.addressReused, Report: r.report, ReportErr: r.reportErr}, nil
 }
 
+// Responds implements runworks.Sender.
+func (s *sender) Responds(context.Context, runworks.Instance, string) bool { return !s.replaced }
+
 // WatchExit implements runworks.Sender for the server of the last send.
 func (s *sender) WatchExit(_ context.Context, _ runworks.Instance, ended func()) {
 	if s.replies[min(len(s.sends), len(s.replies))-1].exited {
--- a/services/forward/rest.go
+++ b/services/forward/rest.go
@@ -92,7 +92,14 @@
 // askSameServer asks the server that ended the stream for the rest.
 func (s *stream) askSameServer() bool {
 	_ = s.body.Close()
-	return s.lease.Renew() && s.call.f.Budgets.TakeRest(s.call.service) && s.askForRestAt(s.lease)
+	return s.isSameServer() && s.lease.Renew() && s.call.f.Budgets.TakeRest(s.call.service) && s.askForRestAt(s.lease)
+}
+
+// isSameServer reports whether the server that ended the stream responds at its address, as far as it must be asked for that:
+// one that names itself in its responses does so with the rest, too.
+func (s *stream) isSameServer() bool {
+	c := s.call
+	return c.end.named || c.end.assumed || c.f.Sender.Responds(s.rest.ctx, s.lease.Instance, c.statusPath())
 }
 
 // askOtherServer asks another server for the rest: it is independent of what cut the connection to the last one.
--- a/services/forward/rest_load_test.go
+++ b/services/forward/rest_load_test.go
@@ -39,6 +39,9 @@
 	return &runworks.ServerReply{Reply: runworks.Reply{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(&stepReader{ctx: ctx, began: s.began})}, CloseDelimited: true, ShowsEnd: func() bool { return false }}, nil
 }
 
+// Responds implements runworks.Sender.
+func (*loadSender) Responds(context.Context, runworks.Instance, string) bool { return true }
+
 func (s *loadSender) WatchExit(context.Context, runworks.Instance, func()) {}
 
 type stepReader struct {
--- a/services/forward/stream_order.go
+++ b/services/forward/stream_order.go
@@ -59,8 +59,11 @@
 }
 
 // continues reports whether a response can continue the one that the caller has: only a part of an event
-// stream fits to another one.
+// stream fits to another one, and a server that named itself does so again.
 func (s *stream) continues(reply *runworks.ServerReply) bool {
+	if s.holds(s.lease) && s.rest.part.end.named && reply.Responder == "" {
+		return false
+	}
 	return reply.Status == s.status && holdsEvents(reply.Header) == s.events
 }
 
--- a/standin/routed.go
+++ b/standin/routed.go
@@ -47,8 +47,8 @@
 	Step time.Duration
 	// OnCall, unless nil, is called with each call before it is executed.
 	OnCall func(RoutedCall)
-	// AnyInstance has the server run calls for other instances, too, and name itself in each response.
-	AnyInstance bool
+	// AnyInstance has the server run calls for other instances, too, and name itself in each response, unless Nameless is set.
+	AnyInstance, Nameless bool
 	// Hold, unless nil, blocks every call until it is closed.
 	Hold <-chan struct{}
 
@@ -185,9 +185,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	arrival := RoutedArrival{ID: r.Header.Get(HeaderRoutedID), At: time.Now(), Backoff: b.faults.Backoff}
-	if b.AnyInstance {
+	if b.AnyInstance && !b.Nameless {
 		w.Header().Set(headerInstanceID, b.Instance)
-	} else if want := r.Header.Get(headerInstance); want != "" && want != b.Instance {
+	}
+	if want := r.Header.Get(headerInstance); want != "" && want != b.Instance && !b.AnyInstance {
 		arrival.Backoff, arrival.Misdirected = 0, true
 	}
 	b.arrivals = append(b.arrivals, arrival)
--- a/tests/platform_foreign_address_test.go
+++ b/tests/platform_foreign_address_test.go
@@ -20,6 +20,7 @@
 	}
 	add("an address is taken by another version", foreignForm{event: (*foreignSite).takeAddress})
 	add("an address is taken by another version, the record stays", foreignForm{event: (*foreignSite).takeAddressUnlisted})
+	add("an address is taken by a nameless server", foreignForm{event: (*foreignSite).takeAddressUnnamed})
 	add("an address is taken by another version, the store is frozen", foreignForm{before: (*foreignSite).freezeStore, event: (*foreignSite).takeAddressInSilence})
 	return out
 }
@@ -30,8 +31,18 @@
 	p.listSuccessor()
 }
 
-func (p *foreignSite) takeAddressUnlisted() {
-	p.startUnlisted(p.form.server(3), "127.0.0.1:0", "v2", "--any-instance")
+// takeAddressUnlisted is takeAddress without the records.
+func (p *foreignSite) takeAddressUnlisted() { p.startSuccessor("--any-instance") }
+
+// takeAddressUnnamed is takeAddress by a server that names itself in the responses to status requests alone.
+func (p *foreignSite) takeAddressUnnamed() {
+	p.startSuccessor("--any-instance", "--nameless")
+	p.listSuccessor()
+}
+
+// startSuccessor starts a server of another version at the address of the second one, which it kills.
+func (p *foreignSite) startSuccessor(args ...string) {
+	p.startUnlisted(p.form.server(3), "127.0.0.1:0", "v2", args...)
 	p.paths[p.form.server(2)].setTarget(p.backends[p.form.server(3)].address("standin"))
 	p.killServer()
 }
