Play pairs of events, each at a point of a stream

Two things that happen to a stream within some milliseconds were played at times drawn from the clock, which hardly hit a place such as that between the last event and the end of a response, or while a rest is asked for.

The stand-in server holds the streams of a target at a point for as long as a stop is set, and prints where they stand. TestMoments waits until a stream stands at a point, acts there, and lets it go on: each of 35 events of callers, fronts, servers, paths and the store with each other one, at seven points, over four forms of servers.

--- a/Makefile
+++ b/Makefile
@@ -55,6 +55,16 @@
 soak:
 	$(GO) test ./tests/ -run 'TestSoak$$' -v -timeout 60m -parallel 6 -args -soak-seeds $(SOAK_SEEDS) -soak-first $(SOAK_FIRST) -soak-time $(SOAK_TIME)
 
+# Pairs of events, each at a point of a stream, drawn from a seed: make moments MOMENT_SEED=7 MOMENT_PAIRS=300
+# ARGS='-moment-pattern breaks.*rest'. The end of its log says what was played, what was not, and what failed; a failed play is
+# repeated by its seed and number: make moments MOMENT_SEED=7 ARGS='-moment-number 12'
+.PHONY: moments
+MOMENT_SEED ?= 1
+MOMENT_PAIRS ?= 100
+MOMENT_PARALLEL ?= 2
+moments:
+	$(GO) test ./tests/ -run 'TestMoments$$' -v -timeout 120m -args -moment-seed $(MOMENT_SEED) -moment-pairs $(MOMENT_PAIRS) -moment-parallel $(MOMENT_PARALLEL) $(ARGS)
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -99,7 +99,7 @@
 func addRouted(app *kingpin.Application, listen *string) {
 	cmd := app.Command("routed", "A backend server of the users' platform.")
 	b := &standin.RoutedServer{}
-	printCalls := cmd.Flag("tell", "Print a line for each call before it runs, since the process may be killed.").Bool()
+	printCalls := cmd.Flag("tell", "Print a line for each call before it runs and for each stream that a stop holds, since the process may be killed.").Bool()
 	cmd.Flag("instance", "Incarnation ID of the server.").Required().StringVar(&b.Instance)
 	cmd.Flag("software", "Version of its software, in the events of calls that ask for it.").StringVar(&b.Version)
 	cmd.Flag("delay", "How long a call runs, and the interval between events.").Default("0s").DurationVar(&b.Delay)
@@ -118,6 +118,7 @@
 				exit()
 			}
 		}
+		b.OnStop = func(point standin.Point, target, id string) { fmt.Println("at", point, target, id) }
 		handler := b.Handler()
 		if *oldProtocol {
 			handler = standin.OldProtocol(handler)
--- a/standin/old_protocol.go
+++ b/standin/old_protocol.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -62,3 +63,8 @@
 
 // FlushError implements the interface of http.ResponseController: nothing is buffered.
 func (o *oldResponse) FlushError() error { return nil }
+
+// Hijack implements http.Hijacker.
+func (o *oldResponse) Hijack() (net.Conn, *bufio.ReadWriter, error) {
+	return o.conn, bufio.NewReadWriter(bufio.NewReader(o.conn), bufio.NewWriter(o.conn)), nil
+}
--- a/standin/rejoin.go
+++ b/standin/rejoin.go
@@ -79,6 +79,7 @@
 func (b *RoutedServer) streamEvents(w http.ResponseWriter, r *http.Request, events int) {
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	kind := b.rejoin(last)
+	b.passHead(w, r, last, events)
 	w.Header().Set(HeaderRoutedSignature, b.Instance)
 	switch kind {
 	case RejoinEmpty:
@@ -95,16 +96,34 @@
 		w.Header().Set("Transfer-Encoding", "identity")
 	}
 	w.WriteHeader(http.StatusOK)
-	controller := http.NewResponseController(w)
+	if last == 0 {
+		b.pass(w, r, PointFirst, 0)
+	}
 	for _, n := range kind.events(last, events) {
 		b.waitForEvent(r)
-		event := b.event(r, n, kind)
-		if b.consumeBreak(n) {
-			_, _ = w.Write(event[:len(event)/2])
-			_ = controller.Flush()
-			panic(http.ErrAbortHandler)
-		}
-		_, _ = w.Write(event)
+		b.sendEvent(w, r, n, kind)
+	}
+	if last < events {
+		b.pass(w, r, PointLast, 0)
+	}
+}
+
+// sendEvent sends event n of a stream.
+func (b *RoutedServer) sendEvent(w http.ResponseWriter, r *http.Request, n int, kind RejoinKind) {
+	controller := http.NewResponseController(w)
+	event := b.event(r, n, kind)
+	half := len(event) / 2
+	if b.consumeBreak(n) {
+		_, _ = w.Write(event[:half])
 		_ = controller.Flush()
+		panic(http.ErrAbortHandler)
+	}
+	if len(b.stopsAt(r.RequestURI, PointInside, n)) > 0 {
+		_, _ = w.Write(event[:half])
+		b.pass(w, r, PointInside, n)
+		event = event[half:]
 	}
+	_, _ = w.Write(event)
+	_ = controller.Flush()
+	b.pass(w, r, PointBetween, n)
 }
--- a/standin/routed.go
+++ b/standin/routed.go
@@ -47,6 +47,8 @@
 	Step time.Duration
 	// OnCall, unless nil, is called with each call before it is executed.
 	OnCall func(RoutedCall)
+	// OnStop, unless nil, is called with each stream that a stop holds, by its target and the ID of the call.
+	OnStop func(point Point, target, id string)
 	// AnyInstance has the server run calls for other instances, too, and name itself in each response, unless Nameless is set.
 	AnyInstance, Nameless bool
 	// Hold, unless nil, blocks every call until it is closed.
@@ -54,6 +56,7 @@
 
 	mu     sync.Mutex
 	faults RoutedFaults
+	stops  []Stop
 	calls  []RoutedCall
 	// arrivals includes calls that were not executed.
 	arrivals  []RoutedArrival
@@ -79,7 +82,8 @@
 }
 
 // Handler returns a handler of calls, with the executed calls at GET /calls, all received calls
-// at GET /arrivals, the executions at GET /runs, and the faults at POST /control.
+// at GET /arrivals, the executions at GET /runs, the faults at POST /control, and the stops of
+// streams at POST /stops.
 func (b *RoutedServer) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.Method + " " + r.URL.Path {
@@ -96,6 +100,8 @@
 				return
 			}
 			b.SetFaults(f)
+		case "POST /stops":
+			b.serveStops(w, r)
 		default:
 			b.ServeHTTP(w, r)
 		}
--- /dev/null
+++ b/tests/moment_draw_test.go
@@ -0,0 +1,172 @@
+package tests
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/runworks/runworks/standin"
+)
+
+// momentDraws is how often the points and the form of a pair are drawn until it can be played.
+const momentDraws = 200
+
+// momentRounds is how often each pair is drawn at most.
+const momentRounds = 20
+
+// momentForm is a form of servers.
+type momentForm struct {
+	name string
+	// http10 has the servers respond in HTTP/1.0, mixed has them send each other response without length or chunks, and
+	// completeAtClose the fronts take the end of a connection for that of a response.
+	http10, mixed, completeAtClose bool
+}
+
+var momentForms = []momentForm{
+	{name: "HTTP/1.0", http10: true}, {name: "chunks"}, {name: "mixed", mixed: true}, {name: "complete at close", http10: true, completeAtClose: true},
+}
+
+// momentPoints are the points in the order in which a stream passes them.
+var momentPoints = []standin.Point{
+	standin.PointHead, standin.PointFirst, standin.PointResume, standin.PointInside, standin.PointBetween, standin.PointLast, standin.PointRest,
+}
+
+// momentPlay is a pair of events, each at a point of a stream, and the form in which it is played.
+type momentPlay struct {
+	pair   [2]momentEvent
+	points [2]standin.Point
+	form   momentForm
+	// versions has servers of two versions, resumable the streams that stop be resumable, lasting the second event happen
+	// while the effect of the first one lasts, and relist a server that takes an address have a record.
+	versions, resumable, lasting, relist bool
+	// hold is how long an effect lasts at least.
+	hold time.Duration
+}
+
+// momentResult is why events of a play could not happen; empty if they did.
+type momentResult struct {
+	reasons [2]string
+}
+
+func (m *momentPlay) events() []momentEvent { return m.pair[:] }
+
+func (m *momentPlay) needs(what func(momentEvent) bool) bool {
+	return what(m.pair[0]) || what(m.pair[1])
+}
+
+func (m *momentPlay) hasPoint(point standin.Point) bool { return slices.Contains(m.points[:], point) }
+
+func (m *momentPlay) name() string {
+	words := []string{fmt.Sprintf("%s at %s, then %s at %s", m.pair[0].name, m.points[0], m.pair[1].name, m.points[1]), m.form.name}
+	add := func(set bool, yes, no string) {
+		if set {
+			words = append(words, yes)
+		} else if no != "" {
+			words = append(words, no)
+		}
+	}
+	add(m.versions, "two versions", "one version")
+	add(m.resumable, "resumable", "not resumable")
+	add(m.lasting, "while it lasts", "")
+	add(m.relist && m.needs(func(e momentEvent) bool { return e.spare != nil && !e.writes }), "record replaced", "")
+	return strings.Join(append(words, m.hold.String()), ", ")
+}
+
+// momentReasons are the reasons why a play can't be played or judged.
+var momentReasons = []struct {
+	reason  string
+	applies func(m *momentPlay, first, second momentEvent) bool
+}{
+	{"a stream that is not resumable is not taken up", func(m *momentPlay, _, _ momentEvent) bool {
+		return !m.resumable && (m.hasPoint(standin.PointResume) || m.hasPoint(standin.PointRest))
+	}},
+	{"the caller of a stream that is not resumable does not take it up", func(m *momentPlay, first, second momentEvent) bool {
+		return !m.resumable && (first.resumable || second.resumable)
+	}},
+	{"completed at a close, nothing tells a close by a living server or a path from the end", func(m *momentPlay, first, second momentEvent) bool {
+		return m.form.completeAtClose && (first.closes || second.closes)
+	}},
+	{"the first event has no effect that lasts", func(m *momentPlay, first, _ momentEvent) bool { return m.lasting && !first.lasts }},
+	{"a frozen store takes no record", func(m *momentPlay, first, second momentEvent) bool {
+		return m.lasting && first.name == momentStoreFrozen && second.writes
+	}},
+	{"the first event has ended the process of the second one", func(m *momentPlay, first, second momentEvent) bool {
+		return m.points[0] == m.points[1] && first.ends != "" && first.ends == second.at
+	}},
+}
+
+// unplayable returns why a play can't be played or judged; empty if it can.
+func (m *momentPlay) unplayable() string {
+	for _, one := range momentReasons {
+		if one.applies(m, m.pair[0], m.pair[1]) {
+			return one.reason
+		}
+	}
+	return ""
+}
+
+// red returns the entry of KNOWN-RED.txt whose fault the play shows; empty if there is none.
+func (m *momentPlay) red() string {
+	if m.form.completeAtClose {
+		return m.pair[0].red + m.pair[1].red
+	}
+	return ""
+}
+
+// momentDraw is a play that was drawn, by its number, or why the pair has none.
+type momentDraw struct {
+	number int
+	play   momentPlay
+	reason string
+	// again are the reasons why its points or its form were drawn again.
+	again []string
+}
+
+// drawMoments draws plays whose names match a pattern, from a seed: each pair of events once before any is drawn again, with
+// points and a form in which it can be played. It also returns how often these were drawn again, by the reason.
+func drawMoments(seed int64, count int, pattern *regexp.Regexp, all bool) (plays []momentDraw, again map[string]int) {
+	pairs := len(momentEvents()) * len(momentEvents())
+	order := rand.New(rand.NewPCG(uint64(seed), 0)).Perm(pairs)
+	again = map[string]int{}
+	for number := 0; len(plays) < count && number < momentRounds*pairs; number++ {
+		d := drawMoment(seed, number, order, all)
+		if pattern.MatchString(d.play.name()) {
+			plays = append(plays, d)
+			for _, reason := range d.again {
+				again[reason]++
+			}
+		}
+	}
+	return plays, again
+}
+
+// drawMoment draws the play with a number.
+func drawMoment(seed int64, number int, order []int, all bool) momentDraw {
+	events, rng := momentEvents(), rand.New(rand.NewPCG(uint64(seed), uint64(number)+1))
+	i := order[number%len(order)]
+	d := momentDraw{number: number, play: momentPlay{pair: [2]momentEvent{events[i/len(events)], events[i%len(events)]}}}
+	for range momentDraws {
+		d.play.draw(rng)
+		d.reason = d.play.unplayable()
+		if d.reason == "" && !all {
+			d.reason = d.play.red()
+		}
+		if d.reason == "" {
+			return d
+		}
+		d.again = append(d.again, d.reason)
+	}
+	return d
+}
+
+// draw draws the points and the form.
+func (m *momentPlay) draw(rng *rand.Rand) {
+	first, second := rng.IntN(len(momentPoints)), rng.IntN(len(momentPoints))
+	m.points = [2]standin.Point{momentPoints[min(first, second)], momentPoints[max(first, second)]}
+	m.form = momentForms[rng.IntN(len(momentForms))]
+	m.versions, m.resumable, m.lasting, m.relist = rng.IntN(2) == 0, rng.IntN(3) > 0, rng.IntN(2) == 0, rng.IntN(2) == 0
+	m.hold = []time.Duration{50 * time.Millisecond, 400 * time.Millisecond, time.Second}[rng.IntN(3)]
+}
--- /dev/null
+++ b/tests/moment_events_test.go
@@ -0,0 +1,270 @@
+package tests
+
+import (
+	"fmt"
+	"slices"
+	"syscall"
+
+	"github.com/runworks/runworks/standin"
+)
+
+// momentEvent is something that happens at a point of a stream.
+type momentEvent struct {
+	name string
+	// act has it happen, and returns what ends its effect, if that lasts, and why it could not happen, if so.
+	act func(p *momentSite, m *moment) (end func(), reason string)
+	// lasts is set if it has an effect that ends, writes if it needs the store, resumable if only the caller of a resumable
+	// stream does it, and closes if it ends streams by closes of living servers or paths.
+	lasts, writes, resumable, closes bool
+	// ends is the process that it ends for good.
+	ends momentProcess
+	// at is the process that has to run.
+	at momentProcess
+	// spare are the arguments of a server that it needs; nil if it needs none.
+	spare []string
+	// routes is set if it moves the routes.
+	routes bool
+	// red is set if it shows a fault of KNOWN-RED.txt where responses are completed at a close.
+	red string
+}
+
+// movesRoute reports whether it moves the routes of streams.
+func (e momentEvent) movesRoute() bool { return e.routes }
+
+// momentProcess is a process seen from a stream.
+type momentProcess string
+
+const (
+	momentFront  momentProcess = "front of the stream"
+	momentOther  momentProcess = "other front"
+	momentServed momentProcess = "server"
+)
+
+const momentStoreFrozen = "the store is frozen"
+
+// momentEvents returns all events.
+func momentEvents() []momentEvent {
+	return slices.Concat(momentCallerEvents(), momentFrontEvents(), momentServerEvents(), momentPathEvents(), momentStoreEvents())
+}
+
+func momentCallerEvents() []momentEvent {
+	return []momentEvent{
+		{name: "the caller leaves and takes up at the other front", resumable: true, act: func(_ *momentSite, m *moment) (func(), string) {
+			return nil, reasonUnless(m.stream.leave(), "no attempt runs")
+		}},
+		{name: "the caller takes up at the other front while the first attempt runs", resumable: true, act: func(_ *momentSite, m *moment) (func(), string) {
+			return nil, reasonUnless(m.stream.fork(frontNumber(m.other)), "no attempt runs")
+		}},
+		{name: "the caller takes up twice at once", resumable: true, act: func(_ *momentSite, m *moment) (func(), string) {
+			forked := m.stream.fork(frontNumber(m.front))
+			return nil, reasonUnless(forked && m.stream.leave(), "no attempt runs")
+		}},
+	}
+}
+
+func reasonUnless(ok bool, reason string) string {
+	if ok {
+		return ""
+	}
+	return reason
+}
+
+// frontNumber returns the number of a front, from 0.
+func frontNumber(name string) int {
+	var n int
+	_, _ = fmt.Sscanf(name, "front-%d", &n)
+	return n - 1
+}
+
+func momentFrontEvents() []momentEvent {
+	var out []momentEvent
+	for _, at := range []momentProcess{momentFront, momentOther} {
+		name := func(m *moment) string {
+			if at == momentFront {
+				return m.front
+			}
+			return m.other
+		}
+		front := func(p *momentSite, m *moment) *process { return p.fronts[name(m)] }
+		out = append(out,
+			momentEvent{name: fmt.Sprintf("the %s is killed", at), at: at, ends: at, act: func(p *momentSite, m *moment) (func(), string) {
+				return nil, p.end(front(p, m), syscall.SIGKILL)
+			}},
+			momentEvent{name: fmt.Sprintf("the %s stops at SIGTERM", at), at: at, act: func(p *momentSite, m *moment) (func(), string) {
+				return nil, p.end(front(p, m), syscall.SIGTERM)
+			}},
+			momentEvent{name: fmt.Sprintf("the %s is frozen", at), at: at, lasts: true, act: func(p *momentSite, m *moment) (func(), string) {
+				return p.freeze(front(p, m))
+			}},
+			momentEvent{name: fmt.Sprintf("the %s reloads its settings", at), at: at, act: func(p *momentSite, m *moment) (func(), string) {
+				return nil, p.reload(name(m))
+			}})
+	}
+	return out
+}
+
+// freeze stops a process until the returned function is called.
+func (p *momentSite) freeze(of *process) (func(), string) {
+	if of.ended() {
+		return nil, of.name + " has ended"
+	}
+	of.signalIfAlive(syscall.SIGSTOP)
+	return func() { of.signalIfAlive(syscall.SIGCONT) }, ""
+}
+
+func (p *momentSite) reload(front string) string {
+	if p.fronts[front].ended() {
+		return front + " has ended"
+	}
+	p.reloads++
+	p.writeSettings(front, fmt.Sprintf("%sretry_ratio: 0.%d\n", p.settings[front], 2+p.reloads))
+	p.fronts[front].signalIfAlive(syscall.SIGHUP)
+	return ""
+}
+
+func momentServerEvents() []momentEvent {
+	return []momentEvent{
+		{name: "the server is killed", at: momentServed, ends: momentServed, act: func(p *momentSite, m *moment) (func(), string) {
+			return nil, p.end(m.server.process, syscall.SIGKILL)
+		}},
+		{name: "the server ends at SIGTERM", at: momentServed, ends: momentServed, act: func(p *momentSite, m *moment) (func(), string) {
+			return nil, p.end(m.server.process, syscall.SIGTERM)
+		}},
+		{name: "the server is killed and started again under its ID", at: momentServed, ends: momentServed, red: "KNOWN-RED.txt, issue 68", act: (*momentSite).restart},
+		{name: "the server is frozen", at: momentServed, lasts: true, act: (*momentSite).freezeServer},
+		{name: "the server's address is taken by another version that answers 421", at: momentServed, ends: momentServed, spare: []string{}, act: (*momentSite).takeAddress},
+		{name: "the server's address is taken by another version that ignores the expected instance", at: momentServed, ends: momentServed, spare: []string{"--any-instance"}, act: (*momentSite).takeAddress},
+		{name: "the server breaks its streams off", at: momentServed, closes: true, act: (*momentSite).breakStreams},
+	}
+}
+
+// restart has a new process under the server's ID at its address.
+func (p *momentSite) restart(m *moment) (func(), string) {
+	if m.server.ended() {
+		return nil, m.server.name + " has ended"
+	}
+	version := "v1"
+	if p.play.versions && m.server.id == "llm-2" || m.server.id[:3] == "alt" || m.server.id >= "llm-8" {
+		version = "v2"
+	}
+	next := p.newServer(m.server.id, version)
+	next.path, next.listed = m.server.path, m.server.listed
+	next.path.setTarget(next.address("standin"))
+	return nil, p.end(m.server.process, syscall.SIGKILL)
+}
+
+func (p *momentSite) freezeServer(m *moment) (func(), string) {
+	end, reason := p.freeze(m.server.process)
+	if reason != "" {
+		return nil, reason
+	}
+	m.server.frozen = true
+	return func() {
+		end()
+		m.server.frozen = false
+		p.setStopsAt(m.server)
+	}, ""
+}
+
+// takeAddress kills the server and has a spare one at its address. With relist its record takes the place of that of the server.
+func (p *momentSite) takeAddress(m *moment) (func(), string) {
+	if m.server.ended() {
+		return nil, m.server.name + " has ended"
+	}
+	spare := p.spares[m.event]
+	spare.path, spare.listed = m.server.path, m.server.listed
+	spare.path.setTarget(spare.address("standin"))
+	reason := p.end(m.server.process, syscall.SIGKILL)
+	if p.play.relist && !p.storeFrozen {
+		p.putRecord(spare, "v2")
+		p.put("keyed.servers", m.server.listed, nil)
+		spare.listed = spare.id
+	}
+	return nil, reason
+}
+
+// breakStreams has the server close the connections of the streams that stop at the point.
+func (p *momentSite) breakStreams(m *moment) (func(), string) {
+	if m.server.ended() || m.server.frozen {
+		return nil, m.server.name + " does not run"
+	}
+	stops, point := p.stops, p.play.points[m.event]
+	p.stops = slices.Clone(stops)
+	for _, s := range p.streams[:momentSubjects] {
+		p.stops = append(p.stops, standin.Stop{Target: s.target, Point: point, Event: momentEventOf(point), Break: true})
+	}
+	p.setStopsAt(m.server)
+	p.stops = stops
+	return func() { p.setStopsAt(m.server) }, ""
+}
+
+func momentPathEvents() []momentEvent {
+	var out []momentEvent
+	for _, one := range []struct {
+		name   string
+		closes bool
+		paths  func(p *momentSite, m *moment) []*proxy
+	}{
+		{"the path to the server", true, func(_ *momentSite, m *moment) []*proxy { return []*proxy{m.server.path} }},
+		{"the path between the fronts", false, func(p *momentSite, _ *moment) []*proxy {
+			return []*proxy{p.peers["front-1"], p.peers["front-2"]}
+		}},
+		{"the path of callers to the front", false, func(p *momentSite, m *moment) []*proxy { return []*proxy{p.callers[m.front]} }},
+	} {
+		add := func(what string, lasts, closes bool, do, undo func(*proxy)) {
+			out = append(out, momentEvent{name: one.name + " " + what, lasts: lasts, closes: closes, act: func(p *momentSite, m *moment) (func(), string) {
+				open, paths := 0, one.paths(p, m)
+				for _, path := range paths {
+					if path == nil {
+						return nil, "the server is reached by no path"
+					}
+					open += path.open()
+					do(path)
+				}
+				return func() {
+					for _, path := range paths {
+						undo(path)
+					}
+				}, reasonUnless(open > 0, "the path has no connection")
+			}})
+		}
+		nothing := func(*proxy) {}
+		forward := func(path *proxy) { path.set(proxyForwards) }
+		add("closes its connections", false, one.closes, func(path *proxy) { path.end(proxyEndsBoth) }, nothing)
+		add("resets its connections", false, false, func(path *proxy) { path.set(proxyResets); forward(path) }, nothing)
+		add("falls silent", false, false, (*proxy).silence, nothing)
+		add("holds data back", true, false, func(path *proxy) { path.set(proxyBlocksBoth) }, forward)
+	}
+	return out
+}
+
+func momentStoreEvents() []momentEvent {
+	routes := func(service string) func(p *momentSite, _ *moment) (func(), string) {
+		return func(p *momentSite, _ *moment) (func(), string) {
+			p.putRoutes(service)
+			return nil, ""
+		}
+	}
+	return []momentEvent{
+		{name: momentStoreFrozen, lasts: true, act: func(p *momentSite, _ *moment) (func(), string) {
+			end, reason := p.freeze(p.store)
+			p.storeFrozen = true
+			return func() {
+				end()
+				p.storeFrozen = false
+			}, reason
+		}},
+		{name: "the server's record is removed", writes: true, act: func(p *momentSite, m *moment) (func(), string) {
+			p.put("keyed.servers", m.server.listed, nil)
+			return nil, ""
+		}},
+		{name: "a document moves the routes", writes: true, routes: true, act: routes("alt")},
+		{name: "a document shares the routes out", writes: true, routes: true, act: routes("both")},
+		{name: "a server of another version is listed", writes: true, spare: []string{}, act: func(p *momentSite, m *moment) (func(), string) {
+			spare := p.spares[m.event]
+			spare.path = newProxy(p.t, spare.address("standin"))
+			p.putRecord(spare, "v2")
+			return nil, ""
+		}},
+	}
+}
--- /dev/null
+++ b/tests/moment_run_test.go
@@ -0,0 +1,234 @@
+package tests
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/runworks/runworks/standin"
+)
+
+// setStops sets the stops of all servers that run.
+func (p *momentSite) setStops(stops []standin.Stop) {
+	p.stops = stops
+	for _, s := range p.servers {
+		p.setStopsAt(s)
+	}
+}
+
+// setStopsAt sets the stops of a server; one that is frozen gets them when it runs again.
+func (p *momentSite) setStopsAt(s *momentServer) {
+	if s.frozen || s.ended() {
+		return
+	}
+	data, err := json.Marshal(p.stops)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	if res, err := soakControl.Post("http://"+s.address("standin")+"/stops", "application/json", bytes.NewReader(data)); err == nil {
+		_ = res.Body.Close()
+	}
+}
+
+// stopsOf returns the stops for a point of all streams that stop.
+func (p *momentSite) stopsOf(point standin.Point) []standin.Stop {
+	var out []standin.Stop
+	for _, s := range p.streams[:momentSubjects] {
+		out = append(out, standin.Stop{Target: s.target, Point: point, Event: momentEventOf(point)})
+	}
+	return out
+}
+
+// cuts returns the resets that have streams reach the points at which they are taken up.
+func (p *momentSite) cuts() []standin.Stop {
+	var out []standin.Stop
+	for _, s := range p.streams[:momentSubjects] {
+		if p.play.hasPoint(standin.PointResume) {
+			out = append(out, standin.Stop{Target: s.target, Point: standin.PointBetween, Event: momentCut, Reset: true})
+		}
+		// Without this a rest is asked for only behind a close that proves nothing.
+		if p.play.hasPoint(standin.PointRest) && (!p.play.form.http10 || p.play.form.completeAtClose) {
+			out = append(out, standin.Stop{Target: s.target, Point: standin.PointLast, Reset: true})
+		}
+	}
+	return out
+}
+
+func momentEventOf(point standin.Point) int {
+	switch point {
+	case standin.PointInside:
+		return momentInside
+	case standin.PointBetween:
+		return momentBetween
+	}
+	return 0
+}
+
+// startStreams starts all streams.
+func (p *momentSite) startStreams() {
+	for n := range momentSubjects + momentBeside {
+		events, resumable := momentLength, p.play.resumable
+		if n >= momentSubjects {
+			events, resumable = momentBesideLength, n%2 == 0
+		}
+		p.streams = append(p.streams, p.newStream(n, events, resumable))
+	}
+	p.setStops(slices.Concat(p.cuts(), p.stopsOf(p.play.points[0]), p.stopsOf(p.play.points[1])))
+	for n, s := range p.streams {
+		p.work.Go(func() {
+			p.wait(time.Duration(n) * momentStart)
+			s.send(n % 2)
+		})
+	}
+}
+
+// find returns where a stream has stopped at a point, at a server that runs; nil if none has.
+func (p *momentSite) find(point standin.Point) *moment {
+	prefix := fmt.Sprint("at ", point, " ")
+	for _, server := range p.servers {
+		if server.ended() {
+			continue
+		}
+		for line := range strings.Lines(server.outputText()) {
+			rest, ok := strings.CutPrefix(strings.TrimSpace(line), prefix)
+			if !ok {
+				continue
+			}
+			_, id, _ := strings.Cut(rest, " ")
+			if m := p.momentOf(server, id); m != nil {
+				return m
+			}
+		}
+	}
+	return nil
+}
+
+func (p *momentSite) momentOf(server *momentServer, id string) *moment {
+	for _, s := range p.streams {
+		s.mu.Lock()
+		i := slices.IndexFunc(s.calls, func(c *momentCall) bool { return c.id == id })
+		var front string
+		if i >= 0 {
+			front = s.calls[i].front
+		}
+		s.mu.Unlock()
+		if i >= 0 {
+			other := "front-2"
+			if front == other {
+				other = "front-1"
+			}
+			return &moment{stream: s, server: server, front: front, other: other}
+		}
+	}
+	return nil
+}
+
+// reach waits until a stream stops at a point; nil if none does in a time, or all streams that stop have ended.
+func (p *momentSite) reach(point standin.Point, limit time.Duration) *moment {
+	for began := time.Now(); time.Since(began) < limit; p.wait(momentPoll) {
+		ended := !slices.ContainsFunc(p.streams[:momentSubjects], func(s *momentStream) bool { return !s.over() })
+		if m := p.find(point); m != nil || ended {
+			return m
+		}
+	}
+	return nil
+}
+
+// over reports whether the caller has ended.
+func (s *momentStream) over() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.begun && s.callers == 0
+}
+
+// run plays both events and returns what happened.
+func (p *momentSite) run() momentResult {
+	p.startStreams()
+	first, second := p.play.points[0], p.play.points[1]
+	out := momentResult{}
+	end := func() {}
+	defer func() {
+		end()
+		p.setStops(nil)
+		p.work.Wait()
+	}()
+	m := p.reach(first, momentTimeout)
+	if m == nil {
+		out.reasons[0], out.reasons[1] = "no stream reached the point", "the first event did not happen"
+		return out
+	}
+	end, out.reasons[0] = p.act(0, m)
+	if !p.play.lasting {
+		p.wait(p.play.hold)
+		end()
+		end = func() {}
+	}
+	if first != second {
+		p.setStops(slices.Concat(p.cuts(), p.stopsOf(second)))
+		if p.play.lasting {
+			m = p.reach(second, momentLimit)
+			if m == nil { // the effect holds the stream up
+				end()
+				end = func() {}
+			}
+		}
+		if !p.play.lasting || m == nil {
+			m = p.reach(second, momentTimeout)
+		}
+	}
+	if m == nil {
+		out.reasons[1] = "no stream reached the point"
+		return out
+	}
+	var endSecond func()
+	endSecond, out.reasons[1] = p.act(1, m)
+	p.wait(p.play.hold)
+	endSecond()
+	return out
+}
+
+// act has an event of the play happen, and returns what ends its effect and why it could not happen, if so.
+func (p *momentSite) act(n int, m *moment) (func(), string) {
+	m.event = n
+	end, reason := p.play.events()[n].act(p, m)
+	p.t.Logf("event %d at %s of %s, server %s, %s: %s", n+1, p.play.points[n], m.stream.target, m.server.name, m.front, reason)
+	if end == nil {
+		end = func() {}
+	}
+	return end, reason
+}
+
+// ran returns the servers that ran calls, by the ID of the call.
+func (p *momentSite) ran() map[string][]string {
+	out := map[string][]string{}
+	for _, s := range p.servers {
+		momentRan(out, s.id, s.outputText())
+	}
+	return out
+}
+
+// checkFronts checks that no front has ended by itself.
+func (p *momentSite) checkFronts() {
+	for name, front := range p.fronts {
+		if front.ended() && !p.ending[front] || strings.Contains(front.outputText(), "panic:") {
+			p.t.Errorf("%s ended by itself", name)
+		}
+	}
+}
+
+// end ends a process with a signal, and returns why it can't.
+func (p *momentSite) end(of *process, signal syscall.Signal) string {
+	if of.ended() {
+		return of.name + " has ended"
+	}
+	p.ending[of] = true
+	of.signalIfAlive(signal)
+	if signal == syscall.SIGKILL {
+		of.waitExit()
+	}
+	return ""
+}
--- /dev/null
+++ b/tests/moment_site_test.go
@@ -0,0 +1,163 @@
+package tests
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/runworks/runworks/standin"
+)
+
+const (
+	// momentSubjects is the number of streams that stop at points, momentBeside that of the others, and momentStart the time
+	// between two of them.
+	momentSubjects = 3
+	momentBeside   = 5
+	momentStart    = 7 * time.Millisecond
+	// momentLength is the number of events of a stream that stops, momentBesideLength that of the others, and momentDelay the
+	// time before each event.
+	momentLength       = 12
+	momentBesideLength = 40
+	momentDelay        = 25 * time.Millisecond
+	// momentCut, momentInside and momentBetween are the numbers of the events behind which a stream breaks off that is to be
+	// resumed, inside which it stops, and behind which it stops.
+	momentCut     = 4
+	momentInside  = 6
+	momentBetween = 8
+	// momentLimit is how long an effect lasts at most while the stream does not reach the second point.
+	momentLimit = 700 * time.Millisecond
+	momentPoll  = 5 * time.Millisecond
+)
+
+// momentServer is a backend server, which keeps its output when it is gone.
+type momentServer struct {
+	*process
+	id string
+	// path is the one through which fronts reach the address of its record, and listed the ID of that record.
+	path   *proxy
+	listed string
+	frozen bool
+}
+
+// momentSite is a site of two fronts and three servers that are reached through paths. The third server is of the first one's
+// version, so that a stream of this version can go on.
+type momentSite struct {
+	*platformSite
+	play    momentPlay
+	servers []*momentServer
+	// spares are servers that have no record yet, by the number of the event that uses them.
+	spares map[int]*momentServer
+	// callers, peers are the paths to fronts, by name, and ending the processes that events end.
+	callers, peers map[string]*proxy
+	ending         map[*process]bool
+	settings       map[string]string
+	reloads        int
+	documents      int
+	storeFrozen    bool
+	streams        []*momentStream
+	stops          []standin.Stop
+	work           sync.WaitGroup
+}
+
+// moment is a point that a stream has reached.
+type moment struct {
+	stream *momentStream
+	server *momentServer
+	// front is the name of the front that the attempt was sent to, and other that of the other one.
+	front, other string
+	// event is the number of the event that happens there.
+	event int
+}
+
+func newMomentSite(t *testing.T, play momentPlay) *momentSite {
+	p := &momentSite{platformSite: newBarePlatformSite(t), play: play, spares: map[int]*momentServer{}, callers: map[string]*proxy{}, peers: map[string]*proxy{}, ending: map[*process]bool{}, settings: map[string]string{}}
+	p.putRoutes("llm")
+	if play.form.completeAtClose {
+		p.extraSettings = completeAtClose
+	}
+	for i, version := range []string{"v1", "v2", "v1"} {
+		if !play.versions {
+			version = "v1"
+		}
+		p.addListed(fmt.Sprint("llm-", i+1), version)
+	}
+	if play.needs(momentEvent.movesRoute) {
+		p.addListed("alt-1", "v2")
+	}
+	for _, name := range []string{"front-1", "front-2"} {
+		p.addFront(name)
+	}
+	for _, name := range []string{"front-1", "front-2"} {
+		p.waitReady(name, 2)
+		p.callers[name] = newProxy(t, p.fronts[name].address("callers"))
+	}
+	for i, event := range play.events() {
+		if event.spare != nil {
+			p.spares[i] = p.newServer(fmt.Sprint("llm-", 8+i), "v2", event.spare...)
+		}
+	}
+	return p
+}
+
+// putRoutes writes the next document, in which the routes of streams have their servers at a service, or at shares of both.
+func (p *momentSite) putRoutes(service string) {
+	p.documents++
+	text := fmt.Sprintf(platformDocument, p.documents)
+	const llm = `"service": "llm"`
+	switch service {
+	case "both":
+		text = strings.ReplaceAll(text, llm, `"backends": [{"service": "llm", "weight": 1}, {"service": "alt", "weight": 1}]`)
+	default:
+		text = strings.ReplaceAll(text, llm, fmt.Sprintf(`"service": %q`, service))
+	}
+	text = strings.Replace(text, `{"name": "llm", `, `{"name": "alt", "maxConns": 100, "healthPath": "/health", "engine": {"slots": 8}}, {"name": "llm", `, 1)
+	p.put("keyed.op", "config", []byte(text))
+}
+
+// newServer starts a server that has no record.
+func (p *momentSite) newServer(id, version string, args ...string) *momentServer {
+	args = append(args, "--instance", id, "--tell", "--delay", momentDelay.String(), "--software", version)
+	if p.play.form.http10 {
+		args = append(args, "--http10")
+	}
+	name := id
+	if slices.ContainsFunc(p.servers, func(s *momentServer) bool { return s.id == id }) {
+		name += " again"
+	}
+	s := &momentServer{process: startProcess(p.t, name, "standin", append([]string{"routed"}, args...)...), id: id, listed: id}
+	faults := standin.RoutedFaults{CloseDelimited: p.play.form.http10}
+	if p.play.form.mixed {
+		faults.CloseDelimitedEach = 2
+	}
+	p.setFaults(s.process, faults)
+	p.servers = append(p.servers, s)
+	p.setStopsAt(s)
+	return s
+}
+
+// addListed starts a server behind a path, and writes its record.
+func (p *momentSite) addListed(id, version string) {
+	s := p.newServer(id, version)
+	s.path = newProxy(p.t, s.address("standin"))
+	p.backends[id] = s.process
+	p.putRecord(s, version)
+}
+
+func (p *momentSite) putRecord(s *momentServer, version string) {
+	service, _, _ := strings.Cut(s.id, "-")
+	record := serverRecord(service, s.path.address(), "ready", 0)
+	p.put("keyed.servers", s.id, bytes.Replace(record, []byte(`"version": "v1"`), fmt.Appendf(nil, `"version": %q`, version), 1))
+}
+
+// addFront starts a front that the other one reaches through a path.
+func (p *momentSite) addFront(name string) {
+	p.peers[name] = newProxy(p.t, "")
+	text := p.frontSettings(name) + "\npeers_advertised: " + p.peers[name].address() + "\n"
+	p.settings[name] = knownSettings(text)
+	p.fronts[name] = startProcess(p.t, name, "runworks", "front", "--settings", p.settingsFile(name, p.settings[name]))
+	p.peers[name].setTarget(p.fronts[name].address("fronts"))
+}
--- /dev/null
+++ b/tests/moment_test.go
@@ -0,0 +1,174 @@
+package tests
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+)
+
+var (
+	momentSeed     = flag.Int64("moment-seed", 1, "seed from which pairs of events at points of streams are drawn")
+	momentPairs    = flag.Int("moment-pairs", 32, "how many pairs are played")
+	momentPattern  = flag.String("moment-pattern", "", "play only pairs whose names match this expression")
+	momentParallel = flag.Int("moment-parallel", 4, "how many pairs are played at once")
+	momentNumber   = flag.Int("moment-number", -1, "play only the pair with this number; negative plays all")
+	momentAll      = flag.Bool("moment-all", false, "play those that show faults of KNOWN-RED.txt, too")
+)
+
+// momentReport counts what was played.
+type momentReport struct {
+	mu sync.Mutex
+	// events are the numbers of plays in which an event happened as the first and as the second one, and pairs and points
+	// those in which both did.
+	events        map[string]*[2]int
+	pairs, points map[string]int
+	// reasons are the numbers of events that did not happen, and of pairs that could not be played.
+	reasons map[string]int
+	// played and both are the numbers of plays, and of those in which both events happened; streams, whole and cut those of
+	// streams, of whole ones, and of attempts that were cut.
+	played, both        int
+	streams, whole, cut int
+	faults              map[string]int
+	failed              []string
+}
+
+// TestMoments guards against streams that look complete too early, mix versions or runs, or have events missing, repeated or out of
+// order, responses of another call, and calls that run twice, where two things happen at points of the same stream.
+func TestMoments(t *testing.T) {
+	count := max(*momentPairs, *momentNumber+1)
+	plays, again := drawMoments(*momentSeed, count, regexp.MustCompile(*momentPattern), *momentAll)
+	if *momentNumber >= 0 {
+		plays = slices.DeleteFunc(plays, func(d momentDraw) bool { return d.number != *momentNumber })
+	}
+	report := &momentReport{events: map[string]*[2]int{}, pairs: map[string]int{}, points: map[string]int{}, reasons: map[string]int{}, faults: map[string]int{}}
+	places := make(chan struct{}, *momentParallel)
+	t.Run("play", func(t *testing.T) {
+		for _, d := range plays {
+			if d.reason != "" {
+				t.Logf("%d-%d can't be played: %s: %s, %s", *momentSeed, d.number, d.reason, d.play.pair[0].name, d.play.pair[1].name)
+				report.reasons["pair: "+d.reason]++
+				continue
+			}
+			t.Run(fmt.Sprintf("%d-%d %s", *momentSeed, d.number, d.play.name()), func(t *testing.T) {
+				t.Parallel()
+				places <- struct{}{}
+				defer func() { <-places }()
+				playMoment(t, d.play, report)
+			})
+		}
+	})
+	for _, reason := range sortedKeys(again) {
+		t.Logf("%d times points or a form were drawn again: %s", again[reason], reason)
+	}
+	report.log(t)
+	if report.both*3 < report.played*2 {
+		t.Errorf("both events happened in only %d of %d plays", report.both, report.played)
+	}
+}
+
+// playMoment plays a pair and checks what callers got and servers ran.
+func playMoment(t *testing.T, play momentPlay, report *momentReport) {
+	p := newMomentSite(t, play)
+	result := p.run()
+	faults := checkMoment(p.streams, p.ran())
+	for _, f := range faults {
+		t.Errorf("%s: %s: %s", f.rule, f.kind, f.text)
+	}
+	p.checkFronts()
+	report.add(t, p, result, faults)
+}
+
+// add counts a play.
+func (r *momentReport) add(t *testing.T, p *momentSite, result momentResult, faults []momentFault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.played++
+	for i, event := range p.play.events() {
+		if r.events[event.name] == nil {
+			r.events[event.name] = &[2]int{}
+		}
+		if result.reasons[i] == "" {
+			r.events[event.name][i]++
+		} else {
+			r.reasons[fmt.Sprintf("event %d: %s", i+1, result.reasons[i])]++
+			t.Logf("event %d did not happen: %s", i+1, result.reasons[i])
+		}
+	}
+	if result.reasons == [2]string{} {
+		r.both++
+		r.pairs[p.play.pair[0].name+", then "+p.play.pair[1].name]++
+		r.points[fmt.Sprint(p.play.points[0], ", then ", p.play.points[1])]++
+	}
+	for _, f := range faults {
+		r.faults[fmt.Sprint(f.rule, ": ", f.kind)]++
+	}
+	if t.Failed() {
+		r.failed = append(r.failed, t.Name())
+	}
+	whole, cut, outcomes := 0, 0, map[string]int{}
+	for _, s := range p.streams {
+		if slices.ContainsFunc(s.chains, func(c *momentChain) bool { return c.whole }) {
+			whole++
+		}
+		for _, c := range s.calls {
+			outcomes[c.outcome()]++
+			if c.status == http.StatusOK && c.err != nil {
+				cut++
+			}
+		}
+	}
+	r.whole, r.cut, r.streams = r.whole+whole, r.cut+cut, r.streams+len(p.streams)
+	t.Logf("%d of %d streams whole, attempts %v", whole, len(p.streams), outcomes)
+}
+
+// log logs what was played, how often, and what was not.
+func (r *momentReport) log(t *testing.T) {
+	events := momentEvents()
+	var out strings.Builder
+	fmt.Fprintf(&out, "%d plays, both events in %d; %d of %d streams whole, %d attempts cut\n", r.played, r.both, r.whole, r.streams, r.cut)
+	for _, event := range events {
+		n := r.events[event.name]
+		if n == nil {
+			n = &[2]int{}
+		}
+		fmt.Fprintf(&out, "%4d first, %4d second: %s\n", n[0], n[1], event.name)
+	}
+	var never []string
+	for i, first := range momentPoints {
+		for _, second := range momentPoints[i:] {
+			name := fmt.Sprint(first, ", then ", second)
+			if r.points[name] == 0 {
+				never = append(never, name)
+			} else {
+				fmt.Fprintf(&out, "%4d at %s\n", r.points[name], name)
+			}
+		}
+	}
+	fmt.Fprintf(&out, "points never played: %s\n", strings.Join(never, "; "))
+	fmt.Fprintf(&out, "%d of %d pairs of events played\n", len(r.pairs), len(events)*len(events))
+	for _, reason := range sortedKeys(r.reasons) {
+		fmt.Fprintf(&out, "%4d not played: %s\n", r.reasons[reason], reason)
+	}
+	for _, kind := range sortedKeys(r.faults) {
+		fmt.Fprintf(&out, "%4d faults: %s\n", r.faults[kind], kind)
+	}
+	slices.Sort(r.failed)
+	for _, name := range r.failed {
+		fmt.Fprintf(&out, "failed: %s\n", name)
+	}
+	t.Log(out.String())
+}
+
+func sortedKeys(m map[string]int) []string {
+	var out []string
+	for key := range m {
+		out = append(out, key)
+	}
+	slices.Sort(out)
+	return out
+}
