--- a/tests/moment_check_test.go
+++ b/tests/moment_check_test.go
@@ -18,9 +18,9 @@
 const (
 	// ruleOrder is that streams go on where they broke, at one version, and end after their last event; ruleMixed that a
 	// response is that of one server to this call; and ruleTwice that a call runs once, or not at all if it was refused.
-	ruleOrder momentRule = "ORDER"
-	ruleMixed momentRule = "MIXED"
-	ruleTwice momentRule = "TWICE"
+	ruleOrder momentRule = "order"
+	ruleMixed momentRule = "mixed response"
+	ruleTwice momentRule = "run twice"
 )
 
 // momentFault is a way in which what callers got or servers ran breaks a rule.
--- a/tests/moment_draw_test.go
+++ b/tests/moment_draw_test.go
@@ -46,9 +46,12 @@
 	hold time.Duration
 }
 
-// momentResult is why events of a play could not happen; empty if they did.
+// momentResult is what happened in a play.
 type momentResult struct {
+	// reasons are why the events could not happen; empty if they did.
 	reasons [2]string
+	// same is set if both happened at points of one stream.
+	same bool
 }
 
 func (m *momentPlay) events() []momentEvent { return m.pair[:] }
--- a/tests/moment_run_test.go
+++ b/tests/moment_run_test.go
@@ -86,8 +86,9 @@
 	}
 }
 
-// find returns where a stream has stopped at a point, at a server that runs; nil if none has.
-func (p *momentSite) find(point standin.Point) *moment {
+// find returns the points at which streams have stopped, at servers that run.
+func (p *momentSite) find(point standin.Point) []*moment {
+	var out []*moment
 	prefix := fmt.Sprint("at ", point, " ")
 	for _, server := range p.servers {
 		if server.ended() {
@@ -100,11 +101,11 @@
 			}
 			_, id, _ := strings.Cut(rest, " ")
 			if m := p.momentOf(server, id); m != nil {
-				return m
+				out = append(out, m)
 			}
 		}
 	}
-	return nil
+	return out
 }
 
 func (p *momentSite) momentOf(server *momentServer, id string) *moment {
@@ -127,12 +128,23 @@
 	return nil
 }
 
-// reach waits until a stream stops at a point; nil if none does in a time, or all streams that stop have ended.
-func (p *momentSite) reach(point standin.Point, limit time.Duration) *moment {
-	for began := time.Now(); time.Since(began) < limit; p.wait(momentPoll) {
-		ended := !slices.ContainsFunc(p.streams[:momentSubjects], func(s *momentStream) bool { return !s.over() })
-		if m := p.find(point); m != nil || ended {
-			return m
+// reach waits until a stream stops at a point, and for some time until it is the same one as before; nil if none does within a
+// limit, or all streams that stop have ended.
+func (p *momentSite) reach(point standin.Point, same *momentStream, limit time.Duration) *moment {
+	began := time.Now()
+	var found time.Time
+	for ; time.Since(began) < limit; p.wait(momentPoll) {
+		all := p.find(point)
+		i := slices.IndexFunc(all, func(m *moment) bool { return m.stream == same })
+		switch {
+		case i >= 0:
+			return all[i]
+		case len(all) > 0 && (same == nil || same.over() || !found.IsZero() && time.Since(found) > momentSame):
+			return all[0]
+		case len(all) > 0 && found.IsZero():
+			found = time.Now()
+		case len(all) == 0 && !slices.ContainsFunc(p.streams[:momentSubjects], func(s *momentStream) bool { return !s.over() }):
+			return nil
 		}
 	}
 	return nil
@@ -156,11 +168,12 @@
 		p.setStops(nil)
 		p.work.Wait()
 	}()
-	m := p.reach(first, momentTimeout)
+	m := p.reach(first, nil, momentTimeout)
 	if m == nil {
 		out.reasons[0], out.reasons[1] = "no stream reached the point", "the first event did not happen"
 		return out
 	}
+	stream := m.stream
 	end, out.reasons[0] = p.act(0, m)
 	if !p.play.lasting {
 		p.wait(p.play.hold)
@@ -170,20 +183,21 @@
 	if first != second {
 		p.setStops(slices.Concat(p.cuts(), p.stopsOf(second)))
 		if p.play.lasting {
-			m = p.reach(second, momentLimit)
+			m = p.reach(second, stream, momentLimit)
 			if m == nil { // the effect holds the stream up
 				end()
 				end = func() {}
 			}
 		}
 		if !p.play.lasting || m == nil {
-			m = p.reach(second, momentTimeout)
+			m = p.reach(second, stream, momentTimeout)
 		}
 	}
 	if m == nil {
 		out.reasons[1] = "no stream reached the point"
 		return out
 	}
+	out.same = m.stream == stream
 	var endSecond func()
 	endSecond, out.reasons[1] = p.act(1, m)
 	p.wait(p.play.hold)
--- a/tests/moment_site_test.go
+++ b/tests/moment_site_test.go
@@ -30,7 +30,9 @@
 	momentBetween = 8
 	// momentLimit is how long an effect lasts at most while the stream does not reach the second point.
 	momentLimit = 700 * time.Millisecond
-	momentPoll  = 5 * time.Millisecond
+	// momentSame is how long a stream has to reach the second point after another one has.
+	momentSame = 300 * time.Millisecond
+	momentPoll = 5 * time.Millisecond
 )
 
 // momentServer is a backend server, which keeps its output when it is gone.
--- a/tests/moment_test.go
+++ b/tests/moment_test.go
@@ -29,9 +29,10 @@
 	pairs, points map[string]int
 	// reasons are the numbers of events that did not happen, and of pairs that could not be played.
 	reasons map[string]int
-	// played and both are the numbers of plays, and of those in which both events happened; streams, whole and cut those of
+	// played, both and same are the numbers of plays, of those in which both events happened, and of those of these in which
+	// they did at points of one stream; streams, whole and cut those of
 	// streams, of whole ones, and of attempts that were cut.
-	played, both        int
+	played, both, same  int
 	streams, whole, cut int
 	faults              map[string]int
 	failed              []string
@@ -101,6 +102,9 @@
 	}
 	if result.reasons == [2]string{} {
 		r.both++
+		if result.same {
+			r.same++
+		}
 		r.pairs[p.play.pair[0].name+", then "+p.play.pair[1].name]++
 		r.points[fmt.Sprint(p.play.points[0], ", then ", p.play.points[1])]++
 	}
@@ -130,7 +134,7 @@
 func (r *momentReport) log(t *testing.T) {
 	events := momentEvents()
 	var out strings.Builder
-	fmt.Fprintf(&out, "%d plays, both events in %d; %d of %d streams whole, %d attempts cut\n", r.played, r.both, r.whole, r.streams, r.cut)
+	fmt.Fprintf(&out, "%d plays, both events in %d, at one stream in %d; %d of %d streams whole, %d attempts cut\n", r.played, r.both, r.same, r.whole, r.streams, r.cut)
 	for _, event := range events {
 		n := r.events[event.name]
 		if n == nil {
