--- a/tests/moment_draw_test.go
+++ b/tests/moment_draw_test.go
@@ -171,5 +171,5 @@
 	m.points = [2]standin.Point{momentPoints[min(first, second)], momentPoints[max(first, second)]}
 	m.form = momentForms[rng.IntN(len(momentForms))]
 	m.versions, m.resumable, m.lasting, m.relist = rng.IntN(2) == 0, rng.IntN(3) > 0, rng.IntN(2) == 0, rng.IntN(2) == 0
-	m.hold = []time.Duration{50 * time.Millisecond, 400 * time.Millisecond, time.Second}[rng.IntN(3)]
+	m.hold = []time.Duration{0, 50 * time.Millisecond, 400 * time.Millisecond, time.Second}[rng.IntN(4)]
 }
