Ask what happened during a stop before a version is guessed

Callers whose stream began at v2 got events of v1 behind its first ones, if they came back to a front that had been stopped while v2 appeared.

A front that doesn't know a stream continues it at the only version that counts for its service. A front that runs again after a stop reads the requests that wait in its sockets in any order: callers' requests may come ahead of the list of servers and of the origins that other fronts sent meanwhile, so that it takes the version from before the stop for the only one. The check for cut-off fronts does not apply, as no read of the store has failed yet.

A front now counts the times in which it did not run, at the moment a stream is resolved as well. Known streams go on at once, and a front that was not stopped asks nobody. Fronts of earlier versions don't answer; the list of servers decides then.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -20,6 +20,7 @@
 	"github.com/runworks/runworks/modules/notify"
 	"github.com/runworks/runworks/modules/rpc"
 	"github.com/runworks/runworks/modules/setting"
+	"github.com/runworks/runworks/modules/suspend"
 	"github.com/runworks/runworks/modules/tcp"
 	"github.com/runworks/runworks/platform"
 	"github.com/runworks/runworks/services/catchup"
@@ -100,6 +101,8 @@
 	suspects *platform.Suspects
 	// streamVersions stores the versions that may have begun streams.
 	streamVersions *platform.StreamVersions
+	// stops counts the times in which this process did not run.
+	stops suspend.Stops
 	// requesting is set for a subject while its state is requested from another front.
 	requesting    map[peers.Subject]*atomic.Bool
 	followers     map[peers.Subject]*catchup.Follower
--- a/daemon/front_streams.go
+++ b/daemon/front_streams.go
@@ -1,13 +1,19 @@
 package daemon
 
 import (
+	"context"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/platform"
 	"github.com/runworks/runworks/services/peers"
 )
 
+// streamsTimeout limits the time in which the other fronts and the store say what happened while this front was stopped.
+const streamsTimeout = time.Second
+
 // buildStreamOrigins connects what is known of streams and their versions with the other fronts and the
 // store.
 func (d *Front) buildStreamOrigins() {
@@ -17,6 +23,7 @@
 		Leads: d.leadsStreamVersions, OnFirstReadDone: d.admitHeldCalls, OnRecorded: d.exchange.SendRecordedVersions,
 	}
 	origins.Started, origins.Isolated = time.Now(), d.isolated
+	origins.Stops, origins.Update = d.countStops, d.updateStreams
 	origins.Send, origins.OnVersions = d.exchange.SendStreamOrigins, d.streamVersions.Changed
 	d.exchange.StreamOrigins = func() []runworks.StreamOrigin { return origins.List(time.Now()) }
 	d.exchange.OnStreamOrigins = func(list []runworks.StreamOrigin) { origins.Apply(time.Now(), list) }
@@ -35,6 +42,33 @@
 	return d.watches[peers.SubjectServers].StoreLost() && d.exchange.LiveCount() == 0
 }
 
+// countStops returns how often this front was stopped.
+func (d *Front) countStops() int {
+	n, err := d.stops.Count()
+	if err != nil {
+		d.Logger.Error("stops of this process cannot be detected", "error", err.Error())
+	}
+	return n
+}
+
+// updateStreams reads what happened while this front was stopped: the streams and versions that the other fronts know, and the
+// list of servers. It reports whether nothing is missing: where the store does not respond, the others know the versions.
+func (d *Front) updateStreams() bool {
+	ctx, cancel := context.WithTimeout(d.ctx, streamsTimeout)
+	defer cancel()
+	var err error
+	var work conc.WaitGroup
+	work.Go(func() { err = d.watches[peers.SubjectServers].Update(ctx) })
+	answered, missing := d.exchange.RequestStreams(ctx)
+	work.Wait()
+	if err != nil {
+		d.Logger.Warn("list of servers could not be read after a stop of this process", "error", err.Error())
+	}
+	whole := !missing && (err == nil || answered > 0)
+	d.Logger.Info("streams updated after a stop of this process", "whole", whole, "fronts", answered)
+	return whole
+}
+
 // onStreamVersions applies the versions of another front's handshake, or those that it has recorded.
 func (d *Front) onStreamVersions(list []runworks.StreamVersion, recorded bool) {
 	if recorded {
--- a/daemon/front_sync.go
+++ b/daemon/front_sync.go
@@ -61,6 +61,7 @@
 	wg.Go(func() { d.suspects.Run(ctx) })
 	wg.Go(func() { d.streamVersions.Run(ctx) })
 	wg.Go(func() { d.watchSuspensions(ctx) })
+	wg.Go(func() { _ = d.stops.Run(ctx) }) // countStops logs the error
 	wg.Go(func() { d.shareEngineModels(ctx) })
 	wg.Go(func() { d.runRollouts(ctx) })
 }
@@ -70,6 +71,9 @@
 	if subject == peers.SubjectLimits {
 		return d.quota.State(time.Now()), nil
 	}
+	if subject == peers.SubjectStreams {
+		return peers.StreamState{Origins: d.exchange.StreamOrigins(), Versions: d.exchange.StreamVersions()}, nil
+	}
 	w := d.watches[subject]
 	if w == nil {
 		return nil, errorx.IllegalArgument.New("%s is not followed", subject)
--- a/services/peers/messages.go
+++ b/services/peers/messages.go
@@ -46,6 +46,7 @@
 	SubjectRouting Subject = "routing"
 	SubjectServers Subject = "servers"
 	SubjectLimits  Subject = "limits"
+	SubjectStreams Subject = "streams"
 )
 
 // StateRequest requests an entry's state of a subject.
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -36,6 +36,8 @@
 	// replaced holds the previous incarnations of entries that restarted.
 	replaced []runworks.Incarnation
 	running  int
+	// origins are those that it received, and knownOrigins those that it knows; nil in a version that has no such state.
+	origins, knownOrigins []runworks.StreamOrigin
 	// storeLost is what it sends as StoreLost, and changes the changes that it received.
 	storeLost bool
 	changes   []Change
@@ -174,7 +176,17 @@
 		defer e.mu.Unlock()
 		e.noticeLists = append(e.noticeLists, list)
 	}
-	e.State = func(Subject) (any, error) { return e.Self.Name + " knows", nil }
+	e.State = func(s Subject) (any, error) {
+		if s == SubjectStreams {
+			return e.streamState()
+		}
+		return e.Self.Name + " knows", nil
+	}
+	e.OnStreamOrigins = func(list []runworks.StreamOrigin) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.origins = append(e.origins, list...)
+	}
 }
 
 // setRunning sets the number of calls that the entry reports as running.
--- a/services/peers/stream_origins.go
+++ b/services/peers/stream_origins.go
@@ -1,9 +1,14 @@
 package peers
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
+	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/runworks/runworks"
 )
 
@@ -21,6 +26,50 @@
 	Recorded []runworks.StreamVersion `json:"recorded,omitempty"`
 }
 
+// StreamState is an entry's state of SubjectStreams: what it knows of streams and the versions that may have begun them.
+type StreamState struct {
+	Origins  []runworks.StreamOrigin  `json:"origins,omitempty"`
+	Versions []runworks.StreamVersion `json:"versions,omitempty"`
+}
+
+// RequestStreams requests from each connected entry what it knows of streams, and processes it like that of a handshake. It
+// returns how many answered, and whether one that is connected did not in time.
+func (x *Exchange) RequestStreams(ctx context.Context) (answered int, missing bool) {
+	var wg conc.WaitGroup
+	var mu sync.Mutex
+	for _, name := range x.liveNames() {
+		wg.Go(func() {
+			var s StreamState
+			err := x.RequestState(ctx, name, SubjectStreams, &s)
+			if err == nil {
+				x.receiveStreamVersions(s.Versions, false)
+				x.receiveStreamOrigins(s.Origins)
+			} else {
+				x.Logger.Warn("request for the streams of another entry failed", "name", name, "error", err.Error())
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				answered++
+			}
+			missing = missing || errors.Is(err, context.DeadlineExceeded)
+		})
+	}
+	wg.Wait()
+	return answered, missing
+}
+
+// liveNames returns the names of the other entries that have not timed out.
+func (x *Exchange) liveNames() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var out []string
+	for _, one := range x.peers {
+		out = append(out, one.name)
+	}
+	return out
+}
+
 // SendStreamOrigins sends the origins of streams to all connected entries, immediately or
 // originInterval after the last message. Their callers may resume them at any entry.
 func (x *Exchange) SendStreamOrigins(list []runworks.StreamOrigin) {
--- a/services/streamorigin/table.go
+++ b/services/streamorigin/table.go
@@ -33,6 +33,11 @@
 	// Isolated reports whether this entry is cut off from the list of servers and from all other entries,
 	// so that newer versions may serve; nil means that it never is. It is called with a lock held.
 	Isolated func() bool
+	// Stops returns how often this entry was stopped: it did not run, and may lack what happened meanwhile. Update then reads
+	// the streams and versions that the other entries know, and the list of servers; it reports whether nothing is missing. Nil
+	// means that the entry is never stopped.
+	Stops  func() int
+	Update func() bool
 	// Started is when this entry started. Until ApplyVersions, or for versionMemory, versions that served
 	// before are unknown; zero if none did.
 	Started time.Time
@@ -47,6 +52,7 @@
 	// by the first SetServers, and loaded by ApplyVersions.
 	versions       map[string]versions
 	listed, loaded bool
+	stops          stops
 }
 
 // origin is what is known of a stream.
@@ -145,7 +151,7 @@
 // streams of the service. If there are several or none, or if those before the start of this entry or the
 // newest ones may not be known, the error is ErrUnknownStream.
 func (t *Table) Resolve(now time.Time, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
-	isolated := t.Isolated != nil && t.Isolated() // without the lock, under which the list of servers calls SetServers
+	isolated, behind := t.Isolated != nil && t.Isolated(), t.isBehind() // without the lock, under which the list of servers calls SetServers
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if o, ok := t.origins[stream]; ok && now.Before(o.expires) {
@@ -155,6 +161,9 @@
 	if isolated {
 		return out, errorx.Decorate(runworks.ErrUnknownStream, "newer versions of %s may serve than this entry knows", service)
 	}
+	if behind {
+		return out, errorx.Decorate(runworks.ErrUnknownStream, "newer versions of %s may serve than this entry knew before it was stopped", service)
+	}
 	if !t.knowsVersionsLocked(now) {
 		return out, errorx.Decorate(runworks.ErrUnknownStream, "the versions of %s before the start are unknown", service)
 	}
@@ -167,8 +176,12 @@
 }
 
 // Await is Resolve that waits for the origin of an unknown stream, as it may be on its way from the
-// entry where the stream began.
+// entry where the stream began. After a stop of this entry it waits for what the others know since.
 func (t *Table) Await(ctx context.Context, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
+	if out, err := t.Resolve(time.Now(), stream, service); err == nil {
+		return out, nil
+	}
+	t.awaitUpdate(ctx)
 	ctx, cancel := context.WithTimeout(ctx, arrivalTimeout)
 	defer cancel()
 	for {
--- a/services/streamorigin/versions_test.go
+++ b/services/streamorigin/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -153,6 +154,75 @@
 	})
 }
 
+// TestStoppedEntryGuessesVersion guards against an entry that was stopped while a newer version appeared, and that continues a
+// stream of it at the version which it knew before; and against one that refuses streams though it knows all that happened.
+func TestStoppedEntryGuessesVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table, stopped, updates, whole, took := startedTable("v1"), 0, 0, true, time.Duration(0)
+		table.Stops = func() int { return stopped }
+		table.Update = func() bool {
+			updates++
+			time.Sleep(took)
+			if whole {
+				table.SetServers(time.Now(), servers("v1", "v2"))
+				table.Apply(time.Now(), []runworks.StreamOrigin{{Stream: "2", Service: "llm", Version: "v2", LeftMs: kept.Milliseconds()}})
+			}
+			return whole
+		}
+		table.ApplyVersions(time.Now(), nil)
+		table.Record(time.Now(), begun("1", "v1"), kept)
+		is.Equal(versionAt(table, "2"), "v1") // nothing else has served
+		is.Equal(updates, 0)
+
+		stopped, whole = 1, false
+		is.Equal(versionAt(table, "1"), "v1") // it is known
+		is.Equal(updates, 0)
+		began := time.Now()
+		is.Equal(versionAt(table, "2"), "?")
+		is.Equal(time.Since(began), updateTimeout+arrivalTimeout)
+		synctest.Wait()
+		is.True(updates <= 1+int(updateTimeout/updatePause)) // a failure is not repeated at once
+
+		time.Sleep(updatePause)
+		synctest.Wait()
+		took, updates, whole = updateTimeout/2, 0, true
+		var work sync.WaitGroup
+		for range 8 {
+			work.Go(func() { is.Equal(versionAt(table, "2"), "v2") })
+		}
+		work.Wait()
+		synctest.Wait()
+		is.Equal(updates, 1) // for all of them
+		is.Equal(versionAt(table, "3"), "?")
+		is.Equal(updates, 1)
+
+		stopped, took = 2, 2*updateTimeout
+		began = time.Now()
+		is.Equal(versionAt(table, "4"), "?")
+		is.Equal(time.Since(began), updateTimeout+arrivalTimeout)
+		time.Sleep(took)
+	})
+}
+
+// TestStopDuringUpdate guards against an update that counts for a stop which began after it.
+func TestStopDuringUpdate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table, stopped, updates := startedTable("v1"), 1, 0
+		table.Stops = func() int { return stopped }
+		table.Update = func() bool {
+			if updates++; updates == 1 {
+				stopped++
+			}
+			return true
+		}
+		table.ApplyVersions(time.Now(), nil)
+		is.Equal(versionAt(table, "1"), "v1")
+		is.Equal(updates, 2)
+	})
+}
+
 // TestStartWritesRecordAgain guards against a write to the store at each start of an entry, for versions that
 // are recorded already.
 func TestStartWritesRecordAgain(t *testing.T) {
