Take half of a CR LF behind an event for a cut

A resumable stream whose lines end in CR LF and whose server's part ends between the last CR and LF of an event reached its caller without that LF, or without the event: event 4 came behind event 2.

Such a part does not end inside an event for Tracker, as a CR alone ends a line, but Cut finds no whole event in it either. At an end without length or chunks the event counted as the last one of the sequence and was passed on as if it were a comment, with the rest behind it. Where no rest could be asked for and the stream went on elsewhere, it was dropped, though counted, and the stream went on behind it.

A CR behind lines that end in CR LF now counts as the inside of an event, so that the event is dropped and sent again.

--- a/modules/eventstream/eventstream.go
+++ b/modules/eventstream/eventstream.go
@@ -42,6 +42,8 @@
 	hasField bool
 	// afterCR is set after a carriage return: a line feed then belongs to the same line end.
 	afterCR bool
+	// hasCRLF is set after a line that both ended: a carriage return alone is then half the end of a line.
+	hasCRLF bool
 }
 
 // Track processes the next bytes of the stream.
@@ -49,6 +51,7 @@
 	for _, b := range p {
 		switch {
 		case b == '\n' && t.afterCR:
+			t.hasCRLF = true
 		case b == '\n' || b == '\r':
 			t.endLine()
 		case !t.inLine:
@@ -69,5 +72,5 @@
 	t.inLine, t.inComment = false, false
 }
 
-// InsideEvent reports whether the stream, if it ended here, would end inside an event or a line.
-func (t *Tracker) InsideEvent() bool { return t.inLine || t.hasField }
+// InsideEvent reports whether the stream, if it ended here, would end inside an event, a line or the end of a line.
+func (t *Tracker) InsideEvent() bool { return t.inLine || t.hasField || t.afterCR && t.hasCRLF }
