Count informational responses apart from surplus ones

A call whose server sends three informational responses (100, 103) before its own one failed as if only responses to other requests had come, and one that can't be repeated was lost. One hint with a surplus response and another hint was enough.

The loop that skips surplus responses counted informational ones, too. It now reads through readFinal, which a status request uses already, with a limit of its own: 32 a response.

--- a/modules/httpconn/do.go
+++ b/modules/httpconn/do.go
@@ -19,6 +19,8 @@
 const (
 	// maxMismatched limits the responses that are read in search of the matching one.
 	maxMismatched = 3
+	// maxInformational limits the informational responses before any other one.
+	maxInformational = 32
 	// maxMismatchedBytes limits the body of a response that is discarded.
 	maxMismatchedBytes = 1 << 20
 	// maxInlineBody is the largest body in bytes that is written before the response is read.
@@ -147,13 +149,10 @@
 // responses to other requests.
 func (x *exchange) read() (*http.Response, error) {
 	for range maxMismatched {
-		res, err := x.conn.heads.ReadResponse(x.req)
+		res, err := x.conn.readFinal(x.req)
 		if err != nil {
 			return nil, err
 		}
-		if res.StatusCode < http.StatusOK {
-			continue
-		}
 		if x.pool.MatchResponse == nil || x.pool.MatchResponse(x.req, res) {
 			x.conn.readKeepAlive(res)
 			return res, nil
--- a/modules/httpconn/identify.go
+++ b/modules/httpconn/identify.go
@@ -153,7 +153,7 @@
 
 // readFinal returns the head of the response to a request, and skips informational ones.
 func (c *conn) readFinal(req *http.Request) (*http.Response, error) {
-	for range maxMismatched {
+	for range maxInformational {
 		res, err := c.heads.ReadResponse(req)
 		if err != nil || res.StatusCode >= http.StatusOK {
 			return res, err
