Keep a response behind a stream out of it

Callers got the head of another response as a part of their stream, and its events with IDs above those of the stream: servers that send more behind a whole response, or two heads, and whose response only the connection ends.

Such bytes have no boundary in the response, and what has neither an ID nor data counted as a comment.

A part between events that begins with HTTP/1. is none of a response without length or chunks: the stream counts as broken before it, as at an event out of order, and goes on at another server if it may be resumed. Framed responses are passed on as before.

--- a/modules/eventstream/eventstream.go
+++ b/modules/eventstream/eventstream.go
@@ -1,6 +1,7 @@
 package eventstream
 
 import (
+	"bytes"
 	"mime"
 	"net/http"
 )
@@ -14,6 +15,14 @@
 	return mediaType == eventStreamType
 }
 
+// responseBegin is how the head of a response begins. No field of an event has such a name.
+var responseBegin = []byte("HTTP/1.")
+
+// IsResponse reports whether a part of a stream that begins between events is the beginning of another response.
+func IsResponse(part []byte) bool {
+	return bytes.HasPrefix(bytes.TrimLeft(part, "\r\n"), responseBegin)
+}
+
 // Cut returns the first event of p, up to and including the blank line that ends it, and the rest.
 // ok is false if p holds no whole event. The first searched bytes of p are known to hold none.
 func Cut(p []byte, searched int) (event, rest []byte, ok bool) {
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -172,7 +172,7 @@
 // breakOff continues the stream at another server, or ends it.
 func (s *stream) breakOff(cause error) {
 	s.call.unfinishedEvent = len(s.partial)
-	if s.events && len(s.partial) <= maxEvent && insideEvent(s.partial) {
+	if s.events && len(s.partial) <= maxEvent && insideEvent(s.partial) && !s.isOtherResponse(s.partial) {
 		s.owed = true
 		s.restCame()
 	}
--- a/services/forward/stream_order.go
+++ b/services/forward/stream_order.go
@@ -16,6 +16,9 @@
 // where it was to continue one.
 var errOutOfOrder = errors.New("the backend server does not continue the stream")
 
+// errOtherResponse means that a server sent a response to another request behind a stream, or in its place.
+var errOtherResponse = errors.New("the backend server sent another response inside the stream")
+
 // continueSequence records that the current server is to continue the stream after the event with the ID
 // last; an empty one begins the stream.
 func (s *stream) continueSequence(last string) {
@@ -33,7 +36,7 @@
 	}
 	c := s.call
 	last := s.sequence.Last()
-	err := s.sequence.Next(event)
+	err := s.follow(event)
 	if err == nil {
 		if (s.owed || !s.answered) && eventstream.IsEvent(event) {
 			s.owed, s.answered = false, true
@@ -49,6 +52,20 @@
 	return errorx.Decorate(errOutOfOrder, "%s: %v", s.lease.Instance.ID, err)
 }
 
+// follow records an event, and returns an error if it does not follow those before it, or is none of the stream.
+func (s *stream) follow(event []byte) error {
+	if s.isOtherResponse(event) {
+		return errOtherResponse
+	}
+	return s.sequence.Next(event)
+}
+
+// isOtherResponse reports whether a part of the stream belongs to another response. Where a length or chunks end the stream,
+// it does not.
+func (s *stream) isOtherResponse(part []byte) bool {
+	return s.call.end.closeDelimited && eventstream.IsResponse(part)
+}
+
 // orderResult is the result of a server's part that does not continue the stream. Where nothing but the ID that
 // the caller states can be wrong, or the stream may be over, it does not count against the server.
 func (s *stream) orderResult() dispatch.Result {
