--- a/standin/old_protocol.go
+++ b/standin/old_protocol.go
@@ -23,17 +23,18 @@
 			return
 		}
 		defer func() { _ = conn.Close() }()
-		out := &oldResponse{conn: conn, header: make(http.Header)}
+		out := &oldResponse{conn: conn, header: make(http.Header), protocol: "HTTP/1.0"}
 		h.ServeHTTP(out, r)
 		out.WriteHeader(http.StatusOK)
 	})
 }
 
-// oldResponse writes a response of HTTP/1.0.
+// oldResponse writes a response with neither a length nor chunks.
 type oldResponse struct {
-	conn   net.Conn
-	header http.Header
-	begun  bool
+	conn     net.Conn
+	header   http.Header
+	protocol string
+	begun    bool
 }
 
 // Header implements http.ResponseWriter.
@@ -49,7 +50,7 @@
 		o.header.Del(name)
 	}
 	var head bytes.Buffer
-	fmt.Fprintf(&head, "HTTP/1.0 %d %s\r\n", status, http.StatusText(status))
+	fmt.Fprintf(&head, "%s %d %s\r\n", o.protocol, status, http.StatusText(status))
 	_ = o.header.Write(&head)
 	head.WriteString("\r\n")
 	_, _ = o.conn.Write(head.Bytes())
--- a/standin/rejoin.go
+++ b/standin/rejoin.go
@@ -80,6 +80,17 @@
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	kind := b.rejoin(last)
 	b.passHead(w, r, last, events)
+	b.mu.Lock()
+	unsolicited := b.consume(&b.faults.UnsolicitedStreams)
+	b.mu.Unlock()
+	if unsolicited {
+		out, err := b.behindUnsolicited(w, r.RequestURI)
+		if err != nil {
+			return
+		}
+		defer func() { _ = out.conn.Close() }()
+		w = out
+	}
 	w.Header().Set(HeaderRoutedSignature, b.Instance)
 	switch kind {
 	case RejoinEmpty:
--- a/standin/routed_faults.go
+++ b/standin/routed_faults.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -17,6 +18,9 @@
 	Reject int `json:"turn_away"`
 	// Unsolicited is the number of responses that are preceded by one that matches no request.
 	Unsolicited int `json:"surplus"`
+	// UnsolicitedStreams is the number of streams that are preceded by the beginning of another one, with the ID of another
+	// call.
+	UnsolicitedStreams int `json:"surplus_streams"`
 	// Reset is the number of calls that are executed and whose connection is reset without a
 	// response.
 	Reset int `json:"reset"`
@@ -117,6 +121,19 @@
 	_, _ = conn.Write(out.Bytes())
 }
 
+// behindUnsolicited sends the first events of another stream, as a response that comes late, and returns what the response
+// that is due is written to.
+func (b *RoutedServer) behindUnsolicited(w http.ResponseWriter, target string) (*oldResponse, error) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return nil, err
+	}
+	events := slices.Concat(RoutedEvent(target, 1), RoutedEvent(target, 2))
+	_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: nobody\r\n%s: %s\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s",
+		HeaderRoutedID, HeaderRoutedSignature, b.Instance, len(events), events)
+	return &oldResponse{conn: conn, header: w.Header(), protocol: "HTTP/1.1"}, err
+}
+
 // resetConn writes data and resets the connection.
 func resetConn(w http.ResponseWriter, data []byte) {
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/tests/soak_contention_test.go
+++ b/tests/soak_contention_test.go
@@ -49,10 +49,12 @@
 	return strings.Replace(document, `"tenants": [`, fmt.Sprintf(`"tenants": [{"name": "burst", "apiKeys": [%q]}, `, keyBurst), 1)
 }
 
-// delays returns the delays of the servers, by their position; the first two are those of app.
+// delays returns the delays of the servers, by their position; the first appServers are those of app.
 func (s *soak) delays() []time.Duration {
 	usual := 5 * time.Millisecond
 	switch {
+	case s.platformOnly():
+		return soakPlatformDelays()
 	case s.closesPaths():
 		return []time.Duration{8 * usual, 8 * usual, 2 * usual, 2 * usual, 2 * usual, 2 * usual}
 	case s.joinsStreams():
--- a/tests/soak_faults_test.go
+++ b/tests/soak_faults_test.go
@@ -51,7 +51,8 @@
 		{s.goesSilent(), s.silenceFaults},
 		{s.cutsStreams() && !s.planned, s.cutFaults},
 		{s.crashesServers(), s.crashFaults},
-		{s.joinsStreams(), s.orderFaults},
+		{s.joinsStreams() && !s.platformOnly(), s.orderFaults},
+		{s.platformOnly(), s.platformFaults},
 		{s.closesPaths(), s.closeFaults},
 		{s.comeTogether(), s.togetherFaults},
 		{s.hasOldServers(), s.oldServerFaults},
@@ -76,6 +77,8 @@
 	kinds := []func() soakFault{s.stopFront, s.reload, s.changeDocument, s.drainServer}
 	switch {
 	case s.planned:
+	case s.platformOnly():
+		kinds = append(kinds, s.killFront, s.pauseFront, s.cutFront, s.cutStore, s.cutServer, s.pauseServer, s.breakStore, s.pauseStore, s.killAllFronts)
 	case s.hasOldCallers(): // to such a caller a killed front looks like a complete response
 		kinds = append(kinds, s.pauseFront, s.cutStore, s.cutServer, s.pauseServer, s.breakServer, s.breakStore, s.pauseStore)
 	case s.reportsLimits(), s.sendsReports():
--- a/tests/soak_old_protocol_test.go
+++ b/tests/soak_old_protocol_test.go
@@ -19,7 +19,7 @@
 )
 
 // hasOldServers reports whether servers respond in HTTP/1.0.
-func (s *soak) hasOldServers() bool { return s.seed >= soakOldServerSeeds }
+func (s *soak) hasOldServers() bool { return s.seed >= soakOldServerSeeds && !s.platformOnly() }
 
 // hasOldCallers reports whether callers request in HTTP/1.0 and wait for their response. Fronts are not killed then.
 func (s *soak) hasOldCallers() bool { return s.hasOldServers() && s.seed/2%2 == 0 }
@@ -44,7 +44,7 @@
 
 // streamTransport returns the transport of a caller that takes up streams, and what releases it. Half of them are foreign.
 func (s *soak) streamTransport(lane int) (transport http.RoundTripper, done func()) {
-	if s.hasOldServers() && lane%2 == 1 {
+	if (s.hasOldServers() || s.platformOnly()) && lane%2 == 1 {
 		return s.foreignTransport(lane), func() {}
 	}
 	common := newSoakTransport()
@@ -53,7 +53,7 @@
 
 // startForeignCallers starts the foreign callers that send calls of all kinds.
 func (s *soak) startForeignCallers() {
-	if !s.hasOldServers() {
+	if !s.hasOldServers() && !s.platformOnly() {
 		return
 	}
 	for n := range soakForeignCallers {
--- a/tests/soak_proxy_test.go
+++ b/tests/soak_proxy_test.go
@@ -39,14 +39,19 @@
 
 // proxy forwards TCP connections to a target on this machine.
 type proxy struct {
-	listener net.Listener
+	t testing.TB
+	// at is the address at which connections are accepted, or were last.
+	at      string
+	serving sync.WaitGroup
 
-	mu      sync.Mutex
-	target  string
-	mode    proxyMode
-	changed chan struct{}
-	conns   map[net.Conn]struct{}
-	pairs   map[*proxyPair]struct{}
+	mu sync.Mutex
+	// listener is nil while new connections are refused.
+	listener net.Listener
+	target   string
+	mode     proxyMode
+	changed  chan struct{}
+	conns    map[net.Conn]struct{}
+	pairs    map[*proxyPair]struct{}
 	// maxAge and maxBytes, unless 0, are the age and the number of bytes from the target with which a connection is closed like end.
 	maxAge   time.Duration
 	maxBytes int
@@ -79,30 +84,54 @@
 
 func newProxy(t testing.TB, target string) *proxy {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	p := &proxy{t: t, at: "127.0.0.1:0", target: target, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}, pairs: map[*proxyPair]struct{}{}}
+	p.accept()
+	t.Cleanup(func() {
+		p.refuse()
+		p.set(proxyResets)
+		p.serving.Wait()
+	})
+	return p
+}
+
+// accept has new connections accepted unless they are already: at the same address, unless that is taken.
+func (p *proxy) accept() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		return
+	}
+	l, err := net.Listen("tcp", p.at)
 	if err != nil {
-		t.Fatal(err)
+		l, err = net.Listen("tcp", "127.0.0.1:0") // a connection has the port
 	}
-	p := &proxy{listener: l, target: target, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}, pairs: map[*proxyPair]struct{}{}}
-	var work sync.WaitGroup
-	work.Go(func() {
+	if err != nil {
+		p.t.Error(err)
+		return
+	}
+	p.listener, p.at = l, l.Addr().String()
+	p.serving.Go(func() {
 		for {
 			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
-			work.Go(func() { p.serve(conn) })
+			p.serving.Go(func() { p.serve(conn) })
 		}
 	})
-	t.Cleanup(func() {
-		_ = l.Close()
-		p.set(proxyResets)
-		work.Wait()
-	})
-	return p
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+// refuse has new connections refused, as by a host on which nothing listens.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+	}
+	p.listener = nil
+}
+
+func (p *proxy) address() string { return p.at }
 
 // open returns the number of connections that are forwarded.
 func (p *proxy) open() int {
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -208,7 +208,7 @@
 	s.publish()
 	for i, delay := range s.delays() {
 		server := &soakServer{service: "llm", proxy: newProxy(t, ""), delay: delay}
-		if i < 2 {
+		if i < s.appServers() {
 			server.service = "app"
 		}
 		s.servers = append(s.servers, server)
@@ -217,9 +217,9 @@
 	if s.reportsGeneration() {
 		s.decoy = startProcess(t, "trap", "standin", "routed", "--instance", "trap", "--tell")
 	}
-	for i := range 3 {
+	for i := range s.frontCount() {
 		f := &soakFront{name: fmt.Sprint("front-", i), store: newProxy(t, s.store.address("standin"))}
-		if s.goesSilent() || s.closesPaths() {
+		if s.hasPeerPaths() {
 			f.peers = newProxy(t, "")
 		}
 		if s.closesPaths() {
@@ -269,6 +269,7 @@
 	args := []string{"routed", "--instance", id, "--delay", server.delay.String(), "--tell", "--end-on-part", crashPart, "--software", version}
 	p := startProcess(s.t, id, "standin", append(args, s.oldServerArgs(server)...)...)
 	server.proxy.setTarget(p.address("standin"))
+	s.setForm(server, p)
 	inc := &soakIncarnation{process: p, id: id, version: version, ranAtDrain: -1}
 	if s.reportsGeneration() {
 		inc.generation = int64(len(server.incarnations) + 1)
--- a/tests/soak_together_test.go
+++ b/tests/soak_together_test.go
@@ -23,11 +23,11 @@
 )
 
 // comeTogether reports whether several events come at once.
-func (s *soak) comeTogether() bool { return s.seed >= soakTogetherSeeds }
+func (s *soak) comeTogether() bool { return s.seed >= soakTogetherSeeds && !s.platformOnly() }
 
 // longCallers returns the number of callers of long streams that can't be resumed.
 func (s *soak) longCallers() int {
-	if s.comeTogether() {
+	if s.comeTogether() || s.platformOnly() {
 		return soakLongCallers
 	}
 	return 0
