Start killed fronts again in pairs of events

A front that was just started knows no streams but those that others tell it, and nothing played that at a point of a stream. Effects may last 2.5 s, longer than fronts wait for each other.

--- a/tests/moment_draw_test.go
+++ b/tests/moment_draw_test.go
@@ -119,6 +119,11 @@
 	return ""
 }
 
+// momentHolds are how long effects last at least; the longest one is more than fronts wait for each other.
+var momentHolds = []time.Duration{
+	0, 0, 50 * time.Millisecond, 50 * time.Millisecond, 400 * time.Millisecond, 400 * time.Millisecond, time.Second, 2500 * time.Millisecond,
+}
+
 // momentDraw is a play that was drawn, by its number, or why the pair has none.
 type momentDraw struct {
 	number int
@@ -171,5 +176,5 @@
 	m.points = [2]standin.Point{momentPoints[min(first, second)], momentPoints[max(first, second)]}
 	m.form = momentForms[rng.IntN(len(momentForms))]
 	m.versions, m.resumable, m.lasting, m.relist = rng.IntN(2) == 0, rng.IntN(3) > 0, rng.IntN(2) == 0, rng.IntN(2) == 0
-	m.hold = []time.Duration{0, 50 * time.Millisecond, 400 * time.Millisecond, time.Second}[rng.IntN(4)]
+	m.hold = momentHolds[rng.IntN(len(momentHolds))]
 }
--- a/tests/moment_events_test.go
+++ b/tests/moment_events_test.go
@@ -90,6 +90,9 @@
 			momentEvent{name: fmt.Sprintf("the %s is killed", at), at: at, ends: at, act: func(p *momentSite, m *moment) (func(), string) {
 				return nil, p.end(front(p, m), syscall.SIGKILL)
 			}},
+			momentEvent{name: fmt.Sprintf("the %s is killed and started again", at), at: at, act: func(p *momentSite, m *moment) (func(), string) {
+				return nil, p.restartFront(name(m))
+			}},
 			momentEvent{name: fmt.Sprintf("the %s stops at SIGTERM", at), at: at, act: func(p *momentSite, m *moment) (func(), string) {
 				return nil, p.end(front(p, m), syscall.SIGTERM)
 			}},
@@ -103,6 +106,16 @@
 	return out
 }
 
+// restartFront kills a front and starts it again; its callers need not wait until it is ready.
+func (p *momentSite) restartFront(name string) string {
+	if reason := p.end(p.fronts[name], syscall.SIGKILL); reason != "" {
+		return reason
+	}
+	p.runFront(name)
+	p.callers[name].setTarget(p.fronts[name].address("callers"))
+	return ""
+}
+
 // freeze stops a process until the returned function is called.
 func (p *momentSite) freeze(of *process) (func(), string) {
 	if of.ended() {
--- a/tests/moment_run_test.go
+++ b/tests/moment_run_test.go
@@ -86,7 +86,7 @@
 	}
 }
 
-// find returns the points at which streams have stopped, at servers that run.
+// find returns the points at which streams have stopped, at servers and fronts that run.
 func (p *momentSite) find(point standin.Point) []*moment {
 	var out []*moment
 	prefix := fmt.Sprint("at ", point, " ")
@@ -100,7 +100,7 @@
 				continue
 			}
 			_, id, _ := strings.Cut(rest, " ")
-			if m := p.momentOf(server, id); m != nil {
+			if m := p.momentOf(server, id); m != nil && !p.fronts[m.front].ended() {
 				out = append(out, m)
 			}
 		}
--- a/tests/moment_site_test.go
+++ b/tests/moment_site_test.go
@@ -160,6 +160,10 @@
 	p.peers[name] = newProxy(p.t, "")
 	text := p.frontSettings(name) + "\npeers_advertised: " + p.peers[name].address() + "\n"
 	p.settings[name] = knownSettings(text)
+	p.runFront(name)
+}
+
+func (p *momentSite) runFront(name string) {
 	p.fronts[name] = startProcess(p.t, name, "runworks", "front", "--settings", p.settingsFile(name, p.settings[name]))
 	p.peers[name].setTarget(p.fronts[name].address("fronts"))
 }
