--- a/tests/moment_test.go
+++ b/tests/moment_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"net/http"
 	"regexp"
 	"slices"
@@ -20,6 +21,9 @@
 	momentAll      = flag.Bool("moment-all", false, "play those that show faults of KNOWN-RED.txt, too")
 )
 
+// momentNamed is how many pairs that were never played are named.
+const momentNamed = 200
+
 // momentReport counts what was played.
 type momentReport struct {
 	mu sync.Mutex
@@ -27,8 +31,8 @@
 	// those in which both did.
 	events        map[string]*[2]int
 	pairs, points map[string]int
-	// reasons are the numbers of events that did not happen, and of pairs that could not be played.
-	reasons map[string]int
+	// reasons are the plays in which events did not happen, or that could not be played, by the reason.
+	reasons map[string][]string
 	// played, both and same are the numbers of plays, of those in which both events happened, and of those of these in which
 	// they did at points of one stream; streams, whole and cut those of
 	// streams, of whole ones, and of attempts that were cut.
@@ -46,24 +50,24 @@
 	if *momentNumber >= 0 {
 		plays = slices.DeleteFunc(plays, func(d momentDraw) bool { return d.number != *momentNumber })
 	}
-	report := &momentReport{events: map[string]*[2]int{}, pairs: map[string]int{}, points: map[string]int{}, reasons: map[string]int{}, faults: map[string]int{}}
+	report := &momentReport{events: map[string]*[2]int{}, pairs: map[string]int{}, points: map[string]int{}, reasons: map[string][]string{}, faults: map[string]int{}}
 	places := make(chan struct{}, *momentParallel)
 	t.Run("play", func(t *testing.T) {
 		for _, d := range plays {
 			if d.reason != "" {
 				t.Logf("%d-%d can't be played: %s: %s, %s", *momentSeed, d.number, d.reason, d.play.pair[0].name, d.play.pair[1].name)
-				report.reasons["pair: "+d.reason]++
+				report.reasons["pair: "+d.reason] = append(report.reasons["pair: "+d.reason], fmt.Sprintf("%d-%d", *momentSeed, d.number))
 				continue
 			}
 			t.Run(fmt.Sprintf("%d-%d %s", *momentSeed, d.number, d.play.name()), func(t *testing.T) {
 				t.Parallel()
 				places <- struct{}{}
 				defer func() { <-places }()
-				playMoment(t, d.play, report)
+				playMoment(t, d, report)
 			})
 		}
 	})
-	for _, reason := range sortedKeys(again) {
+	for _, reason := range slices.Sorted(maps.Keys(again)) {
 		t.Logf("%d times points or a form were drawn again: %s", again[reason], reason)
 	}
 	report.log(t)
@@ -73,19 +77,19 @@
 }
 
 // playMoment plays a pair and checks what callers got and servers ran.
-func playMoment(t *testing.T, play momentPlay, report *momentReport) {
-	p := newMomentSite(t, play)
+func playMoment(t *testing.T, d momentDraw, report *momentReport) {
+	p := newMomentSite(t, d.play)
 	result := p.run()
 	faults := checkMoment(p.streams, p.ran())
 	for _, f := range faults {
 		t.Errorf("%s: %s: %s", f.rule, f.kind, f.text)
 	}
 	p.checkFronts()
-	report.add(t, p, result, faults)
+	report.add(t, p, d.number, result, faults)
 }
 
 // add counts a play.
-func (r *momentReport) add(t *testing.T, p *momentSite, result momentResult, faults []momentFault) {
+func (r *momentReport) add(t *testing.T, p *momentSite, number int, result momentResult, faults []momentFault) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.played++
@@ -96,7 +100,8 @@
 		if result.reasons[i] == "" {
 			r.events[event.name][i]++
 		} else {
-			r.reasons[fmt.Sprintf("event %d: %s", i+1, result.reasons[i])]++
+			reason := fmt.Sprintf("event %d: %s", i+1, result.reasons[i])
+			r.reasons[reason] = append(r.reasons[reason], fmt.Sprintf("%d-%d", *momentSeed, number))
 			t.Logf("event %d did not happen: %s", i+1, result.reasons[i])
 		}
 	}
@@ -154,11 +159,11 @@
 		}
 	}
 	fmt.Fprintf(&out, "points never played: %s\n", strings.Join(never, "; "))
-	fmt.Fprintf(&out, "%d of %d pairs of events played\n", len(r.pairs), len(events)*len(events))
-	for _, reason := range sortedKeys(r.reasons) {
-		fmt.Fprintf(&out, "%4d not played: %s\n", r.reasons[reason], reason)
+	r.writePairs(&out, events)
+	for _, reason := range slices.Sorted(maps.Keys(r.reasons)) {
+		fmt.Fprintf(&out, "%4d not played: %s: %s\n", len(r.reasons[reason]), reason, strings.Join(r.reasons[reason], ", "))
 	}
-	for _, kind := range sortedKeys(r.faults) {
+	for _, kind := range slices.Sorted(maps.Keys(r.faults)) {
 		fmt.Fprintf(&out, "%4d faults: %s\n", r.faults[kind], kind)
 	}
 	slices.Sort(r.failed)
@@ -168,11 +173,23 @@
 	t.Log(out.String())
 }
 
-func sortedKeys(m map[string]int) []string {
-	var out []string
-	for key := range m {
-		out = append(out, key)
+// writePairs writes how many pairs were played how often, and those that never were if they are few.
+func (r *momentReport) writePairs(out *strings.Builder, events []momentEvent) {
+	times := map[int]int{}
+	var never []string
+	for _, first := range events {
+		for _, second := range events {
+			name := first.name + ", then " + second.name
+			times[r.pairs[name]]++
+			if r.pairs[name] == 0 {
+				never = append(never, name)
+			}
+		}
+	}
+	for _, n := range slices.Sorted(maps.Keys(times)) {
+		fmt.Fprintf(out, "%4d pairs of events played %d times\n", times[n], n)
+	}
+	if len(never) <= momentNamed {
+		fmt.Fprintf(out, "pairs of events never played: %s\n", strings.Join(never, "; "))
 	}
-	slices.Sort(out)
-	return out
 }
