--- a/tests/moment_events_test.go
+++ b/tests/moment_events_test.go
@@ -156,11 +156,7 @@
 	if m.server.ended() {
 		return nil, m.server.name + " has ended"
 	}
-	version := "v1"
-	if p.play.versions && m.server.id == "llm-2" || m.server.id[:3] == "alt" || m.server.id >= "llm-8" {
-		version = "v2"
-	}
-	next := p.newServer(m.server.id, version)
+	next := p.newServer(m.server.id, m.server.version)
 	next.path, next.listed = m.server.path, m.server.listed
 	next.path.setTarget(next.address("standin"))
 	return nil, p.end(m.server.process, syscall.SIGKILL)
@@ -189,7 +185,7 @@
 	spare.path.setTarget(spare.address("standin"))
 	reason := p.end(m.server.process, syscall.SIGKILL)
 	if p.play.relist && !p.storeFrozen {
-		p.putRecord(spare, "v2")
+		p.putRecord(spare)
 		p.put("keyed.servers", m.server.listed, nil)
 		spare.listed = spare.id
 	}
@@ -276,7 +272,7 @@
 		{name: "a server of another version is listed", writes: true, spare: []string{}, act: func(p *momentSite, m *moment) (func(), string) {
 			spare := p.spares[m.event]
 			spare.path = newProxy(p.t, spare.address("standin"))
-			p.putRecord(spare, "v2")
+			p.putRecord(spare)
 			return nil, ""
 		}},
 	}
--- a/tests/moment_site_test.go
+++ b/tests/moment_site_test.go
@@ -38,7 +38,7 @@
 // momentServer is a backend server, which keeps its output when it is gone.
 type momentServer struct {
 	*process
-	id string
+	id, version string
 	// path is the one through which fronts reach the address of its record, and listed the ID of that record.
 	path   *proxy
 	listed string
@@ -130,7 +130,7 @@
 	if slices.ContainsFunc(p.servers, func(s *momentServer) bool { return s.id == id }) {
 		name += " again"
 	}
-	s := &momentServer{process: startProcess(p.t, name, "standin", append([]string{"routed"}, args...)...), id: id, listed: id}
+	s := &momentServer{process: startProcess(p.t, name, "standin", append([]string{"routed"}, args...)...), id: id, version: version, listed: id}
 	faults := standin.RoutedFaults{CloseDelimited: p.play.form.http10}
 	if p.play.form.mixed {
 		faults.CloseDelimitedEach = 2
@@ -146,13 +146,13 @@
 	s := p.newServer(id, version)
 	s.path = newProxy(p.t, s.address("standin"))
 	p.backends[id] = s.process
-	p.putRecord(s, version)
+	p.putRecord(s)
 }
 
-func (p *momentSite) putRecord(s *momentServer, version string) {
+func (p *momentSite) putRecord(s *momentServer) {
 	service, _, _ := strings.Cut(s.id, "-")
 	record := serverRecord(service, s.path.address(), "ready", 0)
-	p.put("keyed.servers", s.id, bytes.Replace(record, []byte(`"version": "v1"`), fmt.Appendf(nil, `"version": %q`, version), 1))
+	p.put("keyed.servers", s.id, bytes.Replace(record, []byte(`"version": "v1"`), fmt.Appendf(nil, `"version": %q`, s.version), 1))
 }
 
 // addFront starts a front that the other one reaches through a path.
