Refuse unknown streams at fronts that may be cut off together

Callers whose stream began at v2 got events of v1 behind its first ones, if they came back to fronts that were cut off from the store and from other fronts while v2 appeared: at several fronts that still hear each other for as long as the cut lasts, at a single one until it has noticed.

A front took itself for cut off only once a read of the store had failed and no other front was live. Fronts that are cut off together hear each other, and went on to take the only version that they knew for the only one.

While another front is late with its heartbeats, and for 6 s after one timed out, a stream that is not known waits until the list of servers is read, as after a stop of the front, at most once in 250 ms. Once the store is lost, it is refused if no front that is heard can read the store and another one is silent. If a front is stopped or its host is lost during such an outage, unknown streams are refused.

--- a/daemon/front_streams.go
+++ b/daemon/front_streams.go
@@ -11,8 +11,12 @@
 	"github.com/runworks/runworks/services/peers"
 )
 
-// streamsTimeout limits the time in which the other fronts and the store say what happened while this front was stopped.
-const streamsTimeout = time.Second
+const (
+	// streamsTimeout limits the time in which the store says what happened while this front was stopped or cut off.
+	streamsTimeout = time.Second
+	// peersTimeout is the same for the other fronts, one of which may be stopped itself.
+	peersTimeout = 300 * time.Millisecond
+)
 
 // buildStreamOrigins connects what is known of streams and their versions with the other fronts and the
 // store.
@@ -24,6 +28,7 @@
 	}
 	origins.Started, origins.Isolated = time.Now(), d.isolated
 	origins.Stops, origins.Update = d.countStops, d.updateStreams
+	origins.MissesEntry = func() bool { return d.exchange.MissesEntry(time.Now()) }
 	origins.Send, origins.OnVersions = d.exchange.SendStreamOrigins, d.streamVersions.Changed
 	d.exchange.StreamOrigins = func() []runworks.StreamOrigin { return origins.List(time.Now()) }
 	d.exchange.OnStreamOrigins = func(list []runworks.StreamOrigin) { origins.Apply(time.Now(), list) }
@@ -37,9 +42,9 @@
 	return d.exchange.Settled(time.Now()) && d.exchange.ReadsStore(d.watches[peers.SubjectServers].StoreLost())
 }
 
-// isolated reports whether this front can reach neither the store nor another front.
+// isolated reports whether neither this front nor any that it hears can reach the store, while others may.
 func (d *Front) isolated() bool {
-	return d.watches[peers.SubjectServers].StoreLost() && d.exchange.LiveCount() == 0
+	return d.watches[peers.SubjectServers].StoreLost() && d.exchange.CutOff()
 }
 
 // countStops returns how often this front was stopped.
@@ -51,21 +56,24 @@
 	return n
 }
 
-// updateStreams reads what happened while this front was stopped: the streams and versions that the other fronts know, and the
-// list of servers. It reports whether nothing is missing: where the store does not respond, the others know the versions.
+// updateStreams reads what happened while this front was stopped or cut off: the streams and versions that the other fronts know,
+// and the list of servers. It reports whether no version can be missing: the list names all that may begin streams, and where
+// the store does not respond, the other fronts know them.
 func (d *Front) updateStreams() bool {
 	ctx, cancel := context.WithTimeout(d.ctx, streamsTimeout)
 	defer cancel()
 	var err error
 	var work conc.WaitGroup
 	work.Go(func() { err = d.watches[peers.SubjectServers].Update(ctx) })
-	answered, missing := d.exchange.RequestStreams(ctx)
+	peersCtx, cancelPeers := context.WithTimeout(ctx, peersTimeout)
+	defer cancelPeers()
+	answered, missing := d.exchange.RequestStreams(peersCtx)
 	work.Wait()
 	if err != nil {
-		d.Logger.Warn("list of servers could not be read after a stop of this process", "error", err.Error())
+		d.Logger.Warn("list of servers could not be read for a stream that is not known", "error", err.Error())
 	}
-	whole := !missing && (err == nil || answered > 0)
-	d.Logger.Info("streams updated after a stop of this process", "whole", whole, "fronts", answered)
+	whole := err == nil || answered > 0 && !missing && !d.exchange.MissesEntry(time.Now())
+	d.Logger.Info("versions of streams updated", "whole", whole, "fronts", answered, "fronts_missing", missing)
 	return whole
 }
 
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -29,6 +30,8 @@
 	unheard int
 	// keyRefused is set while the entry refuses the fleet keys of this one.
 	keyRefused bool
+	// refused is set while nothing listens at the entry's address.
+	refused bool
 	// wake ends the wait before the next attempt to connect.
 	wake notify.Wake
 }
@@ -87,7 +90,7 @@
 		began := time.Now()
 		stream, err := rpc.Dial(ctx, x.Dial, l.member.Address, x.Keys)
 		refused := errors.Is(err, rpc.ErrKeyRefused)
-		x.setKeyRefused(l, refused)
+		x.setRefused(l, refused, errors.Is(err, syscall.ECONNREFUSED))
 		if err != nil {
 			if !reported && ctx.Err() == nil && (refused || time.Since(lastConnected) > minPeerTimeout) {
 				reported = true
@@ -177,10 +180,10 @@
 	}
 }
 
-func (x *Exchange) setKeyRefused(l *link, refused bool) {
+func (x *Exchange) setRefused(l *link, key, conn bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	l.keyRefused = refused
+	l.keyRefused, l.refused = key, conn
 }
 
 // Reach is how many of the other entries this one can exchange its state with.
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -128,6 +128,8 @@
 	// sendAt is when a heartbeat was last due, and sentLateAt when one was last sent so late that other
 	// entries may have taken this one for silent.
 	sendAt, sentLateAt time.Time
+	// timedOutAt is when an entry last timed out.
+	timedOutAt time.Time
 	// inbounds holds the newest connection that each incarnation of another entry opened.
 	inbounds map[runworks.Incarnation]*inbound
 	// startedAt is when Run started, and membersKnown is set once SetMembers was called.
--- a/services/peers/receive.go
+++ b/services/peers/receive.go
@@ -216,6 +216,9 @@
 			x.Logger.Warn("entry timed out",
 				"name", one.name, "incarnation", id, "silent_ms", now.Sub(one.lastSeen).Milliseconds(), "connected", x.connByNameLocked(one.name) != nil)
 			delete(x.peers, id)
+			if !x.hasExitedLocked(one.name) {
+				x.timedOutAt = now
+			}
 		}
 	}
 	x.mu.Unlock()
--- a/services/peers/silence.go
+++ b/services/peers/silence.go
@@ -9,6 +9,10 @@
 // pauseMemory is how long an entry that sends late is remembered as such.
 const pauseMemory = 10 * time.Second
 
+// cutMemory is how long after an entry timed out this one may be cut off without having noticed: a read of the store fails within
+// three seconds, and where several entries are cut off together, the first ones read for all.
+const cutMemory = 6 * time.Second
+
 // maxTimeoutDoublings limits how often the timeout of silent connections doubles.
 const maxTimeoutDoublings = 3
 
@@ -17,6 +21,46 @@
 // nothing. It then opens its own connection again, as that may be silent as well, and its handshake
 // asks the other entry to do the same.
 
+// MissesEntry reports whether an entry that was live is late, or timed out recently, so that this one may be cut off. An entry at
+// whose address nothing listens has exited.
+func (x *Exchange) MissesEntry(now time.Time) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.timedOutAt.IsZero() && now.Sub(x.timedOutAt) < cutMemory {
+		return true
+	}
+	timeout := x.readerTimeoutLocked()
+	for _, one := range x.peers {
+		if now.Sub(one.lastSeen) > timeout && !x.hasExitedLocked(one.name) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasExitedLocked reports whether nothing listens at the address of an entry.
+func (x *Exchange) hasExitedLocked(name string) bool {
+	l := x.links[name]
+	return l != nil && l.refused
+}
+
+// CutOff reports whether this entry may be cut off together with all that it hears: none of them can read the store, and another
+// one is silent.
+func (x *Exchange) CutOff() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, one := range x.peers {
+		if !one.storeLost {
+			return false
+		}
+	}
+	silent := len(x.peers) == 0
+	for name, l := range x.links {
+		silent = silent || x.peers[x.incarnations[name]] == nil && !l.refused && !l.keyRefused
+	}
+	return silent
+}
+
 // closeUnheard closes the connections to entries that were not heard for the peer timeout, also since
 // the connection was opened. They are opened again at once. An entry whose messages wait to be read is not
 // silent: this one is late.
--- a/services/peers/stream_origins_test.go
+++ b/services/peers/stream_origins_test.go
@@ -50,3 +50,38 @@
 		is.True(missing)
 	})
 }
+
+// TestCutOff guards against an entry that takes itself for connected though it may be cut off, alone or with others, and against
+// one that takes itself for cut off because another one has exited, or because the store responds to nobody.
+func TestCutOff(t *testing.T) {
+	inNetwork(t, "key-of-the-fleet", func(is *is.I, network *memnet.Network, a, b *entry) {
+		is.True(!a.MissesEntry(time.Now()))
+		is.True(!a.CutOff()) // b reads the store
+		b.mu.Lock()
+		b.storeLost = true
+		b.mu.Unlock()
+		time.Sleep(time.Second)
+		is.True(!a.CutOff()) // nobody reads it, and all are heard
+
+		network.Partition("a", "b")
+		time.Sleep(idleInterval + 3*DefaultInterval)
+		is.True(a.MissesEntry(time.Now()))
+		time.Sleep(2 * minPeerTimeout)
+		is.Equal(a.LiveCount(), 0)
+		is.True(a.MissesEntry(time.Now()))
+		is.True(a.CutOff())
+		network.Heal("a", "b")
+		time.Sleep(2 * cutMemory)
+		is.True(!a.MissesEntry(time.Now()))
+		is.True(!a.CutOff())
+
+		network.CloseListener(b.Self.Address)
+		b.cancel()
+		network.Reset("a", "b")
+		time.Sleep(minPeerTimeout / 2)
+		is.True(!a.MissesEntry(time.Now()))
+		time.Sleep(2 * minPeerTimeout)
+		is.Equal(a.LiveCount(), 0)
+		is.True(!a.MissesEntry(time.Now()))
+	})
+}
--- a/services/streamorigin/stop.go
+++ b/services/streamorigin/stop.go
@@ -13,25 +13,29 @@
 	updateTimeout = 500 * time.Millisecond
 	// updatePause is the time between an update that lacks something and the next one.
 	updatePause = 200 * time.Millisecond
+	// updateMemory is how long an update counts while another entry is not heard.
+	updateMemory = 250 * time.Millisecond
 )
 
 // stops is what a table knows of the stops of its entry.
 type stops struct {
 	// updated is the number of stops up to which nothing is missing.
 	updated int
+	// updatedAt is when the last update that lacked nothing began.
+	updatedAt time.Time
 	// updating is closed when the update under way ends; nil if there is none.
 	updating chan struct{}
 }
 
-// isBehind reports whether the entry was stopped, and may lack streams and versions that others know since.
+// isBehind reports whether the entry was stopped or may be cut off, and may lack streams and versions that others know since.
 func (t *Table) isBehind() bool {
 	if t.Stops == nil {
 		return false
 	}
-	n := t.Stops()
+	n, missing := t.Stops(), t.MissesEntry != nil && t.MissesEntry()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return n != t.stops.updated
+	return n != t.stops.updated || missing && time.Since(t.stops.updatedAt) >= updateMemory
 }
 
 // awaitUpdate waits for what the other entries know since a stop of this one, until ctx is done.
@@ -48,7 +52,7 @@
 
 // startUpdate starts an update unless one is under way. The returned channel is closed when it ends.
 func (t *Table) startUpdate() <-chan struct{} {
-	n := t.Stops()
+	n, began := t.Stops(), time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.stops.updating != nil {
@@ -64,7 +68,7 @@
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		if whole {
-			t.stops.updated = n
+			t.stops.updated, t.stops.updatedAt = n, began
 		}
 		t.stops.updating = nil
 		close(done)
--- a/services/streamorigin/table.go
+++ b/services/streamorigin/table.go
@@ -38,6 +38,9 @@
 	// means that the entry is never stopped.
 	Stops  func() int
 	Update func() bool
+	// MissesEntry reports whether another entry is not heard, or was recently: this one may be cut off and not have noticed, so that
+	// Update is called as after a stop. Nil means never.
+	MissesEntry func() bool
 	// Started is when this entry started. Until ApplyVersions, or for versionMemory, versions that served
 	// before are unknown; zero if none did.
 	Started time.Time
--- a/standin/memnet/memnet.go
+++ b/standin/memnet/memnet.go
@@ -6,16 +6,18 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
 var (
-	errRefused = errors.New("memnet: connection refused")
+	errRefused = fmt.Errorf("memnet: %w", syscall.ECONNREFUSED)
 	errReset   = errors.New("memnet: connection reset")
 )
 
