Agents: send calls anew whose kept connection has ended

A call of an agent to its engine was lost where the server had closed the kept connection before: its caller got 502, a repetition with its idempotency key as well, and the engine had no request (TestCutResponseLooksWhole, once: "0 requests of one key"). A response that a server sent unasked on a kept connection was passed on as that to the next call.

Cause: net/http learns from its own goroutine that an idle connection has ended or has bytes to read. Until that has run, the next call is written to the connection; if it runs between the choice and the first byte, the request fails with nothing written. Such a call counted as one that may have run, and net/http sends none anew whose body it can't rewind, which these bodies hide on purpose. Each sub-test of the failed test begins behind a whole response whose connection the server closes.

Change: before the first byte of a call a kept connection is looked at once more. If it has ended or has bytes to read, or if the request failed with nothing written, the connection writes nothing any more and the call goes on a new one. No call is sent twice. If the server has exited, the call counts as not run, instead of as one that may have run.

The test's server could do the same to it, so the test waits until the server has closed before its next calls; what it checks is unchanged, and a connection that ended before a call is now certain to have.

--- a/modules/backend/http.go
+++ b/modules/backend/http.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -71,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return httpconn.CheckFraming(c), nil
+	return newKeptConn(c), nil
 }
 
 // Close closes idle connections.
@@ -84,18 +85,45 @@
 // Do implements runworks.Backend. The error is ErrNotDispatched if nothing was sent, and
 // ErrBackend otherwise.
 func (h *HTTP) Do(ctx context.Context, id runworks.RequestID, call *runworks.Call) (*runworks.Reply, error) {
+	reply, err := h.send(ctx, id, call, h.reuse)
+	switch {
+	case !errors.Is(err, errEnded):
+		return reply, err
+	case ctx.Err() != nil:
+		return nil, errorx.Decorate(runworks.ErrBackend, "call %s: %v", h.Address, err)
+	}
+	return h.send(ctx, id, call, h.fresh)
+}
+
+// send sends a call once, with a transport that may send it once only. The error is as that of Do, or errEnded if
+// nothing was sent because the connection of another call had ended.
+func (h *HTTP) send(ctx context.Context, id runworks.RequestID, call *runworks.Call, transport *http.Transport) (*runworks.Reply, error) {
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var kept atomic.Pointer[keptConn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connected.Store(true)
+		if c, ok := info.Conn.(*keptConn); ok {
+			c.begin(info.Reused)
+			kept.Store(c)
+		}
+	}}
 	req, err := h.request(httptrace.WithClientTrace(ctx, trace), id, call)
 	if err != nil {
 		return nil, errorx.Decorate(runworks.ErrNotDispatched, "build the call: %v", err)
 	}
-	res, err := h.transportFor(req).RoundTrip(req)
+	if Replayable(req) {
+		transport = h.fresh
+	}
+	res, err := transport.RoundTrip(req)
 	if err == nil {
 		return &runworks.Reply{Status: res.StatusCode, Header: res.Header, Body: responseBody(res)}, nil
 	}
-	if !connected.Load() {
+	c := kept.Load()
+	switch {
+	case !connected.Load():
 		return nil, errorx.Decorate(runworks.ErrNotDispatched, "reach %s: %v", h.Address, err)
+	case c != nil && c.abandonUnsent():
+		return nil, errEnded
 	}
 	return nil, errorx.Decorate(runworks.ErrBackend, "call %s: %v", h.Address, err)
 }
@@ -171,15 +199,6 @@
 	return req, nil
 }
 
-// transportFor returns the transport without keep-alive for requests that net/http would retry
-// by itself if a reused connection broke.
-func (h *HTTP) transportFor(req *http.Request) *http.Transport {
-	if Replayable(req) {
-		return h.fresh
-	}
-	return h.reuse
-}
-
 // Replayable reports whether http.Transport may send the request a second time after a reused
 // connection broke. It does so for a request that has no body or has GetBody, and that has an
 // idempotent method or an idempotency key.
--- a/tests/cut_response_test.go
+++ b/tests/cut_response_test.go
@@ -138,7 +138,8 @@
 }
 
 // wholeCalls makes a call whose response is whole, and repeats it with its key. Of a plain service nothing but
-// JSON can tell that a response without length or chunks is.
+// JSON can tell that a response without length or chunks is. The server closes its connection behind the response, which a
+// call that is sent at the same moment may cross: none is sent before that.
 func (c *cutCluster) wholeCalls(t *testing.T, server string, r *framedResponse) {
 	t.Helper()
 	is := is.New(t)
@@ -154,6 +155,7 @@
 		is.Equal(fmt.Sprint(status, body), fmt.Sprint(http.StatusOK, r.want))
 	}
 	is.Equal(c.arrivals(server, key), 1)
+	c.waitFor("the server has closed its connections", c.servers[server].hasClosed)
 }
 
 // TestJoinedCutResponseLooksWhole guards against a response that breaks off after a second caller has joined its
--- a/tests/platform_cut_head_test.go
+++ b/tests/platform_cut_head_test.go
@@ -32,6 +32,8 @@
 	mu        sync.Mutex
 	responses map[string]cutResponse
 	arrived   map[string]int
+	// serving is the number of connections with a request that the server has not closed yet.
+	serving int
 	// requests are the requests by the ID that agents give them.
 	requests map[string]string
 }
@@ -81,6 +83,11 @@
 	if err != nil {
 		return
 	}
+	s.served(1)
+	defer func() {
+		_ = conn.Close()
+		s.served(-1)
+	}()
 	body, _ := io.ReadAll(req.Body)
 	if req.URL.Path == standin.RoutedStatusPath {
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", req.Header.Get("X-Expect-Instance"))
@@ -105,6 +112,20 @@
 	}
 }
 
+// served counts a request of a connection that is to be closed, by 1, or one that was closed, by -1.
+func (s *cutServer) served(more int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serving += more
+}
+
+// hasClosed reports whether the server has closed each connection that brought a request.
+func (s *cutServer) hasClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serving == 0
+}
+
 // confirm sends the empty rest of a whole response to a request.
 func (s *cutServer) confirm(conn net.Conn, id string) {
 	s.mu.Lock()
