Ask other fronts for streams only after a stop, or without the store

While a front is silent, each other one read the list of servers for a stream that it did not know, four times a second at most, and asked all fronts for theirs each time: with a hundred fronts some 400 requests a second at each. The list names all versions that may begin streams, and where it was read the answers of the others did not count.

They are asked after a stop of this front, for the streams that began meanwhile, and where the store does not respond.

--- a/daemon/front_streams.go
+++ b/daemon/front_streams.go
@@ -56,21 +56,30 @@
 	return n
 }
 
-// updateStreams reads what happened while this front was stopped or cut off: the streams and versions that the other fronts know,
-// and the list of servers. It reports whether no version can be missing: the list names all that may begin streams, and where
-// the store does not respond, the other fronts know them.
-func (d *Front) updateStreams() bool {
+// updateStreams reads the list of servers, which names all versions that may begin streams, after this front was stopped or cut
+// off. After a stop, and where the store does not respond, it also asks the other fronts for the streams and versions that they
+// know. It reports whether no version can be missing.
+func (d *Front) updateStreams(stopped bool) bool {
 	ctx, cancel := context.WithTimeout(d.ctx, streamsTimeout)
 	defer cancel()
-	var err error
+	var answered int
+	var missing bool
+	ask := func() {
+		ctx, cancel := context.WithTimeout(ctx, peersTimeout)
+		defer cancel()
+		answered, missing = d.exchange.RequestStreams(ctx)
+	}
 	var work conc.WaitGroup
-	work.Go(func() { err = d.watches[peers.SubjectServers].Update(ctx) })
-	peersCtx, cancelPeers := context.WithTimeout(ctx, peersTimeout)
-	defer cancelPeers()
-	answered, missing := d.exchange.RequestStreams(peersCtx)
+	if stopped {
+		work.Go(ask)
+	}
+	err := d.watches[peers.SubjectServers].Update(ctx)
 	work.Wait()
 	if err != nil {
 		d.Logger.Warn("list of servers could not be read for a stream that is not known", "error", err.Error())
+		if !stopped {
+			ask()
+		}
 	}
 	whole := err == nil || answered > 0 && !missing && !d.exchange.MissesEntry(time.Now())
 	d.Logger.Info("versions of streams updated", "whole", whole, "fronts", answered, "fronts_missing", missing)
--- a/services/streamorigin/stop.go
+++ b/services/streamorigin/stop.go
@@ -58,10 +58,10 @@
 	if t.stops.updating != nil {
 		return t.stops.updating
 	}
-	done := make(chan struct{})
+	done, stopped := make(chan struct{}), n != t.stops.updated
 	t.stops.updating = done
 	go func() {
-		whole := t.Update()
+		whole := t.Update(stopped)
 		if !whole {
 			pause.For(context.Background(), updatePause)
 		}
--- a/services/streamorigin/table.go
+++ b/services/streamorigin/table.go
@@ -34,10 +34,10 @@
 	// so that newer versions may serve; nil means that it never is. It is called with a lock held.
 	Isolated func() bool
 	// Stops returns how often this entry was stopped: it did not run, and may lack what happened meanwhile. Update then reads
-	// the streams and versions that the other entries know, and the list of servers; it reports whether nothing is missing. Nil
-	// means that the entry is never stopped.
+	// the list of servers, and after a stop the streams and versions that the other entries know; it reports whether no version
+	// is missing. Nil means that the entry is never stopped.
 	Stops  func() int
-	Update func() bool
+	Update func(stopped bool) bool
 	// MissesEntry reports whether another entry is not heard, or was recently: this one may be cut off and not have noticed, so that
 	// Update is called as after a stop. Nil means never.
 	MissesEntry func() bool
--- a/services/streamorigin/versions_test.go
+++ b/services/streamorigin/versions_test.go
@@ -161,7 +161,7 @@
 		is := is.New(t)
 		table, stopped, updates, whole, took := startedTable("v1"), 0, 0, true, time.Duration(0)
 		table.Stops = func() int { return stopped }
-		table.Update = func() bool {
+		table.Update = func(bool) bool {
 			updates++
 			time.Sleep(took)
 			if whole {
@@ -211,7 +211,7 @@
 		is := is.New(t)
 		table, stopped, updates := startedTable("v1"), 1, 0
 		table.Stops = func() int { return stopped }
-		table.Update = func() bool {
+		table.Update = func(bool) bool {
 			if updates++; updates == 1 {
 				stopped++
 			}
