Play servers' forms of events and responses amid foreign streams

No test played what servers may send as a whole: several tokens an event, with IDs that count them and steps that differ between servers, weights that change, CR LF, IDs behind the data, with zeros or spaces, comments and events without ID, streams cut inside an event at one byte after the other; and, on connections that are used again, late copies of other responses, responses behind the end, 100 and 103 before it, heads that come twice or in part, connections that servers close.

RoutedFaults.Events is the form of the events, OddConns is a listener whose connections send odd responses. orderStream knows ranges of tokens and weights that were not named; TestForeignTokensAreChecked and TestForeignWeightsAreChecked show what it reports.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -36,6 +36,12 @@
 // activeListener is the listener of the process.
 var activeListener net.Listener
 
+// oddConns is the kind of the process's connections; empty for plain ones. idleTimeout is how long unused ones stay open.
+var (
+	oddConns    standin.OddKind
+	idleTimeout time.Duration
+)
+
 // exit exits the process. It closes the listener first, so that no connection is accepted after an
 // open one is closed: the kernel closes the sockets of a process in any order.
 func exit() {
@@ -51,7 +57,10 @@
 	}
 	activeListener = listener
 	fmt.Println("listening on", listener.Addr())
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second, ConnContext: tcp.WithConn}
+	if oddConns != "" {
+		listener = &standin.OddConns{Listener: listener, Kind: oddConns}
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: idleTimeout, ConnContext: tcp.WithConn}
 	return server.Serve(listener)
 }
 
@@ -106,6 +115,8 @@
 	cmd.Flag("step", "The interval between events that all streams share, in place of the delay; 0s for none.").Default("0s").DurationVar(&b.Step)
 	cmd.Flag("any-instance", "Run calls for other instances, too, and name itself in each response.").BoolVar(&b.AnyInstance)
 	cmd.Flag("nameless", "With --any-instance, name itself in the responses to status requests alone.").BoolVar(&b.Nameless)
+	cmd.Flag("odd-conns", "How connections are odd: late, behind, hints, many_hints, twice, cut.").StringVar((*string)(&oddConns))
+	cmd.Flag("idle-timeout", "How long unused connections stay open; 0s for ever.").Default("0s").DurationVar(&idleTimeout)
 	oldProtocol := cmd.Flag("http10", "Respond in HTTP/1.0, with neither a length nor chunks.").Bool()
 	exitOn := cmd.Flag("end-on", "Exit when a call with this text in its body starts to run.").String()
 	exitOnPart := cmd.Flag("end-on-part", "Exit when a call whose prompt has a part with this ID, other than the last, starts to run.").String()
--- a/standin/rejoin.go
+++ b/standin/rejoin.go
@@ -106,10 +106,20 @@
 		// With this encoding net/http sends neither a length nor chunks.
 		w.Header().Set("Transfer-Encoding", "identity")
 	}
+	b.mu.Lock()
+	form := b.faults.Events
+	b.mu.Unlock()
+	if form.Weights > 0 {
+		w.Header().Set(HeaderWeights, strconv.Itoa(form.WeightsOf(last+1)))
+	}
 	w.WriteHeader(http.StatusOK)
 	if last == 0 {
 		b.pass(w, r, PointFirst, 0)
 	}
+	if form.Tokens > 0 {
+		b.streamTokens(w, r, &form, last, events)
+		return
+	}
 	for _, n := range kind.events(last, events) {
 		b.waitForEvent(r)
 		b.sendEvent(w, r, n, kind)
--- a/standin/routed.go
+++ b/standin/routed.go
@@ -67,6 +67,8 @@
 	badCalls int
 	// responses counts the responses that CloseDelimitedEach may apply to.
 	responses int
+	// cuts counts the responses that RoutedEvents.CutPath applied to, and closable those that CloseEach may apply to.
+	cuts, closable int
 }
 
 // RoutedResponseBody returns the response body of a call without events. It depends on the
@@ -204,6 +206,9 @@
 	if b.faults.Draining {
 		w.Header().Set(HeaderRoutedDraining, "1")
 	}
+	if b.closable++; b.faults.CloseEach > 0 && b.closable%b.faults.CloseEach == 0 {
+		w.Header().Set("Connection", "close")
+	}
 	if arrival.Backoff > 0 {
 		w.Header().Set(headerRetryAfter, strconv.FormatFloat(arrival.Backoff, 'f', -1, 64))
 	}
--- a/standin/routed_faults.go
+++ b/standin/routed_faults.go
@@ -55,6 +55,10 @@
 	// Endless is the kind of the endless responses, of which there are EndlessAnswers.
 	Endless        EndlessKind `json:"endless"`
 	EndlessAnswers int         `json:"endless_answers"`
+	// Events is the form of the events of streams, and CloseEach, unless 0, the number of responses of which one says that
+	// its connection closes.
+	Events    RoutedEvents `json:"events"`
+	CloseEach int          `json:"close_each"`
 	// Bad makes a part of the calls fail or slow, as those of a bad version.
 	Bad RoutedBadness `json:"bad"`
 }
--- a/tests/platform_foreign_test.go
+++ b/tests/platform_foreign_test.go
@@ -52,6 +52,15 @@
 	path     foreignPath
 	maxAge   time.Duration
 	maxBytes int
+	// events is the form of the events; nil for events of one piece. The servers divide a stream differently.
+	events *standin.RoutedEvents
+	// conns is how the servers' connections are odd, idleTimeout how long unused ones stay open, and closeEach the number of
+	// responses of which one says that its connection closes.
+	conns       standin.OddKind
+	idleTimeout time.Duration
+	closeEach   int
+	// short has streams be short and begin further apart, so that connections are used again.
+	short bool
 }
 
 // server returns the name of the n-th server.
@@ -90,7 +99,7 @@
 	add("a server is killed", true, (*foreignSite).killServer, both(foreignForm{ci: true}, func(f *foreignForm) { f.name, f.versions = ", two versions", true })...)
 	add("a front is killed", true, (*foreignSite).killFront, both(foreignForm{}, func(f *foreignForm) { f.name, f.versions = ", two versions", true })...)
 	add("a server is killed", true, (*foreignSite).killServer, both(foreignForm{}, func(f *foreignForm) { f.name, f.oldCallers = ", old callers", true })...)
-	return slices.Concat(out, foreignPathForms(), foreignAddressForms(), foreignStartForms())
+	return slices.Concat(out, foreignPathForms(), foreignAddressForms(), foreignStartForms(), foreignEventForms(), foreignConnForms())
 }
 
 // foreignSite is a site of two fronts and two servers.
@@ -133,8 +142,18 @@
 	if p.form.http10 {
 		args = append(args, "--http10")
 	}
+	if p.form.conns != "" {
+		args = append(args, "--odd-conns", string(p.form.conns))
+	}
+	args = append(args, "--idle-timeout", p.form.idleTimeout.String())
 	p.backends[name] = startProcess(p.t, name, "standin", append([]string{"routed", "--instance", name}, args...)...)
-	faults := standin.RoutedFaults{CloseDelimited: p.form.http10}
+	faults := standin.RoutedFaults{CloseDelimited: p.form.http10, CloseEach: p.form.closeEach}
+	if p.form.events != nil {
+		faults.Events = *p.form.events
+		if name == p.form.server(2) {
+			faults.Events.Tokens += 2
+		}
+	}
 	if p.form.mixed {
 		faults.CloseDelimitedEach = 2
 	}
@@ -190,7 +209,7 @@
 	began := time.Now()
 	for i := range streams {
 		wg.Go(func() {
-			p.wait(time.Until(began.Add(time.Duration(i) * foreignGap)))
+			p.wait(time.Until(began.Add(time.Duration(i) * p.form.gap())))
 			streams[i] = p.sendStream(i)
 		})
 	}
@@ -251,16 +270,16 @@
 
 // sendStream sends stream i at the fronts in turn until it is whole, and again only what has not run or may be resumed.
 func (p *foreignSite) sendStream(i int) *orderStream {
-	stream, deadline := &orderStream{}, time.Now().Add(foreignTimeout)
+	stream, deadline := &orderStream{form: p.form.events}, time.Now().Add(foreignTimeout)
 	path := []string{"/chat/long/", "/chat/"}[i%2]
 	for try := range foreignTries {
-		c := &soakCall{events: foreignEvents, repeatable: i%2 == 0, timeout: time.Until(deadline)}
+		c := &soakCall{events: p.form.pieces(), repeatable: i%2 == 0, timeout: time.Until(deadline)}
 		if c.timeout < time.Millisecond {
 			return stream
 		}
 		c.address = p.callerAddress(fmt.Sprint("front-", 1+(i/2+try)%2))
 		c.platformCall = platformCall{id: fmt.Sprintf("f%d-%d", i, try), method: http.MethodPost, key: "yard-key", body: []byte("x")}
-		c.target = fmt.Sprintf("%s%d?events=%d&origin", path, i, foreignEvents)
+		c.target = fmt.Sprintf("%s%d?events=%d&origin", path, i, c.events)
 		if stream.last > 0 {
 			c.header = http.Header{"Last-Event-Id": {fmt.Sprint(stream.last)}, "Resumes": {stream.first}}
 		}
--- a/tests/soak_order_test.go
+++ b/tests/soak_order_test.go
@@ -45,6 +45,9 @@
 	whole bool
 	// problem is how the last attempt failed to continue the stream; nil if it did.
 	problem *orderProblem
+	// form is the form of the events, and weights the version of the weights that was named last; nil for events of one piece.
+	form    *standin.RoutedEvents
+	weights int
 }
 
 // orderProblem is a way in which a stream does not go on where it broke, or ends.
@@ -208,7 +211,7 @@
 	}
 	rest := c.data
 	for {
-		event, after, ok := bytes.Cut(rest, []byte("\n\n"))
+		event, after, ok := bytes.Cut(rest, o.blank())
 		if !ok {
 			break
 		}
@@ -227,24 +230,32 @@
 }
 
 func (o *orderStream) addEvent(c *soakCall, event string) *orderProblem {
+	if o.form != nil {
+		return o.addTokens(c, event)
+	}
 	var id, n int
 	var target, version, run string
 	if _, err := fmt.Sscanf(event, "id: %d\ndata: %s %d\ndata: %s %s", &id, &target, &n, &version, &run); err != nil || id != n || target != c.target {
 		return orderProblemf(orderForeign, "after event %d came %q, which is none of the stream", o.last, event)
 	}
+	return o.addPieces(c, id, id, version, run)
+}
+
+// addPieces adds an event with the pieces from first to id.
+func (o *orderStream) addPieces(c *soakCall, first, id int, version, run string) *orderProblem {
 	switch {
-	case id == o.last:
-		return orderProblemf(orderTwice, "event %d came twice", id)
+	case id == o.last || first <= o.last && id > o.last:
+		return orderProblemf(orderTwice, "event %d came twice, or a part of it", id)
 	case id < o.last:
 		return orderProblemf(orderBack, "after event %d came %d", o.last, id)
-	case id > o.last+1:
+	case first > o.last+1:
 		return orderProblemf(orderMissing, "after event %d came %d, with events missing", o.last, id)
 	case o.version != "" && version != o.version:
 		return orderProblemf(orderVersions, "event %d is of version %s, those before it of %s", id, version, o.version)
 	case run != o.run && slices.Contains(o.runs, run):
 		return orderProblemf(orderRuns, "event %d is of a run that another one had followed: %s", id, run)
 	}
-	if id == 1 {
+	if first == 1 {
 		o.first = c.id
 	}
 	if run != o.run {
