Agents: free keys that were claimed on a replaced connection

A caller that repeated a call with its idempotency key waited for its whole time limit, until the key expired, if its entry had connected again between the claim and its binding, before the agent noticed the end of the first connection.

Cause: the end of a connection frees the keys that its entry claimed and did not bind, but only if it is the entry's current one (removeLink), since claims carry the entry alone. A connection that a newer one of the same entry had replaced freed nothing; nothing can be bound by its claims either, as the entry binds on the connection that it claimed on.

Change: a hello that replaces a connection frees the entry's unbound claims, and later claims on the old connection are refused. A late binding for a freed claim is refused, as before. The end of the old connection frees no claim of the new one.

--- a/services/agent/keys.go
+++ b/services/agent/keys.go
@@ -54,7 +54,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	reply := control.KeyReply{Verdict: control.KeyNotOwner}
-	known := snapshot != nil && snapshot.Version >= c.Version
+	known := snapshot != nil && snapshot.Version >= c.Version && !l.replaced
 	if known && !a.draining && snapshot.KeyOwner(c.Service, c.Customer, c.Key) == a.Server {
 		elsewhere := func(since time.Time) bool { return a.ownedElsewhereLocked(c, since) }
 		reply = a.keys.Claim(time.Now(), l.source, c, elsewhere)
--- a/services/agent/links.go
+++ b/services/agent/links.go
@@ -29,6 +29,8 @@
 	lastSeen time.Time
 	// version is the configuration version active at the entry.
 	version int64
+	// replaced is set once a newer connection of the same entry has begun.
+	replaced bool
 }
 
 // ServeControl serves one control connection of an entry until it ends.
@@ -133,6 +135,11 @@
 	old := a.links[h.Incarnation]
 	a.links[h.Incarnation] = l
 	a.queue.RemoveSource(h.Incarnation)
+	if old != nil {
+		// Nothing is bound by claims of the old connection any more, and its end frees nothing: newer claims have the same source.
+		old.replaced = true
+		a.keys.ReleaseSource(h.Incarnation)
+	}
 	heartbeat := a.heartbeatLocked()
 	a.mu.Unlock()
 	if old != nil {
