--- a/standin/rejoin.go
+++ b/standin/rejoin.go
@@ -92,13 +92,7 @@
 		w = out
 	}
 	w.Header().Set(HeaderRoutedSignature, b.Instance)
-	switch kind {
-	case RejoinEmpty:
-		w.WriteHeader(http.StatusNoContent)
-		return
-	case RejoinPlain:
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = io.WriteString(w, "{}")
+	if kind.sendNoStream(w) {
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -129,6 +123,20 @@
 	}
 }
 
+// sendNoStream sends the response that is no stream, if the kind is one of these.
+func (k RejoinKind) sendNoStream(w http.ResponseWriter) bool {
+	switch k {
+	case RejoinEmpty:
+		w.WriteHeader(http.StatusNoContent)
+	case RejoinPlain:
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, "{}")
+	default:
+		return false
+	}
+	return true
+}
+
 // sendEvent sends event n of a stream.
 func (b *RoutedServer) sendEvent(w http.ResponseWriter, r *http.Request, n int, kind RejoinKind) {
 	controller := http.NewResponseController(w)
