Count an update of streams from the time at which its caller came

What was read of the other fronts counts for 250 ms, and was compared with the time at which a stream was resolved. One update that takes longer, as with a front that does not answer, never counted.

It is now compared with the time at which the caller came, so that an update that began after that counts however long it took.

--- a/services/streamorigin/stop.go
+++ b/services/streamorigin/stop.go
@@ -27,22 +27,23 @@
 	updating chan struct{}
 }
 
-// isBehind reports whether the entry was stopped or may be cut off, and may lack streams and versions that others know since.
-func (t *Table) isBehind() bool {
+// isBehind reports whether the entry was stopped or may be cut off, and may lack streams and versions that others knew when a
+// caller came.
+func (t *Table) isBehind(since time.Time) bool {
 	if t.Stops == nil {
 		return false
 	}
 	n, missing := t.Stops(), t.MissesEntry != nil && t.MissesEntry()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return n != t.stops.updated || missing && time.Since(t.stops.updatedAt) >= updateMemory
+	return n != t.stops.updated || missing && since.Sub(t.stops.updatedAt) >= updateMemory
 }
 
-// awaitUpdate waits for what the other entries know since a stop of this one, until ctx is done.
-func (t *Table) awaitUpdate(ctx context.Context) {
+// awaitUpdate waits for what the other entries knew when a caller came, until ctx is done.
+func (t *Table) awaitUpdate(ctx context.Context, since time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
 	defer cancel()
-	for t.isBehind() && ctx.Err() == nil {
+	for t.isBehind(since) && ctx.Err() == nil {
 		select {
 		case <-t.startUpdate():
 		case <-ctx.Done():
--- a/services/streamorigin/table.go
+++ b/services/streamorigin/table.go
@@ -156,7 +156,12 @@
 // streams of the service. If there are several or none, or if those before the start of this entry or the
 // newest ones may not be known, the error is ErrUnknownStream.
 func (t *Table) Resolve(now time.Time, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
-	isolated, behind := t.Isolated != nil && t.Isolated(), t.isBehind() // without the lock, under which the list of servers calls SetServers
+	return t.resolve(now, now, stream, service)
+}
+
+// resolve is Resolve for a caller that came at a time: what was read of the other entries shortly before that, or since, counts.
+func (t *Table) resolve(now, since time.Time, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
+	isolated, behind := t.Isolated != nil && t.Isolated(), t.isBehind(since) // without the lock, under which the list of servers calls SetServers
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if o, ok := t.origins[stream]; ok && now.Before(o.expires) {
@@ -183,17 +188,18 @@
 // Await is Resolve that waits for the origin of an unknown stream, as it may be on its way from the
 // entry where the stream began. After a stop of this entry it waits for what the others know since.
 func (t *Table) Await(ctx context.Context, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
-	if out, err := t.Resolve(time.Now(), stream, service); err == nil && !t.mayArrive(stream, service) {
+	since := time.Now()
+	if out, err := t.resolve(since, since, stream, service); err == nil && !t.mayArrive(stream, service) {
 		return out, nil
 	}
-	t.awaitUpdate(ctx)
+	t.awaitUpdate(ctx, since)
 	ctx, cancel := context.WithTimeout(ctx, arrivalTimeout)
 	defer cancel()
 	for {
 		t.mu.Lock()
 		arrived := t.arrived.Wait()
 		t.mu.Unlock()
-		out, err := t.Resolve(time.Now(), stream, service)
+		out, err := t.resolve(time.Now(), since, stream, service)
 		if err == nil && !t.mayArrive(stream, service) || stream == "" {
 			return out, err
 		}
