--- a/services/streamorigin/table.go
+++ b/services/streamorigin/table.go
@@ -31,7 +31,7 @@
 	// called with a lock held and must not block.
 	OnVersions func()
 	// Isolated reports whether this entry is cut off from the list of servers and from all other entries,
-	// so that newer versions may serve; nil means that it never is. It is called with a lock held.
+	// so that newer versions may serve; nil means that it never is.
 	Isolated func() bool
 	// Stops returns how often this entry was stopped: it did not run, and may lack what happened meanwhile. Update then reads
 	// the list of servers, and after a stop the streams and versions that the other entries know; it reports whether no version
