--- a/standin/routed_record.go
+++ b/standin/routed_record.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -49,6 +50,33 @@
 	Ended time.Time `json:"ended"`
 }
 
+// recordArrival records a received call and sets the headers of the server report.
+func (b *RoutedServer) recordArrival(w http.ResponseWriter, r *http.Request) RoutedArrival {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	arrival := RoutedArrival{ID: r.Header.Get(HeaderRoutedID), At: time.Now(), Backoff: b.faults.Backoff}
+	if b.AnyInstance && !b.Nameless {
+		w.Header().Set(headerInstanceID, b.Instance)
+	}
+	if want := r.Header.Get(headerInstance); want != "" && want != b.Instance && !b.AnyInstance {
+		arrival.Backoff, arrival.Misdirected = 0, true
+	}
+	b.arrivals = append(b.arrivals, arrival)
+	if b.faults.Limit != "" {
+		w.Header().Set(headerLimit, b.faults.Limit)
+	}
+	if b.faults.Draining {
+		w.Header().Set(HeaderRoutedDraining, "1")
+	}
+	if b.closable++; b.faults.CloseEach > 0 && b.closable%b.faults.CloseEach == 0 {
+		w.Header().Set("Connection", "close")
+	}
+	if arrival.Backoff > 0 {
+		w.Header().Set(headerRetryAfter, strconv.FormatFloat(arrival.Backoff, 'f', -1, 64))
+	}
+	return arrival
+}
+
 // Calls returns the executed calls in order of arrival.
 func (b *RoutedServer) Calls() []RoutedCall {
 	b.mu.Lock()
