Look a resumed stream up once before what others know of it is awaited

Await resolved a stream, and resolved it again in its loop: the first time decided only whether the origin is known. It now asks for just that, and mayArrive asks the same way, so that an origin which has expired counts as unknown in both. The services whose streams are moved need no loop of their own: a service with origins has versions.

--- a/services/streamorigin/moved.go
+++ b/services/streamorigin/moved.go
@@ -39,8 +39,11 @@
 
 // mayArrive reports whether the origin of a stream is not known, and another entry may be sending it as its route has changed.
 func (t *Table) mayArrive(stream runworks.RequestID, service string) bool {
+	now := time.Now()
+	if t.knows(now, stream) {
+		return false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	_, known := t.origins[stream]
-	return !known && t.isMovedLocked(time.Now(), service)
+	return t.isMovedLocked(now, service)
 }
--- a/services/streamorigin/table.go
+++ b/services/streamorigin/table.go
@@ -189,10 +189,9 @@
 // entry where the stream began. After a stop of this entry it waits for what the others know since.
 func (t *Table) Await(ctx context.Context, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
 	since := time.Now()
-	if out, err := t.resolve(since, since, stream, service); err == nil && !t.mayArrive(stream, service) {
-		return out, nil
+	if !t.knows(since, stream) {
+		t.awaitUpdate(ctx, since)
 	}
-	t.awaitUpdate(ctx, since)
 	ctx, cancel := context.WithTimeout(ctx, arrivalTimeout)
 	defer cancel()
 	for {
@@ -211,6 +210,14 @@
 	}
 }
 
+// knows reports whether the origin of a stream is known.
+func (t *Table) knows(now time.Time, stream runworks.RequestID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o, ok := t.origins[stream]
+	return ok && now.Before(o.expires)
+}
+
 // Len returns the number of known streams.
 func (t *Table) Len() int {
 	t.mu.Lock()
--- a/services/streamorigin/versions.go
+++ b/services/streamorigin/versions.go
@@ -163,11 +163,6 @@
 			out[service] = true
 		}
 	}
-	for service := range t.moved {
-		if t.isMovedLocked(now, service) {
-			out[service] = true
-		}
-	}
 	return out
 }
 
