Share what the tests of responders, stops and keys have in common

The change wrote again: the agent that owns all keys (newKeyOwner), the adding of attempts up to the first problem (orderStream.addAll), the listing of servers that run (listStarted), and the exception of the platform's own seeds in five ranges of the soak (mixesFrom). The condition under which a route is shared out anew gets a name.

--- a/services/agent/keys_test.go
+++ b/services/agent/keys_test.go
@@ -36,16 +36,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				a, _ := newTestAgent(t, &fakeBackend{})
+				a := newKeyOwner(t)
 				defer a.Close()
-				a.Config.ApplyDocument(1, &runworks.Config{
-					Services: []runworks.Service{{Name: "llm", Kind: runworks.KindEngine, Models: []string{"m"}, BackendServers: []runworks.BackendServer{
-						{Name: "e1", Hall: "a", Address: "http://e1", Slots: 2},
-					}}},
-					Tiers: []runworks.Tier{{Name: "urgent", Timeout: time.Minute}},
-					Rules: []runworks.Rule{{Services: []string{"llm"}, Tier: "urgent"}},
-				})
-				time.Sleep(time.Minute)
 				key := keyNow()
 				l := &link{agent: a, source: "x"}
 				for _, m := range test.messages {
@@ -69,3 +61,18 @@
 	}
 	return id.String()
 }
+
+// newKeyOwner returns the agent of the only server of a service, which owns its keys and is old enough to know them.
+func newKeyOwner(t *testing.T) *Agent {
+	t.Helper()
+	a, _ := newTestAgent(t, &fakeBackend{})
+	a.Config.ApplyDocument(1, &runworks.Config{
+		Services: []runworks.Service{{Name: "llm", Kind: runworks.KindEngine, Models: []string{"m"}, BackendServers: []runworks.BackendServer{
+			{Name: "e1", Hall: "a", Address: "http://e1", Slots: 2},
+		}}},
+		Tiers: []runworks.Tier{{Name: "urgent", Timeout: time.Minute}},
+		Rules: []runworks.Rule{{Services: []string{"llm"}, Tier: "urgent"}},
+	})
+	time.Sleep(time.Minute)
+	return a
+}
--- a/services/agent/replaced_link_test.go
+++ b/services/agent/replaced_link_test.go
@@ -7,12 +7,10 @@
 	"net"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"github.com/matryer/is"
 	"github.com/sourcegraph/jsonrpc2"
 
-	"github.com/runworks/runworks"
 	"github.com/runworks/runworks/services/control"
 )
 
@@ -24,16 +22,8 @@
 		t.Run(fmt.Sprint("late ", late), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				a, _ := newTestAgent(t, &fakeBackend{})
+				a := newKeyOwner(t)
 				defer a.Close()
-				a.Config.ApplyDocument(1, &runworks.Config{
-					Services: []runworks.Service{{Name: "llm", Kind: runworks.KindEngine, Models: []string{"m"}, BackendServers: []runworks.BackendServer{
-						{Name: "e1", Hall: "a", Address: "http://e1", Slots: 2},
-					}}},
-					Tiers: []runworks.Tier{{Name: "urgent", Timeout: time.Minute}},
-					Rules: []runworks.Rule{{Services: []string{"llm"}, Tier: "urgent"}},
-				})
-				time.Sleep(time.Minute)
 				key := keyNow()
 				old, newer := newTestLink(t, a), newTestLink(t, a)
 				verdict := func(l *link, id string) control.KeyVerdict {
--- a/services/route/moved.go
+++ b/services/route/moved.go
@@ -17,7 +17,7 @@
 		for _, one := range t.Routing.Routes {
 			before, _ := old.Route(one.Host, one.PathPrefix)
 			after, _ := next.Route(one.Host, one.PathPrefix)
-			if before == nil || after == nil || !holdsStreams(before) && !holdsStreams(after) || slices.Equal(before.Shares, after.Shares) || !keepsServices(before, after) {
+			if before == nil || after == nil || !sharesOutAnew(before, after) {
 				continue
 			}
 			for _, share := range after.Shares {
@@ -30,6 +30,12 @@
 	return out
 }
 
+// sharesOutAnew reports whether a route divides resumable streams in another way than the one that it replaces, between services
+// that include the former ones.
+func sharesOutAnew(before, after *runworks.Route) bool {
+	return (holdsStreams(before) || holdsStreams(after)) && !slices.Equal(before.Shares, after.Shares) && keepsServices(before, after)
+}
+
 // holdsStreams reports whether callers may resume calls of a route.
 func holdsStreams(r *runworks.Route) bool { return r.Kind == runworks.CallStream && r.Resumable }
 
--- a/tests/platform_foreign_events_test.go
+++ b/tests/platform_foreign_events_test.go
@@ -242,14 +242,7 @@
 			{"two events in one", []*soakCall{attempt(cut, bytes.TrimSuffix(begun, (&orderStream{form: &form}).blank()), event("v1", "a", 5, 9))}, orderForeign},
 			{"no event", []*soakCall{attempt(cut, begun, []byte("HTTP/1.1 200 OK"), (&orderStream{form: &form}).blank())}, orderForeign},
 		} {
-			stream := &orderStream{form: &form}
-			var found orderProblem
-			for _, c := range one.attempts {
-				if problem := stream.add(c); problem != nil {
-					found = *problem
-					break
-				}
-			}
+			found := (&orderStream{form: &form}).addAll(one.attempts)
 			if found.kind != one.kind {
 				t.Errorf("%+v: %s: %+v", form, one.name, found)
 			}
--- a/tests/platform_frozen_version_test.go
+++ b/tests/platform_frozen_version_test.go
@@ -29,10 +29,7 @@
 			p.startUnlisted("v2", "llm-3", "llm-4")
 			p.fronts["front-2"].signal(syscall.SIGSTOP)
 			frozen := time.Now()
-			for _, name := range []string{"llm-3", "llm-4"} {
-				p.listVersion(name, "v2")
-				p.waitListed(name)
-			}
+			p.listStarted("v2", "llm-3", "llm-4")
 			const streams = 16
 			lines := p.beginLines(streams)
 			if one.killed {
@@ -107,10 +104,7 @@
 	p.paths.set(proxyBlocksBoth)
 	p.fronts[p.stopped].signal(syscall.SIGSTOP)
 	cut := time.Now()
-	for _, name := range []string{"llm-3", "llm-4"} {
-		p.listVersion(name, "v2")
-		p.waitListed(name)
-	}
+	p.listStarted("v2", "llm-3", "llm-4")
 	const streams = 16
 	lines := p.beginLines(streams)
 	p.wait(after - time.Since(cut))
@@ -145,6 +139,14 @@
 	}
 }
 
+// listStarted lists servers that run, and waits until a front knows them.
+func (p *overlapSite) listStarted(version string, names ...string) {
+	for _, name := range names {
+		p.listVersion(name, version)
+		p.waitListed(name)
+	}
+}
+
 // beginLines begins streams at front-1, each of which its caller leaves after two events.
 func (p *overlapSite) beginLines(streams int) []*orderStream {
 	lines := make([]*orderStream, streams)
--- a/tests/soak_close_test.go
+++ b/tests/soak_close_test.go
@@ -25,7 +25,7 @@
 )
 
 // closesPaths reports whether paths close connections without a reset.
-func (s *soak) closesPaths() bool { return s.seed >= soakCloseSeeds && !s.platformOnly() }
+func (s *soak) closesPaths() bool { return s.mixesFrom(soakCloseSeeds) }
 
 // closeFaults draws the times in which a path closes its connections, and what happens beside that.
 func (s *soak) closeFaults() []soakStep {
--- a/tests/soak_old_protocol_test.go
+++ b/tests/soak_old_protocol_test.go
@@ -19,7 +19,7 @@
 )
 
 // hasOldServers reports whether servers respond in HTTP/1.0.
-func (s *soak) hasOldServers() bool { return s.seed >= soakOldServerSeeds && !s.platformOnly() }
+func (s *soak) hasOldServers() bool { return s.mixesFrom(soakOldServerSeeds) }
 
 // hasOldCallers reports whether callers request in HTTP/1.0 and wait for their response. Fronts are not killed then.
 func (s *soak) hasOldCallers() bool { return s.hasOldServers() && s.seed/2%2 == 0 }
--- a/tests/soak_one_by_one_test.go
+++ b/tests/soak_one_by_one_test.go
@@ -17,7 +17,7 @@
 )
 
 // endsOneByOne reports whether paths close their connections one by one.
-func (s *soak) endsOneByOne() bool { return s.seed >= soakOneByOneSeeds && !s.platformOnly() }
+func (s *soak) endsOneByOne() bool { return s.mixesFrom(soakOneByOneSeeds) }
 
 // oneByOneFaults draws the times in which servers mix responses, and a path to a server, from callers or between fronts closes
 // the connections that are open then one by one.
--- a/tests/soak_order_test.go
+++ b/tests/soak_order_test.go
@@ -229,6 +229,16 @@
 	return nil
 }
 
+// addAll adds attempts up to the first problem, and returns that.
+func (o *orderStream) addAll(attempts []*soakCall) orderProblem {
+	for _, c := range attempts {
+		if problem := o.add(c); problem != nil {
+			return *problem
+		}
+	}
+	return orderProblem{}
+}
+
 func (o *orderStream) addEvent(c *soakCall, event string) *orderProblem {
 	if o.form != nil {
 		return o.addTokens(c, event)
@@ -347,14 +357,7 @@
 		{"another type of content", []*soakCall{begun, attempt(nil, []byte("{}"))}, orderEarly},
 		{"no content", []*soakCall{begun, empty}, orderEarly},
 	} {
-		stream := &orderStream{}
-		var found orderProblem
-		for _, c := range one.attempts {
-			if problem := stream.add(c); problem != nil {
-				found = *problem
-				break
-			}
-		}
+		found := (&orderStream{}).addAll(one.attempts)
 		if found.kind != one.kind {
 			t.Errorf("%s: %+v", one.name, found)
 		}
--- a/tests/soak_platform_test.go
+++ b/tests/soak_platform_test.go
@@ -43,6 +43,9 @@
 // platformOnly reports whether only what the description of the platform has is played.
 func (s *soak) platformOnly() bool { return s.seed >= soakPlatformSeeds }
 
+// mixesFrom reports whether a seed is one of those from first on that mix faults of the platform with others.
+func (s *soak) mixesFrom(first int64) bool { return s.seed >= first && !s.platformOnly() }
+
 // closesAtCrash reports whether servers that crash may close connections without a reset.
 func (s *soak) closesAtCrash() bool { return s.seed/2%2 == 1 }
 
--- a/tests/soak_record_test.go
+++ b/tests/soak_record_test.go
@@ -14,7 +14,7 @@
 const soakGenerationSeeds = 100_000
 
 // reportsGeneration reports whether the servers of this schedule report their generation.
-func (s *soak) reportsGeneration() bool { return s.seed >= soakGenerationSeeds && !s.platformOnly() }
+func (s *soak) reportsGeneration() bool { return s.mixesFrom(soakGenerationSeeds) }
 
 // recordFaults draws faults of the servers' records.
 func (s *soak) recordFaults() []soakStep {
--- a/tests/soak_together_test.go
+++ b/tests/soak_together_test.go
@@ -23,7 +23,7 @@
 )
 
 // comeTogether reports whether several events come at once.
-func (s *soak) comeTogether() bool { return s.seed >= soakTogetherSeeds && !s.platformOnly() }
+func (s *soak) comeTogether() bool { return s.mixesFrom(soakTogetherSeeds) }
 
 // longCallers returns the number of callers of long streams that can't be resumed.
 func (s *soak) longCallers() int {
