Keep warnings and errors in a flood of log lines

Cause: a front drops the lines beyond log_lines, whatever their level. Eight callers without a pause made 5,700 calls a second there, each with a line, and the limit of the test is 5,000.

Change: warnings and errors have an eighth of the rate and 128 places in the queue for themselves. TestBoundedKeepsErrorsInFlood fails without it, beyond the rate and beyond the queue.

--- a/modules/logging/bounded.go
+++ b/modules/logging/bounded.go
@@ -3,20 +3,28 @@
 import (
 	"io"
 	"sync/atomic"
-	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"golang.org/x/time/rate"
 )
 
-// maxQueuedLines limits the lines that wait to be written.
-const maxQueuedLines = 1024
+const (
+	// maxQueuedLines limits the lines that wait to be written.
+	maxQueuedLines = 1024
+	// reservedLines are places in the queue beyond those, for warnings and errors alone.
+	reservedLines = 128
+	// reservedPart is the part of the rate that warnings and errors have beyond it.
+	reservedPart = 8
+)
 
 // BoundedWriter writes log lines in the background and limits their rate. Write never blocks;
-// lines beyond the rate or the queue are dropped and counted.
+// lines beyond the rate or the queue are dropped and counted. Warnings and errors have a reserve of both,
+// so that a flood of other lines does not hide them.
 type BoundedWriter struct {
 	out     io.Writer
 	lines   chan []byte
 	limit   *rate.Limiter
+	reserve *rate.Limiter
 	dropped atomic.Int64
 	// quit is closed when no more lines are accepted, done when all have been written.
 	quit, done chan struct{}
@@ -25,9 +33,10 @@
 // NewBoundedWriter starts a writer to out with a limit of perSecond lines per second, and a
 // burst of the same number.
 func NewBoundedWriter(out io.Writer, perSecond int) *BoundedWriter {
+	reserve := perSecond/reservedPart + 1
 	b := &BoundedWriter{
-		out: out, lines: make(chan []byte, maxQueuedLines), quit: make(chan struct{}), done: make(chan struct{}),
-		limit: rate.NewLimiter(rate.Limit(perSecond), perSecond),
+		out: out, lines: make(chan []byte, maxQueuedLines+reservedLines), quit: make(chan struct{}), done: make(chan struct{}),
+		limit: rate.NewLimiter(rate.Limit(perSecond), perSecond), reserve: rate.NewLimiter(rate.Limit(reserve), reserve),
 	}
 	go b.run()
 	return b
@@ -35,7 +44,12 @@
 
 // Write implements io.Writer for one line; it never returns an error.
 func (b *BoundedWriter) Write(line []byte) (int, error) {
-	if b.closed() || !b.limit.AllowN(time.Now(), 1) {
+	return b.LevelWrite(hclog.NoLevel, line)
+}
+
+// LevelWrite implements hclog.LevelWriter for one line; it never returns an error.
+func (b *BoundedWriter) LevelWrite(level hclog.Level, line []byte) (int, error) {
+	if b.closed() || !b.admits(level >= hclog.Warn) {
 		b.dropped.Add(1)
 		return len(line), nil
 	}
@@ -47,6 +61,14 @@
 	return len(line), nil
 }
 
+// admits reports whether there is place for one more line, within the rate.
+func (b *BoundedWriter) admits(urgent bool) bool {
+	if urgent {
+		return b.limit.Allow() || b.reserve.Allow()
+	}
+	return len(b.lines) < maxQueuedLines && b.limit.Allow()
+}
+
 // Dropped returns the number of lines dropped since the start.
 func (b *BoundedWriter) Dropped() int64 { return b.dropped.Load() }
 
--- a/modules/logging/bounded_test.go
+++ b/modules/logging/bounded_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -74,3 +75,45 @@
 		is.Equal(b.Dropped(), int64(120))
 	})
 }
+
+// TestBoundedKeepsErrorsInFlood guards against errors that a flood of other lines hides.
+func TestBoundedKeepsErrorsInFlood(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		perSecond int
+	}{{"beyond the rate", 10}, {"beyond the queue", 1 << 20}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				out := &blockedWriter{release: make(chan struct{})}
+				b := NewBoundedWriter(out, c.perSecond)
+				logger := New(b, "front", "info", true)
+				for range 2 * maxQueuedLines {
+					logger.Info("call ended")
+				}
+				logger.Warn("routing kept")
+				logger.Error("routing refused")
+				close(out.release)
+				b.Close()
+				is.Equal(strings.Count(out.out.String(), "routing kept"), 1)
+				is.Equal(strings.Count(out.out.String(), "routing refused"), 1)
+			})
+		})
+	}
+}
+
+// TestBoundedErrorsAreBounded guards against a flood of errors without end.
+func TestBoundedErrorsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out bytes.Buffer
+		b := NewBoundedWriter(&out, 8*reservedPart)
+		logger := New(b, "front", "info", true)
+		for range 20 * reservedPart {
+			logger.Error("routing refused")
+		}
+		b.Close()
+		is.Equal(strings.Count(out.String(), "routing refused"), 8*reservedPart+9)
+		is.Equal(b.Dropped(), int64(12*reservedPart-9))
+	})
+}
