Moments: play releases, and records that come and go late

A pair could hold the crash of a server, its SIGTERM and the removal of its record, but not what the platform does at a planned replacement: a server of the same or the next version is listed, the old one drains, serves on and then ends. Records that come late at a taken address, go late behind a crash, or are away for a while were missing, too.

Six events are added, each with its end: while the effect of the first one lasts, the second one meets the server that drains. The events of paths and of the store move to files of their own, unchanged.

--- a/tests/moment_draw_test.go
+++ b/tests/moment_draw_test.go
@@ -97,7 +97,7 @@
 		return m.lasting && first.name == momentStoreFrozen && second.writes
 	}},
 	{"the first event has ended the process of the second one", func(m *momentPlay, first, second momentEvent) bool {
-		return m.points[0] == m.points[1] && first.ends != "" && first.ends == second.at
+		return m.points[0] == m.points[1] && first.ends != "" && first.ends == second.at && (!first.endsLate || !m.lasting)
 	}},
 }
 
--- a/tests/moment_events_test.go
+++ b/tests/moment_events_test.go
@@ -16,12 +16,15 @@
 	// lasts is set if it has an effect that ends, writes if it needs the store, resumable if only the caller of a resumable
 	// stream does it, and closes if it ends streams by closes of living servers or paths.
 	lasts, writes, resumable, closes bool
-	// ends is the process that it ends for good.
-	ends momentProcess
+	// ends is the process that it ends for good; with endsLate it does at the end of its effect.
+	ends     momentProcess
+	endsLate bool
 	// at is the process that has to run.
 	at momentProcess
 	// spare are the arguments of a server that it needs; nil if it needs none.
 	spare []string
+	// version is that of this server; empty for v2.
+	version string
 	// routes is set if it moves the routes.
 	routes bool
 	// untold is what nothing tells where responses are completed at a close, so that streams may look complete; empty if there is nothing.
@@ -44,7 +47,7 @@
 
 // momentEvents returns all events.
 func momentEvents() []momentEvent {
-	return slices.Concat(momentCallerEvents(), momentFrontEvents(), momentServerEvents(), momentPathEvents(), momentStoreEvents())
+	return slices.Concat(momentCallerEvents(), momentFrontEvents(), momentServerEvents(), momentReleaseEvents(), momentPathEvents(), momentStoreEvents())
 }
 
 func momentCallerEvents() []momentEvent {
@@ -184,10 +187,8 @@
 	spare.path, spare.listed = m.server.path, m.server.listed
 	spare.path.setTarget(spare.address("standin"))
 	reason := p.end(m.server.process, syscall.SIGKILL)
-	if p.play.relist && !p.storeFrozen {
-		p.putRecord(spare)
-		p.put("keyed.servers", m.server.listed, nil)
-		spare.listed = spare.id
+	if p.play.relist && !p.play.pair[m.event].writes {
+		p.replaceRecord(spare, m.server)
 	}
 	return nil, reason
 }
@@ -206,74 +207,3 @@
 	p.stops = stops
 	return func() { p.setStopsAt(m.server) }, ""
 }
-
-func momentPathEvents() []momentEvent {
-	var out []momentEvent
-	for _, one := range []struct {
-		name   string
-		closes bool
-		paths  func(p *momentSite, m *moment) []*proxy
-	}{
-		{"the path to the server", true, func(_ *momentSite, m *moment) []*proxy { return []*proxy{m.server.path} }},
-		{"the path between the fronts", false, func(p *momentSite, _ *moment) []*proxy {
-			return []*proxy{p.peers["front-1"], p.peers["front-2"]}
-		}},
-		{"the path of callers to the front", false, func(p *momentSite, m *moment) []*proxy { return []*proxy{p.callers[m.front]} }},
-	} {
-		add := func(what string, lasts, closes bool, do, undo func(*proxy)) {
-			out = append(out, momentEvent{name: one.name + " " + what, lasts: lasts, closes: closes, act: func(p *momentSite, m *moment) (func(), string) {
-				open, paths := 0, one.paths(p, m)
-				for _, path := range paths {
-					if path == nil {
-						return nil, "the server is reached by no path"
-					}
-					open += path.open()
-					do(path)
-				}
-				return func() {
-					for _, path := range paths {
-						undo(path)
-					}
-				}, reasonUnless(open > 0, "the path has no connection")
-			}})
-		}
-		nothing := func(*proxy) {}
-		forward := func(path *proxy) { path.set(proxyForwards) }
-		add("closes its connections", false, one.closes, func(path *proxy) { path.end(proxyEndsBoth) }, nothing)
-		add("resets its connections", false, false, func(path *proxy) { path.set(proxyResets); forward(path) }, nothing)
-		add("falls silent", false, false, (*proxy).silence, nothing)
-		add("holds data back", true, false, func(path *proxy) { path.set(proxyBlocksBoth) }, forward)
-	}
-	return out
-}
-
-func momentStoreEvents() []momentEvent {
-	routes := func(service string) func(p *momentSite, _ *moment) (func(), string) {
-		return func(p *momentSite, _ *moment) (func(), string) {
-			p.putRoutes(service)
-			return nil, ""
-		}
-	}
-	return []momentEvent{
-		{name: momentStoreFrozen, lasts: true, act: func(p *momentSite, _ *moment) (func(), string) {
-			end, reason := p.freeze(p.store)
-			p.storeFrozen = true
-			return func() {
-				end()
-				p.storeFrozen = false
-			}, reason
-		}},
-		{name: "the server's record is removed", writes: true, act: func(p *momentSite, m *moment) (func(), string) {
-			p.put("keyed.servers", m.server.listed, nil)
-			return nil, ""
-		}},
-		{name: "a document moves the routes", writes: true, routes: true, act: routes("alt")},
-		{name: "a document shares the routes out", writes: true, routes: true, act: routes("both")},
-		{name: "a server of another version is listed", writes: true, spare: []string{}, act: func(p *momentSite, m *moment) (func(), string) {
-			spare := p.spares[m.event]
-			spare.path = newProxy(p.t, spare.address("standin"))
-			p.putRecord(spare)
-			return nil, ""
-		}},
-	}
-}
--- a/tests/moment_site_test.go
+++ b/tests/moment_site_test.go
@@ -1,7 +1,6 @@
 package tests
 
 import (
-	"bytes"
 	"fmt"
 	"slices"
 	"strings"
@@ -59,10 +58,11 @@
 	settings       map[string]string
 	reloads        int
 	documents      int
-	storeFrozen    bool
-	streams        []*momentStream
-	stops          []standin.Stop
-	work           sync.WaitGroup
+	// storeAway is set while the store takes no record.
+	storeAway bool
+	streams   []*momentStream
+	stops     []standin.Stop
+	work      sync.WaitGroup
 }
 
 // moment is a point that a stream has reached.
@@ -99,7 +99,11 @@
 	}
 	for i, event := range play.events() {
 		if event.spare != nil {
-			p.spares[i] = p.newServer(fmt.Sprint("llm-", 8+i), "v2", event.spare...)
+			version := "v2"
+			if event.version != "" {
+				version = event.version
+			}
+			p.spares[i] = p.newServer(fmt.Sprint("llm-", 8+i), version, event.spare...)
 		}
 	}
 	return p
@@ -146,13 +150,7 @@
 	s := p.newServer(id, version)
 	s.path = newProxy(p.t, s.address("standin"))
 	p.backends[id] = s.process
-	p.putRecord(s)
-}
-
-func (p *momentSite) putRecord(s *momentServer) {
-	service, _, _ := strings.Cut(s.id, "-")
-	record := serverRecord(service, s.path.address(), "ready", 0)
-	p.put("keyed.servers", s.id, bytes.Replace(record, []byte(`"version": "v1"`), fmt.Appendf(nil, `"version": %q`, s.version), 1))
+	p.putRecord(s, "ready")
 }
 
 // addFront starts a front that the other one reaches through a path.
