Moments: play cuts of one direction of each path

A path could hold back both directions only. A cut of one direction differs: a server runs what its caller never hears of, or a front hears a server that no longer hears it, and two fronts disagree about which of them is silent.

Each of the three kinds of path gets two events. Between the fronts, what one of them sends are the requests of one proxy and the responses of the other. TestMomentPathHoldsOneDirection fails in 4 of 5 cases if hold takes one direction for the other.

--- a/tests/moment_path_test.go
+++ b/tests/moment_path_test.go
@@ -1,5 +1,16 @@
 package tests
 
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// momentArrives is within which time a byte arrives that no path holds back.
+const momentArrives = 300 * time.Millisecond
+
 // momentPath is a path seen from a stream.
 type momentPath struct {
 	*proxy
@@ -43,7 +54,9 @@
 			one.event("closes its connections", false, one.closes, func(path momentPath) { path.end(proxyEndsBoth) }, nothing),
 			one.event("resets its connections", false, false, func(path momentPath) { path.set(proxyResets); forward(path) }, nothing),
 			one.event("falls silent", false, false, func(path momentPath) { path.silence() }, nothing),
-			one.event("holds data back", true, false, func(path momentPath) { path.hold(true, true) }, forward))
+			one.event("holds data back", true, false, func(path momentPath) { path.hold(true, true) }, forward),
+			one.event("holds back "+one.requests, true, false, func(path momentPath) { path.hold(true, false) }, forward),
+			one.event("holds back "+one.responses, true, false, func(path momentPath) { path.hold(false, true) }, forward))
 	}
 	return out
 }
@@ -66,3 +79,49 @@
 		}, reasonUnless(open > 0, "the path has no connection")
 	}}
 }
+
+// TestMomentPathHoldsOneDirection guards against cuts of one direction that hold the other one, both or none.
+func TestMomentPathHoldsOneDirection(t *testing.T) {
+	for _, one := range []struct {
+		name                          string
+		back                          bool
+		requests, responses           bool
+		forthArrives, backwardArrives bool
+	}{
+		{"requests", false, true, false, false, true},
+		{"responses", false, false, true, true, false},
+		{"requests, the other way", true, true, false, true, false},
+		{"responses, the other way", true, false, true, false, true},
+		{"both", false, true, true, false, false},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = l.Close() }()
+			path := newProxy(t, l.Addr().String())
+			from, err := net.Dial("tcp", path.address())
+			is.NoErr(err)
+			defer func() { _ = from.Close() }()
+			to, err := l.Accept()
+			is.NoErr(err)
+			defer func() { _ = to.Close() }()
+			momentPath{path, one.back}.hold(one.requests, one.responses)
+			is.Equal(arrives(t, from, to), one.forthArrives)
+			is.Equal(arrives(t, to, from), one.backwardArrives)
+		})
+	}
+}
+
+// arrives reports whether a byte that is written to a connection is read from another one soon.
+func arrives(t *testing.T, from, to net.Conn) bool {
+	t.Helper()
+	if _, err := from.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if err := to.SetReadDeadline(time.Now().Add(momentArrives)); err != nil {
+		t.Fatal(err)
+	}
+	n, err := to.Read(make([]byte, 1))
+	return n == 1 && err == nil
+}
