Moments: play parts of events, odd bytes and surplus responses

Servers that broke streams off did so between what they sent. The platform's may stop inside an event, send bytes that form no response, or send a response to another call in place of one that is due or behind its end.

A stop of the stand-in says what goes before the close: half of the next head or event, such bytes, or a surplus response with the event that is due, which a front that takes it in passes on as another call's. Behind the last event of a response in chunks it follows the last chunk. Where only the connection ends a response, nothing tells another one that begins inside an event (OPEN.md); such plays are drawn again, and counted.

--- a/standin/points.go
+++ b/standin/points.go
@@ -37,10 +37,11 @@
 	Point  Point  `json:"point"`
 	// Event is the number of the event of PointInside and PointBetween.
 	Event int `json:"event"`
-	// Break ends streams there by a close, and Reset by a reset of the connection. A reset applies only to calls that begin
+	// Break ends streams there by a close, behind what Odd has the server send, and Reset by a reset of the connection. A reset applies only to calls that begin
 	// the stream, so that it can be taken up at the same server.
-	Break bool `json:"break"`
-	Reset bool `json:"reset"`
+	Break bool      `json:"break"`
+	Odd   OddEnding `json:"odd"`
+	Reset bool      `json:"reset"`
 }
 
 // SetStops replaces all stops; streams that none of them holds go on.
@@ -81,7 +82,7 @@
 		holds := false
 		for _, s := range stops {
 			if s.Break {
-				panic(http.ErrAbortHandler)
+				b.endOddly(w, r, s)
 			}
 			holds = holds || !s.Reset
 		}
--- a/tests/moment_draw_test.go
+++ b/tests/moment_draw_test.go
@@ -116,6 +116,13 @@
 	if m.form.completeAtClose {
 		return m.pair[0].untold + m.pair[1].untold
 	}
+	if m.form.http10 || m.form.mixed {
+		for i, event := range m.pair {
+			if m.points[i] == standin.PointInside && event.untoldInside != "" {
+				return event.untoldInside
+			}
+		}
+	}
 	return ""
 }
 
--- a/tests/moment_events_test.go
+++ b/tests/moment_events_test.go
@@ -29,6 +29,8 @@
 	routes bool
 	// untold is what nothing tells where responses are completed at a close, so that streams may look complete; empty if there is nothing.
 	untold string
+	// untoldInside is what nothing tells inside an event of a response that only its connection ends.
+	untoldInside string
 }
 
 // movesRoute reports whether it moves the routes of streams.
@@ -150,7 +152,10 @@
 		{name: "the server is frozen", at: momentServed, lasts: true, act: (*momentSite).freezeServer},
 		{name: "the server's address is taken by another version that answers 421", at: momentServed, ends: momentServed, spare: []string{}, act: (*momentSite).takeAddress},
 		{name: "the server's address is taken by another version that ignores the expected instance", at: momentServed, ends: momentServed, spare: []string{"--any-instance"}, act: (*momentSite).takeAddress},
-		{name: "the server breaks its streams off", at: momentServed, closes: true, act: (*momentSite).breakStreams},
+		{name: "the server breaks its streams off", at: momentServed, closes: true, act: breakStreams("")},
+		{name: "the server breaks its streams off inside what comes next", at: momentServed, closes: true, act: breakStreams(standin.OddPart)},
+		{name: "the server breaks its streams off behind bytes that form no response", at: momentServed, closes: true, act: breakStreams(standin.OddBytes)},
+		{name: "the server breaks its streams off behind a surplus response", at: momentServed, closes: true, untoldInside: "in a response that only its connection ends, nothing tells another one that begins inside an event", act: breakStreams(standin.OddSurplus)},
 	}
 }
 
@@ -193,17 +198,19 @@
 	return nil, reason
 }
 
-// breakStreams has the server close the connections of the streams that stop at the point.
-func (p *momentSite) breakStreams(m *moment) (func(), string) {
-	if m.server.ended() || m.server.frozen {
-		return nil, m.server.name + " does not run"
-	}
-	stops, point := p.stops, p.play.points[m.event]
-	p.stops = slices.Clone(stops)
-	for _, s := range p.streams[:momentSubjects] {
-		p.stops = append(p.stops, standin.Stop{Target: s.target, Point: point, Event: momentEventOf(point), Break: true})
+// breakStreams has the server end the streams that stop at the point.
+func breakStreams(odd standin.OddEnding) func(p *momentSite, m *moment) (func(), string) {
+	return func(p *momentSite, m *moment) (func(), string) {
+		if m.server.ended() || m.server.frozen {
+			return nil, m.server.name + " does not run"
+		}
+		stops, point := p.stops, p.play.points[m.event]
+		p.stops = slices.Clone(stops)
+		for _, s := range p.streams[:momentSubjects] {
+			p.stops = append(p.stops, standin.Stop{Target: s.target, Point: point, Event: momentEventOf(point), Break: true, Odd: odd})
+		}
+		p.setStopsAt(m.server)
+		p.stops = stops
+		return func() { p.setStopsAt(m.server) }, ""
 	}
-	p.setStopsAt(m.server)
-	p.stops = stops
-	return func() { p.setStopsAt(m.server) }, ""
 }
