Moments: play more of the store, starved processes and a customer's limit

The store could only be frozen, for both fronts. It is now also killed, refuses calls, does not answer, loses answers and wake-ups, or goes back to the records from before the streams; and the path of one of the fronts to it is reset, silent, held back, or held back in the direction of responses, so that one front reads what is old while the other one does not. A front or a server that gets 10 ms of each 200 of its processor, and a document that leaves the customer next to no rate, are added beside these.

A killed store takes no record: such pairs can't be played and are counted. TestMomentDrawsEachPair fails if a pair other than these is never played, or if two events have one name, so that they would be counted as one.

--- a/tests/moment_draw_test.go
+++ b/tests/moment_draw_test.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"slices"
 	"strings"
+	"testing"
 	"time"
 
 	"github.com/runworks/runworks/standin"
@@ -93,11 +94,14 @@
 		return m.form.completeAtClose && (first.closes || second.closes)
 	}},
 	{"the first event has no effect that lasts", func(m *momentPlay, first, _ momentEvent) bool { return m.lasting && !first.lasts }},
-	{"a frozen store takes no record", func(m *momentPlay, first, second momentEvent) bool {
-		return m.lasting && first.name == momentStoreFrozen && second.writes
+	{"the store takes no record", func(m *momentPlay, first, second momentEvent) bool {
+		return first.takesNone && second.writes && (m.lasting || !first.lasts)
+	}},
+	{"a process that is frozen has no turns", func(m *momentPlay, first, second momentEvent) bool {
+		return m.lasting && first.at == second.at && (first.freezes && second.starves || first.starves && second.freezes)
 	}},
 	{"the first event has ended the process of the second one", func(m *momentPlay, first, second momentEvent) bool {
-		return m.points[0] == m.points[1] && first.ends != "" && first.ends == second.at && (!first.endsLate || !m.lasting)
+		return (m.points[0] == m.points[1] || first.ends == momentStore) && first.ends != "" && first.ends == second.at && (!first.endsLate || !m.lasting)
 	}},
 }
 
@@ -185,3 +189,28 @@
 	m.versions, m.resumable, m.lasting, m.relist = rng.IntN(2) == 0, rng.IntN(3) > 0, rng.IntN(2) == 0, rng.IntN(2) == 0
 	m.hold = momentHolds[rng.IntN(len(momentHolds))]
 }
+
+// TestMomentDrawsEachPair guards against pairs of events that are never played, or counted as another one.
+func TestMomentDrawsEachPair(t *testing.T) {
+	names := map[string]bool{}
+	for _, event := range momentEvents() {
+		if names[event.name] {
+			t.Errorf("two events are called %q", event.name)
+		}
+		names[event.name] = true
+	}
+	pairs := len(names) * len(names)
+	plays, _ := drawMoments(1, pairs, regexp.MustCompile(""), false)
+	drawn := map[string]bool{}
+	for _, d := range plays {
+		first, second := d.play.pair[0], d.play.pair[1]
+		drawn[first.name+", "+second.name] = true
+		never := first.ends == momentStore && (second.writes || second.at == momentStore)
+		if never != (d.reason != "") {
+			t.Errorf("%s, then %s: %q", first.name, second.name, d.reason)
+		}
+	}
+	if len(drawn) != pairs {
+		t.Errorf("%d of %d pairs were drawn", len(drawn), pairs)
+	}
+}
--- a/tests/moment_events_test.go
+++ b/tests/moment_events_test.go
@@ -13,9 +13,11 @@
 	name string
 	// act has it happen, and returns what ends its effect, if that lasts, and why it could not happen, if so.
 	act func(p *momentSite, m *moment) (end func(), reason string)
-	// lasts is set if it has an effect that ends, writes if it needs the store, resumable if only the caller of a resumable
+	// lasts is set if it has an effect that ends, writes if it needs the store, takesNone if the store takes no record, resumable if only the caller of a resumable
 	// stream does it, and closes if it ends streams by closes of living servers or paths.
-	lasts, writes, resumable, closes bool
+	lasts, writes, takesNone, resumable, closes bool
+	// freezes is set if it stops the process for as long as it lasts, and starves if it does so most of the time.
+	freezes, starves bool
 	// ends is the process that it ends for good; with endsLate it does at the end of its effect.
 	ends     momentProcess
 	endsLate bool
@@ -43,13 +45,14 @@
 	momentFront  momentProcess = "front of the stream"
 	momentOther  momentProcess = "other front"
 	momentServed momentProcess = "server"
+	momentStore  momentProcess = "store"
 )
 
 const momentStoreFrozen = "the store is frozen"
 
 // momentEvents returns all events.
 func momentEvents() []momentEvent {
-	return slices.Concat(momentCallerEvents(), momentFrontEvents(), momentServerEvents(), momentReleaseEvents(), momentPathEvents(), momentStoreEvents())
+	return slices.Concat(momentCallerEvents(), momentFrontEvents(), momentServerEvents(), momentReleaseEvents(), momentPathEvents(), momentStorePaths(), momentStoreEvents())
 }
 
 func momentCallerEvents() []momentEvent {
@@ -84,28 +87,25 @@
 func momentFrontEvents() []momentEvent {
 	var out []momentEvent
 	for _, at := range []momentProcess{momentFront, momentOther} {
-		name := func(m *moment) string {
-			if at == momentFront {
-				return m.front
-			}
-			return m.other
-		}
-		front := func(p *momentSite, m *moment) *process { return p.fronts[name(m)] }
+		front := func(p *momentSite, m *moment) *process { return p.fronts[m.nameOf(at)] }
 		out = append(out,
 			momentEvent{name: fmt.Sprintf("the %s is killed", at), at: at, ends: at, act: func(p *momentSite, m *moment) (func(), string) {
 				return nil, p.end(front(p, m), syscall.SIGKILL)
 			}},
 			momentEvent{name: fmt.Sprintf("the %s is killed and started again", at), at: at, act: func(p *momentSite, m *moment) (func(), string) {
-				return nil, p.restartFront(name(m))
+				return nil, p.restartFront(m.nameOf(at))
 			}},
 			momentEvent{name: fmt.Sprintf("the %s stops at SIGTERM", at), at: at, act: func(p *momentSite, m *moment) (func(), string) {
 				return nil, p.end(front(p, m), syscall.SIGTERM)
 			}},
-			momentEvent{name: fmt.Sprintf("the %s is frozen", at), at: at, lasts: true, act: func(p *momentSite, m *moment) (func(), string) {
+			momentEvent{name: fmt.Sprintf("the %s is frozen", at), at: at, lasts: true, freezes: true, act: func(p *momentSite, m *moment) (func(), string) {
 				return p.freeze(front(p, m))
 			}},
+			momentEvent{name: fmt.Sprintf("the %s gets little of its processor", at), at: at, lasts: true, starves: true, act: func(p *momentSite, m *moment) (func(), string) {
+				return starve(front(p, m))
+			}},
 			momentEvent{name: fmt.Sprintf("the %s reloads its settings", at), at: at, act: func(p *momentSite, m *moment) (func(), string) {
-				return nil, p.reload(name(m))
+				return nil, p.reload(m.nameOf(at))
 			}})
 	}
 	return out
@@ -130,6 +130,14 @@
 	return func() { of.signalIfAlive(syscall.SIGCONT) }, ""
 }
 
+// starve gives a process little of its processor until the returned function is called.
+func starve(of *process) (func(), string) {
+	if of.ended() {
+		return nil, of.name + " has ended"
+	}
+	return of.pulse(momentTurn, momentPeriod).stop, ""
+}
+
 func (p *momentSite) reload(front string) string {
 	if p.fronts[front].ended() {
 		return front + " has ended"
@@ -149,7 +157,10 @@
 			return nil, p.end(m.server.process, syscall.SIGTERM)
 		}},
 		{name: "the server is killed and started again under its ID", at: momentServed, ends: momentServed, untold: "completed at a close, nothing tells a server from its next start under its ID", act: (*momentSite).restart},
-		{name: "the server is frozen", at: momentServed, lasts: true, act: (*momentSite).freezeServer},
+		{name: "the server is frozen", at: momentServed, lasts: true, freezes: true, act: (*momentSite).freezeServer},
+		{name: "the server gets little of its processor", at: momentServed, lasts: true, starves: true, act: func(_ *momentSite, m *moment) (func(), string) {
+			return starve(m.server.process)
+		}},
 		{name: "the server's address is taken by another version that answers 421", at: momentServed, ends: momentServed, spare: []string{}, act: (*momentSite).takeAddress},
 		{name: "the server's address is taken by another version that ignores the expected instance", at: momentServed, ends: momentServed, spare: []string{"--any-instance"}, act: (*momentSite).takeAddress},
 		{name: "the server breaks its streams off", at: momentServed, closes: true, act: breakStreams("")},
--- a/tests/moment_site_test.go
+++ b/tests/moment_site_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -32,6 +31,9 @@
 	// momentSame is how long a stream has to reach the second point after another one has.
 	momentSame = 300 * time.Millisecond
 	momentPoll = 5 * time.Millisecond
+	// momentTurn is how long a process runs of each momentPeriod if it gets little of its processor.
+	momentTurn   = 10 * time.Millisecond
+	momentPeriod = 200 * time.Millisecond
 )
 
 // momentServer is a backend server, which keeps its output when it is gone.
@@ -52,12 +54,16 @@
 	servers []*momentServer
 	// spares are servers that have no record yet, by the number of the event that uses them.
 	spares map[int]*momentServer
-	// callers, peers are the paths to fronts, by name, and ending the processes that events end.
-	callers, peers map[string]*proxy
-	ending         map[*process]bool
-	settings       map[string]string
-	reloads        int
-	documents      int
+	// callers and peers are the paths to fronts and stores those to the store, by the name of the front, and ending the
+	// processes that events end.
+	callers, peers, stores map[string]*proxy
+	ending                 map[*process]bool
+	settings               map[string]string
+	reloads                int
+	documents              int
+	// service is that of the routes of streams, and limited is set while their customer has next to no rate.
+	service string
+	limited bool
 	// storeAway is set while the store takes no record.
 	storeAway bool
 	streams   []*momentStream
@@ -76,7 +82,7 @@
 }
 
 func newMomentSite(t *testing.T, play momentPlay) *momentSite {
-	p := &momentSite{platformSite: newBarePlatformSite(t), play: play, spares: map[int]*momentServer{}, callers: map[string]*proxy{}, peers: map[string]*proxy{}, ending: map[*process]bool{}, settings: map[string]string{}}
+	p := &momentSite{platformSite: newBarePlatformSite(t), play: play, spares: map[int]*momentServer{}, callers: map[string]*proxy{}, peers: map[string]*proxy{}, stores: map[string]*proxy{}, ending: map[*process]bool{}, settings: map[string]string{}}
 	p.putRoutes("llm")
 	if play.form.completeAtClose {
 		p.extraSettings = completeAtClose
@@ -97,6 +103,7 @@
 		p.waitReady(name, 2)
 		p.callers[name] = newProxy(t, p.fronts[name].address("callers"))
 	}
+	p.post("http://"+p.store.address("standin")+"/copy", nil)
 	for i, event := range play.events() {
 		if event.spare != nil {
 			version := "v2"
@@ -109,21 +116,6 @@
 	return p
 }
 
-// putRoutes writes the next document, in which the routes of streams have their servers at a service, or at shares of both.
-func (p *momentSite) putRoutes(service string) {
-	p.documents++
-	text := fmt.Sprintf(platformDocument, p.documents)
-	const llm = `"service": "llm"`
-	switch service {
-	case "both":
-		text = strings.ReplaceAll(text, llm, `"backends": [{"service": "llm", "weight": 1}, {"service": "alt", "weight": 1}]`)
-	default:
-		text = strings.ReplaceAll(text, llm, fmt.Sprintf(`"service": %q`, service))
-	}
-	text = strings.Replace(text, `{"name": "llm", `, `{"name": "alt", "maxConns": 100, "healthPath": "/health", "engine": {"slots": 8}}, {"name": "llm", `, 1)
-	p.put("keyed.op", "config", []byte(text))
-}
-
 // newServer starts a server that has no record.
 func (p *momentSite) newServer(id, version string, args ...string) *momentServer {
 	args = append(args, "--instance", id, "--tell", "--delay", momentDelay.String(), "--software", version)
@@ -153,11 +145,10 @@
 	p.putRecord(s, "ready")
 }
 
-// addFront starts a front that the other one reaches through a path.
+// addFront starts a front that reaches the store, and that the other one reaches, through paths.
 func (p *momentSite) addFront(name string) {
-	p.peers[name] = newProxy(p.t, "")
-	text := p.frontSettings(name) + "\npeers_advertised: " + p.peers[name].address() + "\n"
-	p.settings[name] = knownSettings(text)
+	p.peers[name], p.stores[name] = newProxy(p.t, ""), newProxy(p.t, p.store.address("standin"))
+	p.settings[name] = p.proxiedSettings(name, p.stores[name], p.peers[name])
 	p.runFront(name)
 }
 
@@ -165,3 +156,11 @@
 	p.fronts[name] = startProcess(p.t, name, "runworks", "front", "--settings", p.settingsFile(name, p.settings[name]))
 	p.peers[name].setTarget(p.fronts[name].address("fronts"))
 }
+
+// nameOf returns the name of a front as seen from the stream.
+func (m *moment) nameOf(at momentProcess) string {
+	if at == momentFront {
+		return m.front
+	}
+	return m.other
+}
