Moments: play calls without events beside streams, and in their place

The rig checked streams alone, so its rules of mixed responses and of calls that run twice never met a plain call: one that may run once, or one that may be repeated. The calls that stop are now of four kinds, drawn with the pair; those without events have two points, before the head and amid the body. Two of each kind run beside every play as well: the first event meets them before their heads, the second one amid their bodies.

The body of such a call is JSON, which proves its end in each form, and names the version, the server and the call. It must be just what the server that signed it sent, or the beginning of that if the response was cut. TestMomentCheckFindsFaults has rows for these and for surplus bodies. Where only the connection ends a body, nothing tells bytes of none amid it; such plays are drawn again.

--- a/standin/points.go
+++ b/standin/points.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Point is a place in the stream of a call.
+// Point is a place in the response to a call.
 type Point string
 
 // Points, in the order in which a stream that breaks off and is taken up passes them.
@@ -23,6 +23,8 @@
 	PointLast Point = "last"
 	// PointRest is before the head of a response to a call that has all events.
 	PointRest Point = "rest"
+	// PointBody is amid the body of a response without events, whose head has PointHead before it.
+	PointBody Point = "body"
 )
 
 // pointPoll is how often a stopped stream looks whether it may go on.
--- a/standin/rejoin.go
+++ b/standin/rejoin.go
@@ -75,6 +75,12 @@
 	return event
 }
 
+// originBody returns the response body of a call without events that is to name its server, and sets its type.
+func (b *RoutedServer) originBody(w http.ResponseWriter, r *http.Request, body []byte) []byte {
+	w.Header().Set("Content-Type", "application/json")
+	return RoutedJSON(b.Version, b.Instance, r.Header.Get(HeaderRoutedID), r.Method, r.RequestURI, body)
+}
+
 // streamEvents sends the events after Last-Event-Id.
 func (b *RoutedServer) streamEvents(w http.ResponseWriter, r *http.Request, events int) {
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
--- a/standin/routed.go
+++ b/standin/routed.go
@@ -78,6 +78,12 @@
 	return fmt.Appendf(nil, "%s %s %s %s\n", id, method, target, hex.EncodeToString(sum[:]))
 }
 
+// RoutedJSON returns the response body of a call without events that has "origin" in its query: JSON that names the software
+// version, the server and the call.
+func RoutedJSON(version, instance, id, method, target string, body []byte) []byte {
+	return fmt.Appendf(nil, "{\"call\": %q, \"origin\": \"%s %s/%s\"}\n", RoutedResponseBody(id, method, target, body), version, instance, id)
+}
+
 // RoutedEvent returns event n of a stream, counted from 1.
 func RoutedEvent(target string, n int) []byte {
 	return fmt.Appendf(nil, "id: %d\ndata: %s %d\n\n", n, target, n)
@@ -213,14 +219,12 @@
 		return
 	}
 	waitFor(r, b.Delay)
-	b.mu.Lock()
-	reset, unframed, unsolicited, fail := b.consume(&b.faults.Reset), false, false, false
-	if !reset {
-		unframed = b.consume(&b.faults.Unframed)
-		unsolicited = !unframed && b.consume(&b.faults.Unsolicited)
-		fail = !unframed && !unsolicited && b.consume(&b.faults.Fail)
+	b.pass(w, r, PointHead, 0)
+	sign := signature(data)
+	if r.URL.Query().Has("origin") {
+		data, sign = b.originBody(w, r, body), b.Instance
 	}
-	b.mu.Unlock()
+	reset, unframed, unsolicited, fail := b.plainFault()
 	switch {
 	case reset:
 		resetConn(w, nil)
@@ -228,11 +232,11 @@
 		head := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%s: %s\r\nConnection: close\r\n\r\n", HeaderRoutedID, id)
 		resetConn(w, append(head, data[:len(data)/2]...))
 	case unsolicited:
-		b.sendUnsolicited(w, id, data)
+		b.sendUnsolicited(w, id, sign, data)
 	case fail:
 		w.WriteHeader(http.StatusInternalServerError)
 	default:
-		w.Header().Set(HeaderRoutedSignature, signature(data))
+		w.Header().Set(HeaderRoutedSignature, sign)
 		b.sendBody(w, r, data, run)
 	}
 }
@@ -249,7 +253,12 @@
 		b.mu.Unlock()
 		waitFor(r, b.Delay)
 		data = data[half:]
+	} else if len(b.stopsAt(r.RequestURI, PointBody, 0)) > 0 {
+		half := len(data) / 2
+		_, _ = w.Write(data[:half])
+		data = data[half:]
 	}
+	b.pass(w, r, PointBody, 0)
 	_, _ = w.Write(data)
 }
 
--- a/standin/routed_faults.go
+++ b/standin/routed_faults.go
@@ -111,8 +111,19 @@
 	return true
 }
 
-// sendUnsolicited sends a response that matches no request, then the expected one.
-func (b *RoutedServer) sendUnsolicited(w http.ResponseWriter, id string, data []byte) {
+// plainFault returns which fault, of those of calls without events, applies to a call, and counts it.
+func (b *RoutedServer) plainFault() (reset, unframed, unsolicited, fail bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	reset = b.consume(&b.faults.Reset)
+	unframed = !reset && b.consume(&b.faults.Unframed)
+	unsolicited = !reset && !unframed && b.consume(&b.faults.Unsolicited)
+	fail = !reset && !unframed && !unsolicited && b.consume(&b.faults.Fail)
+	return reset, unframed, unsolicited, fail
+}
+
+// sendUnsolicited sends a response that matches no request, then the expected one with its signature.
+func (b *RoutedServer) sendUnsolicited(w http.ResponseWriter, id, sign string, data []byte) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
@@ -120,7 +131,7 @@
 	defer func() { _ = conn.Close() }()
 	var out bytes.Buffer
 	fmt.Fprintf(&out, "HTTP/1.1 200 OK\r\n%s: nobody\r\nContent-Length: 5\r\n\r\nwrong", HeaderRoutedID)
-	fmt.Fprintf(&out, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n", HeaderRoutedID, id, HeaderRoutedSignature, signature(data), len(data))
+	fmt.Fprintf(&out, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n", HeaderRoutedID, id, HeaderRoutedSignature, sign, len(data))
 	out.Write(data)
 	_, _ = conn.Write(out.Bytes())
 }
--- a/tests/moment_check_test.go
+++ b/tests/moment_check_test.go
@@ -1,6 +1,7 @@
 package tests
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net/http"
@@ -77,16 +78,37 @@
 	case c.signature != "" && c.status != http.StatusOK:
 		fault("another status", "status %d under the signature of %q, which sent %d", c.status, c.signature, http.StatusOK)
 	}
+	if text := c.foreignBytes(ran); c.events > 0 && text != "" {
+		fault("another call's event", "%s", text)
+	} else if text != "" {
+		fault("another body", "%s", text)
+	}
+	return out
+}
+
+// foreignBytes returns what a successful response has that none of the servers that ran the call sent; empty if there is
+// nothing.
+func (c *momentCall) foreignBytes(ran []string) string {
 	if c.status/100 != 2 {
-		return out
+		return ""
+	}
+	if c.events == 0 && c.signature != "" && !c.isBody() {
+		return fmt.Sprintf("%q, and it ran at %q", c.data, ran)
 	}
 	for _, origin := range momentOrigin.FindAllStringSubmatch(string(c.data), -1) {
 		if origin[2] != c.id || !slices.Contains(ran, origin[1]) {
-			fault("another call's event", "an event of %s by %s, and it ran at %q", origin[2], origin[1], ran)
-			break
+			return fmt.Sprintf("an event of %s by %s, and it ran at %q", origin[2], origin[1], ran)
 		}
 	}
-	return out
+	return ""
+}
+
+// isBody reports whether the call without events got the body of the server that signed it, or its beginning if it was cut.
+func (c *momentCall) isBody() bool {
+	return slices.ContainsFunc([]string{"v1", "v2"}, func(version string) bool {
+		want := standin.RoutedJSON(version, c.signature, c.id, c.method, c.target, c.body)
+		return bytes.HasPrefix(want, c.data) && (c.err != nil || len(c.data) == len(want))
+	})
 }
 
 // checkTwice checks how often a call ran.
@@ -134,6 +156,14 @@
 		c.repeatable = false
 		return c
 	}
+	body := func(id, server string) []byte {
+		return standin.RoutedJSON("v1", server, id, http.MethodPost, target, nil)
+	}
+	plain := func(id string, err error, data ...[]byte) *momentCall {
+		c := once(call(id, 200, "x", err, data...))
+		c.method, c.events = http.MethodPost, 0
+		return c
+	}
 	whole, part := call("a", 200, "x", nil, from("v1", "x", "a", 1, 6)), call("a", 200, "x", cut, from("v1", "x", "a", 1, 3))
 	foreign := call("a", 200, "x", nil, from("v1", "x", "a", 1, 6))
 	foreign.responseID = "b"
@@ -174,6 +204,17 @@
 		{"bytes that form no response", []*momentCall{call("a", 200, "x", nil, from("v1", "x", "a", 1, 3), []byte("\x00\x01\xff no response"), from("v1", "x", "a", 4, 6))}, atX, ruleMixed, string(orderForeign)},
 		{"a surplus response", []*momentCall{call("a", 200, "x", nil, from("v1", "x", "a", 1, 5), from("v1", "x", "nobody", 6, 6))}, atX, ruleMixed, "another call's event"},
 		{"the head of a surplus response", []*momentCall{call("a", 200, "x", nil, from("v1", "x", "a", 1, 3), []byte("HTTP/1.1 200 OK\r\n\r\n"), from("v1", "x", "a", 4, 6))}, atX, ruleMixed, string(orderForeign)},
+		{"a call once", []*momentCall{plain("a", nil, body("a", "x"))}, atX, "", ""},
+		{"a call that was cut", []*momentCall{plain("a", cut, body("a", "x")[:40])}, atX, "", ""},
+		{"half a body", []*momentCall{plain("a", nil, body("a", "x")[:40])}, atX, ruleMixed, "another body"},
+		{"a body and more", []*momentCall{plain("a", nil, body("a", "x"), []byte("HTTP/1.1 200 OK"))}, atX, ruleMixed, "another body"},
+		{"a cut body and more", []*momentCall{plain("a", cut, body("a", "x")[:40], []byte("HTTP/1.1 200 OK"))}, atX, ruleMixed, "another body"},
+		{"two halves", []*momentCall{plain("a", nil, body("a", "x")[:40], body("a", "y")[40:])}, map[string][]string{"a": {"x", "y"}}, ruleMixed, "another body"},
+		{"the body of a server that did not run it", []*momentCall{plain("a", nil, body("a", "y"))}, atX, ruleMixed, "another body"},
+		{"the body of another call", []*momentCall{plain("a", nil, body("b", "x"))}, atX, ruleMixed, "another body"},
+		{"a call once ran twice", []*momentCall{plain("a", nil, body("a", "x"))}, map[string][]string{"a": {"x", "x"}}, ruleTwice, "ran twice"},
+		{"events of a surplus response", []*momentCall{call("a", 200, "x", nil, from("v1", "x", "a", 1, 5), standin.RoutedEvent(target, 6))}, atX, ruleMixed, string(orderForeign)},
+		{"the body of a surplus response", []*momentCall{plain("a", nil, []byte("wrong"))}, atX, ruleMixed, "another body"},
 		{"ran twice", []*momentCall{once(call("a", 502, "", nil))}, map[string][]string{"a": {"x", "x"}}, ruleTwice, "ran twice"},
 		{"refused and ran", []*momentCall{call("a", 503, "", nil)}, atX, ruleTwice, "refused and ran"},
 		{"limited and ran", []*momentCall{call("a", 429, "", nil)}, atX, ruleTwice, "refused and ran"},
@@ -182,7 +223,7 @@
 		stream := &momentStream{calls: one.calls, chains: []*momentChain{{}}}
 		chain := stream.chains[0]
 		for _, c := range one.calls {
-			if chain.problem = chain.add(&c.soakCall); chain.problem != nil {
+			if chain.problem = chain.addAttempt(c); chain.problem != nil {
 				break
 			}
 		}
--- a/tests/moment_draw_test.go
+++ b/tests/moment_draw_test.go
@@ -35,14 +35,44 @@
 	standin.PointHead, standin.PointFirst, standin.PointResume, standin.PointInside, standin.PointBetween, standin.PointLast, standin.PointRest,
 }
 
+// momentPlainPoints are those that a call without events passes.
+var momentPlainPoints = []standin.Point{standin.PointHead, standin.PointBody}
+
+// momentKind is a kind of call.
+type momentKind string
+
+const (
+	momentStreams    momentKind = "streams"
+	momentResumable  momentKind = "resumable streams"
+	momentOnce       momentKind = "calls once"
+	momentRepeatable momentKind = "repeatable calls"
+)
+
+// momentKinds are the kinds of the calls that stop, by how often they are drawn.
+var momentKinds = []momentKind{momentResumable, momentResumable, momentResumable, momentStreams, momentOnce, momentRepeatable}
+
+func (k momentKind) plain() bool { return k == momentOnce || k == momentRepeatable }
+
+// repeatable reports whether calls may run more than once.
+func (k momentKind) repeatable() bool { return k == momentResumable || k == momentRepeatable }
+
+func (k momentKind) points() []standin.Point {
+	if k.plain() {
+		return momentPlainPoints
+	}
+	return momentPoints
+}
+
 // momentPlay is a pair of events, each at a point of a stream, and the form in which it is played.
 type momentPlay struct {
 	pair   [2]momentEvent
 	points [2]standin.Point
 	form   momentForm
-	// versions has servers of two versions, resumable the streams that stop be resumable, lasting the second event happen
+	// kind is that of the calls that stop.
+	kind momentKind
+	// versions has servers of two versions, lasting the second event happen
 	// while the effect of the first one lasts, and relist a server that takes an address have a record.
-	versions, resumable, lasting, relist bool
+	versions, lasting, relist bool
 	// hold is how long an effect lasts at least.
 	hold time.Duration
 }
@@ -73,7 +103,7 @@
 		}
 	}
 	add(m.versions, "two versions", "one version")
-	add(m.resumable, "resumable", "not resumable")
+	words = append(words, string(m.kind))
 	add(m.lasting, "while it lasts", "")
 	add(m.relist && m.needs(func(e momentEvent) bool { return e.spare != nil && !e.writes }), "record replaced", "")
 	return strings.Join(append(words, m.hold.String()), ", ")
@@ -85,10 +115,10 @@
 	applies func(m *momentPlay, first, second momentEvent) bool
 }{
 	{"a stream that is not resumable is not taken up", func(m *momentPlay, _, _ momentEvent) bool {
-		return !m.resumable && (m.hasPoint(standin.PointResume) || m.hasPoint(standin.PointRest))
+		return m.kind != momentResumable && (m.hasPoint(standin.PointResume) || m.hasPoint(standin.PointRest))
 	}},
 	{"the caller of a stream that is not resumable does not take it up", func(m *momentPlay, first, second momentEvent) bool {
-		return !m.resumable && (first.resumable || second.resumable)
+		return m.kind != momentResumable && (first.resumable || second.resumable)
 	}},
 	{"completed at a close, nothing tells a close by a living server or a path from the end", func(m *momentPlay, first, second momentEvent) bool {
 		return m.form.completeAtClose && (first.closes || second.closes)
@@ -122,8 +152,11 @@
 	}
 	if m.form.http10 || m.form.mixed {
 		for i, event := range m.pair {
-			if m.points[i] == standin.PointInside && event.untoldInside != "" {
+			switch {
+			case m.points[i] == standin.PointInside && event.untoldInside != "":
 				return event.untoldInside
+			case m.points[i] == standin.PointBody && event.odd:
+				return "in a body that only its connection ends, nothing tells bytes that are none of it"
 			}
 		}
 	}
@@ -181,12 +214,14 @@
 	return d
 }
 
-// draw draws the points and the form.
+// draw draws the kind of call, the points and the form.
 func (m *momentPlay) draw(rng *rand.Rand) {
-	first, second := rng.IntN(len(momentPoints)), rng.IntN(len(momentPoints))
-	m.points = [2]standin.Point{momentPoints[min(first, second)], momentPoints[max(first, second)]}
+	m.kind = momentKinds[rng.IntN(len(momentKinds))]
+	points := m.kind.points()
+	first, second := rng.IntN(len(points)), rng.IntN(len(points))
+	m.points = [2]standin.Point{points[min(first, second)], points[max(first, second)]}
 	m.form = momentForms[rng.IntN(len(momentForms))]
-	m.versions, m.resumable, m.lasting, m.relist = rng.IntN(2) == 0, rng.IntN(3) > 0, rng.IntN(2) == 0, rng.IntN(2) == 0
+	m.versions, m.lasting, m.relist = rng.IntN(2) == 0, rng.IntN(2) == 0, rng.IntN(2) == 0
 	m.hold = momentHolds[rng.IntN(len(momentHolds))]
 }
 
--- a/tests/moment_events_test.go
+++ b/tests/moment_events_test.go
@@ -31,6 +31,8 @@
 	routes bool
 	// untold is what nothing tells where responses are completed at a close, so that streams may look complete; empty if there is nothing.
 	untold string
+	// odd is set if it sends bytes that are none of the response.
+	odd bool
 	// untoldInside is what nothing tells inside an event of a response that only its connection ends.
 	untoldInside string
 }
@@ -165,8 +167,8 @@
 		{name: "the server's address is taken by another version that ignores the expected instance", at: momentServed, ends: momentServed, spare: []string{"--any-instance"}, act: (*momentSite).takeAddress},
 		{name: "the server breaks its streams off", at: momentServed, closes: true, act: breakStreams("")},
 		{name: "the server breaks its streams off inside what comes next", at: momentServed, closes: true, act: breakStreams(standin.OddPart)},
-		{name: "the server breaks its streams off behind bytes that form no response", at: momentServed, closes: true, act: breakStreams(standin.OddBytes)},
-		{name: "the server breaks its streams off behind a surplus response", at: momentServed, closes: true, untoldInside: "in a response that only its connection ends, nothing tells another one that begins inside an event", act: breakStreams(standin.OddSurplus)},
+		{name: "the server breaks its streams off behind bytes that form no response", at: momentServed, closes: true, odd: true, act: breakStreams(standin.OddBytes)},
+		{name: "the server breaks its streams off behind a surplus response", at: momentServed, closes: true, odd: true, untoldInside: "in a response that only its connection ends, nothing tells another one that begins inside an event", act: breakStreams(standin.OddSurplus)},
 	}
 }
 
--- a/tests/moment_run_test.go
+++ b/tests/moment_run_test.go
@@ -34,11 +34,18 @@
 	}
 }
 
-// stopsOf returns the stops for a point of all streams that stop.
-func (p *momentSite) stopsOf(point standin.Point) []standin.Stop {
+// stopsOf returns the stops for the point of an event: those of all streams that stop, and of the calls without events beside
+// them, which the first event meets before their heads and the second one amid their bodies.
+func (p *momentSite) stopsOf(event int) []standin.Stop {
+	point := p.play.points[event]
 	var out []standin.Stop
-	for _, s := range p.streams[:momentSubjects] {
-		out = append(out, standin.Stop{Target: s.target, Point: point, Event: momentEventOf(point)})
+	for n, s := range p.streams {
+		switch {
+		case n < momentSubjects:
+			out = append(out, standin.Stop{Target: s.target, Point: point, Event: momentEventOf(point)})
+		case s.kind.plain():
+			out = append(out, standin.Stop{Target: s.target, Point: momentPlainPoints[event]})
+		}
 	}
 	return out
 }
@@ -70,14 +77,13 @@
 
 // startStreams starts all streams.
 func (p *momentSite) startStreams() {
-	for n := range momentSubjects + momentBeside {
-		events, resumable := momentLength, p.play.resumable
-		if n >= momentSubjects {
-			events, resumable = momentBesideLength, n%2 == 0
-		}
-		p.streams = append(p.streams, p.newStream(n, events, resumable))
+	for range momentSubjects {
+		p.streams = append(p.streams, p.newStream(len(p.streams), momentLength, p.play.kind))
+	}
+	for _, kind := range momentBeside {
+		p.streams = append(p.streams, p.newStream(len(p.streams), momentBesideLength, kind))
 	}
-	p.setStops(slices.Concat(p.cuts(), p.stopsOf(p.play.points[0]), p.stopsOf(p.play.points[1])))
+	p.setStops(slices.Concat(p.cuts(), p.stopsOf(0), p.stopsOf(1)))
 	for n, s := range p.streams {
 		p.work.Go(func() {
 			p.wait(time.Duration(n) * momentStart)
@@ -109,7 +115,7 @@
 }
 
 func (p *momentSite) momentOf(server *momentServer, id string) *moment {
-	for _, s := range p.streams {
+	for _, s := range p.streams[:momentSubjects] {
 		s.mu.Lock()
 		i := slices.IndexFunc(s.calls, func(c *momentCall) bool { return c.id == id })
 		var front string
@@ -181,7 +187,7 @@
 		end = func() {}
 	}
 	if first != second {
-		p.setStops(slices.Concat(p.cuts(), p.stopsOf(second)))
+		p.setStops(slices.Concat(p.cuts(), p.stopsOf(1)))
 		if p.play.lasting {
 			m = p.reach(second, stream, momentLimit)
 			if m == nil { // the effect holds the stream up
--- a/tests/moment_site_test.go
+++ b/tests/moment_site_test.go
@@ -11,10 +11,8 @@
 )
 
 const (
-	// momentSubjects is the number of streams that stop at points, momentBeside that of the others, and momentStart the time
-	// between two of them.
+	// momentSubjects is the number of streams that stop at points, and momentStart the time between two of all streams.
 	momentSubjects = 3
-	momentBeside   = 5
 	momentStart    = 7 * time.Millisecond
 	// momentLength is the number of events of a stream that stops, momentBesideLength that of the others, and momentDelay the
 	// time before each event.
@@ -36,6 +34,9 @@
 	momentPeriod = 200 * time.Millisecond
 )
 
+// momentBeside are the kinds of the streams beside those that stop at points.
+var momentBeside = []momentKind{momentStreams, momentResumable, momentOnce, momentRepeatable, momentStreams, momentResumable, momentStreams, momentOnce, momentRepeatable}
+
 // momentServer is a backend server, which keeps its output when it is gone.
 type momentServer struct {
 	*process
--- a/tests/moment_store_test.go
+++ b/tests/moment_store_test.go
@@ -94,12 +94,13 @@
 	return out
 }
 
-// putRoutes writes the next document, in which the routes of streams have their servers at a service, or at shares of both.
+// putRoutes writes the next document, in which all routes have their servers at a service, or at shares of both.
 func (p *momentSite) putRoutes(service string) {
 	p.documents++
 	p.service = service
 	text := fmt.Sprintf(platformDocument, p.documents)
 	const llm = `"service": "llm"`
+	text = strings.ReplaceAll(text, `"service": "app"`, llm)
 	switch service {
 	case "both":
 		text = strings.ReplaceAll(text, llm, `"backends": [{"service": "llm", "weight": 1}, {"service": "alt", "weight": 1}]`)
--- a/tests/moment_stream_test.go
+++ b/tests/moment_stream_test.go
@@ -44,7 +44,7 @@
 type momentStream struct {
 	site      *momentSite
 	n, events int
-	resumable bool
+	kind      momentKind
 	target    string
 	deadline  time.Time
 
@@ -56,12 +56,20 @@
 	begun   bool
 }
 
-func (p *momentSite) newStream(n, events int, resumable bool) *momentStream {
-	path := "/chat/"
-	if resumable {
-		path = "/chat/long/"
+// newStream returns a stream of a number of events, or a call without events.
+func (p *momentSite) newStream(n, events int, kind momentKind) *momentStream {
+	s := &momentStream{site: p, n: n, events: events, kind: kind}
+	switch kind {
+	case momentOnce:
+		s.events, s.target = 0, fmt.Sprintf("/once/m%d?origin", n)
+	case momentRepeatable:
+		s.events, s.target = 0, fmt.Sprintf("/safe/m%d?origin", n)
+	case momentStreams:
+		s.target = fmt.Sprintf("/chat/m%d?events=%d&origin", n, events)
+	default:
+		s.target = fmt.Sprintf("/chat/long/m%d?events=%d&origin", n, events)
 	}
-	return &momentStream{site: p, n: n, events: events, resumable: resumable, target: fmt.Sprintf("%sm%d?events=%d&origin", path, n, events)}
+	return s
 }
 
 // send sends the stream from a front on, and takes it up until it is whole.
@@ -91,7 +99,7 @@
 		c.exchange()
 		s.mu.Lock()
 		chain.current = nil
-		chain.problem = chain.add(&c.soakCall)
+		chain.problem = chain.addAttempt(c)
 		done := chain.problem != nil || chain.whole
 		s.mu.Unlock()
 		switch {
@@ -99,7 +107,7 @@
 			return
 		case c.retryAfter:
 			s.site.wait(min(c.returnAfter, time.Until(s.deadline)/3))
-		case !s.resumable && c.status != 0:
+		case !s.kind.repeatable() && c.status != 0:
 			return
 		}
 	}
@@ -110,7 +118,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := &momentCall{}
-	c.events, c.repeatable, c.timeout = s.events, s.resumable, time.Until(s.deadline)
+	c.events, c.repeatable, c.timeout = s.events, s.kind.repeatable(), time.Until(s.deadline)
 	if c.timeout < time.Millisecond {
 		return nil
 	}
@@ -125,6 +133,17 @@
 	return c
 }
 
+// addAttempt adds what an attempt got, and returns how it fails to continue the stream. The body of a call without events is
+// checked where the servers that ran it are known.
+func (c *momentChain) addAttempt(attempt *momentCall) *orderProblem {
+	if attempt.events > 0 {
+		return c.add(&attempt.soakCall)
+	}
+	c.attempts = append(c.attempts, &attempt.soakCall)
+	c.whole = attempt.status == http.StatusOK && attempt.err == nil
+	return nil
+}
+
 // exchange sends the attempt and reads its response. The caller leaves if nothing arrives for momentGap.
 func (c *momentCall) exchange() {
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
--- a/tests/moment_test.go
+++ b/tests/moment_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"testing"
+
+	"github.com/runworks/runworks/standin"
 )
 
 var (
@@ -31,6 +33,8 @@
 	// those in which both did.
 	events        map[string]*[2]int
 	pairs, points map[string]int
+	// kinds are the numbers of plays by the kind of the calls that stop.
+	kinds map[momentKind]int
 	// reasons are the plays in which events did not happen, or that could not be played, by the reason.
 	reasons map[string][]string
 	// played, both and same are the numbers of plays, of those in which both events happened, and of those of these in which
@@ -50,7 +54,7 @@
 	if *momentNumber >= 0 {
 		plays = slices.DeleteFunc(plays, func(d momentDraw) bool { return d.number != *momentNumber })
 	}
-	report := &momentReport{events: map[string]*[2]int{}, pairs: map[string]int{}, points: map[string]int{}, reasons: map[string][]string{}, faults: map[string]int{}}
+	report := &momentReport{events: map[string]*[2]int{}, pairs: map[string]int{}, points: map[string]int{}, reasons: map[string][]string{}, faults: map[string]int{}, kinds: map[momentKind]int{}}
 	places := make(chan struct{}, *momentParallel)
 	t.Run("play", func(t *testing.T) {
 		for _, d := range plays {
@@ -93,6 +97,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.played++
+	r.kinds[p.play.kind]++
 	for i, event := range p.play.events() {
 		if r.events[event.name] == nil {
 			r.events[event.name] = &[2]int{}
@@ -135,10 +140,26 @@
 	t.Logf("%d of %d streams whole, attempts %v", whole, len(p.streams), outcomes)
 }
 
+// momentPointPairs returns the names of all pairs of points.
+func momentPointPairs() []string {
+	var out []string
+	for _, points := range [][]standin.Point{momentPoints, momentPlainPoints} {
+		for i, first := range points {
+			for _, second := range points[i:] {
+				if name := fmt.Sprint(first, ", then ", second); !slices.Contains(out, name) {
+					out = append(out, name)
+				}
+			}
+		}
+	}
+	return out
+}
+
 // log logs what was played, how often, and what was not.
 func (r *momentReport) log(t *testing.T) {
 	events := momentEvents()
 	var out strings.Builder
+	fmt.Fprintf(&out, "plays by kind of call: %v\n", r.kinds)
 	fmt.Fprintf(&out, "%d plays, both events in %d, at one stream in %d; %d of %d streams whole, %d attempts cut\n", r.played, r.both, r.same, r.whole, r.streams, r.cut)
 	for _, event := range events {
 		n := r.events[event.name]
@@ -148,14 +169,11 @@
 		fmt.Fprintf(&out, "%4d first, %4d second: %s\n", n[0], n[1], event.name)
 	}
 	var never []string
-	for i, first := range momentPoints {
-		for _, second := range momentPoints[i:] {
-			name := fmt.Sprint(first, ", then ", second)
-			if r.points[name] == 0 {
-				never = append(never, name)
-			} else {
-				fmt.Fprintf(&out, "%4d at %s\n", r.points[name], name)
-			}
+	for _, name := range momentPointPairs() {
+		if r.points[name] == 0 {
+			never = append(never, name)
+		} else {
+			fmt.Fprintf(&out, "%4d at %s\n", r.points[name], name)
 		}
 	}
 	fmt.Fprintf(&out, "points never played: %s\n", strings.Join(never, "; "))
