Moments: play late surplus responses, full servers and refused connections

A server whose responses come behind those to other calls, one that rejects each call, and paths that refuse new connections while the open ones go on are added as effects that last. In the list of reasons why a pair can't be played those of the pair itself come first, so that the report names them.

--- a/tests/moment_draw_test.go
+++ b/tests/moment_draw_test.go
@@ -30,6 +30,15 @@
 	{name: "HTTP/1.0", http10: true}, {name: "chunks"}, {name: "mixed", mixed: true}, {name: "complete at close", http10: true, completeAtClose: true},
 }
 
+// faults returns those of servers with the form.
+func (f *momentForm) faults() standin.RoutedFaults {
+	out := standin.RoutedFaults{CloseDelimited: f.http10}
+	if f.mixed {
+		out.CloseDelimitedEach = 2
+	}
+	return out
+}
+
 // momentPoints are the points in the order in which a stream passes them.
 var momentPoints = []standin.Point{
 	standin.PointHead, standin.PointFirst, standin.PointResume, standin.PointInside, standin.PointBetween, standin.PointLast, standin.PointRest,
@@ -114,6 +123,15 @@
 	reason  string
 	applies func(m *momentPlay, first, second momentEvent) bool
 }{
+	{"the store takes no record", func(m *momentPlay, first, second momentEvent) bool {
+		return first.takesNone && second.writes && (m.lasting || !first.lasts)
+	}},
+	{"a process that is frozen has no turns", func(m *momentPlay, first, second momentEvent) bool {
+		return m.lasting && first.at == second.at && (first.freezes && second.starves || first.starves && second.freezes)
+	}},
+	{"the first event has ended the process of the second one", func(m *momentPlay, first, second momentEvent) bool {
+		return (m.points[0] == m.points[1] || first.ends == momentStore) && first.ends != "" && first.ends == second.at && (!first.endsLate || !m.lasting)
+	}},
 	{"a stream that is not resumable is not taken up", func(m *momentPlay, _, _ momentEvent) bool {
 		return m.kind != momentResumable && (m.hasPoint(standin.PointResume) || m.hasPoint(standin.PointRest))
 	}},
@@ -124,15 +142,6 @@
 		return m.form.completeAtClose && (first.closes || second.closes)
 	}},
 	{"the first event has no effect that lasts", func(m *momentPlay, first, _ momentEvent) bool { return m.lasting && !first.lasts }},
-	{"the store takes no record", func(m *momentPlay, first, second momentEvent) bool {
-		return first.takesNone && second.writes && (m.lasting || !first.lasts)
-	}},
-	{"a process that is frozen has no turns", func(m *momentPlay, first, second momentEvent) bool {
-		return m.lasting && first.at == second.at && (first.freezes && second.starves || first.starves && second.freezes)
-	}},
-	{"the first event has ended the process of the second one", func(m *momentPlay, first, second momentEvent) bool {
-		return (m.points[0] == m.points[1] || first.ends == momentStore) && first.ends != "" && first.ends == second.at && (!first.endsLate || !m.lasting)
-	}},
 }
 
 // unplayable returns why a play can't be played or judged; empty if it can.
--- a/tests/moment_events_test.go
+++ b/tests/moment_events_test.go
@@ -165,6 +165,10 @@
 		}},
 		{name: "the server's address is taken by another version that answers 421", at: momentServed, ends: momentServed, spare: []string{}, act: (*momentSite).takeAddress},
 		{name: "the server's address is taken by another version that ignores the expected instance", at: momentServed, ends: momentServed, spare: []string{"--any-instance"}, act: (*momentSite).takeAddress},
+		{name: "the server sends surplus responses before those that are due", at: momentServed, lasts: true, act: serverFaults(func(f *standin.RoutedFaults) {
+			f.Unsolicited, f.UnsolicitedStreams = momentFaulty, momentFaulty
+		})},
+		{name: "the server is full", at: momentServed, lasts: true, act: serverFaults(func(f *standin.RoutedFaults) { f.Reject = momentFaulty })},
 		{name: "the server breaks its streams off", at: momentServed, closes: true, act: breakStreams("")},
 		{name: "the server breaks its streams off inside what comes next", at: momentServed, closes: true, act: breakStreams(standin.OddPart)},
 		{name: "the server breaks its streams off behind bytes that form no response", at: momentServed, closes: true, odd: true, act: breakStreams(standin.OddBytes)},
@@ -211,6 +215,26 @@
 	return nil, reason
 }
 
+// momentFaulty is more than the responses of a server in a play.
+const momentFaulty = 1000
+
+// serverFaults has the server have further faults.
+func serverFaults(add func(f *standin.RoutedFaults)) func(p *momentSite, m *moment) (func(), string) {
+	return func(p *momentSite, m *moment) (func(), string) {
+		if m.server.ended() || m.server.frozen {
+			return nil, m.server.name + " does not run"
+		}
+		faults := p.play.form.faults()
+		add(&faults)
+		trySetFaults(m.server.process, faults)
+		return func() {
+			if !m.server.ended() && !m.server.frozen {
+				trySetFaults(m.server.process, p.play.form.faults())
+			}
+		}, ""
+	}
+}
+
 // breakStreams has the server end the streams that stop at the point.
 func breakStreams(odd standin.OddEnding) func(p *momentSite, m *moment) (func(), string) {
 	return func(p *momentSite, m *moment) (func(), string) {
--- a/tests/moment_path_test.go
+++ b/tests/moment_path_test.go
@@ -54,6 +54,7 @@
 			one.event("closes its connections", false, one.closes, func(path momentPath) { path.end(proxyEndsBoth) }, nothing),
 			one.event("resets its connections", false, false, func(path momentPath) { path.set(proxyResets); forward(path) }, nothing),
 			one.event("falls silent", false, false, func(path momentPath) { path.silence() }, nothing),
+			one.event("refuses new connections", true, false, func(path momentPath) { path.refuse() }, func(path momentPath) { path.accept() }),
 			one.event("holds data back", true, false, func(path momentPath) { path.hold(true, true) }, forward),
 			one.event("holds back "+one.requests, true, false, func(path momentPath) { path.hold(true, false) }, forward),
 			one.event("holds back "+one.responses, true, false, func(path momentPath) { path.hold(false, true) }, forward))
--- a/tests/moment_site_test.go
+++ b/tests/moment_site_test.go
@@ -128,11 +128,7 @@
 		name += " again"
 	}
 	s := &momentServer{process: startProcess(p.t, name, "standin", append([]string{"routed"}, args...)...), id: id, version: version, listed: id}
-	faults := standin.RoutedFaults{CloseDelimited: p.play.form.http10}
-	if p.play.form.mixed {
-		faults.CloseDelimitedEach = 2
-	}
-	p.setFaults(s.process, faults)
+	p.setFaults(s.process, p.play.form.faults())
 	p.servers = append(p.servers, s)
 	p.setStopsAt(s)
 	return s
