Soak: servers that start as the faults end have none

Cause: the soak clears its servers' faults before the calm, with them the form of responses that have neither a length nor chunks, and then starts those again that ended or drain. These were given the form anew. Whole plain responses of it are lost by design, with 502, as nothing shows that they are whole (docs/design/response-ends.md).

Change: a server that starts once faults are being ended sends lengths, as those do that run on. TestSoakClearsForms fails without the change, where servers drain or have ended, and passes with it.

--- a/tests/soak_check_test.go
+++ b/tests/soak_check_test.go
@@ -311,7 +311,7 @@
 		allowed := s.allowedNow(c)
 		if c.sent.After(after) && allowed && c.key != keyBusy && !c.crashes && !c.half {
 			asked++
-			if c.status == http.StatusOK && c.err == nil || c.arrivedUnproven() {
+			if s.served(c) {
 				served++
 			}
 		}
@@ -324,6 +324,12 @@
 	}
 }
 
+// served reports whether a call that was sent after all faults was served. One whose response nothing shows to be whole was, if its
+// servers may still send neither a length nor chunks then.
+func (s *soak) served(c *soakCall) bool {
+	return c.status == http.StatusOK && c.err == nil || !s.platformOnly() && c.arrivedUnproven()
+}
+
 func (c *soakCall) outcome() string {
 	switch {
 	case errors.Is(c.err, errNotSent) || c.status == 0:
--- a/tests/soak_platform_check_test.go
+++ b/tests/soak_platform_check_test.go
@@ -110,3 +110,61 @@
 		}
 	}
 }
+
+// TestSoakClearsForms guards against servers whose whole responses are lost once all faults are over, as neither a length nor chunks show
+// their ends: those that run on, and those that start as the faults end.
+func TestSoakClearsForms(t *testing.T) {
+	const all = soakPlatformSeeds + 2 // the first server sends all responses so, the second one each other one
+	for _, one := range []struct {
+		name    string
+		prepare func(*soakServer)
+	}{
+		{"runs on", func(*soakServer) {}},
+		{"is paused", func(server *soakServer) { server.current().signalIfAlive(syscall.SIGSTOP) }},
+		{"drains", func(server *soakServer) { server.current().drainingSince = time.Now() }},
+		{"ended", func(server *soakServer) { server.end(crashResets) }},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			is := is.New(t)
+			s := &soak{platformSite: newBarePlatformSite(t), soakSeed: soakSeed{seed: all}, written: map[storeKey][]byte{}}
+			for range 2 {
+				server := &soakServer{service: "app", proxy: newProxy(t, "")}
+				s.servers = append(s.servers, server)
+				s.startServer(server)
+			}
+			is.Equal(s.formsSent(t), []int{2, 1})
+			for _, server := range s.servers {
+				one.prepare(server)
+			}
+			s.clearFaults()
+			is.Equal(s.formsSent(t), []int{0, 0})
+		})
+	}
+}
+
+// formsSent returns how many of two responses each server sends with neither a length nor chunks.
+func (s *soak) formsSent(t *testing.T) []int {
+	var out []int
+	transport := newSoakTransport()
+	defer transport.CloseIdleConnections()
+	for _, server := range s.servers {
+		n := 0
+		for i := range 2 {
+			c := platformCall{id: fmt.Sprint("c", i), method: http.MethodGet, target: "/safe/1", key: "yard-key"}
+			req, err := c.request(t.Context(), server.proxy.address(), time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			res, err := transport.RoundTrip(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+				n++
+			}
+			_ = res.Body.Close()
+		}
+		out = append(out, n)
+	}
+	return out
+}
--- a/tests/soak_platform_test.go
+++ b/tests/soak_platform_test.go
@@ -80,8 +80,11 @@
 
 // setForm sets the form of the responses of a server that starts.
 func (s *soak) setForm(server *soakServer, p *process) {
-	if s.platformOnly() {
-		server.proxy.accept()
+	if !s.platformOnly() {
+		return
+	}
+	server.proxy.accept()
+	if !s.cleared {
 		s.setFaults(p, s.formOf(server, standin.RoutedFaults{}))
 	}
 }
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -144,6 +144,8 @@
 	orderCases []orderKind
 	// closing counts the paths that close their connections one by one.
 	closing sync.WaitGroup
+	// cleared is set once faults are being ended: servers that start from then on have none.
+	cleared bool
 	// leaving are the callers that leave their calls.
 	leaving []*leavingCaller
 }
@@ -341,6 +343,7 @@
 // clearFaults ends all faults and restarts what has exited.
 func (s *soak) clearFaults() {
 	s.closing.Wait()
+	s.cleared = true
 	s.store.signal(syscall.SIGCONT)
 	s.setFaults(s.store, standin.StoreFaults{})
 	for _, f := range s.fronts {
