Look the origin of a resumed stream up again before its first event

What callers saw: a stream of one version goes on at another one, or at another service, though the front that continues it knows better by then.

Cause: a front looks up the service and version of a stream that its caller resumes when the call arrives. The call may then wait for a slot and for its prompt to be read. An origin, or a version, that arrives meanwhile was not looked at: the first event was passed on, and recorded under the version that had been guessed. An empty rest of the wrong version ended the stream as whole.

Evidence: found by reading. TestOriginThatArrivesBeforeFirstEvent fails without the change in six of its nine cases.

Change: the origin is looked up again, for the time at which the caller came, before the first event or the end is passed on. If the stream began at another version, it goes on there; if that is not known, or its service is another one, it breaks off. That counts against no server.

No process test has engines that take long to begin, so that the effect among separate processes is not measured.

--- a/services/forward/end.go
+++ b/services/forward/end.go
@@ -144,8 +144,8 @@
 	return io.EOF
 }
 
-// endUnproven ends a stream that nothing shows to be whole, and returns the failure. No other server continues it: a rest was
-// asked for as far as the budget allows.
+// endUnproven ends a stream that nothing shows to be whole, or whose version is not known, and returns the failure. No other server
+// continues it: a rest was asked for as far as the budget allows.
 func (s *stream) endUnproven(cause error) error {
 	if s.rest != nil {
 		if !s.holds(s.lease) {
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -172,6 +172,8 @@
 	longestPause time.Duration
 	// origin is the origin of a resumable stream; empty until its first event.
 	origin runworks.StreamOrigin
+	// resolvedAt is when the origin of a stream that the caller resumes was first looked up; zero if it resumes none.
+	resolvedAt time.Time
 	// continuedAfter are the IDs of the events after which servers were to continue the stream, in order; an
 	// empty one is the beginning of the stream.
 	continuedAfter []string
--- a/services/forward/origin.go
+++ b/services/forward/origin.go
@@ -38,7 +38,8 @@
 	if !c.resumedByCaller() {
 		return nil
 	}
-	origin, err := c.f.Origins.Await(ctx, c.in.Resumes, c.service)
+	c.resolvedAt = time.Now()
+	origin, err := c.f.Origins.AwaitSince(ctx, c.resolvedAt, c.in.Resumes, c.service)
 	if err != nil {
 		return runworks.NotRun(err, retryRejected)
 	}
@@ -49,6 +50,25 @@
 	return nil
 }
 
+// confirmOrigin returns an error if a server is not of the version that began the stream which the caller resumes, by what is
+// known before the first event, or the end, is passed on. The origin of a stream may arrive while it waits for a slot or its prompt is read.
+func (c *call) confirmOrigin(server runworks.Instance) error {
+	if c.events > 0 || !c.resumedByCaller() {
+		return nil
+	}
+	origin, err := c.f.Origins.AwaitSince(c.attemptCtx, c.resolvedAt, c.in.Resumes, c.service)
+	switch {
+	case err != nil:
+		return err
+	case origin.Service != c.service:
+		return errorx.Decorate(runworks.ErrUnknownStream, "the stream began at %s", origin.Service)
+	case origin.Version != server.Version:
+		c.origin = origin
+		return errorx.Decorate(errOutOfOrder, "%s is of version %s, and the stream began at %s", server.ID, server.Version, origin.Version)
+	}
+	return nil
+}
+
 // recordOrigin records the version that brings the first event of a resumable stream. From now on no
 // other one continues it.
 func (c *call) recordOrigin(now time.Time, server runworks.Instance) {
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -148,11 +148,15 @@
 		s.breakOff(errCutStream)
 		return
 	}
-	if err := s.checkOrder(s.partial); err != nil {
+	err := s.confirmOrigin(true)
+	if err == nil {
+		err = s.checkOrder(s.partial)
+	}
+	if err != nil {
 		s.partial, s.broken = nil, err
 		return
 	}
-	switch err := s.settleEnd(); {
+	switch err = s.settleEnd(); {
 	case err == nil:
 		s.keepComments() // the rest follows
 	case errors.Is(err, io.EOF):
@@ -183,7 +187,7 @@
 // goOn has another server continue the stream after the current one's part has broken.
 func (s *stream) goOn(cause error) error {
 	switch {
-	case errors.Is(cause, errUnproven):
+	case errors.Is(cause, errUnproven), errors.Is(cause, runworks.ErrUnknownStream):
 		return s.endUnproven(cause)
 	case s.rest != nil:
 		return s.replaceRest()
--- a/services/forward/stream_events.go
+++ b/services/forward/stream_events.go
@@ -16,10 +16,14 @@
 	event, rest, ok := eventstream.Cut(s.partial, searched)
 	for ok {
 		if len(bytes.Trim(event, "\r\n")) > 0 {
+			begun := s.call.events > 0 || !s.events || eventstream.IsEvent(event)
+			if err := s.confirmOrigin(begun); err != nil {
+				return err
+			}
 			if err := s.checkOrder(event); err != nil {
 				return err
 			}
-			s.recordEvent(s.call.events > 0 || !s.events || eventstream.IsEvent(event))
+			s.recordEvent(begun)
 		}
 		s.pending.Write(event)
 		event, rest, ok = eventstream.Cut(rest, 0)
@@ -28,6 +32,20 @@
 	return nil
 }
 
+// confirmOrigin returns an error if the stream may not go on with what its server has sent, unless it has not begun.
+func (s *stream) confirmOrigin(begun bool) error {
+	if !begun {
+		return nil
+	}
+	c := s.call
+	err := c.confirmOrigin(s.lease.Instance)
+	if err != nil {
+		c.f.Logger.Warn("stream can't go on at the version of its server", "server", s.lease.Instance.IncarnationID(), "service", c.service,
+			"request", c.in.ID, "resumes", c.in.Resumes, "error", err.Error())
+	}
+	return err
+}
+
 // recordEvent records an event and the time since the previous one. A stream has begun with its first one: a comment
 // before that shows only that the server runs.
 func (s *stream) recordEvent(begun bool) {
--- a/services/forward/stream_resume.go
+++ b/services/forward/stream_resume.go
@@ -32,7 +32,7 @@
 	c := s.call
 	slow := s.cutForSlowCaller()
 	switch {
-	case errors.Is(cause, errOutOfOrder):
+	case errors.Is(cause, errOutOfOrder), errors.Is(cause, runworks.ErrUnknownStream):
 		s.lease.Release(s.orderResult())
 	case slow:
 		s.lease.Release(dispatch.Abandoned)
--- a/services/streamorigin/table.go
+++ b/services/streamorigin/table.go
@@ -188,8 +188,12 @@
 // Await is Resolve that waits for the origin of an unknown stream, as it may be on its way from the
 // entry where the stream began. After a stop of this entry it waits for what the others know since.
 func (t *Table) Await(ctx context.Context, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
-	since := time.Now()
-	if !t.knows(since, stream) {
+	return t.AwaitSince(ctx, time.Now(), stream, service)
+}
+
+// AwaitSince is Await for a caller that came at an earlier time.
+func (t *Table) AwaitSince(ctx context.Context, since time.Time, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
+	if !t.knows(time.Now(), stream) {
 		t.awaitUpdate(ctx, since)
 	}
 	ctx, cancel := context.WithTimeout(ctx, arrivalTimeout)
