Take streams up behind a stop, and ask for rests of those taken up

Two kinds of plays of TestMoments did not hit what they named. Streams that were taken up were not cut behind their last event, as a reset applied to calls that begin a stream alone, so that no rest was asked for behind a take-up at servers with chunks; at mixed servers another stream reached the point. And the points were played in the order of a stream that is taken up after event 4: none was stopped first and taken up then.

A reset behind the last event now applies to each call that sends it, and half of the plays at resume and inside or between have the stream stop first and break off after event 10. All other draws stay as they are. No check changes.

--- a/standin/points.go
+++ b/standin/points.go
@@ -39,8 +39,8 @@
 	Point  Point  `json:"point"`
 	// Event is the number of the event of PointInside and PointBetween.
 	Event int `json:"event"`
-	// Break ends streams there by a close, behind what Odd has the server send, and Reset by a reset of the connection. A reset applies only to calls that begin
-	// the stream, so that it can be taken up at the same server.
+	// Break ends streams there by a close, behind what Odd has the server send, and Reset by a reset of the connection. Before the
+	// last event a reset applies only to calls that begin the stream, so that it can be taken up at the same server.
 	Break bool      `json:"break"`
 	Odd   OddEnding `json:"odd"`
 	Reset bool      `json:"reset"`
@@ -79,16 +79,15 @@
 // PointBetween. What was written before the point is sent.
 func (b *RoutedServer) pass(w http.ResponseWriter, r *http.Request, point Point, event int) {
 	for told := false; ; told = true {
-		stops := b.stopsAt(r.RequestURI, point, event)
-		first := r.Header.Get("Last-Event-Id") == ""
-		holds := false
-		for _, s := range stops {
+		resets := point == PointLast || r.Header.Get("Last-Event-Id") == ""
+		holds, reset := false, false
+		for _, s := range b.stopsAt(r.RequestURI, point, event) {
 			if s.Break {
 				b.endOddly(w, r, s)
 			}
-			holds = holds || !s.Reset
+			holds, reset = holds || !s.Reset, reset || s.Reset && resets
 		}
-		if len(stops) == 0 || !holds && !first {
+		if !holds && !reset {
 			return
 		}
 		if !told && point != PointHead && point != PointResume && point != PointRest {
--- a/tests/moment_draw_test.go
+++ b/tests/moment_draw_test.go
@@ -39,7 +39,7 @@
 	return out
 }
 
-// momentPoints are the points in the order in which a stream passes them.
+// momentPoints are the points in the order in which a stream passes them that is taken up early.
 var momentPoints = []standin.Point{
 	standin.PointHead, standin.PointFirst, standin.PointResume, standin.PointInside, standin.PointBetween, standin.PointLast, standin.PointRest,
 }
@@ -72,6 +72,9 @@
 	return momentPoints
 }
 
+// momentLate are the pairs in which a stream is taken up after the first point.
+var momentLate = [][2]standin.Point{{standin.PointInside, standin.PointResume}, {standin.PointBetween, standin.PointResume}}
+
 // momentPlay is a pair of events, each at a point of a stream, and the form in which it is played.
 type momentPlay struct {
 	pair   [2]momentEvent
@@ -102,6 +105,14 @@
 
 func (m *momentPlay) hasPoint(point standin.Point) bool { return slices.Contains(m.points[:], point) }
 
+// cut returns the event behind which streams break off that are to be taken up.
+func (m *momentPlay) cut() int {
+	if slices.Contains(momentLate, m.points) {
+		return momentLateCut
+	}
+	return momentCut
+}
+
 func (m *momentPlay) name() string {
 	words := []string{fmt.Sprintf("%s at %s, then %s at %s", m.pair[0].name, m.points[0], m.pair[1].name, m.points[1]), m.form.name}
 	add := func(set bool, yes, no string) {
@@ -216,6 +227,7 @@
 			d.reason = d.play.untold()
 		}
 		if d.reason == "" {
+			d.play.takeUpLate(rng)
 			return d
 		}
 		d.again = append(d.again, d.reason)
@@ -258,3 +270,11 @@
 		t.Errorf("%d of %d pairs were drawn", len(drawn), pairs)
 	}
 }
+
+// takeUpLate has the stream stop before it is taken up in half of the plays in which it can.
+func (m *momentPlay) takeUpLate(rng *rand.Rand) {
+	late := [2]standin.Point{m.points[1], m.points[0]}
+	if slices.Contains(momentLate, late) && rng.IntN(2) == 0 {
+		m.points = late
+	}
+}
--- a/tests/moment_run_test.go
+++ b/tests/moment_run_test.go
@@ -55,7 +55,7 @@
 	var out []standin.Stop
 	for _, s := range p.streams[:momentSubjects] {
 		if p.play.hasPoint(standin.PointResume) {
-			out = append(out, standin.Stop{Target: s.target, Point: standin.PointBetween, Event: momentCut, Reset: true})
+			out = append(out, standin.Stop{Target: s.target, Point: standin.PointBetween, Event: p.play.cut(), Reset: true})
 		}
 		// Without this a rest is asked for only behind a close that proves nothing.
 		if p.play.hasPoint(standin.PointRest) && (!p.play.form.http10 || p.play.form.completeAtClose) {
--- a/tests/moment_site_test.go
+++ b/tests/moment_site_test.go
@@ -20,10 +20,11 @@
 	momentBesideLength = 40
 	momentDelay        = 25 * time.Millisecond
 	// momentCut, momentInside and momentBetween are the numbers of the events behind which a stream breaks off that is to be
-	// resumed, inside which it stops, and behind which it stops.
+	// resumed, inside which it stops, and behind which it stops. momentLateCut is where one breaks off that has stopped before.
 	momentCut     = 4
 	momentInside  = 6
 	momentBetween = 8
+	momentLateCut = 10
 	// momentLimit is how long an effect lasts at most while the stream does not reach the second point.
 	momentLimit = 700 * time.Millisecond
 	// momentSame is how long a stream has to reach the second point after another one has.
--- a/tests/moment_test.go
+++ b/tests/moment_test.go
@@ -152,6 +152,9 @@
 			}
 		}
 	}
+	for _, points := range momentLate {
+		out = append(out, fmt.Sprint(points[0], ", then ", points[1]))
+	}
 	return out
 }
 
