Close idle connections when another server has their address

What callers saw: after a server fell silent without closing its connections, as one that loses power, and another one had its address, calls were sent on the idle connections to the first one and waited for their time limit, each: 504, though the new server was ready.

Cause: idle connections are kept by address for ten seconds. They were closed where a server started again under its ID or went unresponsive, not where one with a new ID has the address, as each start of the platform's servers does.

Change: a front closes the idle connections to an address before it sends a server there that was not listed there, or calls that wait for one would be sent on them.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -81,14 +81,15 @@
 	rollouts     *rollout.Rollouts
 	orders       platform.RolloutOrders
 	wakeRollouts notify.Wake
-	// serversMu guards servers, expiryFilter and unrouted.
+	// serversMu guards servers, expiryFilter, unrouted and addresses.
 	serversMu    sync.Mutex
 	servers      platform.Servers
 	expiryFilter dispatch.ExpiryFilter
 	// halls are the halls that the operators suspended; also guarded by serversMu.
 	halls platform.SuspendedHalls
 	// unrouted holds the incarnations of servers whose service has no route and that were logged.
-	unrouted map[string]bool
+	unrouted  map[string]bool
+	addresses map[string]string // those of the servers listed last, by incarnation
 	// pool holds the idle connections to backend servers.
 	pool *httpconn.Pool
 	// ctx is canceled when Run returns.
--- a/daemon/front_servers.go
+++ b/daemon/front_servers.go
@@ -76,6 +76,7 @@
 func (d *Front) applyServers(now time.Time) {
 	list, again := d.expiryFilter.Merge(now, d.withRoutes(d.servers.List()))
 	d.suspendHalls(list)
+	d.closeReplaced(list)
 	d.rollouts.SetServers(list)
 	d.forwarder.Origins.SetServers(now, list)
 	change := d.dispatcher.SetServers(list)
@@ -107,6 +108,20 @@
 	}
 }
 
+// closeReplaced closes the idle connections to the addresses of servers that are new there: they lead to others, and a request that is
+// sent on one may be lost. Calls that wait must not be placed at the new servers before.
+func (d *Front) closeReplaced(list []runworks.Instance) {
+	addresses := make(map[string]string, len(list))
+	for _, one := range list {
+		id := one.IncarnationID()
+		addresses[id] = one.Address
+		if d.addresses[id] != one.Address {
+			d.pool.CloseIdle(one.Address)
+		}
+	}
+	d.addresses = addresses
+}
+
 // countByService returns the number of servers of each service.
 func countByService(list []runworks.Instance) map[string]int {
 	out := make(map[string]int)
--- a/modules/httpconn/pool.go
+++ b/modules/httpconn/pool.go
@@ -155,7 +155,7 @@
 }
 
 // CloseIdle closes the unused connections to an address. It is used when the server there has
-// exited, as a request that is sent on one of them would be lost.
+// exited or another one has its address, as a request that is sent on one of them would be lost.
 func (p *Pool) CloseIdle(address string) {
 	p.mu.Lock()
 	list := p.idle[address]
--- a/tests/platform_silence_test.go
+++ b/tests/platform_silence_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -153,3 +154,42 @@
 	is.True(time.Since(began) < time.Second)
 	wg.Wait()
 }
+
+// TestPlatformReplacedServerConnections guards against calls that are lost on idle connections to a server that fell silent, once
+// another one has its address.
+func TestPlatformReplacedServerConnections(t *testing.T) {
+	p := newBarePlatformSite(t)
+	p.putDocument()
+	start := func(name string) *process {
+		return startProcess(t, name, "standin", "routed", "--instance", name, "--delay", "200ms")
+	}
+	old := start("app-1")
+	p.backends["app-1"] = old
+	way := newProxy(t, old.address("standin"))
+	p.put("keyed.servers", "app-1", serverRecord("app", way.address(), "ready", 0))
+	p.startFront("front-1")
+	p.waitReady("front-1", 1)
+	callAll := func(when string) {
+		var wg sync.WaitGroup
+		for i := range 4 {
+			wg.Go(func() {
+				id := fmt.Sprint(when, "-", i)
+				began := time.Now()
+				res, _, err := p.do("front-1", platformCall{id: id, method: http.MethodPost, target: "/once/" + id, key: "yard-key"})
+				if err != nil || res.StatusCode != http.StatusOK {
+					t.Errorf("%s after %s: %+v, %v", id, time.Since(began), res, err)
+				}
+			})
+		}
+		wg.Wait()
+	}
+	callAll("before") // leaves idle connections
+	way.silence()
+	old.signalIfAlive(syscall.SIGKILL)
+	<-old.done
+	way.setTarget(start("app-2").address("standin"))
+	p.put("keyed.servers", "app-1", nil)
+	p.put("keyed.servers", "app-2", serverRecord("app", way.address(), "ready", 0))
+	p.waitListed("app-2")
+	callAll("after")
+}
