Fail a test whose separate process has a data race

With -front-program one may be built with -race; its reports were not looked at.

Now such a report in the output of a process fails the test.

--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -27,9 +27,11 @@
 	processFleetKey = "process-test-fleet-key"
 	// waitTimeout limits each wait for a condition of a process.
 	waitTimeout = 30 * time.Second
+	// dataRace is what a program that is built with -race writes at a data race.
+	dataRace = "WARNING: DATA RACE"
 )
 
-// frontProgram is the program of the fronts, to play a test against that of another version.
+// frontProgram is the program of the fronts, to play a test against that of another version, or against one that is built with -race.
 var frontProgram = flag.String("front-program", "", "the program of the fronts; empty builds it")
 
 // frontLacks are settings that the program of the fronts does not know, separated by commas.
@@ -62,7 +64,7 @@
 }
 
 // startProcess runs a program and collects the listen addresses that it logs. The process is
-// killed at the end of the test; its output is logged if the test failed.
+// killed at the end of the test, which fails at a data race; its output is logged if the test failed.
 func startProcess(t testing.TB, name, program string, args ...string) *process {
 	t.Helper()
 	dir, err := buildPrograms()
@@ -89,6 +91,9 @@
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 		_ = p.cmd.Process.Kill()
 		<-p.done
+		if strings.Contains(p.outputText(), dataRace) {
+			t.Errorf("%s has a data race", name)
+		}
 		if t.Failed() {
 			t.Logf("output of %s:\n%s", name, p.outputText())
 		}
