Hold first events of a new version back until other fronts know it

What callers saw: streams of two versions.

Cause: a front looks for cuts by the silence of others. Over a slow path their messages come steadily, each of them old, so that nothing is late. The list of servers comes as late.

--- a/daemon/front_streams.go
+++ b/daemon/front_streams.go
@@ -28,6 +28,8 @@
 	}
 	origins.Started, origins.Isolated = time.Now(), d.isolated
 	origins.Stops, origins.Update = d.countStops, d.updateStreams
+	origins.Position = func() runworks.Position { return d.watches[peers.SubjectServers].Position() }
+	origins.AllKnow = func(position runworks.Position) bool { return d.exchange.AllRead(time.Now(), position) }
 	origins.MissesEntry = func() bool { return d.exchange.MissesEntry(time.Now()) }
 	origins.Send, origins.OnVersions = d.exchange.SendStreamOrigins, d.streamVersions.Changed
 	d.exchange.StreamOrigins = func() []runworks.StreamOrigin { return origins.List(time.Now()) }
--- a/services/forward/origin.go
+++ b/services/forward/origin.go
@@ -81,4 +81,7 @@
 	c.origin.Version = server.Version
 	c.f.Origins.Record(now, c.origin, max(c.in.Timeout, c.timeout())+originMargin)
 	c.f.Origins.AwaitRecorded(c.attemptCtx, c.origin)
+	if !c.resumedByCaller() {
+		c.f.Origins.AwaitKnown(c.attemptCtx, c.origin)
+	}
 }
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -152,7 +152,8 @@
 	name     string
 	hall     string
 	lastSeen time.Time
-	// storeLost is Heartbeat.StoreLost of its last heartbeat.
+	// read is how far it has read the list of servers, and storeLost is Heartbeat.StoreLost, by its last heartbeat.
+	read      runworks.Position
 	storeLost bool
 	// relays is Heartbeat.Relays of its last handshake.
 	relays bool
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -36,6 +36,8 @@
 	// replaced holds the previous incarnations of entries that restarted.
 	replaced []runworks.Incarnation
 	running  int
+	// read is how far it has read the list of servers; zero does not tell it.
+	read runworks.Position
 	// origins are those that it received, and knownOrigins those that it knows; nil in a version that has no such state.
 	origins, knownOrigins []runworks.StreamOrigin
 	// storeLost is what it sends as StoreLost, and changes the changes that it received.
@@ -110,7 +112,11 @@
 	e.Heartbeat = func() Heartbeat {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		return Heartbeat{StoreLost: e.storeLost, Stopping: e.stopping, Load: runworks.EntryLoad{Running: runworks.RunningCalls{"s": e.running}}}
+		b := Heartbeat{StoreLost: e.storeLost, Stopping: e.stopping, Load: runworks.EntryLoad{Running: runworks.RunningCalls{"s": e.running}}}
+		if e.read != (runworks.Position{}) {
+			b.Positions = map[Subject]runworks.Position{SubjectServers: e.read}
+		}
+		return b
 	}
 	e.OnHeartbeat = func(_ time.Time, b *Heartbeat) {
 		e.mu.Lock()
--- a/services/peers/receive.go
+++ b/services/peers/receive.go
@@ -160,7 +160,7 @@
 		delete(x.peers, old)
 	}
 	x.peers[b.From.Incarnation] = &peerState{
-		name: b.From.Name, hall: b.From.Hall, lastSeen: now,
+		name: b.From.Name, hall: b.From.Hall, lastSeen: now, read: b.Positions[SubjectServers],
 		storeLost: b.StoreLost, relays: b.Relays, offsetsOnly: b.offsetsOnly(),
 		schedules: b.Schedules, stopping: b.Stopping, cpu: b.From.CPU,
 	}
--- a/services/peers/silence.go
+++ b/services/peers/silence.go
@@ -61,6 +61,20 @@
 	return silent
 }
 
+// AllRead reports whether all other entries that are heard have read the list of servers up to a position. One that has been late for longer
+// than MissesEntry allows knows that it may be cut off, and one that was stopped knows that too.
+func (x *Exchange) AllRead(now time.Time, position runworks.Position) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	timeout := x.readerTimeoutLocked() + idleInterval
+	for _, one := range x.peers {
+		if !one.offsetsOnly && now.Sub(one.lastSeen) <= timeout && position.After(one.read) {
+			return false
+		}
+	}
+	return true
+}
+
 // closeUnheard closes the connections to entries that were not heard for the peer timeout, also since
 // the connection was opened. They are opened again at once. An entry whose messages wait to be read is not
 // silent: this one is late.
--- a/services/peers/stream_origins_test.go
+++ b/services/peers/stream_origins_test.go
@@ -51,6 +51,37 @@
 	})
 }
 
+// TestAllRead guards against an entry that takes others for ones that know a change before they have said so, and against one that waits
+// for those that say nothing, and so know themselves that they lack something.
+func TestAllRead(t *testing.T) {
+	inNetwork(t, "key-of-the-fleet", func(is *is.I, network *memnet.Network, a, b *entry) {
+		change := runworks.Position{Era: 1, Offset: 7}
+		allRead := func() bool { return a.AllRead(time.Now(), change) }
+		is.True(!allRead())
+		for _, read := range []runworks.Position{{Era: 1, Offset: 6}, change, {Era: 2}} {
+			b.mu.Lock()
+			b.read = read
+			b.mu.Unlock()
+			time.Sleep(2 * idleInterval)
+			is.Equal(allRead(), !change.After(read))
+		}
+		change.Era = 3
+		network.Partition("a", "b")
+		began := time.Now()
+		for !allRead() {
+			time.Sleep(DefaultInterval)
+		}
+		is.True(a.MissesEntry(time.Now()))
+		is.True(time.Since(began) >= idleInterval+DefaultInterval)
+		is.True(time.Since(began) < minPeerTimeout)
+		time.Sleep(2 * minPeerTimeout)
+		is.True(allRead())
+		network.Heal("a", "b")
+		time.Sleep(2 * minPeerTimeout)
+		is.True(!allRead())
+	})
+}
+
 // TestCutOff guards against an entry that takes itself for connected though it may be cut off, alone or with others, and against
 // one that takes itself for cut off because another one has exited, or because the store responds to nobody.
 func TestCutOff(t *testing.T) {
--- a/services/streamorigin/table.go
+++ b/services/streamorigin/table.go
@@ -41,6 +41,10 @@
 	// MissesEntry reports whether another entry is not heard, or was recently: this one may be cut off and not have noticed, so that
 	// Update is called as after a stop. Nil means never.
 	MissesEntry func() bool
+	// Position returns up to where this entry knows the list of servers, and AllKnow whether all others do up to a position; a nil
+	// AllKnow means that there is none.
+	Position func() runworks.Position
+	AllKnow  func(position runworks.Position) bool
 	// Started is when this entry started. Until ApplyVersions, or for versionMemory, versions that served
 	// before are unknown; zero if none did.
 	Started time.Time
--- a/services/streamorigin/versions.go
+++ b/services/streamorigin/versions.go
@@ -26,6 +26,11 @@
 	// last became necessary to record it.
 	recorded bool
 	changed  time.Time
+	// appeared is when the version became known here, position a later position of the list of servers, and spread is set once
+	// the other entries know the list up to there.
+	appeared time.Time
+	position runworks.Position
+	spread   bool
 }
 
 func (v *version) counts(now time.Time) bool { return v.until.IsZero() || now.Before(v.until) }
@@ -110,7 +115,7 @@
 	}
 	v := t.versions[service][name]
 	if v == nil {
-		v = &version{until: now.Add(versionMemory), keep: versionMemory, changed: now}
+		v = &version{until: now.Add(versionMemory), keep: versionMemory, changed: now, appeared: now}
 		t.versions[service][name] = v
 	}
 	return v
