Keep plays of TestMoments apart that run at once

Cause: sites that run at once, the soak's too, have the same IDs of servers and the same key. A path still leads to the port of a process that has ended, and a process of another site that is given this port serves the call. It can hide a fault as well.

The key of callers and the IDs of servers end with the process and the number of the site now, so that another site refuses the call, with 401 and 421. TestMomentSitesAreApart has paths lead to another site: before, both calls ran there (four faults); it passes now. No check changes. The sites of the soak still share key and IDs.

--- a/tests/moment_reach_test.go
+++ b/tests/moment_reach_test.go
@@ -29,3 +29,25 @@
 		}
 	}
 }
+
+// TestMomentSitesAreApart guards against faults that are none: a process of another play that has the address of one that ended
+// takes this play's calls.
+func TestMomentSitesAreApart(t *testing.T) {
+	play := momentPlay{pair: [2]momentEvent{momentEvents()[0], momentEvents()[0]}, form: momentForms[1], kind: momentResumable}
+	p, other := newMomentSite(t, play), newMomentSite(t, play)
+	check := func(n int, what string) {
+		p.streams = append(p.streams, p.newStream(n, momentLength, momentResumable))
+		p.streams[n].send(0)
+		for _, f := range checkMoment(p.streams, p.ran()) {
+			t.Errorf("%s: %s: %s: %s", what, f.rule, f.kind, f.text)
+		}
+	}
+	p.callers["front-1"].setTarget(other.fronts["front-1"].address("callers"))
+	check(0, "front")
+	for i, s := range p.servers {
+		s.path.setTarget(other.servers[i].address("standin"))
+		s.path.set(proxyResets)
+		s.path.set(proxyForwards)
+	}
+	check(1, "servers")
+}
--- a/tests/moment_site_test.go
+++ b/tests/moment_site_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,7 +54,10 @@
 // version, so that a stream of this version can go on.
 type momentSite struct {
 	*platformSite
-	play    momentPlay
+	play momentPlay
+	// tag is the end of the key of callers and of the servers' IDs. As no other site has them, what reaches a process of another
+	// one, by the port of one that has ended, is refused there.
+	tag     string
 	servers []*momentServer
 	// spares are servers that have no record yet, by the number of the event that uses them.
 	spares map[int]*momentServer
@@ -83,8 +88,11 @@
 	event int
 }
 
+// momentSites is the number of sites so far.
+var momentSites atomic.Int64
+
 func newMomentSite(t *testing.T, play momentPlay) *momentSite {
-	p := &momentSite{platformSite: newBarePlatformSite(t), play: play, spares: map[int]*momentServer{}, callers: map[string]*proxy{}, peers: map[string]*proxy{}, stores: map[string]*proxy{}, ending: map[*process]bool{}, settings: map[string]string{}}
+	p := &momentSite{platformSite: newBarePlatformSite(t), play: play, tag: fmt.Sprintf("%d.%d", os.Getpid(), momentSites.Add(1)), spares: map[int]*momentServer{}, callers: map[string]*proxy{}, peers: map[string]*proxy{}, stores: map[string]*proxy{}, ending: map[*process]bool{}, settings: map[string]string{}}
 	p.putRoutes("llm")
 	if play.form.completeAtClose {
 		p.extraSettings = completeAtClose
@@ -93,10 +101,10 @@
 		if !play.versions {
 			version = "v1"
 		}
-		p.addListed(fmt.Sprint("llm-", i+1), version)
+		p.addListed(p.serverID("llm", i+1), version)
 	}
 	if play.needs(momentEvent.movesRoute) {
-		p.addListed("alt-1", "v2")
+		p.addListed(p.serverID("alt", 1), "v2")
 	}
 	for _, name := range []string{"front-1", "front-2"} {
 		p.addFront(name)
@@ -112,12 +120,20 @@
 			if event.version != "" {
 				version = event.version
 			}
-			p.spares[i] = p.newServer(fmt.Sprint("llm-", 8+i), version, event.spare...)
+			p.spares[i] = p.newServer(p.serverID("llm", 8+i), version, event.spare...)
 		}
 	}
 	return p
 }
 
+// key returns the key of callers.
+func (p *momentSite) key() string { return "yard-key-" + p.tag }
+
+// serverID returns the ID of a server of a service.
+func (p *momentSite) serverID(service string, n int) string {
+	return fmt.Sprintf("%s-%d-%s", service, n, p.tag)
+}
+
 // newServer starts a server that has no record.
 func (p *momentSite) newServer(id, version string, args ...string) *momentServer {
 	args = append(args, "--instance", id, "--tell", "--delay", momentDelay.String(), "--software", version)
--- a/tests/moment_store_test.go
+++ b/tests/moment_store_test.go
@@ -110,5 +110,5 @@
 	if p.limited {
 		text = strings.Replace(text, `"plainTokens": 200}`, `"plainTokens": 200, "ratePerS": 1}`, 1)
 	}
-	p.put("keyed.op", "config", []byte(text))
+	p.put("keyed.op", "config", []byte(strings.ReplaceAll(text, "yard-key", p.key())))
 }
--- a/tests/moment_stream_test.go
+++ b/tests/moment_stream_test.go
@@ -124,7 +124,7 @@
 	}
 	c.front = fmt.Sprint("front-", front+1)
 	c.address = s.site.callers[c.front].address()
-	c.platformCall = platformCall{id: fmt.Sprintf("m%d-%d", s.n, len(s.calls)), method: http.MethodPost, target: s.target, key: "yard-key", body: []byte("x")}
+	c.platformCall = platformCall{id: fmt.Sprintf("m%d-%d", s.n, len(s.calls)), method: http.MethodPost, target: s.target, key: s.site.key(), body: []byte("x")}
 	if chain.last > 0 {
 		c.header = http.Header{"Last-Event-Id": {fmt.Sprint(chain.last)}, "Resumes": {chain.first}}
 	}
