Begin streams behind each event of TestMoments, too

All streams of a play began before its first event, and a caller took a stream up at once and at the other front, so that no stream began while a front did not know what another one knew, and was taken up there.

Four resumable streams begin behind each event now, at both fronts. Their callers leave after the first event and take them up. In a third of the plays callers take streams up at the same front first, and in half of them after 10, 100 or 500 ms. The draws of the pairs and their points stay as they are.

No check changes.

--- a/tests/moment_draw_test.go
+++ b/tests/moment_draw_test.go
@@ -91,6 +91,9 @@
 	versions, lasting, relist bool
 	// hold is how long an effect lasts at least.
 	hold time.Duration
+	// back has callers take their streams up at the same front first, and pause is how long they wait before.
+	back  bool
+	pause time.Duration
 }
 
 // momentResult is what happened in a play.
@@ -130,7 +133,10 @@
 	words = append(words, string(m.kind))
 	add(m.lasting, "while it lasts", "")
 	add(m.relist && m.needs(func(e momentEvent) bool { return e.spare != nil && !e.writes }), "record replaced", "")
-	return strings.Join(append(words, m.hold.String()), ", ")
+	words = append(words, m.hold.String())
+	add(m.back, "back at the same front", "")
+	add(m.pause > 0, "back after "+m.pause.String(), "")
+	return strings.Join(words, ", ")
 }
 
 // momentReasons are the reasons why a play can't be played or judged.
@@ -189,6 +195,9 @@
 	0, 0, 50 * time.Millisecond, 50 * time.Millisecond, 400 * time.Millisecond, 400 * time.Millisecond, time.Second, 2500 * time.Millisecond,
 }
 
+// momentPauses are how long callers wait before they take streams up.
+var momentPauses = []time.Duration{0, 0, 0, 10 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond}
+
 // momentDraw is a play that was drawn, by its number, or why the pair has none.
 type momentDraw struct {
 	number int
@@ -229,6 +238,7 @@
 		}
 		if d.reason == "" {
 			d.play.takeUpLate(rng)
+			d.play.drawReturn(rng)
 			return d
 		}
 		d.again = append(d.again, d.reason)
@@ -279,3 +289,8 @@
 		m.points = late
 	}
 }
+
+// drawReturn draws where and when callers take streams up.
+func (m *momentPlay) drawReturn(rng *rand.Rand) {
+	m.back, m.pause = rng.IntN(3) == 0, momentPauses[rng.IntN(len(momentPauses))]
+}
--- a/tests/moment_run_test.go
+++ b/tests/moment_run_test.go
@@ -92,6 +92,19 @@
 	}
 }
 
+// startAfter starts streams after an event. Their callers leave after the first events and take them up at once.
+func (p *momentSite) startAfter() {
+	for n := range momentAfter {
+		s := p.newStream(len(p.streams), momentLength, momentResumable)
+		s.early = momentEarly
+		p.streams = append(p.streams, s)
+		p.work.Go(func() {
+			p.wait(time.Duration(n/2) * momentStart)
+			s.send(n % 2)
+		})
+	}
+}
+
 // find returns the points at which streams have stopped, at servers and fronts that run.
 func (p *momentSite) find(point standin.Point) []*moment {
 	var out []*moment
@@ -215,6 +228,7 @@
 func (p *momentSite) act(n int, m *moment) (func(), string) {
 	m.event = n
 	end, reason := p.play.events()[n].act(p, m)
+	p.startAfter()
 	p.t.Logf("event %d at %s of %s, server %s, %s: %s", n+1, p.play.points[n], m.stream.target, m.server.name, m.front, reason)
 	if end == nil {
 		end = func() {}
--- a/tests/moment_site_test.go
+++ b/tests/moment_site_test.go
@@ -16,6 +16,10 @@
 	// momentSubjects is the number of streams that stop at points, and momentStart the time between two of all streams.
 	momentSubjects = 3
 	momentStart    = 7 * time.Millisecond
+	// momentAfter is the number of streams that begin after each event, and momentEarly that of the events after which their
+	// callers leave and take them up.
+	momentAfter = 4
+	momentEarly = 1
 	// momentLength is the number of events of a stream that stops, momentBesideLength that of the others, and momentDelay the
 	// time before each event.
 	momentLength       = 12
--- a/tests/moment_stream_test.go
+++ b/tests/moment_stream_test.go
@@ -1,6 +1,7 @@
 package tests
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -29,6 +30,8 @@
 	signature, responseID string
 	// leave has the caller close its connection.
 	leave context.CancelFunc
+	// early is the number of events after which the caller leaves; 0 if it stays.
+	early int
 
 	mu sync.Mutex
 }
@@ -47,6 +50,8 @@
 	kind      momentKind
 	target    string
 	deadline  time.Time
+	// early is the number of events of the first attempt after which the caller leaves; 0 if it stays.
+	early int
 
 	mu     sync.Mutex
 	calls  []*momentCall
@@ -84,7 +89,8 @@
 	s.goOn(chain, front)
 }
 
-// goOn sends attempts at the fronts in turn until the stream is whole, and again only what has not run or may be resumed.
+// goOn sends attempts at the fronts in turn, or at each one twice, until the stream is whole, and again only what has not run or
+// may be resumed.
 func (s *momentStream) goOn(chain *momentChain, front int) {
 	defer func() {
 		s.mu.Lock()
@@ -92,6 +98,9 @@
 		s.callers--
 	}()
 	for try := range momentTries {
+		if s.site.play.back {
+			try /= 2
+		}
 		c := s.begin(chain, (front+try)%2)
 		if c == nil {
 			return
@@ -109,6 +118,8 @@
 			s.site.wait(min(c.returnAfter, time.Until(s.deadline)/3))
 		case !s.kind.repeatable() && c.status != 0:
 			return
+		case c.status == http.StatusOK:
+			s.site.wait(s.site.play.pause)
 		}
 	}
 }
@@ -128,6 +139,9 @@
 	if chain.last > 0 {
 		c.header = http.Header{"Last-Event-Id": {fmt.Sprint(chain.last)}, "Resumes": {chain.first}}
 	}
+	if len(s.calls) == 0 {
+		c.early = s.early
+	}
 	s.calls = append(s.calls, c)
 	chain.current = c
 	return c
@@ -174,6 +188,10 @@
 		c.mu.Lock()
 		c.data = append(c.data, buffer[:n]...)
 		c.mu.Unlock()
+		if c.early > 0 && bytes.Count(c.data, []byte("\n\n")) >= c.early {
+			c.err = errLeft
+			return
+		}
 		if errors.Is(err, io.EOF) {
 			return
 		}
