Tell cases of TestMoments by run and kind in make landings

Each run now has its cases of the order rule by kind, and those of other rules beside them, as soaks have. Flags that begin with moment- are passed on to the plays, and -landings-only takes commits that are not in the list, too: make landings ARGS='-landings-only -landings-forms ^TestMoments$ -landings-runs 3 -moment-seed 11 -moment-pattern breaks'.

TestLandingsKinds fails if kinds are counted once instead of by case (played).

--- a/tests/landings_judge_test.go
+++ b/tests/landings_judge_test.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"strings"
 	"testing"
+
+	"github.com/matryer/is"
 )
 
 // testOutput is the output of a test and its result, PASS or FAIL; empty if it did not end.
@@ -24,6 +26,7 @@
 	testLine   = regexp.MustCompile(`^\x16?=== (?:RUN|CONT|NAME) +(\S*)`)
 	resultLine = regexp.MustCompile(`^\x16?--- (PASS|FAIL|SKIP): (\S+) \(`)
 	checkLine  = regexp.MustCompile(`^\s*([a-z0-9_]+_test\.go):(\d+): (.*)`)
+	kindLine   = regexp.MustCompile(`^(order|mixed response|run twice): ([^:]+): `)
 	orderLine  = regexp.MustCompile(`: (\d+) streams out of order: map(\[.*\])`)
 )
 
@@ -61,6 +64,7 @@
 // judge counts the cases of a form: its sub-tests, or the test itself if it has none.
 func (f *form) judge(played map[string]*testOutput) verdict {
 	var v verdict
+	kinds := map[string]map[string]int{}
 	names := slices.Collect(maps.Keys(played))
 	for name, o := range played {
 		if name != f.test && !strings.HasPrefix(name, f.test+"/") || slices.ContainsFunc(names, func(other string) bool { return strings.HasPrefix(other, name+"/") }) {
@@ -70,7 +74,7 @@
 		if o.result == "PASS" {
 			continue
 		}
-		shown, reason := f.shows(o)
+		shown, reason := f.shows(o, kinds)
 		switch {
 		case shown > 0 && f.counted:
 			v.faults += shown
@@ -84,12 +88,33 @@
 	if v.played == 0 {
 		v.reason = "did not run"
 	}
+	if f.kinds && v.played > v.unjudged {
+		v.kinds = []string{kindsText(kinds)}
+	}
 	return v
 }
 
-// shows counts the checks of a failed case that show the form's fault. The reason is set if the case can't be judged, as
-// another check failed than those that judge what callers got, or log lines thereafter.
-func (f *form) shows(o *testOutput) (shown int, reason string) {
+// kindsText returns how often the order was broken, by kind, and which other rules were.
+func kindsText(kinds map[string]map[string]int) string {
+	text := func(rule string) string {
+		n := 0
+		for _, count := range kinds[rule] {
+			n += count
+		}
+		return strings.Replace(fmt.Sprint(n, " ", kinds[rule]), "map", "", 1)
+	}
+	out := text(string(ruleOrder))
+	for _, rule := range slices.Sorted(maps.Keys(kinds)) {
+		if rule != string(ruleOrder) {
+			out += ", " + rule + " " + text(rule)
+		}
+	}
+	return out
+}
+
+// shows counts the checks of a failed case that show the form's fault, and adds their kinds by rule. The reason is set if the
+// case can't be judged, as another check failed than those that judge what callers got, or log lines thereafter.
+func (f *form) shows(o *testOutput, kinds map[string]map[string]int) (shown int, reason string) {
 	judged := false
 	for _, line := range o.lines {
 		m := checkLine.FindStringSubmatch(line)
@@ -99,6 +124,12 @@
 		check := sourceLine(m[1], m[2])
 		if containsAny(check, f.faults) {
 			shown++
+			if kind := kindLine.FindStringSubmatch(m[3]); kind != nil {
+				if kinds[kind[1]] == nil {
+					kinds[kind[1]] = map[string]int{}
+				}
+				kinds[kind[1]][kind[2]]++
+			}
 		}
 		judged = judged || containsAny(check, f.logs)
 		if reason == "" && !strings.Contains(check, "Logf(") {
@@ -184,3 +215,32 @@
 	}
 	return fmt.Sprintf("%d of %d", v.faults, judged)
 }
+
+// TestLandingsKinds guards against faults of a run that are lost, counted twice, or counted as another kind.
+func TestLandingsKinds(t *testing.T) {
+	is := is.New(t)
+	f := &form{test: "TestMoments", counted: true, kinds: true, faults: []string{`t.Errorf("%s: %s: %s", f.rule, f.kind, f.text)`}}
+	data, err := os.ReadFile("moment_test.go")
+	is.NoErr(err)
+	before, _, found := strings.Cut(string(data), f.faults[0])
+	is.True(found)
+	at := fmt.Sprintf("    moment_test.go:%d: ", strings.Count(before, "\n")+1)
+	failed := func(faults ...string) *testOutput {
+		out := &testOutput{result: "FAIL", lines: []string{"    moment_test.go:1: order: event missing: no check of the form"}}
+		for _, fault := range faults {
+			out.lines = append(out.lines, at+fault)
+		}
+		return out
+	}
+	run := map[string]*testOutput{
+		"TestMoments": failed("order: event twice: the parent of all"), "TestMoments/play/1-0": {result: "PASS"},
+		"TestMoments/play/1-1": failed("order: versions mixed: m0-0, m0-1: order: early", "order: versions mixed: m1-0"),
+		"TestMoments/play/1-2": failed("order: complete too early: m2-0", "run twice: ran twice: m3-0"),
+	}
+	var v verdict
+	v.add(f.judge(run))
+	v.add(f.judge(map[string]*testOutput{"TestMoments/play/1-0": {result: "PASS"}}))
+	v.add(f.judge(map[string]*testOutput{"TestMoments/play/1-0": {}}))
+	is.Equal(v.cell(f.counted), "3 [complete too early:1 versions mixed:2], run twice 1 [ran twice:1]; 0 []")
+	is.Equal([]int{v.played, v.faults, v.unjudged}, []int{5, 4, 1})
+}
--- a/tests/landings_test.go
+++ b/tests/landings_test.go
@@ -19,7 +19,7 @@
 
 var (
 	landings         = flag.Bool("landings", false, "play each form of testdata/landings/forms against the fronts of each landing, and log a table")
-	landingsOnly     = flag.String("landings-only", "", "play only these landings, separated by commas; empty plays those of testdata/landings/commits")
+	landingsOnly     = flag.String("landings-only", "", "play only these landings, separated by commas, or commits that know all settings; empty plays those of testdata/landings/commits")
 	landingsForms    = flag.String("landings-forms", "", "play only forms whose test matches this expression")
 	landingsRuns     = flag.Int("landings-runs", 1, "how often each form is played")
 	landingsParallel = flag.Int("landings-parallel", 2, "how many landings are played at once")
@@ -36,8 +36,9 @@
 	seed int64
 	// subtests, unless empty, is a pattern of the sub-tests to play, those that CI leaves out included.
 	subtests string
-	// counted is set if faults are counted by failed checks, of which a case may have several.
-	counted bool
+	// counted is set if faults are counted by failed checks, of which a case may have several, and kinds if these are told
+	// apart, for each run.
+	counted, kinds bool
 	// faults are parts of the test's checks that judge what callers got, and logs of later ones that judge log lines.
 	faults, logs []string
 }
@@ -53,7 +54,7 @@
 }
 
 // verdict counts the cases of a form: those played, those that showed the fault, and those that could not be judged, with
-// the first reason. A soak has the kinds of its faults for each run.
+// the first reason, and the kinds of the faults of each run.
 type verdict struct {
 	played, faults, unjudged int
 	kinds                    []string
@@ -120,7 +121,7 @@
 		f := &form{test: d.Cmd}
 		d.MaybeScanArgs(t, "seed", &f.seed)
 		d.MaybeScanArgs(t, "subtests", &f.subtests)
-		f.counted = f.seed != 0 || d.HasArg("counted")
+		f.counted, f.kinds = f.seed != 0 || d.HasArg("counted"), d.HasArg("kinds")
 		if !bytes.Contains(source, []byte("func "+f.test+"(t *testing.T)")) {
 			t.Errorf("no test %s", f.test)
 		}
@@ -142,7 +143,8 @@
 	return out
 }
 
-// readLandings reads the landings to play, oldest first: a commit a line, and the settings that its fronts do not know.
+// readLandings reads the landings to play, oldest first: a commit a line, and the settings that its fronts do not know. Commits
+// that are asked for and have no line come last.
 func readLandings(t *testing.T) []landing {
 	t.Helper()
 	data, err := os.ReadFile("testdata/landings/commits")
@@ -150,12 +152,21 @@
 		t.Fatal(err)
 	}
 	var out []landing
+	var only []string
+	if *landingsOnly != "" {
+		only = strings.Split(*landingsOnly, ",")
+	}
 	for _, line := range strings.Split(string(data), "\n") {
 		words := strings.Fields(line)
-		if len(words) > 0 && (*landingsOnly == "" || slices.Contains(strings.Split(*landingsOnly, ","), words[0])) {
+		if len(words) > 0 && (len(only) == 0 || slices.Contains(only, words[0])) {
 			out = append(out, landing{commit: words[0], lacks: words[1:]})
 		}
 	}
+	for _, commit := range only {
+		if !slices.ContainsFunc(out, func(l landing) bool { return l.commit == commit }) {
+			out = append(out, landing{commit: commit})
+		}
+	}
 	return out
 }
 
@@ -169,7 +180,7 @@
 		}
 		return out
 	}
-	fronts := []string{"-front-program", program, "-front-lacks", strings.Join(l.lacks, ",")}
+	fronts := slices.Clip(append(momentFlags(), "-front-program", program, "-front-lacks", strings.Join(l.lacks, ",")))
 	for run := range *landingsRuns {
 		var tests []string
 		for _, f := range forms {
@@ -198,6 +209,17 @@
 	return out
 }
 
+// momentFlags returns the flags of TestMoments that were set.
+func momentFlags() []string {
+	var out []string
+	flag.Visit(func(f *flag.Flag) {
+		if strings.HasPrefix(f.Name, "moment-") {
+			out = append(out, "-"+f.Name, f.Value.String())
+		}
+	})
+	return out
+}
+
 // buildLanding builds the program of a commit from a copy of its files, and returns the program's path.
 func buildLanding(t *testing.T, commit string) (string, error) {
 	dir := t.TempDir()
