--- a/tests/starved_front_test.go
+++ b/tests/starved_front_test.go
@@ -174,6 +174,22 @@
 	}
 }
 
+// newStarvedSite returns a site with a front of one thread and servers of the given delays, which have slots for many calls.
+func newStarvedSite(t *testing.T, delays map[string]time.Duration) *platformSite {
+	t.Helper()
+	p := newBarePlatformSite(t)
+	p.extraSettings = "cores: 1\n"
+	p.putDocument()
+	for name, delay := range delays {
+		p.addServer(name, "--delay", delay.String())
+		record := bytes.Replace(p.record(name, "ready", 0), []byte(`"slots": 8`), []byte(`"slots": 60`), 1)
+		p.put("keyed.servers", name, record)
+	}
+	p.startFront("front-1")
+	p.waitReady("front-1", 1)
+	return p
+}
+
 // playStarvedFront has callers of streams and of plain calls leave one after the other, while their front
 // has the processor for run of each period only and receives more calls than it can read.
 func playStarvedFront(t *testing.T, run, period time.Duration) goneCount {
@@ -184,16 +200,7 @@
 		perSecond      = 400
 		leaveEvery     = 30 * time.Millisecond
 	)
-	p := newBarePlatformSite(t)
-	p.extraSettings = "cores: 1\n"
-	p.putDocument()
-	for name, delay := range map[string]time.Duration{"llm-1": gap, "llm-2": gap, "app-1": plainDelay} {
-		p.addServer(name, "--delay", delay.String())
-		record := bytes.Replace(p.record(name, "ready", 0), []byte(`"slots": 8`), []byte(`"slots": 60`), 1)
-		p.put("keyed.servers", name, record)
-	}
-	p.startFront("front-1")
-	p.waitReady("front-1", 1)
+	p := newStarvedSite(t, map[string]time.Duration{"llm-1": gap, "llm-2": gap, "app-1": plainDelay})
 	address := p.fronts["front-1"].address("callers")
 
 	var callers []*leavingCaller
