Soak: say who answered a call with 404, and when

Which process answered could not be told: the message had only the call's ID. It has the front, its address, the time and the answer now. The check is unchanged.

--- a/tests/soak_check_test.go
+++ b/tests/soak_check_test.go
@@ -385,7 +385,7 @@
 			s.t.Errorf("%s got no Retry-After (%d)", c.id, c.status)
 		}
 	case http.StatusNotFound:
-		s.t.Errorf("%s was refused with %d", c.id, c.status)
+		s.t.Errorf("%s was refused with %d by %s at %s, sent at %.2f s: %.200q", c.id, c.status, c.front, c.address, c.sent.Sub(s.began).Seconds(), c.data)
 	case http.StatusUnauthorized:
 		if c.key == "" || soakCustomers[c.key] != "" {
 			s.t.Errorf("%s with key %q was refused with %d", c.id, c.key, c.status)
