Refuse a stream whose route was shared out while a front is not heard

Callers saw streams with events of two services where a document shared their route out while the fronts did not hear each other: a front that did not know the stream waited 100 ms for its origin, and continued it at the service of its route after that. The origin was still at the front that could not send it.

Such a stream is refused as not run now if, at the end of the wait, another entry is late with its heartbeats or timed out in the last six seconds, as an unknown stream is while versions can't be known. TestStreamOfMovedRouteOfSilentEntry fails without it.

--- a/services/streamorigin/moved_test.go
+++ b/services/streamorigin/moved_test.go
@@ -1,11 +1,14 @@
 package streamorigin
 
 import (
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/runworks/runworks"
 )
 
 // TestStreamOfMovedRoute guards against a stream that goes on at another service, because its route was shared out since it began at
@@ -35,3 +38,29 @@
 		is.Equal(time.Since(began), time.Duration(0))
 	})
 }
+
+// TestStreamOfMovedRouteOfSilentEntry guards against a stream that goes on at another service, because its route was shared out
+// and the entry at which it began is not heard.
+func TestStreamOfMovedRouteOfSilentEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table, misses := startedTable("v1"), true
+		table.Stops, table.MissesEntry = func() int { return 0 }, func() bool { return misses }
+		table.Update = func(bool) bool { return true }
+		table.ApplyVersions(time.Now(), nil)
+		is.Equal(versionAt(table, "1"), "v1") // its route has not changed
+		table.MoveStreams(time.Now(), []string{"llm"})
+		began := time.Now()
+		_, err := table.Await(t.Context(), "1", "llm")
+		is.True(errors.Is(err, runworks.ErrUnknownStream))
+		is.Equal(time.Since(began), arrivalTimeout)
+		time.AfterFunc(arrivalTimeout/2, func() {
+			table.Apply(time.Now(), []runworks.StreamOrigin{{Stream: "1", Service: "other", Version: "v1", LeftMs: 60_000}})
+		})
+		o, err := table.Await(t.Context(), "1", "llm")
+		is.NoErr(err)
+		is.Equal(o.Service, "other")
+		misses = false
+		is.Equal(versionAt(table, "2"), "v1")
+	})
+}
--- a/services/streamorigin/table.go
+++ b/services/streamorigin/table.go
@@ -190,7 +190,8 @@
 }
 
 // Await is Resolve that waits for the origin of an unknown stream, as it may be on its way from the
-// entry where the stream began. After a stop of this entry it waits for what the others know since.
+// entry where the stream began. After a stop of this entry it waits for what the others know since. A stream whose route was
+// shared out is unknown while an entry is not heard.
 func (t *Table) Await(ctx context.Context, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
 	return t.AwaitSince(ctx, time.Now(), stream, service)
 }
@@ -213,6 +214,9 @@
 		select {
 		case <-arrived:
 		case <-ctx.Done():
+			if err == nil && t.MissesEntry != nil && t.MissesEntry() {
+				err = errorx.Decorate(runworks.ErrUnknownStream, "an entry that is not heard may have begun it at another service than %s", service)
+			}
 			return out, err
 		}
 	}
