Keep resumed streams that were looked up before a stop

Cause: the origin is looked up again before the first event, and a stop counted then as one before the call. What others knew when the caller came had been looked up already.

Change: a stop after the first look-up does not matter for the second one. A case of TestOriginThatArrivesBeforeFirstEvent fails without the change.

--- a/services/forward/origin.go
+++ b/services/forward/origin.go
@@ -39,7 +39,7 @@
 		return nil
 	}
 	c.resolvedAt = time.Now()
-	origin, err := c.f.Origins.AwaitSince(ctx, c.resolvedAt, c.in.Resumes, c.service)
+	origin, err := c.f.Origins.Await(ctx, c.in.Resumes, c.service)
 	if err != nil {
 		return runworks.NotRun(err, retryRejected)
 	}
@@ -56,7 +56,7 @@
 	if c.events > 0 || !c.resumedByCaller() {
 		return nil
 	}
-	origin, err := c.f.Origins.AwaitSince(c.attemptCtx, c.resolvedAt, c.in.Resumes, c.service)
+	origin, err := c.f.Origins.AwaitAgain(c.attemptCtx, c.resolvedAt, c.in.Resumes, c.service)
 	switch {
 	case err != nil:
 		return err
--- a/services/forward/origin_late_test.go
+++ b/services/forward/origin_late_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,7 +14,7 @@
 )
 
 // TestOriginThatArrivesBeforeFirstEvent guards against a stream that goes on, or looks complete, at the only version that was known when
-// its caller came, though its origin, or another version, has become known before the server has sent anything.
+// its caller came, though its origin, or another version, has become known before the server has sent anything, and against one that breaks off after a stop in between.
 func TestOriginThatArrivesBeforeFirstEvent(t *testing.T) {
 	part := event(3) + event(4)
 	origin := func(service, version string) func(f *Forwarder) {
@@ -31,6 +32,7 @@
 		listed(f)
 		origin("app", "v2")(f)
 	}
+	var stops atomic.Int64
 	first, second := reply{body: part, gap: 100 * time.Millisecond}, reply{body: part}
 	empty := reply{pause: 100 * time.Millisecond}
 	for _, c := range []struct {
@@ -43,6 +45,7 @@
 	}{
 		{"nothing", func(*Forwarder) {}, []reply{first}, part, 1, nil},
 		{"nothing, an empty rest", func(*Forwarder) {}, []reply{empty}, "", 1, nil},
+		{"a stop", func(*Forwarder) { stops.Add(1) }, []reply{first}, part, 1, nil},
 		{"the same version", origin("app", ""), []reply{first}, part, 1, nil},
 		{"another version", both, []reply{first, second}, part, 2, nil},
 		{"another version, an empty rest", both, []reply{empty, second}, part, 2, nil},
@@ -56,6 +59,8 @@
 				is := is.New(t)
 				s := &sender{replies: c.replies}
 				f := newForwarder(t, s, io.Discard)
+				stops.Store(0)
+				f.Origins.Stops, f.Origins.Update = func() int { return int(stops.Load()) }, func(bool) bool { return false }
 				time.AfterFunc(50*time.Millisecond, func() { c.learn(f) })
 				body, err := serveResumed(t, f)
 				is.Equal(body, c.body)
--- a/services/streamorigin/stop.go
+++ b/services/streamorigin/stop.go
@@ -27,23 +27,29 @@
 	updating chan struct{}
 }
 
+// lookup is when a caller came, and whether its stream was resolved then: a stop since does not matter.
+type lookup struct {
+	since    time.Time
+	resolved bool
+}
+
 // isBehind reports whether the entry was stopped or may be cut off, and may lack streams and versions that others knew when a
 // caller came.
-func (t *Table) isBehind(since time.Time) bool {
+func (t *Table) isBehind(l lookup) bool {
 	if t.Stops == nil {
 		return false
 	}
 	n, missing := t.Stops(), t.MissesEntry != nil && t.MissesEntry()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return n != t.stops.updated || missing && since.Sub(t.stops.updatedAt) >= updateMemory
+	return n != t.stops.updated && !l.resolved || missing && l.since.Sub(t.stops.updatedAt) >= updateMemory
 }
 
 // awaitUpdate waits for what the other entries knew when a caller came, until ctx is done.
-func (t *Table) awaitUpdate(ctx context.Context, since time.Time) {
+func (t *Table) awaitUpdate(ctx context.Context, l lookup) {
 	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
 	defer cancel()
-	for t.isBehind(since) && ctx.Err() == nil {
+	for t.isBehind(l) && ctx.Err() == nil {
 		select {
 		case <-t.startUpdate():
 		case <-ctx.Done():
--- a/services/streamorigin/table.go
+++ b/services/streamorigin/table.go
@@ -160,12 +160,12 @@
 // streams of the service. If there are several or none, or if those before the start of this entry or the
 // newest ones may not be known, the error is ErrUnknownStream.
 func (t *Table) Resolve(now time.Time, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
-	return t.resolve(now, now, stream, service)
+	return t.resolve(now, lookup{since: now}, stream, service)
 }
 
 // resolve is Resolve for a caller that came at a time: what was read of the other entries shortly before that, or since, counts.
-func (t *Table) resolve(now, since time.Time, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
-	isolated, behind := t.Isolated != nil && t.Isolated(), t.isBehind(since) // without the lock, under which the list of servers calls SetServers
+func (t *Table) resolve(now time.Time, l lookup, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
+	isolated, behind := t.Isolated != nil && t.Isolated(), t.isBehind(l) // without the lock, under which the list of servers calls SetServers
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if o, ok := t.origins[stream]; ok && now.Before(o.expires) {
@@ -193,13 +193,17 @@
 // entry where the stream began. After a stop of this entry it waits for what the others know since. A stream whose route was
 // shared out is unknown while an entry is not heard.
 func (t *Table) Await(ctx context.Context, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
-	return t.AwaitSince(ctx, time.Now(), stream, service)
+	return t.await(ctx, lookup{since: time.Now()}, stream, service)
 }
 
-// AwaitSince is Await for a caller that came at an earlier time.
-func (t *Table) AwaitSince(ctx context.Context, since time.Time, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
+// AwaitAgain is Await for a caller that came, and whose stream was resolved, at an earlier time. Stops since then do not matter.
+func (t *Table) AwaitAgain(ctx context.Context, since time.Time, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
+	return t.await(ctx, lookup{since: since, resolved: true}, stream, service)
+}
+
+func (t *Table) await(ctx context.Context, l lookup, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
 	if !t.knows(time.Now(), stream) {
-		t.awaitUpdate(ctx, since)
+		t.awaitUpdate(ctx, l)
 	}
 	ctx, cancel := context.WithTimeout(ctx, arrivalTimeout)
 	defer cancel()
@@ -207,7 +211,7 @@
 		t.mu.Lock()
 		arrived := t.arrived.Wait()
 		t.mu.Unlock()
-		out, err := t.resolve(time.Now(), since, stream, service)
+		out, err := t.resolve(time.Now(), l, stream, service)
 		if err == nil && !t.mayArrive(stream, service) || stream == "" {
 			return out, err
 		}
