Use what other fronts say of streams while callers wait

Cause: the store may take a second to respond, and what the other fronts have said within milliseconds is used only then. Callers wait for half a second.

Change: the store may take 0.4 s.

--- a/daemon/front_streams.go
+++ b/daemon/front_streams.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// streamsTimeout limits the time in which the store says what happened while this front was stopped or cut off.
-	streamsTimeout = time.Second
+	// streamsTimeout limits the time in which the store says what happened while this front was stopped or cut off. Callers wait
+	// for half a second, so that what the other fronts say is used before.
+	streamsTimeout = 400 * time.Millisecond
 	// peersTimeout is the same for the other fronts, one of which may be stopped itself.
 	peersTimeout = 300 * time.Millisecond
 )
--- a/tests/platform_frozen_version_test.go
+++ b/tests/platform_frozen_version_test.go
@@ -139,6 +139,34 @@
 	}
 }
 
+// TestPlatformStoppedFrontRefusesWithoutStore guards against streams that a front refuses after a stop while the store does not respond,
+// though all other fronts say what they know.
+func TestPlatformStoppedFrontRefusesWithoutStore(t *testing.T) {
+	p := newOverlapSite(t, overlapForm{fronts: 3})
+	const streams = 16
+	lines := p.beginLines(streams)
+	p.store.signal(syscall.SIGSTOP)
+	p.wait(overlapFreeze)
+	p.fronts["front-2"].signal(syscall.SIGSTOP)
+	p.resumeLines(lines, "front-2", func() {
+		p.wait(overlapFreeze / 2)
+		p.fronts["front-2"].signal(syscall.SIGCONT)
+	})
+	whole := 0
+	for _, line := range lines {
+		if line.problem != nil {
+			t.Errorf("%s: %s", line.first, line.problem.text)
+		}
+		if line.whole {
+			whole++
+		}
+	}
+	t.Logf("%d of %d streams go on", whole, streams)
+	if whole < streams/2 {
+		t.Error("too many streams were refused")
+	}
+}
+
 // listStarted lists servers that run, and waits until a front knows them.
 func (p *overlapSite) listStarted(version string, names ...string) {
 	for _, name := range names {
