Ask the other fronts for a stream whose route was shared out

It continues the stream at the service of its route only if each one that is heard answered and none is missed. Callers that wait at once share a request. TestStreamOfMovedRouteIsAskedFor does not compile without the field; with the refusal left out, it fails at its first expectation.

A front that answers, but has not read the document within 100 ms, does not name its streams; this remains.

--- a/daemon/front_streams.go
+++ b/daemon/front_streams.go
@@ -31,6 +31,7 @@
 	origins.Stops, origins.Update = d.countStops, d.updateStreams
 	origins.Position = func() runworks.Position { return d.watches[peers.SubjectServers].Position() }
 	origins.AllKnow = func(position runworks.Position) bool { return d.exchange.AllRead(time.Now(), position) }
+	origins.AskEntries = d.askStreams
 	origins.MissesEntry = func() bool { return d.exchange.MissesEntry(time.Now()) }
 	origins.Send, origins.OnVersions = d.exchange.SendStreamOrigins, d.streamVersions.Changed
 	d.exchange.StreamOrigins = func() []runworks.StreamOrigin { return origins.List(time.Now()) }
@@ -67,11 +68,7 @@
 	defer cancel()
 	var answered int
 	var missing bool
-	ask := func() {
-		ctx, cancel := context.WithTimeout(ctx, peersTimeout)
-		defer cancel()
-		answered, missing = d.exchange.RequestStreams(ctx)
-	}
+	ask := func() { answered, missing = d.requestStreams(ctx) }
 	var work conc.WaitGroup
 	if stopped {
 		work.Go(ask)
@@ -89,6 +86,21 @@
 	return whole
 }
 
+// requestStreams asks the other fronts for the streams and versions that they know. It returns how many answered, and whether one
+// did not in time.
+func (d *Front) requestStreams(ctx context.Context) (answered int, missing bool) {
+	ctx, cancel := context.WithTimeout(ctx, peersTimeout)
+	defer cancel()
+	return d.exchange.RequestStreams(ctx)
+}
+
+// askStreams asks the other fronts for the streams that they know, and reports whether none that is heard is missing.
+func (d *Front) askStreams() bool {
+	answered, missing := d.requestStreams(d.ctx)
+	d.Logger.Info("streams of other fronts read", "fronts", answered, "fronts_missing", missing)
+	return !missing
+}
+
 // onStreamVersions applies the versions of another front's handshake, or those that it has recorded.
 func (d *Front) onStreamVersions(list []runworks.StreamVersion, recorded bool) {
 	if recorded {
--- a/services/streamorigin/moved_test.go
+++ b/services/streamorigin/moved_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,3 +65,35 @@
 		is.Equal(versionAt(table, "2"), "v1")
 	})
 }
+
+// TestStreamOfMovedRouteIsAskedFor guards against a stream that goes on at another service, because its route was shared out and
+// the entry at which it began has not told the others in time.
+func TestStreamOfMovedRouteIsAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table, asked, answers := startedTable("v1"), 0, false
+		table.ApplyVersions(time.Now(), nil)
+		table.MoveStreams(time.Now(), []string{"llm"})
+		table.AskEntries = func() bool {
+			asked++
+			time.Sleep(arrivalTimeout)
+			return answers
+		}
+		_, err := table.Await(t.Context(), "1", "llm")
+		is.True(errors.Is(err, runworks.ErrUnknownStream)) // no answer
+		answers, asked = true, 0
+		var all sync.WaitGroup
+		for range 10 {
+			all.Go(func() { is.Equal(versionAt(table, "1"), "v1") }) // unknown to all
+		}
+		all.Wait()
+		is.Equal(asked, 1)
+		table.AskEntries = func() bool {
+			table.Apply(time.Now(), []runworks.StreamOrigin{{Stream: "1", Service: "other", Version: "v1", LeftMs: 60_000}})
+			return true
+		}
+		o, err := table.Await(t.Context(), "1", "llm")
+		is.NoErr(err)
+		is.Equal(o.Service, "other")
+	})
+}
--- a/services/streamorigin/table.go
+++ b/services/streamorigin/table.go
@@ -38,6 +38,9 @@
 	// is missing. Nil means that the entry is never stopped.
 	Stops  func() int
 	Update func(stopped bool) bool
+	// AskEntries reads the streams that the other entries know, and reports whether all that are heard answered. Nil means that
+	// there is no other entry.
+	AskEntries func() bool
 	// MissesEntry reports whether another entry is not heard, or was recently: this one may be cut off and not have noticed, so that
 	// Update is called as after a stop. Nil means never.
 	MissesEntry func() bool
@@ -60,6 +63,7 @@
 	versions       map[string]versions
 	listed, loaded bool
 	stops          stops
+	asks           asks
 	// moved holds until when routes may have moved streams of a service.
 	moved map[string]time.Time
 }
@@ -191,7 +195,7 @@
 
 // Await is Resolve that waits for the origin of an unknown stream, as it may be on its way from the
 // entry where the stream began. After a stop of this entry it waits for what the others know since. A stream whose route was
-// shared out is unknown while an entry is not heard.
+// shared out is unknown unless the other entries say that they do not know it.
 func (t *Table) Await(ctx context.Context, stream runworks.RequestID, service string) (runworks.StreamOrigin, error) {
 	return t.await(ctx, lookup{since: time.Now()}, stream, service)
 }
@@ -218,10 +222,10 @@
 		select {
 		case <-arrived:
 		case <-ctx.Done():
-			if err == nil && t.MissesEntry != nil && t.MissesEntry() {
-				err = errorx.Decorate(runworks.ErrUnknownStream, "an entry that is not heard may have begun it at another service than %s", service)
+			if err != nil {
+				return out, err
 			}
-			return out, err
+			return t.askEntries(l, stream, service)
 		}
 	}
 }
