Moments: end the effect of an event as that event where both meet a moment

Each event now gets a moment of its own.

TestMomentActsByItsNumber fails without it ([1 1] in place of [0 1]).

--- a/tests/moment_run_test.go
+++ b/tests/moment_run_test.go
@@ -7,8 +7,11 @@
 	"slices"
 	"strings"
 	"syscall"
+	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/runworks/runworks/standin"
 )
 
@@ -194,6 +197,7 @@
 	}
 	stream := m.stream
 	end, out.reasons[0] = p.act(0, m)
+	p.startAfter()
 	if !p.play.lasting {
 		p.wait(p.play.hold)
 		end()
@@ -219,6 +223,7 @@
 	out.same = m.stream == stream
 	var endSecond func()
 	endSecond, out.reasons[1] = p.act(1, m)
+	p.startAfter()
 	p.wait(p.play.hold)
 	endSecond()
 	return out
@@ -226,9 +231,9 @@
 
 // act has an event of the play happen, and returns what ends its effect and why it could not happen, if so.
 func (p *momentSite) act(n int, m *moment) (func(), string) {
-	m.event = n
-	end, reason := p.play.events()[n].act(p, m)
-	p.startAfter()
+	at := *m // both events may meet one moment
+	at.event = n
+	end, reason := p.play.events()[n].act(p, &at)
 	p.t.Logf("event %d at %s of %s, server %s, %s: %s", n+1, p.play.points[n], m.stream.target, m.server.name, m.front, reason)
 	if end == nil {
 		end = func() {}
@@ -266,3 +271,21 @@
 	}
 	return ""
 }
+
+// TestMomentActsByItsNumber guards against an effect that ends as that of the other event where both meet one moment.
+func TestMomentActsByItsNumber(t *testing.T) {
+	is := is.New(t)
+	ended := [2]int{-1, -1}
+	event := func(n int) momentEvent {
+		return momentEvent{act: func(_ *momentSite, m *moment) (func(), string) {
+			return func() { ended[n] = m.event }, ""
+		}}
+	}
+	p := &momentSite{platformSite: &platformSite{site: &site{t: t}}, play: momentPlay{pair: [2]momentEvent{event(0), event(1)}}}
+	m := &moment{stream: &momentStream{}, server: &momentServer{process: &process{}}}
+	first, _ := p.act(0, m)
+	second, _ := p.act(1, m)
+	second()
+	first()
+	is.Equal(ended, [2]int{0, 1})
+}
