Moments: await the output of servers before calls count as not run

The check now first asks each server that runs for the calls it ran, and waits until its output has as many. No check is changed. TestMomentAwaitsOutput fails without it (map[] in place of map[a:[llm-1]]).

--- a/tests/moment_odd_test.go
+++ b/tests/moment_odd_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -63,3 +64,17 @@
 		}
 	}
 }
+
+// TestMomentAwaitsOutput guards against calls that count as not run since the output of their server is read late.
+func TestMomentAwaitsOutput(t *testing.T) {
+	is := is.New(t)
+	s := &momentServer{id: "llm-1", process: &process{t: t, name: "llm-1", done: make(chan struct{}), changed: make(chan struct{}, 1)}}
+	listener := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `[{}]`)
+		time.AfterFunc(momentPeriod, func() { s.handleLine("ran a POST /once/m0 \"yard\" 00") })
+	}))
+	defer listener.Close()
+	s.addresses = map[string]string{"standin": listener.Listener.Addr().String()}
+	p := &momentSite{platformSite: &platformSite{site: &site{t: t}}, servers: []*momentServer{s}}
+	is.Equal(p.ran(), map[string][]string{"a": {"llm-1"}})
+}
--- a/tests/moment_run_test.go
+++ b/tests/moment_run_test.go
@@ -245,11 +245,21 @@
 func (p *momentSite) ran() map[string][]string {
 	out := map[string][]string{}
 	for _, s := range p.servers {
+		p.awaitOutput(s)
 		momentRan(out, s.id, s.outputText())
 	}
 	return out
 }
 
+// awaitOutput waits until the output of a server has all calls that it ran: its reader may be behind what callers have read.
+func (p *momentSite) awaitOutput(s *momentServer) {
+	var calls []standin.RoutedCall
+	if s.ended() || !getJSON("http://"+s.address("standin")+"/calls", &calls) {
+		return
+	}
+	p.waitFor(s.name+" has told its calls", func() bool { return s.ended() || len(ranLines(s.outputText())) >= len(calls) })
+}
+
 // checkFronts checks that no front has ended by itself.
 func (p *momentSite) checkFronts() {
 	for name, front := range p.fronts {
