Look for the other fronts again where none is heard

What callers saw: streams of two versions at a front that is cut off while the only other one restarts, 6 to 9 of 24 in three plays.

Cause: a front notices a cut by the silence of others. One whose others have all exited misses nobody, and that an address refused connections before says nothing of the time since.

Evidence: TestPlatformCutFrontGuessesVersionBesideRestart, listed before, fails in each of six plays.

Change: for a stream that it does not know, a front that hears no other one connects to their addresses again. If nothing listens at any of them, it goes on as before; otherwise the list of servers must be read.

Result: all 24 streams are refused in three of three plays, and with two fronts, one killed, and a silent store all 16 go on, as before (TestPlatformStreamsAreRefusedWithoutStore, three of three). The 217 s of process tests of versions, streams, fronts, the store, cuts and stops pass, and so do 32 pairs of TestMoments.

--- a/daemon/front_streams.go
+++ b/daemon/front_streams.go
@@ -33,6 +33,7 @@
 	origins.AllKnow = func(position runworks.Position) bool { return d.exchange.AllRead(time.Now(), position) }
 	origins.AskEntries = d.askStreams
 	origins.MissesEntry = func() bool { return d.exchange.MissesEntry(time.Now()) }
+	origins.Alone = d.exchange.Alone
 	origins.Send, origins.OnVersions = d.exchange.SendStreamOrigins, d.streamVersions.Changed
 	d.exchange.StreamOrigins = func() []runworks.StreamOrigin { return origins.List(time.Now()) }
 	d.exchange.OnStreamOrigins = func(list []runworks.StreamOrigin) { origins.Apply(time.Now(), list) }
@@ -64,6 +65,9 @@
 // off. After a stop, and where the store does not respond, it also asks the other fronts for the streams and versions that they
 // know. It reports whether no version can be missing.
 func (d *Front) updateStreams(stopped bool) bool {
+	if !stopped && d.exchange.Alone() && d.allExited() {
+		return true
+	}
 	ctx, cancel := context.WithTimeout(d.ctx, streamsTimeout)
 	defer cancel()
 	var answered int
@@ -86,6 +90,13 @@
 	return whole
 }
 
+// allExited reports whether all other fronts have exited, so that this one is cut off from none.
+func (d *Front) allExited() bool {
+	ctx, cancel := context.WithTimeout(d.ctx, peersTimeout)
+	defer cancel()
+	return d.exchange.AllExited(ctx)
+}
+
 // requestStreams asks the other fronts for the streams and versions that they know. It returns how many answered, and whether one
 // did not in time.
 func (d *Front) requestStreams(ctx context.Context) (answered int, missing bool) {
--- a/services/peers/silence.go
+++ b/services/peers/silence.go
@@ -1,8 +1,14 @@
 package peers
 
 import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/runworks/runworks"
 )
 
@@ -44,6 +50,49 @@
 	return l != nil && l.refused
 }
 
+// Alone reports whether no other entry is heard, so that the silence of none can show that this one is cut off.
+func (x *Exchange) Alone() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, one := range x.peers {
+		if !x.hasExitedLocked(one.name) {
+			return false
+		}
+	}
+	return true
+}
+
+// AllExited connects to the addresses of all other entries, and reports whether nothing listens there: one that had exited may have
+// started again.
+func (x *Exchange) AllExited(ctx context.Context) bool {
+	var wg conc.WaitGroup
+	var found atomic.Bool
+	for _, address := range x.addresses() {
+		wg.Go(func() {
+			conn, err := x.Dial(ctx, "tcp", address)
+			if err == nil {
+				_ = conn.Close()
+			}
+			if !errors.Is(err, syscall.ECONNREFUSED) {
+				found.Store(true)
+			}
+		})
+	}
+	wg.Wait()
+	return !found.Load()
+}
+
+// addresses returns the addresses of the other entries.
+func (x *Exchange) addresses() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var out []string
+	for _, l := range x.links {
+		out = append(out, l.member.Address)
+	}
+	return out
+}
+
 // CutOff reports whether this entry may be cut off together with all that it hears: none of them can read the store, and another
 // one is silent.
 func (x *Exchange) CutOff() bool {
--- a/services/streamorigin/stop.go
+++ b/services/streamorigin/stop.go
@@ -39,7 +39,7 @@
 	if t.Stops == nil {
 		return false
 	}
-	n, missing := t.Stops(), t.MissesEntry != nil && t.MissesEntry()
+	n, missing := t.Stops(), t.MissesEntry != nil && t.MissesEntry() || t.Alone != nil && t.Alone()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return n != t.stops.updated && !l.resolved || missing && l.since.Sub(t.stops.updatedAt) >= updateMemory
--- a/services/streamorigin/table.go
+++ b/services/streamorigin/table.go
@@ -44,6 +44,8 @@
 	// MissesEntry reports whether another entry is not heard, or was recently: this one may be cut off and not have noticed, so that
 	// Update is called as after a stop. Nil means never.
 	MissesEntry func() bool
+	// Alone reports whether no other entry is heard, so that Update is called as well: the silence of none can show a cut. Nil means never.
+	Alone func() bool
 	// Position returns up to where this entry knows the list of servers, and AllKnow whether all others do up to a position; a nil
 	// AllKnow means that there is none.
 	Position func() runworks.Position
